Set up the frame: kernel, typed errors, transport, interfaces between services

The interfaces between services come first, so that the parts can be built side by side. The transport runs tRPC routers over one framed WebSocket a peer, with a challenge, a heartbeat and the emulated network on the connecting side.

--- /dev/null
+++ b/src/clock/createSystemClock/index.ts
@@ -0,0 +1,28 @@
+import type { Clock } from "../types/Clock.js";
+
+/**
+ * Creates the clock of a real process.
+ *
+ * @returns A clock on the process's monotonic timer.
+ *
+ * @example
+ * await createSystemClock().sleep(10);
+ */
+export function createSystemClock(): Clock {
+    function sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+        if (signal?.aborted === true) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const finish = (): void => {
+                clearTimeout(timer);
+                signal?.removeEventListener("abort", finish);
+                resolve();
+            };
+            const timer = setTimeout(finish, milliseconds);
+            signal?.addEventListener("abort", finish);
+        });
+    }
+
+    return { now: () => performance.now(), wallTime: () => Date.now(), sleep };
+}
--- /dev/null
+++ b/src/configuration/types/CallerDefinition.ts
@@ -0,0 +1,6 @@
+/** One caller: the digest of its key and what it may use. */
+export interface CallerDefinition {
+    /** SHA-256 of the caller's key, in hexadecimal. */
+    readonly keyDigest: string;
+    readonly databases: readonly string[];
+}
--- /dev/null
+++ b/src/endpoints/types/EndpointDriver.ts
@@ -0,0 +1,12 @@
+import type { Address } from "../../network/types/Address.js";
+import type { EndpointConnection } from "./EndpointConnection.js";
+
+/** Opens connections to endpoints; the only place that knows their wire format. */
+export interface EndpointDriver {
+    /**
+     * Opens a connection.
+     *
+     * Fails with `ConnectionLimitReached`, `Unreachable` or `DeadlineExceeded`.
+     */
+    connect(endpoint: string, address: Address, timeoutMilliseconds: number): Promise<EndpointConnection>;
+}
--- /dev/null
+++ b/src/endpoints/types/FenceAnswer.ts
@@ -0,0 +1,6 @@
+/** What a fenced endpoint holds. */
+export interface FenceAnswer {
+    readonly endpoint: string;
+    readonly lastEntryTerm: number;
+    readonly position: number;
+}
--- /dev/null
+++ b/src/errors/types/ErrorKind.ts
@@ -0,0 +1,23 @@
+/** The kinds of errors that cross a boundary of the product. */
+export enum ErrorKind {
+    Conflict = "Conflict",
+    ConnectionClosed = "ConnectionClosed",
+    ConnectionLimitReached = "ConnectionLimitReached",
+    DeadlineExceeded = "DeadlineExceeded",
+    EndpointRefused = "EndpointRefused",
+    Forbidden = "Forbidden",
+    InvalidPatch = "InvalidPatch",
+    InvalidRequest = "InvalidRequest",
+    InvalidSettings = "InvalidSettings",
+    InvalidToken = "InvalidToken",
+    NotFound = "NotFound",
+    OutcomeUnknown = "OutcomeUnknown",
+    Overloaded = "Overloaded",
+    PeerRejected = "PeerRejected",
+    PlatformUnavailable = "PlatformUnavailable",
+    ProtocolMismatch = "ProtocolMismatch",
+    Stopping = "Stopping",
+    Unauthorized = "Unauthorized",
+    Unexpected = "Unexpected",
+    Unreachable = "Unreachable",
+}
--- /dev/null
+++ b/src/events/types/EventKind.ts
@@ -0,0 +1,23 @@
+/** Kinds of events on the time line. */
+export enum EventKind {
+    ConfigurationInForce = "ConfigurationInForce",
+    ConfigurationPatched = "ConfigurationPatched",
+    ConnectionClosed = "ConnectionClosed",
+    CoordinatorReady = "CoordinatorReady",
+    EndpointLeaving = "EndpointLeaving",
+    EndpointSuspected = "EndpointSuspected",
+    FailoverEnded = "FailoverEnded",
+    FailoverStarted = "FailoverStarted",
+    FailoverWaiting = "FailoverWaiting",
+    Fenced = "Fenced",
+    OwnershipChanged = "OwnershipChanged",
+    PeerChanged = "PeerChanged",
+    PlatformLost = "PlatformLost",
+    PlatformReached = "PlatformReached",
+    ProcessStarted = "ProcessStarted",
+    ProcessStopping = "ProcessStopping",
+    Promoted = "Promoted",
+    RequestFinished = "RequestFinished",
+    TermReserved = "TermReserved",
+    TransactionRolledBack = "TransactionRolledBack",
+}
--- /dev/null
+++ b/src/logging/createLogger/index.ts
@@ -0,0 +1,32 @@
+import debug from "debug";
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Logger } from "../types/Logger.js";
+
+/**
+ * Creates the logger of one process: JSON lines on standard error, selected by `debug` namespaces.
+ *
+ * @param processName Name of the process, on each line.
+ * @param clock Source of wall time.
+ * @returns The logger.
+ *
+ * @example
+ * const log = createLogger("vm-1-gateway", clock).topic("failover");
+ * log("fence answered", { database: "stock", term: 4 });
+ */
+export function createLogger(processName: string, clock: Clock): Logger {
+    function topic(name: string): ReturnType<Logger["topic"]> {
+        const namespace = `tarragonpost:${name}`;
+        const selector = debug(namespace);
+        selector.log = (line: string) => process.stderr.write(`${line}\n`);
+        return (message, fields = {}) => {
+            if (selector.enabled) {
+                const time = new Date(clock.wallTime()).toISOString();
+                process.stderr.write(
+                    `${JSON.stringify({ time, process: processName, topic: name, message, ...fields })}\n`,
+                );
+            }
+        };
+    }
+
+    return { topic };
+}
--- /dev/null
+++ b/src/messages/types/EndpointReply.ts
@@ -0,0 +1,27 @@
+import type { NotRunReason } from "./NotRunReason.js";
+import type { OutcomeKind } from "./OutcomeKind.js";
+
+/** What a gateway answers to an `EndpointRequest` or to a statement of a transaction. */
+export type EndpointReply =
+    | {
+        readonly outcome: OutcomeKind.Answer;
+        readonly result: unknown;
+        readonly term: number;
+        /** For a write, its own position; for a read, the position that the endpoint had applied. Confirmed. */
+        readonly position: number;
+        /** Requests waiting at the endpoint's queue, for load-aware routing. */
+        readonly queueLength: number;
+    }
+    | {
+        readonly outcome: OutcomeKind.NotRun;
+        readonly reason: NotRunReason;
+        readonly message: string;
+        /** The highest term that the endpoint or gateway knows, when it is newer than the one asked under. */
+        readonly newerTerm?: number;
+        /** The position that the endpoint had applied, when known. */
+        readonly position?: number;
+    }
+    | {
+        readonly outcome: OutcomeKind.OutcomeUnknown;
+        readonly message: string;
+    };
--- /dev/null
+++ b/src/messages/types/LogPosition.ts
@@ -0,0 +1,5 @@
+/** A place in a database group's log. */
+export interface LogPosition {
+    readonly term: number;
+    readonly position: number;
+}
--- /dev/null
+++ b/src/messages/types/TransactionEndKind.ts
@@ -0,0 +1,5 @@
+/** How a transaction is ended. */
+export enum TransactionEndKind {
+    Commit = "Commit",
+    Rollback = "Rollback",
+}
--- /dev/null
+++ b/src/network/createNeutralNetwork/index.ts
@@ -0,0 +1,31 @@
+import type { LinkConditions } from "../types/LinkConditions.js";
+import type { NetworkConditions } from "../types/NetworkConditions.js";
+
+const neutralLink: LinkConditions = { delayMilliseconds: 0, isCut: false };
+
+/**
+ * Creates the conditions of a network that is not emulated: no delay and nothing cut.
+ *
+ * @param localZone Availability zone of this process.
+ * @returns Conditions that only count bytes.
+ *
+ * @example
+ * const conditions = createNeutralNetwork("ga-north-1");
+ */
+export function createNeutralNetwork(localZone: string): NetworkConditions {
+    const bytesByLink = new Map<string, number>();
+
+    function countBytes(from: string, to: string, bytes: number): void {
+        const link = `${from}>${to}`;
+        bytesByLink.set(link, (bytesByLink.get(link) ?? 0) + bytes);
+    }
+
+    return {
+        linkBetween: () => neutralLink,
+        onChange: () => () => {},
+        countBytes,
+        bytesByLink,
+        localZone,
+        delayTo: () => 0,
+    };
+}
--- /dev/null
+++ b/src/network/types/Address.ts
@@ -0,0 +1,6 @@
+/** Where a process or endpoint listens. */
+export interface Address {
+    readonly host: string;
+    readonly port: number;
+    readonly availabilityZone: string;
+}
--- /dev/null
+++ b/src/network/types/NetworkConditions.ts
@@ -0,0 +1,22 @@
+import type { Address } from "./Address.js";
+import type { LinkConditions } from "./LinkConditions.js";
+
+/**
+ * The emulated network between processes of one machine.
+ *
+ * A production process has the neutral implementation: no delay, nothing cut.
+ */
+export interface NetworkConditions {
+    /** Conditions from one place to another; a place is an availability zone, or `zone/name` of one process. */
+    linkBetween(from: string, to: string): LinkConditions;
+    /** Calls the listener after each change; returns a function that ends the subscription. */
+    onChange(listener: () => void): () => void;
+    /** Adds to the count of bytes that this process sent on a link. */
+    countBytes(from: string, to: string, bytes: number): void;
+    /** Bytes sent so far, by `from>to`. */
+    readonly bytesByLink: ReadonlyMap<string, number>;
+    /** Place of this process, its availability zone. */
+    readonly localZone: string;
+    /** Delay of one way to the address in milliseconds. */
+    delayTo(address: Address): number;
+}
--- /dev/null
+++ b/src/network/wrapSocket/index.ts
@@ -0,0 +1,88 @@
+import type { WebSocket } from "ws";
+import { createDelayLine } from "../createDelayLine/index.js";
+import type { FrameSocket } from "../types/FrameSocket.js";
+import type { NetworkConditions } from "../types/NetworkConditions.js";
+
+/** Options of `wrapSocket`. */
+interface WrapSocketOptions {
+    readonly conditions: NetworkConditions;
+    readonly remoteZone: string;
+    /** Wall time of the connection attempt, to tell connections that went silent from newer ones. */
+    readonly openedAt: number;
+}
+
+/**
+ * Wraps the connecting side of a WebSocket so that both directions pass through the emulated network.
+ *
+ * @param socket The socket, open or opening.
+ * @param options Network conditions, the other side's availability zone and the opening time.
+ * @returns A socket of whole frames.
+ *
+ * @example
+ * const frames = wrapSocket(socket, { conditions, remoteZone: "ga-south-1", openedAt: Date.now() });
+ */
+export function wrapSocket(socket: WebSocket, options: WrapSocketOptions): FrameSocket {
+    const { conditions, remoteZone, openedAt } = options;
+    const { localZone } = conditions;
+    const linkOut = () => conditions.linkBetween(localZone, remoteZone);
+    const linkIn = () => conditions.linkBetween(remoteZone, localZone);
+    const sendLater = createDelayLine(() => linkOut().delayMilliseconds);
+    const receiveLater = createDelayLine(() => linkIn().delayMilliseconds);
+    const listeners: ((frame: Uint8Array) => void)[] = [];
+    const early: Uint8Array[] = [];
+
+    function isSilent(silentSince: number | undefined): boolean {
+        return silentSince !== undefined && openedAt <= silentSince;
+    }
+
+    function send(frame: Uint8Array): void {
+        conditions.countBytes(localZone, remoteZone, frame.byteLength);
+        sendLater(() => {
+            if (!isSilent(linkOut().silentSince) && socket.readyState === socket.OPEN) {
+                socket.send(frame);
+            }
+        });
+    }
+
+    function receive(frame: Uint8Array): void {
+        conditions.countBytes(remoteZone, localZone, frame.byteLength);
+        receiveLater(() => {
+            if (isSilent(linkIn().silentSince)) {
+                return;
+            }
+            if (listeners.length === 0) {
+                early.push(frame);
+            }
+            for (const listener of listeners) {
+                listener(frame);
+            }
+        });
+    }
+
+    function onFrame(listener: (frame: Uint8Array) => void): void {
+        listeners.push(listener);
+        for (const frame of early.splice(0)) {
+            listener(frame);
+        }
+    }
+
+    const stopWatching = conditions.onChange(() => {
+        if (linkOut().isCut || linkIn().isCut) {
+            socket.terminate();
+        }
+    });
+    const closed = new Promise<void>(resolve => {
+        socket.once("close", () => {
+            stopWatching();
+            resolve();
+        });
+    });
+    socket.on("message", data => receive(data as Buffer));
+    socket.on("error", () => socket.terminate());
+    return {
+        send,
+        onFrame,
+        close: () => socket.terminate(),
+        closed,
+    };
+}
--- /dev/null
+++ b/src/settings/types/EntrySettings.ts
@@ -0,0 +1,10 @@
+import type { Address } from "../../network/types/Address.js";
+import type { ProcessSettings } from "./ProcessSettings.js";
+
+/** Settings of an entry. */
+export interface EntrySettings extends ProcessSettings {
+    /** The gateway on the same VM. */
+    readonly localGateway: Address;
+    /** Gateways to ask while the local one is away. */
+    readonly otherGateways: readonly Address[];
+}
--- /dev/null
+++ b/src/transport/openPeerConnection/index.ts
@@ -0,0 +1,213 @@
+import { encode } from "@msgpack/msgpack";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import { openFrameSocket } from "../../network/openFrameSocket/index.js";
+import type { Address } from "../../network/types/Address.js";
+import type { FrameSocket } from "../../network/types/FrameSocket.js";
+import type { NetworkConditions } from "../../network/types/NetworkConditions.js";
+import { transportConstants } from "../constants.js";
+import { createHeartbeat } from "../createHeartbeat/index.js";
+import { createPeerProof } from "../createPeerProof/index.js";
+import { decodeFrame } from "../decodeFrame/index.js";
+import { deserializeError } from "../deserializeError/index.js";
+import type { Frame } from "../types/Frame.js";
+import { FrameKind } from "../types/FrameKind.js";
+import type { PeerConnection } from "../types/PeerConnection.js";
+import type { PeerIdentity } from "../types/PeerIdentity.js";
+
+/** Options of `openPeerConnection`. */
+interface OpenPeerConnectionOptions {
+    readonly identity: PeerIdentity;
+    readonly conditions: NetworkConditions;
+    readonly events: EventRecorder;
+}
+
+/** One call or subscription that waits for its answer. */
+interface PendingCall {
+    next(item: unknown): void;
+    error(error: unknown): void;
+    complete(): void;
+}
+
+/**
+ * Opens a connection to a peer, proves the shared secret and checks the protocol version.
+ *
+ * @param address Where the peer listens.
+ * @param options Identity of this process, network conditions and the event recorder.
+ * @returns The calling side of the connection.
+ * @throws TarragonpostError of kind `Unreachable`, `ProtocolMismatch` or `PeerRejected`.
+ *
+ * @example
+ * const connection = await openPeerConnection(address, { identity, conditions, events });
+ */
+export async function openPeerConnection(
+    address: Address,
+    options: OpenPeerConnectionOptions,
+): Promise<PeerConnection> {
+    const { identity, events } = options;
+    const socket = await openFrameSocket(address, {
+        conditions: options.conditions,
+        timeoutMilliseconds: transportConstants.connectTimeoutMilliseconds,
+    });
+    const pending = new Map<number, PendingCall>();
+    let lastId = 0;
+    let isClosed = false;
+
+    function send(frame: Frame): void {
+        socket.send(encode(frame, { ignoreUndefined: true }));
+    }
+
+    function closedError(): Error {
+        return createError(
+            ErrorKind.ConnectionClosed,
+            `The connection to ${address.host}:${address.port} was closed.`,
+            {
+                remedy: "Retry what is idempotent; a new connection is opened by itself.",
+            },
+        );
+    }
+
+    const handlers: Partial<Record<FrameKind, (frame: Frame) => void>> = {
+        [FrameKind.Result]: frame => {
+            const [, id, data, stamp] = frame as Extract<Frame, readonly [FrameKind.Result, ...unknown[]]>;
+            events.observe(stamp);
+            const call = pending.get(id);
+            pending.delete(id);
+            call?.next(data);
+            call?.complete();
+        },
+        [FrameKind.Item]: frame => {
+            const [, id, data, stamp] = frame as Extract<Frame, readonly [FrameKind.Item, ...unknown[]]>;
+            events.observe(stamp);
+            pending.get(id)?.next(data);
+        },
+        [FrameKind.Failure]: frame => {
+            const [, id, error, stamp] = frame as Extract<Frame, readonly [FrameKind.Failure, ...unknown[]]>;
+            events.observe(stamp);
+            const call = pending.get(id);
+            pending.delete(id);
+            call?.error(deserializeError(error));
+        },
+        [FrameKind.Done]: frame => {
+            const [, id] = frame as Extract<Frame, readonly [FrameKind.Done, ...unknown[]]>;
+            const call = pending.get(id);
+            pending.delete(id);
+            call?.complete();
+        },
+    };
+
+    await shakeHands(socket, identity, address);
+    const heartbeat = createHeartbeat({ ping: () => send([FrameKind.Ping]), onSilence: socket.close });
+    socket.onFrame(bytes => {
+        heartbeat.beat();
+        const frame = decodeFrame(bytes);
+        handlers[frame[0]]?.(frame);
+    });
+    const closed = socket.closed.then(() => {
+        isClosed = true;
+        heartbeat.stop();
+        const calls = [...pending.values()];
+        pending.clear();
+        for (const call of calls) {
+            call.error(closedError());
+        }
+    });
+
+    function start(
+        type: "query" | "mutation" | "subscription",
+        path: string,
+        input: unknown,
+        call: PendingCall,
+    ): number {
+        if (isClosed) {
+            call.error(closedError());
+            return 0;
+        }
+        lastId += 1;
+        pending.set(lastId, call);
+        send([FrameKind.Call, lastId, type, path, input, events.stamp()]);
+        return lastId;
+    }
+
+    function cancel(id: number): void {
+        if (pending.delete(id) && !isClosed) {
+            send([FrameKind.Cancel, id]);
+        }
+    }
+
+    function call(type: "query" | "mutation", path: string, input: unknown, signal?: AbortSignal): Promise<unknown> {
+        return new Promise((resolve, reject) => {
+            const id = start(type, path, input, { next: resolve, error: reject, complete: () => {} });
+            signal?.addEventListener("abort", () => {
+                cancel(id);
+                reject(createError(ErrorKind.DeadlineExceeded, `The call to ${path} was abandoned.`, {
+                    remedy: "Allow more time, or look up the outcome under the request key.",
+                }));
+            }, { once: true });
+        });
+    }
+
+    function subscribe(path: string, input: unknown, observer: PendingCall): () => void {
+        const id = start("subscription", path, input, observer);
+        return () => cancel(id);
+    }
+
+    return { call, subscribe, close: socket.close, closed };
+}
+
+async function shakeHands(socket: FrameSocket, identity: PeerIdentity, address: Address): Promise<void> {
+    const { protocolVersion, connectTimeoutMilliseconds } = transportConstants;
+    const label = `${address.host}:${address.port}`;
+    await new Promise<void>((resolve, reject) => {
+        const fail = (error: Error): void => {
+            clearTimeout(timer);
+            socket.close();
+            reject(error);
+        };
+        const timer = setTimeout(() => {
+            fail(createError(ErrorKind.Unreachable, `${label} did not finish the handshake.`, {
+                remedy: "Check which program listens there.",
+            }));
+        }, connectTimeoutMilliseconds);
+        let isDone = false;
+        socket.closed.then(() => {
+            fail(createError(ErrorKind.Unreachable, `${label} closed the connection during the handshake.`, {
+                remedy: "Check which program listens there.",
+            }));
+        }, () => {});
+        socket.onFrame(bytes => {
+            if (isDone) {
+                return;
+            }
+            const frame = decodeFrame(bytes);
+            if (frame[0] === FrameKind.Challenge) {
+                if (frame[1] !== protocolVersion) {
+                    fail(createError(
+                        ErrorKind.ProtocolMismatch,
+                        `${label} speaks version ${frame[1]} of the peer protocol, this process ${protocolVersion}.`,
+                        { remedy: "Run versions of the product that speak the same protocol." },
+                    ));
+                    return;
+                }
+                const proof = createPeerProof(identity.peerSecret, frame[2], identity.name);
+                const hello: Frame = [
+                    FrameKind.Hello,
+                    protocolVersion,
+                    identity.name,
+                    identity.availabilityZone,
+                    proof,
+                ];
+                socket.send(encode(hello));
+            }
+            else if (frame[0] === FrameKind.Reject) {
+                fail(deserializeError(frame[1]));
+            }
+            else if (frame[0] === FrameKind.Welcome) {
+                isDone = true;
+                clearTimeout(timer);
+                resolve();
+            }
+        });
+    });
+}
--- /dev/null
+++ b/src/transport/types/PeerContext.ts
@@ -0,0 +1,5 @@
+/** Who called a procedure. */
+export interface PeerContext {
+    readonly peerName: string;
+    readonly peerZone: string;
+}
--- /dev/null
+++ b/src/transport/types/PeerIdentity.ts
@@ -0,0 +1,7 @@
+/** How this process presents itself to its peers. */
+export interface PeerIdentity {
+    readonly name: string;
+    readonly availabilityZone: string;
+    /** Shared by all processes of one installation. */
+    readonly peerSecret: string;
+}
