--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -54,7 +54,7 @@
                 "error",
                 { selector: "default", format: ["camelCase"], leadingUnderscore: "allow" },
                 { selector: "import", format: null },
-                { selector: "variable", format: ["camelCase", "PascalCase"] },
+                { selector: "variable", format: ["camelCase", "PascalCase"], leadingUnderscore: "allow" },
                 { selector: "typeLike", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
                 { selector: "enumMember", format: ["PascalCase"] },
                 { selector: ["objectLiteralProperty", "objectLiteralMethod", "typeProperty"], format: null },
--- /dev/null
+++ b/src/execution/executeRead/index.ts
@@ -0,0 +1,160 @@
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { listReadCandidates } from "../../routing/listReadCandidates/index.js";
+import type { ReadCandidate } from "../../routing/types/ReadCandidate.js";
+import type { GroupRecord } from "../../topology/types/GroupRecord.js";
+import { executionConstants } from "../constants.js";
+import { createAnswer } from "../createAnswer/index.js";
+import { createNotRun } from "../createNotRun/index.js";
+import { isFinalRefusal } from "../isFinalRefusal/index.js";
+import { listAttempts } from "../listAttempts/index.js";
+import { readSessionFloor } from "../readSessionFloor/index.js";
+import { resolveReadFloor } from "../resolveReadFloor/index.js";
+import { sendToOwner } from "../sendToOwner/index.js";
+import type { CallerReply } from "../types/CallerReply.js";
+import type { CallerRequest } from "../types/CallerRequest.js";
+import type { Deadline } from "../types/Deadline.js";
+import type { ExecutionContext } from "../types/ExecutionContext.js";
+
+/**
+ * Runs a caller's read at the endpoint that is expected to answer first and has what the session must see.
+ *
+ * @param context The services used.
+ * @param request The caller's request.
+ * @param deadline When the request must have ended.
+ * @returns The outcome; a read is never of unknown outcome.
+ * @throws TarragonpostError of kind `InvalidToken`.
+ *
+ * @example
+ * const reply = await executeRead(context, request, createDeadline(context.clock, request.deadlineMilliseconds));
+ */
+export async function executeRead(
+    context: ExecutionContext,
+    request: CallerRequest,
+    deadline: Deadline,
+): Promise<CallerReply> {
+    const { requestId, database } = request;
+    const floor = readSessionFloor(context, request);
+    let { leastTerm } = floor;
+    let refusal = createNotRun(NotRunReason.NoPrimary, `No term of ${database} is known. Retry in a moment.`);
+    for await (const attempt of listAttempts({ context, database, deadline })) {
+        const group = await context.topology.waitForTerm(database, leastTerm, deadline.timeLeft());
+        if (group === undefined) {
+            break;
+        }
+        const readFloor = await resolveReadFloor(context, request, floor, deadline);
+        if (readFloor.outcome !== OutcomeKind.Answer) {
+            refusal = readFloor.outcome === OutcomeKind.NotRun ? readFloor : refusal;
+            continue;
+        }
+        const leastPosition = Math.max(readFloor.position, group.markerPosition);
+        for (const candidate of listCandidates(context, request, group, leastPosition)) {
+            const reply = await sendRead(context, request, { attempt, candidate, group, leastPosition, deadline });
+            if (reply.outcome === OutcomeKind.Answer) {
+                const evidence = context.freshness.evidenceFor(database, reply.position);
+                return createAnswer(context, {
+                    requestId,
+                    database,
+                    token: floor.token,
+                    endpoint: candidate.endpoint,
+                    isPrimary: candidate.isPrimary,
+                    reply,
+                    ageMilliseconds: request.maximumAgeMilliseconds === undefined || evidence === undefined
+                        ? undefined
+                        : Math.ceil(context.clock.now() - evidence.stampedAt),
+                });
+            }
+            noteRefusal(context, database, candidate, reply);
+            if (reply.outcome === OutcomeKind.NotRun) {
+                refusal = reply;
+                leastTerm = Math.max(leastTerm, reply.newerTerm ?? 0);
+            }
+            if (leastTerm > group.term || deadline.isOver() || isFinalRefusal(refusal.reason)) {
+                break;
+            }
+        }
+        if (isFinalRefusal(refusal.reason)) {
+            break;
+        }
+    }
+    return { outcome: OutcomeKind.NotRun, requestId, reason: refusal.reason, message: refusal.message };
+}
+
+function listCandidates(
+    context: ExecutionContext,
+    request: CallerRequest,
+    group: GroupRecord,
+    leastPosition: number,
+): Iterable<ReadCandidate> {
+    const { content } = context.configuration.current();
+    const definition = content.databases[request.database];
+    if (definition === undefined) {
+        return [];
+    }
+    return listReadCandidates(context.readPolicy, {
+        database: request.database,
+        definition,
+        primary: group.primary,
+        leastPosition,
+        waitBudgetMilliseconds: content.limits.replicaWaitMilliseconds,
+        localZone: context.localZone,
+        localRegion: context.localRegion,
+        observations: context.observations,
+        isLeaving: context.topology.isLeaving,
+    });
+}
+
+/** One attempt to read at one candidate. */
+interface ReadAttempt {
+    readonly attempt: number;
+    readonly candidate: ReadCandidate;
+    readonly group: GroupRecord;
+    readonly leastPosition: number;
+    readonly deadline: Deadline;
+}
+
+async function sendRead(
+    context: ExecutionContext,
+    request: CallerRequest,
+    options: ReadAttempt,
+): Promise<EndpointReply> {
+    const { attempt, candidate, group, leastPosition, deadline } = options;
+    const attemptMilliseconds = candidate.waitMilliseconds + executionConstants.readAttemptMilliseconds * 2 ** attempt;
+    const timeLeftMilliseconds = Math.min(
+        attemptMilliseconds,
+        deadline.timeLeft() - executionConstants.replyMarginMilliseconds,
+    );
+    const startedAt = context.clock.now();
+    const reply = await sendToOwner(context, candidate.endpoint, gateway =>
+        context.gateways.execute(gateway, {
+            requestId: request.requestId,
+            database: request.database,
+            endpoint: candidate.endpoint,
+            kind: request.kind,
+            statement: request.statement,
+            term: group.term,
+            leastPosition,
+            waitMilliseconds: candidate.waitMilliseconds,
+            caller: request.caller,
+            timeLeftMilliseconds: Math.max(1, timeLeftMilliseconds),
+        }));
+    const isUnwaited = context.observations.hasApplied(candidate.endpoint, leastPosition);
+    if (reply.outcome === OutcomeKind.Answer && isUnwaited) {
+        context.observations.noteLatency(candidate.endpoint, context.clock.now() - startedAt);
+    }
+    return reply;
+}
+
+function noteRefusal(
+    context: ExecutionContext,
+    database: string,
+    candidate: ReadCandidate,
+    reply: EndpointReply,
+): void {
+    if (reply.outcome === OutcomeKind.NotRun && reply.reason === NotRunReason.Behind) {
+        context.observations.noteApplied(database, candidate.endpoint, reply.position ?? 0);
+        return;
+    }
+    context.observations.noteFailure(candidate.endpoint);
+}
--- /dev/null
+++ b/src/execution/listAttempts/index.ts
@@ -0,0 +1,32 @@
+import { executionConstants } from "../constants.js";
+import type { Deadline } from "../types/Deadline.js";
+import type { ExecutionContext } from "../types/ExecutionContext.js";
+
+/** Options of `listAttempts`. */
+interface ListAttemptsOptions {
+    readonly context: ExecutionContext;
+    readonly database: string;
+    readonly deadline: Deadline;
+}
+
+/**
+ * Paces the attempts of one request: the first at once, each later one after a jittered back-off, or as soon as a
+ * newer term of the database's group is known.
+ *
+ * @param options Context, database and deadline.
+ * @returns Yields the number of each attempt, until the deadline.
+ *
+ * @example
+ * for await (const attempt of listAttempts({ context, database, deadline })) { ... }
+ */
+export async function* listAttempts(options: ListAttemptsOptions): AsyncGenerator<number> {
+    const { context, database, deadline } = options;
+    const { firstRetryDelayMilliseconds, longestRetryDelayMilliseconds } = executionConstants;
+    for (let attempt = 0; !deadline.isOver(); attempt += 1) {
+        const term = context.topology.groupOf(database)?.term ?? 0;
+        yield attempt;
+        const ceiling = Math.min(longestRetryDelayMilliseconds, firstRetryDelayMilliseconds * 2 ** attempt);
+        const delayMilliseconds = ceiling * (0.5 + context.random.next() / 2);
+        await context.topology.waitForTerm(database, term + 1, Math.min(delayMilliseconds, deadline.timeLeft()));
+    }
+}
--- /dev/null
+++ b/src/execution/types/Deadline.ts
@@ -0,0 +1,6 @@
+/** When a request must have ended. */
+export interface Deadline {
+    /** Milliseconds left; never negative. */
+    timeLeft(): number;
+    isOver(): boolean;
+}
--- /dev/null
+++ b/src/freshness/constants.ts
@@ -0,0 +1,4 @@
+/** Constants of freshness evidence. */
+export const freshnessConstants = {
+    rememberedEvidence: 128,
+} as const;
--- a/src/messages/types/EndpointReply.ts
+++ b/src/messages/types/EndpointReply.ts
@@ -9,6 +9,8 @@
         readonly term: number;
         /** For a write, its own position; for a read, the position that the endpoint had applied. Confirmed. */
         readonly position: number;
+        /** For a write, the replica whose position confirmed it. */
+        readonly confirmedBy?: string;
         /** Requests waiting at the endpoint's queue, for load-aware routing. */
         readonly queueLength: number;
     }
--- /dev/null
+++ b/src/routing/createPositionHistory/index.ts
@@ -0,0 +1,53 @@
+import { routingConstants } from "../constants.js";
+
+/** When positions of one database became known as committed. */
+interface PositionHistory {
+    note(position: number, now: number): void;
+    /** Highest position noted. */
+    latest(): number;
+    /** Time when a position at or above the given one was first noted; undefined when none was. */
+    firstKnownAt(position: number): number | undefined;
+}
+
+/**
+ * Creates a bounded history of committed positions of one database.
+ *
+ * @returns An empty history.
+ *
+ * @example
+ * const history = createPositionHistory();
+ * history.note(90, clock.now());
+ */
+export function createPositionHistory(): PositionHistory {
+    const positions: number[] = [];
+    const times: number[] = [];
+
+    function note(position: number, now: number): void {
+        if (position <= (positions.at(-1) ?? -1)) {
+            return;
+        }
+        positions.push(position);
+        times.push(now);
+        if (positions.length > routingConstants.rememberedPositions) {
+            positions.shift();
+            times.shift();
+        }
+    }
+
+    function firstKnownAt(position: number): number | undefined {
+        let low = 0;
+        let high = positions.length;
+        while (low < high) {
+            const middle = (low + high) >>> 1;
+            if ((positions[middle] as number) < position) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
+            }
+        }
+        return times[low];
+    }
+
+    return { note, latest: () => positions.at(-1) ?? 0, firstKnownAt };
+}
--- /dev/null
+++ b/src/routing/types/ReadPolicy.ts
@@ -0,0 +1,10 @@
+/** How an entry chooses the endpoint of a read. */
+export enum ReadPolicy {
+    PrimaryOnly = "PrimaryOnly",
+    /** A replica that is known to have caught up, otherwise the primary. */
+    ReplicaIfCaughtUp = "ReplicaIfCaughtUp",
+    /** The nearest replica, which may wait; then the primary. */
+    BoundedWait = "BoundedWait",
+    /** The replica expected to answer first, if its expected wait is within bounds; then the primary. */
+    BoundedWaitWithPrediction = "BoundedWaitWithPrediction",
+}
--- /dev/null
+++ b/src/routing/types/ReadRoute.ts
@@ -0,0 +1,16 @@
+import type { DatabaseDefinition } from "../../configuration/types/DatabaseDefinition.js";
+import type { EndpointObservations } from "./EndpointObservations.js";
+
+/** What the choice of a read's endpoint depends on. */
+export interface ReadRoute {
+    readonly database: string;
+    readonly definition: DatabaseDefinition;
+    readonly primary: string;
+    readonly leastPosition: number;
+    /** The longest that a replica may wait for the least position. */
+    readonly waitBudgetMilliseconds: number;
+    readonly localZone: string;
+    readonly localRegion: string;
+    readonly observations: EndpointObservations;
+    readonly isLeaving: (endpoint: string) => boolean;
+}
--- /dev/null
+++ b/src/session/decodeSessionToken/index.ts
@@ -0,0 +1,33 @@
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { SessionToken } from "../types/SessionToken.js";
+import { verifyPayload } from "../verifyPayload/index.js";
+
+type TokenRow = readonly [string, number, number, number, string?];
+
+/**
+ * Checks and decodes a session token.
+ *
+ * @param text The token as the caller brought it.
+ * @param caller Name of the caller that brought it.
+ * @param secret The signing secret of the configuration.
+ * @returns The token.
+ * @throws TarragonpostError of kind `InvalidToken` when it is forged, altered or another caller's.
+ *
+ * @example
+ * const token = decodeSessionToken(text, "dealer-7", configuration.content.tokenSecret);
+ */
+export function decodeSessionToken(text: string, caller: string, secret: string): SessionToken {
+    const [owner, rows] = verifyPayload(text, secret, "session token") as [string, readonly TokenRow[]];
+    if (owner !== caller) {
+        throw createError(ErrorKind.InvalidToken, "The session token was issued to another caller.", {
+            remedy: "Use the token that came back with this caller's own answers, or leave it out.",
+        });
+    }
+    const positions = new Map(
+        rows.map(([database, term, position, learnedAtMilliseconds, heldBy]) =>
+            [database, { term, position, learnedAtMilliseconds, heldBy }] as const
+        ),
+    );
+    return { caller, positions };
+}
--- /dev/null
+++ b/src/session/types/TokenPosition.ts
@@ -0,0 +1,9 @@
+import type { LogPosition } from "../../messages/types/LogPosition.js";
+
+/** The least position of one database that a session must see. */
+export interface TokenPosition extends LogPosition {
+    /** Endpoint known to hold the position; a routing hint only. */
+    readonly heldBy?: string;
+    /** Wall time when the position was learned; a routing hint only. */
+    readonly learnedAtMilliseconds: number;
+}
--- /dev/null
+++ b/src/topology/constants.ts
@@ -0,0 +1,4 @@
+/** Constants of the view of the fleet. */
+export const topologyConstants = {
+    resubscribeMilliseconds: 100,
+} as const;
--- /dev/null
+++ b/src/topology/createEntryTopology/index.ts
@@ -0,0 +1,76 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
+import type { PeerRecord } from "../../membership/types/PeerRecord.js";
+import type { Address } from "../../network/types/Address.js";
+import type { Peers } from "../../transport/types/Peers.js";
+import { createGroupTable } from "../createGroupTable/index.js";
+import { createOwnerTable } from "../createOwnerTable/index.js";
+import type { EntryTopology } from "../types/EntryTopology.js";
+import type { ViewUpdate } from "../types/ViewUpdate.js";
+import { watchView } from "../watchView/index.js";
+
+/** Options of `createEntryTopology`. */
+interface EntryTopologyOptions {
+    readonly peers: Peers;
+    readonly clock: Clock;
+    readonly configuration: ConfigurationService;
+    /** The local gateway first, then those to ask while it is away. */
+    readonly gateways: readonly Address[];
+}
+
+/**
+ * Creates an entry's view of the fleet, followed from its local gateway or, while that is away, from another one.
+ *
+ * @param options Peers, clock, configuration and the gateways to follow.
+ * @returns The topology service.
+ *
+ * @example
+ * const topology = createEntryTopology({ peers, clock, configuration, gateways: [settings.localGateway] });
+ */
+export function createEntryTopology(options: EntryTopologyOptions): EntryTopology {
+    const groups = createGroupTable();
+    const stopping = new AbortController();
+    let livePeers: readonly PeerRecord[] = [];
+    let leaving: ReadonlySet<string> = new Set();
+    const owners = createOwnerTable(options.configuration, () => livePeers);
+    let following = Promise.resolve();
+
+    function take(update: ViewUpdate): void {
+        if (update.peers !== undefined) {
+            livePeers = update.peers;
+            owners.forget();
+        }
+        if (update.leavingEndpoints !== undefined) {
+            leaving = new Set(update.leavingEndpoints);
+        }
+        for (const group of update.groups) {
+            groups.learn(group);
+        }
+    }
+
+    async function follow(): Promise<void> {
+        for await (const update of watchView({ ...options, signal: stopping.signal })) {
+            take(update);
+        }
+    }
+
+    async function start(): Promise<void> {
+        following = follow();
+    }
+
+    async function stop(): Promise<void> {
+        stopping.abort();
+        await following;
+    }
+
+    return {
+        groupOf: groups.groupOf,
+        learn: groups.learn,
+        onChange: groups.onChange,
+        waitForTerm: groups.waitForTerm,
+        ownersOf: owners.ownersOf,
+        isLeaving: endpoint => leaving.has(endpoint),
+        start,
+        stop,
+    };
+}
--- /dev/null
+++ b/src/topology/createGroupTable/index.ts
@@ -0,0 +1,66 @@
+import type { GroupRecord } from "../types/GroupRecord.js";
+import type { GroupTable } from "../types/GroupTable.js";
+
+/**
+ * Creates the table of what is known of each group's current term. A term never falls.
+ *
+ * @returns An empty table.
+ *
+ * @example
+ * const groups = createGroupTable();
+ * groups.learn({ database: "stock", term: 2, primary: "stock-1", markerPosition: 40 });
+ */
+export function createGroupTable(): GroupTable {
+    const records = new Map<string, GroupRecord>();
+    const listeners = new Set<(database: string) => void>();
+
+    function learn(record: GroupRecord): boolean {
+        const known = records.get(record.database);
+        if (known !== undefined && known.term >= record.term) {
+            return false;
+        }
+        records.set(record.database, record);
+        for (const listener of [...listeners]) {
+            listener(record.database);
+        }
+        return true;
+    }
+
+    function onChange(listener: (database: string) => void): () => void {
+        listeners.add(listener);
+        return () => listeners.delete(listener);
+    }
+
+    function waitForTerm(
+        database: string,
+        term: number,
+        timeoutMilliseconds: number,
+    ): Promise<GroupRecord | undefined> {
+        const known = records.get(database);
+        if (known !== undefined && known.term >= term) {
+            return Promise.resolve(known);
+        }
+        return new Promise(resolve => {
+            const finish = (record: GroupRecord | undefined): void => {
+                clearTimeout(timer);
+                stopListening();
+                resolve(record);
+            };
+            const timer = setTimeout(() => finish(undefined), timeoutMilliseconds);
+            const stopListening = onChange(changed => {
+                const record = records.get(database);
+                if (changed === database && record !== undefined && record.term >= term) {
+                    finish(record);
+                }
+            });
+        });
+    }
+
+    return {
+        groupOf: database => records.get(database),
+        list: () => [...records.values()],
+        learn,
+        onChange,
+        waitForTerm,
+    };
+}
--- /dev/null
+++ b/src/topology/createOwnerTable/index.ts
@@ -0,0 +1,39 @@
+import { findEndpoint } from "../../configuration/findEndpoint/index.js";
+import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
+import type { PeerRecord } from "../../membership/types/PeerRecord.js";
+import { chooseOwners } from "../../ownership/chooseOwners/index.js";
+import type { OwnerTable } from "../types/OwnerTable.js";
+
+/**
+ * Creates the table of endpoints' owners, worked out on first use after each change.
+ *
+ * @param configuration The endpoints.
+ * @param listPeers Reads the gateways that are not dead.
+ * @returns The table.
+ *
+ * @example
+ * const owners = createOwnerTable(configuration, () => membership.peers());
+ */
+export function createOwnerTable(
+    configuration: ConfigurationService,
+    listPeers: () => readonly PeerRecord[],
+): OwnerTable {
+    const remembered = new Map<string, readonly PeerRecord[]>();
+    configuration.onChange(() => remembered.clear());
+
+    function ownersOf(name: string): readonly PeerRecord[] {
+        const known = remembered.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const endpoint = findEndpoint(configuration.current().content, name);
+        if (endpoint === undefined) {
+            return [];
+        }
+        const owners = chooseOwners(endpoint, listPeers());
+        remembered.set(name, owners);
+        return owners;
+    }
+
+    return { ownersOf, forget: () => remembered.clear() };
+}
--- a/src/transport/openPeerConnection/index.ts
+++ b/src/transport/openPeerConnection/index.ts
@@ -121,7 +121,11 @@
         call: PendingCall,
     ): number {
         if (isClosed) {
-            call.error(closedError());
+            call.error(
+                createError(ErrorKind.Unreachable, `The call to ${path} was not sent: the connection had closed.`, {
+                    remedy: "Call again; a new connection is opened by itself.",
+                }),
+            );
             return 0;
         }
         lastId += 1;
