--- /dev/null
+++ b/src/commandLine/constants.ts
@@ -0,0 +1,4 @@
+/** Constants of the command line. */
+export const commandLineConstants = {
+    defaultLogTopics: "tarragonpost:process",
+} as const;
--- /dev/null
+++ b/src/commandLine/reportFailure/index.ts
@@ -0,0 +1,34 @@
+import { isTypedError } from "../../errors/isTypedError/index.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { ExitCode } from "../types/ExitCode.js";
+import type { ProcessControl } from "../types/ProcessControl.js";
+
+const usageKinds: ReadonlySet<ErrorKind> = new Set([
+    ErrorKind.InvalidPatch,
+    ErrorKind.InvalidRequest,
+    ErrorKind.InvalidSettings,
+]);
+
+/**
+ * Prints a failure with its remedy to standard error.
+ *
+ * @param error What was caught.
+ * @param control The process to print on.
+ * @returns The exit code: 2 for a wrong command line, settings or patch, 1 for everything else.
+ *
+ * @example
+ * control.exit(reportFailure(error, control));
+ */
+export function reportFailure(error: unknown, control: ProcessControl): ExitCode {
+    if (error instanceof Error && error.name === "CACError") {
+        control.writeError(`${error.message}. See --help.\n`);
+        return ExitCode.Usage;
+    }
+    const typed = toTypedError(error);
+    control.writeError(`${typed.kind}: ${typed.message}\n`);
+    if (isTypedError(typed, ErrorKind.Unexpected) && error instanceof Error) {
+        control.writeError(`${error.stack ?? ""}\n`);
+    }
+    return usageKinds.has(typed.kind) ? ExitCode.Usage : ExitCode.Failure;
+}
--- a/src/kernel/types/Service.ts
+++ b/src/kernel/types/Service.ts
@@ -4,4 +4,6 @@
     start?(): Promise<void>;
     /** Stops the service; every service that depends on it has been stopped. */
     stop?(): Promise<void>;
+    /** Names what a graceful stop still waits for, one line each. */
+    describeWork?(): readonly string[];
 }
--- /dev/null
+++ b/src/settings/entrySettingsSchema/index.ts
@@ -0,0 +1,14 @@
+import { z } from "zod";
+import { processSettingsSchema } from "../processSettingsSchema/index.js";
+import type { EntrySettings } from "../types/EntrySettings.js";
+
+/**
+ * Schema of an entry's settings.
+ *
+ * @example
+ * const settings = readSettings("entry.jsonc", entrySettingsSchema);
+ */
+export const entrySettingsSchema = processSettingsSchema.extend({
+    localGateway: processSettingsSchema.shape.platform,
+    otherGateways: z.array(processSettingsSchema.shape.platform).default([]),
+}) satisfies z.ZodType<EntrySettings>;
