Spread records between gateways by bounded pushes and digest comparison

Cause: topology, configuration versions and leaving endpoints have to reach every gateway without a store call, and survive lost sends and restarts. Ruled out: a store watch in every gateway, push to all, digests alone (docs/design/dissemination.md).

--- /dev/null
+++ b/src/dissemination/createDisseminationService/index.ts
@@ -0,0 +1,143 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Logger } from "../../logging/types/Logger.js";
+import type { MembershipService } from "../../membership/types/MembershipService.js";
+import type { PeerRecord } from "../../membership/types/PeerRecord.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import type { Peers } from "../../transport/types/Peers.js";
+import { choosePushTargets } from "../choosePushTargets/index.js";
+import { compareWithPeer } from "../compareWithPeer/index.js";
+import { disseminationConstants } from "../constants.js";
+import { createPushQueue } from "../createPushQueue/index.js";
+import { createRecordStore } from "../createRecordStore/index.js";
+import type { DisseminatedRecord } from "../types/DisseminatedRecord.js";
+import type { DisseminationExchange } from "../types/DisseminationExchange.js";
+import type { DisseminationRouter } from "../types/DisseminationRouter.js";
+import type { DisseminationService } from "../types/DisseminationService.js";
+import type { RecordKind } from "../types/RecordKind.js";
+
+/** Services that the dissemination service uses. */
+interface DisseminationDependencies {
+    readonly membership: MembershipService;
+    readonly peers: Peers;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+}
+
+/**
+ * Creates the service that spreads records over all gateways.
+ *
+ * A new record is pushed at once to a bounded number of peers, each of which passes it on when it is new to it. Once
+ * a second the digests are compared with one random peer, which repairs what a push missed and fills a process that
+ * just started. Nothing is kept durably: the records are hints.
+ *
+ * @param dependencies Services that it uses.
+ * @returns The service, with the exchange that its router needs; not yet started.
+ *
+ * @example
+ * const dissemination = createDisseminationService({ membership, peers, clock, random, logger });
+ * dissemination.publish({ kind: RecordKind.Group, key: "stock", stamp: 4, value: group });
+ */
+export function createDisseminationService(
+    dependencies: DisseminationDependencies,
+): DisseminationService & DisseminationExchange {
+    const { membership, peers, clock, random } = dependencies;
+    const log = dependencies.logger.topic("dissemination");
+    const store = createRecordStore();
+    const listeners = new Map<RecordKind, Set<(record: DisseminatedRecord) => void>>();
+    const stopped = new AbortController();
+    let hasCompared = false;
+    let loop: Promise<void> | undefined;
+    let stopListening = (): void => {};
+
+    const clientOf = (peer: PeerRecord) => peers.clientOf<DisseminationRouter>(peer);
+    const queue = createPushQueue({
+        clock,
+        push: (peer, records) =>
+            clientOf(peer).dissemination.push.mutate([...records], {
+                signal: AbortSignal.timeout(disseminationConstants.callTimeoutMilliseconds),
+            }),
+    });
+
+    function take(record: DisseminatedRecord, sender?: string): boolean {
+        if (!store.take(record)) {
+            return false;
+        }
+        for (const peer of choosePushTargets(membership.self, membership.peers(), { random, sender })) {
+            queue.add(peer, record);
+        }
+        for (const listener of listeners.get(record.kind) ?? []) {
+            listener(record);
+        }
+        return true;
+    }
+
+    function receive(records: readonly DisseminatedRecord[], peerName: string): void {
+        for (const record of records) {
+            take(record, peerName);
+        }
+    }
+
+    function onRecord(kind: RecordKind, listener: (record: DisseminatedRecord) => void): () => void {
+        const ofKind = listeners.get(kind) ?? new Set();
+        listeners.set(kind, ofKind.add(listener));
+        return () => ofKind.delete(listener);
+    }
+
+    function chooseComparisonPeer(): PeerRecord | undefined {
+        const others = random.shuffle(membership.peers().filter(peer => peer.name !== membership.self.name));
+        const isLocal = (peer: PeerRecord): boolean => peer.availabilityZone === membership.self.availabilityZone;
+        const staysLocal = hasCompared && random.next() >= disseminationConstants.otherZoneShare;
+        return others.find(peer => isLocal(peer) === staysLocal) ?? others[0];
+    }
+
+    async function compareOnce(): Promise<void> {
+        const peer = chooseComparisonPeer();
+        if (peer === undefined) {
+            return;
+        }
+        try {
+            await compareWithPeer(store, clientOf(peer), { receive: records => receive(records, peer.name) });
+            hasCompared = true;
+        }
+        catch (error) {
+            log("comparison failed", { peer: peer.name, error: String(error) });
+        }
+    }
+
+    async function compareRepeatedly(): Promise<void> {
+        while (!stopped.signal.aborted) {
+            await compareOnce();
+            const jitter = 0.5 + random.next();
+            await clock.sleep(disseminationConstants.comparisonIntervalMilliseconds * jitter, stopped.signal);
+        }
+    }
+
+    async function start(): Promise<void> {
+        stopListening = membership.onChange(() => {
+            if (!hasCompared) {
+                void compareOnce();
+            }
+        });
+        await compareOnce();
+        loop = compareRepeatedly();
+    }
+
+    async function stop(): Promise<void> {
+        stopListening();
+        stopped.abort();
+        await loop;
+    }
+
+    return {
+        publish: record => take(record),
+        get: store.get,
+        list: store.list,
+        onRecord,
+        start,
+        stop,
+        receive,
+        compare: store.compare,
+        pull: store.answerPull,
+    };
+}
--- /dev/null
+++ b/src/dissemination/createRecordStore/index.ts
@@ -0,0 +1,112 @@
+import { hashText } from "../../hashing/hashText/index.js";
+import { bucketOf } from "../bucketOf/index.js";
+import { disseminationConstants } from "../constants.js";
+import type { DisseminatedRecord } from "../types/DisseminatedRecord.js";
+import { RecordKind } from "../types/RecordKind.js";
+import type { RecordStore } from "../types/RecordStore.js";
+
+/** The records of one kind and the digests over them. */
+interface KindState {
+    readonly records: Map<string, DisseminatedRecord>;
+    readonly bucketKeys: readonly Set<string>[];
+    readonly bucketHashes: Uint32Array;
+    hash: number;
+}
+
+function createKindState(): KindState {
+    return {
+        records: new Map(),
+        bucketKeys: Array.from({ length: disseminationConstants.buckets }, () => new Set<string>()),
+        bucketHashes: new Uint32Array(disseminationConstants.buckets),
+        hash: 0,
+    };
+}
+
+function hashRecord(record: DisseminatedRecord): number {
+    return hashText(`${record.key}\n${record.stamp}`);
+}
+
+/**
+ * Creates the store of a process's disseminated records.
+ *
+ * A bucket's hash is the exclusive or of the hashes of its records, so that a change costs the same however many
+ * records are held.
+ *
+ * @returns The store, empty.
+ *
+ * @example
+ * const isNew = createRecordStore().take({ kind: RecordKind.Group, key: "stock", stamp: 4, value: group });
+ */
+export function createRecordStore(): RecordStore {
+    const states = new Map(Object.values(RecordKind).map(kind => [kind, createKindState()]));
+    const stateOf = (kind: RecordKind): KindState => states.get(kind) as KindState;
+
+    function take(record: DisseminatedRecord): boolean {
+        const state = stateOf(record.kind);
+        const held = state.records.get(record.key);
+        if (held !== undefined && held.stamp >= record.stamp) {
+            return false;
+        }
+        const bucket = bucketOf(record.key);
+        const change = (hashRecord(record) ^ (held === undefined ? 0 : hashRecord(held))) >>> 0;
+        state.records.set(record.key, record);
+        state.bucketKeys[bucket]?.add(record.key);
+        state.bucketHashes[bucket] = ((state.bucketHashes[bucket] ?? 0) ^ change) >>> 0;
+        state.hash = (state.hash ^ change) >>> 0;
+        return true;
+    }
+
+    function digests(): ReturnType<RecordStore["digests"]> {
+        return [...states].map(([kind, state]) => ({ kind, count: state.records.size, hash: state.hash }));
+    }
+
+    function compare(remote: Parameters<RecordStore["compare"]>[0]): ReturnType<RecordStore["compare"]> {
+        const remoteByKind = new Map(remote.map(digest => [digest.kind, digest]));
+        return digests()
+            .filter(own => {
+                const other = remoteByKind.get(own.kind) ?? { count: 0, hash: 0 };
+                return own.count !== other.count || own.hash !== other.hash;
+            })
+            .map(({ kind }) => ({ kind, hashes: [...stateOf(kind).bucketHashes] }));
+    }
+
+    function* recordsIn(kind: RecordKind, buckets: readonly number[]): Generator<DisseminatedRecord> {
+        const state = stateOf(kind);
+        for (const bucket of buckets) {
+            for (const key of state.bucketKeys[bucket] ?? []) {
+                yield state.records.get(key) as DisseminatedRecord;
+            }
+        }
+    }
+
+    function pullRequest(remote: Parameters<RecordStore["pullRequest"]>[0]): ReturnType<RecordStore["pullRequest"]> {
+        const { kind } = remote;
+        const own = stateOf(kind).bucketHashes;
+        const buckets = [...own.keys()].filter(bucket => own[bucket] !== remote.hashes[bucket]);
+        const known = [...recordsIn(kind, buckets)].map(({ key, stamp }) => ({ key, stamp }));
+        return { kind, buckets, known };
+    }
+
+    function answerPull(request: Parameters<RecordStore["answerPull"]>[0]): ReturnType<RecordStore["answerPull"]> {
+        const stamps = new Map(request.known.map(({ key, stamp }) => [key, stamp]));
+        const records = [...recordsIn(request.kind, request.buckets)]
+            .filter(record => record.stamp > (stamps.get(record.key) ?? -1))
+            .slice(0, disseminationConstants.recordsPerPull);
+        const { records: held } = stateOf(request.kind);
+        const wantedKeys = request.known
+            .filter(({ key, stamp }) => stamp > (held.get(key)?.stamp ?? -1))
+            .map(({ key }) => key)
+            .slice(0, disseminationConstants.recordsPerPull);
+        return { records, wantedKeys };
+    }
+
+    return {
+        take,
+        get: (kind, key) => stateOf(kind).records.get(key),
+        list: kind => [...stateOf(kind).records.values()],
+        digests,
+        compare,
+        pullRequest,
+        answerPull,
+    };
+}
