--- /dev/null
+++ b/src/callers/constants.ts
@@ -0,0 +1,8 @@
+/** Constants of the callers' interface. */
+export const callerConstants = {
+    /** Bodies above the highest configurable limit are cut off while they arrive. */
+    highestRequestBytes: 8 * 1024 * 1024,
+    /** A planned stop goes on serving for this long, so that balancers see it before the port closes. */
+    stopNoticeMilliseconds: 2_000,
+    shortestStopPollMilliseconds: 20,
+} as const;
--- /dev/null
+++ b/src/callers/createCallerFront/index.ts
@@ -0,0 +1,217 @@
+import fastify, { type FastifyReply, type FastifyRequest } from "fastify";
+import { randomUUID } from "node:crypto";
+import type { AddressInfo } from "node:net";
+import type { z } from "zod";
+import type { Clock } from "../../clock/types/Clock.js";
+import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
+import type { CallerReply } from "../../execution/types/CallerReply.js";
+import type { RequestExecutionService } from "../../execution/types/RequestExecutionService.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { chooseStatus } from "../chooseStatus/index.js";
+import { callerConstants } from "../constants.js";
+import { createAuthentication } from "../createAuthentication/index.js";
+import { requestSchemas } from "../requestSchemas.js";
+import type { AuthenticatedCaller } from "../types/AuthenticatedCaller.js";
+import type { CallerFront } from "../types/CallerFront.js";
+import { HealthState } from "../types/HealthState.js";
+
+/** Options of `createCallerFront`. */
+interface CallerFrontOptions {
+    readonly host: string;
+    /** 0 takes any free port. */
+    readonly port: number;
+    readonly execution: RequestExecutionService;
+    readonly configuration: ConfigurationService;
+    readonly clock: Clock;
+    /** Called with each finished request. */
+    readonly onFinished?: (database: string | undefined, reply: CallerReply, milliseconds: number) => void;
+}
+
+/** A request as a route's handler gets it. */
+interface RoutedRequest<Body> {
+    readonly requestId: string;
+    readonly caller: string;
+    readonly body: Body;
+    readonly deadlineMilliseconds: number;
+    /** Empty for routes without a database. */
+    readonly database: string;
+}
+
+/**
+ * Creates the callers' interface: HTTP with JSON, as `docs/design/caller-api.md` sets out.
+ *
+ * @param options Address, request execution, configuration and clock.
+ * @returns The caller front, not yet listening.
+ *
+ * @example
+ * const front = createCallerFront({ host: "127.0.0.1", port: 8080, execution, configuration, clock });
+ */
+export function createCallerFront(options: CallerFrontOptions): CallerFront {
+    const { execution, configuration, clock } = options;
+    const authenticate = createAuthentication(configuration);
+    const server = fastify({
+        bodyLimit: callerConstants.highestRequestBytes,
+        forceCloseConnections: "idle",
+        genReqId: () => randomUUID(),
+    });
+    let state = HealthState.Serving;
+
+    function refuse(requestId: string, reason: NotRunReason, message: string): CallerReply {
+        return { outcome: OutcomeKind.NotRun, requestId, reason, message };
+    }
+
+    /** Checks size, caller and database; returns the refusal, or the caller. */
+    function admit(request: FastifyRequest): CallerReply | AuthenticatedCaller {
+        const { limits, databases } = configuration.current().content;
+        const { database } = request.params as { readonly database?: string; };
+        const caller = authenticate(request.headers.authorization);
+        if (caller === undefined) {
+            return refuse(
+                request.id,
+                NotRunReason.Unauthorized,
+                "The caller key is missing or unknown. Send it as `authorization: Bearer <key>`.",
+            );
+        }
+        if (Number(request.headers["content-length"] ?? 0) > limits.requestBytes) {
+            return refuse(
+                request.id,
+                NotRunReason.InvalidRequest,
+                `The request is larger than ${limits.requestBytes} bytes. Split it.`,
+            );
+        }
+        if (database !== undefined && databases[database] === undefined) {
+            return refuse(
+                request.id,
+                NotRunReason.UnknownDatabase,
+                `Database ${database} is not configured. Check its name.`,
+            );
+        }
+        if (database !== undefined && !caller.databases.includes(database)) {
+            return refuse(
+                request.id,
+                NotRunReason.Forbidden,
+                `Caller ${caller.name} may not use ${database}. Ask an operator to add it.`,
+            );
+        }
+        return caller;
+    }
+
+    function addRoute<Schema extends z.ZodType<{ readonly deadlineMilliseconds?: number | undefined; }>>(
+        path: string,
+        schema: Schema,
+        handle: (request: RoutedRequest<z.output<Schema>>) => Promise<CallerReply>,
+    ): void {
+        server.post(path, async (request, response) => {
+            const startedAt = clock.now();
+            const reply = await answer(request);
+            const { database } = request.params as { readonly database?: string; };
+            options.onFinished?.(database, reply, clock.now() - startedAt);
+            return send(response, reply);
+        });
+
+        server.route({
+            method: ["GET", "PUT", "PATCH", "DELETE"],
+            url: path,
+            handler: (request, response) => {
+                void response.status(405).header("allow", "POST");
+                return refuse(
+                    request.id,
+                    NotRunReason.InvalidRequest,
+                    `${request.method} is not allowed here. Use POST.`,
+                );
+            },
+        });
+
+        async function answer(request: FastifyRequest): Promise<CallerReply> {
+            const caller = admit(request);
+            if ("outcome" in caller) {
+                return caller;
+            }
+            const parsed = schema.safeParse(request.body);
+            if (!parsed.success) {
+                const problems = parsed.error.issues.map(issue => `\`${issue.path.join(".")}\`: ${issue.message}`);
+                return refuse(
+                    request.id,
+                    NotRunReason.InvalidRequest,
+                    `The request body is not valid: ${problems.join("; ")}. Correct it.`,
+                );
+            }
+            const { database } = request.params as { readonly database?: string; };
+            const { defaultDeadlineMilliseconds } = configuration.current().content.limits;
+            return handle({
+                requestId: request.id,
+                caller: caller.name,
+                body: parsed.data,
+                deadlineMilliseconds: parsed.data.deadlineMilliseconds ?? defaultDeadlineMilliseconds,
+                database: database ?? "",
+            });
+        }
+    }
+
+    function send(response: FastifyReply, reply: CallerReply): FastifyReply {
+        if (state === HealthState.Stopping) {
+            void response.header("connection", "close");
+        }
+        return response.status(chooseStatus(reply)).send(reply);
+    }
+
+    addRoute(
+        "/v1/databases/:database/statements",
+        requestSchemas.statement,
+        ({ body, ...request }) => execution.execute({ ...body, ...request }),
+    );
+    addRoute(
+        "/v1/databases/:database/request-keys/lookup",
+        requestSchemas.lookup,
+        ({ body, ...request }) => execution.lookUpRequestKey({ ...body, ...request }),
+    );
+    addRoute(
+        "/v1/databases/:database/transactions",
+        requestSchemas.begin,
+        ({ body, ...request }) => execution.beginTransaction({ ...body, ...request }),
+    );
+    addRoute(
+        "/v1/transactions/statements",
+        requestSchemas.step,
+        ({ body, ...request }) => execution.executeInTransaction({ ...body, ...request }),
+    );
+    addRoute(
+        "/v1/transactions/end",
+        requestSchemas.end,
+        ({ body, ...request }) => execution.endTransaction({ ...body, ...request }),
+    );
+    server.get("/v1/health", () => ({ state }));
+    server.setNotFoundHandler((request, response) => {
+        void response.status(404);
+        return refuse(
+            request.id,
+            NotRunReason.InvalidRequest,
+            `There is no ${request.method} ${request.url}. See the callers' interface.`,
+        );
+    });
+    server.setErrorHandler((error: Error & { readonly statusCode?: number; }, request, response) => {
+        void response.status(error.statusCode ?? 500);
+        return refuse(request.id, NotRunReason.InvalidRequest, `${error.message}. Correct the request.`);
+    });
+
+    async function start(): Promise<void> {
+        await server.listen({ host: options.host, port: options.port });
+    }
+
+    async function stop(): Promise<void> {
+        state = HealthState.Stopping;
+        await clock.sleep(callerConstants.stopNoticeMilliseconds);
+        await server.close();
+        while (execution.underWay > 0) {
+            await clock.sleep(callerConstants.shortestStopPollMilliseconds);
+        }
+    }
+
+    return {
+        port: () => (server.server.address() as AddressInfo).port,
+        start,
+        stop,
+        describeWork: () => execution.underWay === 0 ? [] : [`${execution.underWay} requests of callers`],
+    };
+}
--- /dev/null
+++ b/src/callers/types/HealthState.ts
@@ -0,0 +1,5 @@
+/** What a health check is told. */
+export enum HealthState {
+    Serving = "Serving",
+    Stopping = "Stopping",
+}
--- /dev/null
+++ b/src/execution/beginTransaction/index.ts
@@ -0,0 +1,86 @@
+import type { PeerRecord } from "../../membership/types/PeerRecord.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import type { TransactionBeginReply } from "../../messages/types/TransactionBeginReply.js";
+import { executionConstants } from "../constants.js";
+import { createNotRun } from "../createNotRun/index.js";
+import { encodeTransactionHandle } from "../encodeTransactionHandle/index.js";
+import { isFinalRefusal } from "../isFinalRefusal/index.js";
+import { listAttempts } from "../listAttempts/index.js";
+import { readSessionFloor } from "../readSessionFloor/index.js";
+import { scopeRequestKey } from "../scopeRequestKey/index.js";
+import { sendToOwner } from "../sendToOwner/index.js";
+import type { CallerReply } from "../types/CallerReply.js";
+import type { Deadline } from "../types/Deadline.js";
+import type { ExecutionContext } from "../types/ExecutionContext.js";
+import type { TransactionRequest } from "../types/TransactionRequest.js";
+
+/**
+ * Opens a transaction at the primary. Nothing has run yet, so a lost answer is simply tried again.
+ *
+ * @param context The services used.
+ * @param request The caller's request; its deadline is that of the whole transaction.
+ * @param deadline When the transaction must have ended.
+ * @returns An answer with the transaction handle, or why none was opened.
+ * @throws TarragonpostError of kind `InvalidToken`.
+ *
+ * @example
+ * const reply = await beginTransaction(context, request, deadline);
+ */
+export async function beginTransaction(
+    context: ExecutionContext,
+    request: TransactionRequest,
+    deadline: Deadline,
+): Promise<CallerReply> {
+    const { requestId, caller, database } = request;
+    const floor = readSessionFloor(context, request);
+    const requestKey = scopeRequestKey(caller, request.requestKey);
+    let { leastTerm } = floor;
+    let refusal = createNotRun(NotRunReason.NoPrimary, `No primary of ${database} is known. Retry in a moment.`);
+    for await (const _attempt of listAttempts({ context, database, deadline })) {
+        const group = await context.topology.waitForTerm(database, leastTerm, deadline.timeLeft());
+        if (group === undefined) {
+            break;
+        }
+        const { primary, term } = group;
+        let gateway: PeerRecord | undefined;
+        const reply = await sendToOwner<TransactionBeginReply>(context, primary, owner => {
+            gateway = owner;
+            return context.gateways.beginTransaction(owner, {
+                requestId,
+                database,
+                endpoint: primary,
+                term,
+                leastPosition: floor.leastPosition,
+                waitMilliseconds: 0,
+                caller,
+                requestKey,
+                timeLeftMilliseconds: Math.max(1, deadline.timeLeft() - executionConstants.replyMarginMilliseconds),
+            });
+        });
+        if (reply.outcome === OutcomeKind.Answer && gateway !== undefined) {
+            const { host, port, availabilityZone } = gateway;
+            const { transactionId } = reply;
+            const { sessionToken } = request;
+            const transactionHandle = encodeTransactionHandle({
+                caller,
+                database,
+                endpoint: primary,
+                term,
+                transactionId,
+                gateway: { host, port, availabilityZone },
+                sessionToken,
+                requestKey,
+            }, context.configuration.current().content.tokenSecret);
+            return { outcome: OutcomeKind.Answer, requestId, transactionHandle, sessionToken };
+        }
+        if (reply.outcome === OutcomeKind.NotRun) {
+            refusal = reply;
+            leastTerm = Math.max(leastTerm, reply.newerTerm ?? 0);
+            if (isFinalRefusal(reply.reason)) {
+                break;
+            }
+        }
+    }
+    return { outcome: OutcomeKind.NotRun, requestId, reason: refusal.reason, message: refusal.message };
+}
--- /dev/null
+++ b/src/execution/encodeTransactionHandle/index.ts
@@ -0,0 +1,17 @@
+import { signPayload } from "../../session/signPayload/index.js";
+import { executionConstants } from "../constants.js";
+import type { TransactionHandle } from "../types/TransactionHandle.js";
+
+/**
+ * Encodes and signs a transaction handle.
+ *
+ * @param handle What the handle carries.
+ * @param secret The signing secret of the configuration.
+ * @returns The handle as callers carry it.
+ *
+ * @example
+ * const transactionHandle = encodeTransactionHandle(handle, configuration.content.tokenSecret);
+ */
+export function encodeTransactionHandle(handle: TransactionHandle, secret: string): string {
+    return signPayload(handle, secret, executionConstants.purposeOfTransactionHandle);
+}
--- a/src/execution/executeRead/index.ts
+++ b/src/execution/executeRead/index.ts
@@ -52,7 +52,14 @@
         for (const candidate of listCandidates(context, request, group, leastPosition)) {
             const reply = await sendRead(context, request, { attempt, candidate, group, leastPosition, deadline });
             if (reply.outcome === OutcomeKind.Answer) {
-                const evidence = context.freshness.evidenceFor(database, reply.position);
+                const ageMilliseconds = measureAge(context, request, reply.position);
+                if (ageMilliseconds !== undefined && ageMilliseconds > (request.maximumAgeMilliseconds ?? 0)) {
+                    refusal = createNotRun(
+                        NotRunReason.TooOld,
+                        `The data was ${ageMilliseconds} ms old when it arrived. Accept a higher age, or retry.`,
+                    );
+                    continue;
+                }
                 return createAnswer(context, {
                     requestId,
                     database,
@@ -60,9 +67,7 @@
                     endpoint: candidate.endpoint,
                     isPrimary: candidate.isPrimary,
                     reply,
-                    ageMilliseconds: request.maximumAgeMilliseconds === undefined || evidence === undefined
-                        ? undefined
-                        : Math.ceil(context.clock.now() - evidence.stampedAt),
+                    ageMilliseconds,
                 });
             }
             noteRefusal(context, database, candidate, reply);
@@ -81,6 +86,15 @@
     return { outcome: OutcomeKind.NotRun, requestId, reason: refusal.reason, message: refusal.message };
 }
 
+/** The proven bound on the age of an answer, for a read that accepts an age. */
+function measureAge(context: ExecutionContext, request: CallerRequest, position: number): number | undefined {
+    if (request.maximumAgeMilliseconds === undefined) {
+        return undefined;
+    }
+    const evidence = context.freshness.evidenceFor(request.database, position);
+    return evidence === undefined ? Infinity : Math.ceil(context.clock.now() - evidence.stampedAt);
+}
+
 function listCandidates(
     context: ExecutionContext,
     request: CallerRequest,
--- /dev/null
+++ b/src/execution/lookUpRequestKey/index.ts
@@ -0,0 +1,70 @@
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { RequestKind } from "../../messages/types/RequestKind.js";
+import { executionConstants } from "../constants.js";
+import { createAnswer } from "../createAnswer/index.js";
+import { listAttempts } from "../listAttempts/index.js";
+import { readSessionFloor } from "../readSessionFloor/index.js";
+import { sendToOwner } from "../sendToOwner/index.js";
+import type { CallerReply } from "../types/CallerReply.js";
+import type { CallerRequest } from "../types/CallerRequest.js";
+import type { Deadline } from "../types/Deadline.js";
+import type { ExecutionContext } from "../types/ExecutionContext.js";
+
+/**
+ * Finds out what became of a keyed write: its first outcome, or certainty that it never runs.
+ *
+ * @param context The services used.
+ * @param request The caller, its database and its session.
+ * @param requestKey The key as endpoints record it.
+ * @param deadline When the request must have ended.
+ * @returns The first outcome; `NotRun` with reason `Cancelled` when it had not run and now never will.
+ * @throws TarragonpostError of kind `InvalidToken`.
+ *
+ * @example
+ * const reply = await lookUpRequestKey(context, request, scopeRequestKey(caller, "fitment-12"), deadline);
+ */
+export async function lookUpRequestKey(
+    context: ExecutionContext,
+    request: Pick<CallerRequest, "requestId" | "caller" | "database" | "sessionToken">,
+    requestKey: string,
+    deadline: Deadline,
+): Promise<CallerReply> {
+    const { requestId, caller, database } = request;
+    const floor = readSessionFloor(context, request);
+    let { leastTerm } = floor;
+    let message = `No primary of ${database} answered. Look the request key up again in a moment.`;
+    for await (const _attempt of listAttempts({ context, database, deadline })) {
+        const group = await context.topology.waitForTerm(database, leastTerm, deadline.timeLeft());
+        if (group === undefined) {
+            break;
+        }
+        const { primary, term } = group;
+        const reply = await sendToOwner(context, primary, gateway =>
+            context.gateways.lookUpRequestKey(gateway, {
+                requestId,
+                database,
+                endpoint: primary,
+                kind: RequestKind.Write,
+                statement: undefined,
+                term,
+                leastPosition: floor.leastPosition,
+                waitMilliseconds: 0,
+                requestKey,
+                caller,
+                timeLeftMilliseconds: Math.max(1, deadline.timeLeft() - executionConstants.replyMarginMilliseconds),
+            }));
+        if (reply.outcome === OutcomeKind.Answer) {
+            const { token } = floor;
+            return createAnswer(context, { requestId, database, token, endpoint: primary, isPrimary: true, reply });
+        }
+        if (reply.outcome === OutcomeKind.NotRun) {
+            if (reply.reason === NotRunReason.Cancelled) {
+                return { outcome: OutcomeKind.NotRun, requestId, reason: reply.reason, message: reply.message };
+            }
+            leastTerm = Math.max(leastTerm, reply.newerTerm ?? 0);
+        }
+        ({ message } = reply);
+    }
+    return { outcome: OutcomeKind.OutcomeUnknown, requestId, message };
+}
--- /dev/null
+++ b/src/execution/types/RequestExecutionService.ts
@@ -0,0 +1,21 @@
+import type { RequestKind } from "../../messages/types/RequestKind.js";
+import type { TransactionEndKind } from "../../messages/types/TransactionEndKind.js";
+import type { CallerReply } from "./CallerReply.js";
+import type { CallerRequest } from "./CallerRequest.js";
+import type { TransactionRequest } from "./TransactionRequest.js";
+import type { TransactionStep } from "./TransactionStep.js";
+
+/** Runs callers' requests. Every promise resolves with an outcome within the request's deadline. */
+export interface RequestExecutionService {
+    execute(request: CallerRequest): Promise<CallerReply>;
+    lookUpRequestKey(
+        request: Omit<CallerRequest, "kind" | "statement"> & { requestKey: string; },
+    ): Promise<CallerReply>;
+    beginTransaction(request: TransactionRequest): Promise<CallerReply>;
+    executeInTransaction(
+        step: TransactionStep & { readonly kind: RequestKind; readonly statement: unknown; },
+    ): Promise<CallerReply>;
+    endTransaction(step: TransactionStep & { readonly kind: TransactionEndKind; }): Promise<CallerReply>;
+    /** Requests under way. */
+    readonly underWay: number;
+}
--- /dev/null
+++ b/src/execution/types/TransactionRequest.ts
@@ -0,0 +1,9 @@
+/** A caller's request to open a transaction, checked and authenticated. */
+export interface TransactionRequest {
+    readonly requestId: string;
+    readonly caller: string;
+    readonly database: string;
+    readonly sessionToken?: string;
+    readonly requestKey?: string;
+    readonly deadlineMilliseconds: number;
+}
--- /dev/null
+++ b/src/execution/types/TransactionStep.ts
@@ -0,0 +1,7 @@
+/** A caller's request within a transaction, checked and authenticated. */
+export interface TransactionStep {
+    readonly requestId: string;
+    readonly caller: string;
+    readonly transactionHandle: string;
+    readonly deadlineMilliseconds: number;
+}
