--- /dev/null
+++ b/src/binaries/entry/index.ts
@@ -0,0 +1,12 @@
+#!/usr/bin/env node
+import { runBinary } from "../../commandLine/runBinary/index.js";
+import { listEntryServices } from "../../entry/listEntryServices/index.js";
+import { entrySettingsSchema } from "../../settings/entrySettingsSchema/index.js";
+import { readSettings } from "../../settings/readSettings/index.js";
+
+await runBinary({
+    name: "tarragonpost-entry",
+    description: "Takes callers' requests and sends each to the endpoint that can serve it.",
+    readSettings: file => readSettings(file, entrySettingsSchema),
+    createServices: listEntryServices,
+});
--- /dev/null
+++ b/src/entry/createEntryExecution/index.ts
@@ -0,0 +1,62 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
+import { createGatewayClient } from "../../execution/createGatewayClient/index.js";
+import { createNotRun } from "../../execution/createNotRun/index.js";
+import { createRequestExecution } from "../../execution/createRequestExecution/index.js";
+import { sendToOwner } from "../../execution/sendToOwner/index.js";
+import type { ExecutionContext } from "../../execution/types/ExecutionContext.js";
+import type { RequestExecutionService } from "../../execution/types/RequestExecutionService.js";
+import { createFreshness } from "../../freshness/createFreshness/index.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createEndpointObservations } from "../../routing/createEndpointObservations/index.js";
+import type { EntrySettings } from "../../settings/types/EntrySettings.js";
+import type { TopologyService } from "../../topology/types/TopologyService.js";
+import type { Peers } from "../../transport/types/Peers.js";
+
+/** Options of `createEntryExecution`. */
+interface EntryExecutionOptions {
+    readonly settings: EntrySettings;
+    readonly topology: TopologyService;
+    readonly configuration: ConfigurationService;
+    readonly peers: Peers;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+}
+
+/**
+ * Creates an entry's request execution with its caches: observations of endpoints and freshness evidence.
+ *
+ * @param options Settings and the services it uses.
+ * @returns The service that runs callers' requests.
+ *
+ * @example
+ * const execution = createEntryExecution({ settings, topology, configuration, peers, clock, random });
+ */
+export function createEntryExecution(options: EntryExecutionOptions): RequestExecutionService {
+    const { settings, topology, configuration, peers, clock, random } = options;
+    const context: ExecutionContext = {
+        topology,
+        configuration,
+        gateways: createGatewayClient(peers),
+        observations: createEndpointObservations(clock),
+        freshness: createFreshness(clock, readPosition),
+        clock,
+        random,
+        readPolicy: settings.readPolicy,
+        localZone: settings.availabilityZone,
+        localRegion: settings.region,
+    };
+
+    async function readPosition(database: string, timeLeftMilliseconds: number): Promise<EndpointReply> {
+        const group = topology.groupOf(database);
+        if (group === undefined) {
+            return createNotRun(NotRunReason.NoPrimary, `No primary of ${database} is known. Retry in a moment.`);
+        }
+        return sendToOwner(context, group.primary, gateway =>
+            context.gateways.readPosition(gateway, { database, term: group.term, timeLeftMilliseconds }));
+    }
+
+    return createRequestExecution(context);
+}
--- a/src/execution/beginTransaction/index.ts
+++ b/src/execution/beginTransaction/index.ts
@@ -1,7 +1,6 @@
 import type { PeerRecord } from "../../membership/types/PeerRecord.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
-import type { TransactionBeginReply } from "../../messages/types/TransactionBeginReply.js";
 import { executionConstants } from "../constants.js";
 import { createNotRun } from "../createNotRun/index.js";
 import { encodeTransactionHandle } from "../encodeTransactionHandle/index.js";
@@ -44,7 +43,7 @@
         }
         const { primary, term } = group;
         let gateway: PeerRecord | undefined;
-        const reply = await sendToOwner<TransactionBeginReply>(context, primary, owner => {
+        const reply = await sendToOwner(context, primary, owner => {
             gateway = owner;
             return context.gateways.beginTransaction(owner, {
                 requestId,
@@ -60,7 +59,7 @@
         });
         if (reply.outcome === OutcomeKind.Answer && gateway !== undefined) {
             const { host, port, availabilityZone } = gateway;
-            const { transactionId } = reply;
+            const transactionId = String(reply.result);
             const { sessionToken } = request;
             const transactionHandle = encodeTransactionHandle({
                 caller,
--- a/src/execution/executeRead/index.ts
+++ b/src/execution/executeRead/index.ts
@@ -150,6 +150,7 @@
             term: group.term,
             leastPosition,
             waitMilliseconds: candidate.waitMilliseconds,
+            isAgedRead: request.maximumAgeMilliseconds !== undefined,
             caller: request.caller,
             timeLeftMilliseconds: Math.max(1, timeLeftMilliseconds),
         }));
--- a/src/execution/lookUpRequestKey/index.ts
+++ b/src/execution/lookUpRequestKey/index.ts
@@ -1,6 +1,5 @@
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
-import { RequestKind } from "../../messages/types/RequestKind.js";
 import { executionConstants } from "../constants.js";
 import { createAnswer } from "../createAnswer/index.js";
 import { listAttempts } from "../listAttempts/index.js";
@@ -45,11 +44,7 @@
                 requestId,
                 database,
                 endpoint: primary,
-                kind: RequestKind.Write,
-                statement: undefined,
                 term,
-                leastPosition: floor.leastPosition,
-                waitMilliseconds: 0,
                 requestKey,
                 caller,
                 timeLeftMilliseconds: Math.max(1, deadline.timeLeft() - executionConstants.replyMarginMilliseconds),
--- /dev/null
+++ b/src/freshness/createPositionReader/index.ts
@@ -0,0 +1,97 @@
+import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
+import type { EndpointConnections } from "../../connections/types/EndpointConnections.js";
+import { EndpointRole } from "../../endpoints/types/EndpointRole.js";
+import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import type { TopologyService } from "../../topology/types/TopologyService.js";
+import type { PositionReader } from "../types/PositionReader.js";
+import type { PositionRequest } from "../types/PositionRequest.js";
+
+/** Options of `createPositionReader`. */
+interface PositionReaderOptions {
+    readonly configuration: ConfigurationService;
+    readonly connections: EndpointConnections;
+    readonly topology: TopologyService;
+}
+
+/**
+ * Creates the service that reads a position which includes everything acknowledged before it was asked.
+ *
+ * The primary and enough replicas for a majority must report the term, all asked after the request arrived. No other
+ * primary can then have acknowledged anything before that, since its promotion would have fenced a majority.
+ *
+ * @param options Configuration, connections and topology.
+ * @returns The position reader; its promises never reject.
+ *
+ * @example
+ * const reply = await createPositionReader(options).readPosition({ database: "stock", term: 3, timeLeftMilliseconds: 500 });
+ */
+export function createPositionReader(options: PositionReaderOptions): PositionReader {
+    const { configuration, connections, topology } = options;
+
+    async function readStatus(
+        request: PositionRequest,
+        endpoint: string,
+    ): Promise<EndpointStatus | undefined> {
+        const timeoutMilliseconds = request.timeLeftMilliseconds;
+        try {
+            const lease = await connections.acquire(request.database, endpoint, timeoutMilliseconds);
+            try {
+                const status = await lease.connection.readStatus(timeoutMilliseconds);
+                lease.release();
+                return status;
+            }
+            catch (error) {
+                lease.discard(error);
+            }
+        }
+        catch {
+            // An endpoint that cannot be asked counts as one that did not confirm the term.
+        }
+        return undefined;
+    }
+
+    async function readPosition(request: PositionRequest): Promise<EndpointReply> {
+        const group = topology.groupOf(request.database);
+        const definition = configuration.current().content.databases[request.database];
+        if (group === undefined || definition === undefined || group.term !== request.term) {
+            return { ...refuse(`${request.database} is not known in term ${request.term}.`), newerTerm: group?.term };
+        }
+        const names = Object.keys(definition.endpoints);
+        const majority = Math.floor(names.length / 2) + 1;
+        const holders: EndpointStatus[] = [];
+        return new Promise(resolve => {
+            const readings = names.map(async name => {
+                const status = await readStatus(request, name);
+                if (status !== undefined && isOfTerm(status, request.term, name === group.primary)) {
+                    holders.push(status);
+                }
+                const primary = holders.find(holder => holder.endpoint === group.primary);
+                if (primary !== undefined && holders.length >= majority) {
+                    const { term, position } = primary;
+                    resolve({ outcome: OutcomeKind.Answer, result: undefined, term, position, queueLength: 0 });
+                }
+            });
+            void Promise.all(readings).then(() => {
+                resolve(refuse(`No majority of ${request.database} confirmed term ${request.term}.`));
+            });
+        });
+    }
+
+    return { readPosition };
+}
+
+function isOfTerm(status: EndpointStatus, term: number, isPrimary: boolean): boolean {
+    const role = isPrimary ? EndpointRole.Primary : EndpointRole.Replica;
+    return status.role === role && status.term === term && status.fencedTerm <= term;
+}
+
+function refuse(description: string): Extract<EndpointReply, { readonly outcome: OutcomeKind.NotRun; }> {
+    return {
+        outcome: OutcomeKind.NotRun,
+        reason: NotRunReason.NoPrimary,
+        message: `${description} Retry in a moment, or read with a session token.`,
+    };
+}
--- a/src/settings/entrySettingsSchema/index.ts
+++ b/src/settings/entrySettingsSchema/index.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { ReadPolicy } from "../../routing/types/ReadPolicy.js";
 import { processSettingsSchema } from "../processSettingsSchema/index.js";
 import type { EntrySettings } from "../types/EntrySettings.js";
 
@@ -11,4 +12,5 @@
 export const entrySettingsSchema = processSettingsSchema.extend({
     localGateway: processSettingsSchema.shape.platform,
     otherGateways: z.array(processSettingsSchema.shape.platform).default([]),
+    readPolicy: z.enum(ReadPolicy).default(ReadPolicy.BoundedWaitWithPrediction),
 }) satisfies z.ZodType<EntrySettings>;
