Add the platform and endpoint stand-ins with the adapters that speak to them

The services need something to run against: the platform's objects, watch and VM list with their faults, the emulated network, and endpoints with terms, log positions, asynchronous replication and request keys. Locking transactions were ruled out: a paused caller would stop all others. Lag is applied where the primary ships, so that a killed primary loses what was not shipped.

--- /dev/null
+++ b/src/endpoints/types/EndpointAnswerKind.ts
@@ -0,0 +1,10 @@
+/** Kinds of frames that an endpoint sends. */
+export enum EndpointAnswerKind {
+    /** The connection is open; the first frame of each connection. */
+    Welcome = 1,
+    /** All connections are taken; the connection is closed after it. */
+    ConnectionLimit = 2,
+    Answer = 3,
+    /** The call failed with a typed error and did not run. */
+    Failure = 4,
+}
--- a/src/platform/types/PlatformClient.ts
+++ b/src/platform/types/PlatformClient.ts
@@ -15,8 +15,11 @@
     createObject(key: string, value: unknown): Promise<StoredObject>;
     /** Updates the object if its version is the expected one; `Conflict` otherwise. */
     updateObject(key: string, value: unknown, expectedVersion: number): Promise<StoredObject>;
-    /** Yields objects under the prefix as they change; may skip intermediate versions; ends by throwing when cut. */
-    watchObjects(prefix: string, signal: AbortSignal): AsyncGenerator<StoredObject>;
+    /**
+     * Yields objects under the prefix as they change; may skip intermediate versions; ends by throwing when cut.
+     * With `afterKey` it first yields the present objects after that key, so that no change is missed in between.
+     */
+    watchObjects(prefix: string, signal: AbortSignal, afterKey?: string): AsyncGenerator<StoredObject>;
     /** The platform's list of VMs; it lags behind the truth. */
     listVms(): Promise<VmRecord[]>;
 }
--- /dev/null
+++ b/src/standIns/endpoint/createEndpointCore/index.ts
@@ -0,0 +1,99 @@
+import { createSystemClock } from "../../../clock/createSystemClock/index.js";
+import { EndpointRole } from "../../../endpoints/types/EndpointRole.js";
+import type { EndpointStatus } from "../../../endpoints/types/EndpointStatus.js";
+import { createRandomSource } from "../../../random/createRandomSource/index.js";
+import { createEndpointLog } from "../createEndpointLog/index.js";
+import { createStatementRunner } from "../createStatementRunner/index.js";
+import { createSwitchBoard } from "../createSwitchBoard/index.js";
+import { createTermState } from "../createTermState/index.js";
+import type { EndpointCore } from "../types/EndpointCore.js";
+import type { EndpointStandInSettings } from "../types/EndpointStandInSettings.js";
+
+/**
+ * Creates the parts of an endpoint stand-in that know nothing of connections.
+ *
+ * @param settings Settings of the endpoint.
+ * @returns The parts, with an empty log.
+ *
+ * @example
+ * const core = createEndpointCore(settings);
+ * core.terms.fence(1);
+ */
+export function createEndpointCore(settings: EndpointStandInSettings): EndpointCore {
+    const clock = createSystemClock();
+    const log = createEndpointLog();
+    const terms = createTermState(settings.name, log);
+    const switches = createSwitchBoard(settings.serviceMilliseconds);
+    const counters = {
+        connections: 0,
+        mostConnections: 0,
+        refusedConnections: 0,
+        slotsInUse: 0,
+        mostSlotsInUse: 0,
+        statements: 0,
+        newWorkWhileLeaving: 0,
+        lastNewWorkAfterLeavingMilliseconds: 0,
+    };
+    const random = createRandomSource(settings.randomSeed);
+    const { slots, serviceJitterShare } = settings;
+    const runner = createStatementRunner({
+        log,
+        terms,
+        switches,
+        counters,
+        clock,
+        random,
+        slots,
+        serviceJitterShare,
+    });
+    let primaryHeardAt = clock.now();
+    let leavingSince: number | undefined;
+    let lastFollowing = terms.following();
+
+    terms.onChange(() => {
+        if (terms.following() !== lastFollowing) {
+            lastFollowing = terms.following();
+            primaryHeardAt = clock.now();
+        }
+    });
+    switches.onChange(() => {
+        leavingSince = switches.state.isLeaving ? leavingSince ?? clock.now() : undefined;
+    });
+
+    function readStatus(): EndpointStatus {
+        const role = terms.role();
+        return {
+            endpoint: settings.name,
+            database: settings.database,
+            role,
+            term: terms.term(),
+            fencedTerm: terms.fencedTerm(),
+            position: log.position(),
+            lastEntryTerm: log.lastEntryTerm(),
+            isLeaving: switches.state.isLeaving,
+            primarySilenceMilliseconds: role === EndpointRole.Replica ? clock.now() - primaryHeardAt : undefined,
+        };
+    }
+
+    function countNewWork(): void {
+        if (leavingSince !== undefined) {
+            counters.newWorkWhileLeaving += 1;
+            counters.lastNewWorkAfterLeavingMilliseconds = clock.now() - leavingSince;
+        }
+    }
+
+    return {
+        settings,
+        clock,
+        log,
+        terms,
+        switches,
+        counters,
+        runner,
+        readStatus,
+        hearPrimary: () => {
+            primaryHeardAt = clock.now();
+        },
+        countNewWork,
+    };
+}
--- /dev/null
+++ b/src/standIns/endpoint/createEndpointStandIn/index.ts
@@ -0,0 +1,146 @@
+import { once } from "node:events";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type WebSocket, WebSocketServer } from "ws";
+import type { NetworkConditions } from "../../../network/types/NetworkConditions.js";
+import { standInConstants } from "../../constants.js";
+import { createEndpointAdmin } from "../createEndpointAdmin/index.js";
+import { createEndpointCore } from "../createEndpointCore/index.js";
+import { followPrimary } from "../followPrimary/index.js";
+import { serveConnection } from "../serveConnection/index.js";
+import { serveReplica } from "../serveReplica/index.js";
+import type { EndpointStandIn } from "../types/EndpointStandIn.js";
+import type { EndpointStandInSettings } from "../types/EndpointStandInSettings.js";
+
+/**
+ * Creates the stand-in of one database endpoint.
+ *
+ * @param settings Settings of the endpoint; port 0 takes any free port.
+ * @param conditions The emulated network, applied to its replication.
+ * @returns The stand-in, not yet listening.
+ *
+ * @example
+ * const endpoint = createEndpointStandIn(settings, createNeutralNetwork(settings.availabilityZone));
+ * await endpoint.start();
+ */
+export function createEndpointStandIn(
+    settings: EndpointStandInSettings,
+    conditions: NetworkConditions,
+): EndpointStandIn {
+    const core = createEndpointCore(settings);
+    const { terms, switches, log } = core;
+    const sockets = new Set<WebSocket>();
+    const silent = new WeakSet<WebSocket>();
+    let listeningPort = settings.listen.port;
+    let server: Server | undefined;
+    let followed = terms.following();
+    let isStopped = false;
+    let transition = Promise.resolve();
+
+    function accept(socket: WebSocket, path: string | undefined): void {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+        if (path !== "/replication") {
+            void serveConnection(socket, core, { isSilent: () => silent.has(socket) });
+        }
+        else if (switches.state.isCutFromPeers) {
+            socket.terminate();
+        }
+        else {
+            const stop = switches.onChange(() => {
+                if (switches.state.isCutFromPeers) {
+                    socket.terminate();
+                }
+            });
+            void serveReplica(socket, { log, terms, switches }).finally(stop);
+        }
+    }
+
+    async function listen(): Promise<void> {
+        server = createServer();
+        const frames = new WebSocketServer({
+            server,
+            maxPayload: standInConstants.maximumFrameBytes,
+            perMessageDeflate: false,
+        });
+        frames.on("connection", (socket, request) => accept(socket, request.url));
+        server.listen(listeningPort, settings.listen.host);
+        await once(server, "listening");
+        listeningPort = (server.address() as AddressInfo).port;
+    }
+
+    async function closeAll(): Promise<void> {
+        const closing = server;
+        server = undefined;
+        if (closing === undefined) {
+            return;
+        }
+        const closed = once(closing, "close");
+        closing.close();
+        closing.closeAllConnections();
+        for (const socket of sockets) {
+            socket.terminate();
+        }
+        await closed;
+    }
+
+    async function applyKill(): Promise<void> {
+        const mustListen = !switches.state.isKilled && !isStopped;
+        if (!mustListen) {
+            terms.restart();
+            await closeAll();
+        }
+        else if (server === undefined) {
+            await listen();
+        }
+    }
+
+    switches.onChange(() => {
+        transition = transition.then(applyKill);
+    });
+    terms.onChange(() => {
+        const following = terms.following();
+        if (following !== followed) {
+            followed = following;
+            if (following !== undefined) {
+                void followPrimary(following, {
+                    endpoint: settings.name,
+                    peers: settings.peers,
+                    log,
+                    terms,
+                    switches,
+                    conditions,
+                    onHeard: core.hearPrimary,
+                });
+            }
+        }
+    });
+    const admin = createEndpointAdmin(core, { silence, settled: () => transition });
+
+    function silence(): void {
+        for (const socket of sockets) {
+            silent.add(socket);
+        }
+    }
+
+    async function start(): Promise<void> {
+        await listen();
+        await admin.listen({ host: settings.admin.host, port: settings.admin.port });
+    }
+
+    async function stop(): Promise<void> {
+        isStopped = true;
+        switches.set({ isFrozen: false });
+        await transition;
+        await admin.close();
+    }
+
+    return {
+        core,
+        port: () => listeningPort,
+        adminPort: () => (admin.server.address() as AddressInfo).port,
+        silence,
+        start,
+        stop,
+    };
+}
--- /dev/null
+++ b/src/standIns/endpoint/createSwitchBoard/index.ts
@@ -0,0 +1,42 @@
+import { createNotifier } from "../../createNotifier/index.js";
+import type { EndpointSwitches } from "../types/EndpointSwitches.js";
+import type { SwitchBoard } from "../types/SwitchBoard.js";
+
+/**
+ * Creates the switch board of an endpoint stand-in.
+ *
+ * @param serviceMilliseconds Initial service time of a statement in milliseconds.
+ * @returns The switch board with no fault set.
+ *
+ * @example
+ * createSwitchBoard(2).set({ isFrozen: true });
+ */
+export function createSwitchBoard(serviceMilliseconds: number): SwitchBoard {
+    const state: EndpointSwitches = {
+        isKilled: false,
+        isFrozen: false,
+        isCutFromPeers: false,
+        isLeaving: false,
+        replicationLagMilliseconds: 0,
+        serviceMilliseconds,
+    };
+    const { notify, onChange } = createNotifier();
+
+    function set(changes: Partial<EndpointSwitches>): void {
+        Object.assign(state, changes);
+        notify();
+    }
+
+    async function waitUntilThawed(): Promise<void> {
+        while (state.isFrozen) {
+            await new Promise<void>(resolve => {
+                const stop = onChange(() => {
+                    stop();
+                    resolve();
+                });
+            });
+        }
+    }
+
+    return { state, set, onChange, waitUntilThawed };
+}
--- /dev/null
+++ b/src/standIns/endpoint/types/StatementOperation.ts
@@ -0,0 +1,10 @@
+/** Operations of the endpoint stand-in's statement language. */
+export enum StatementOperation {
+    Get = "Get",
+    Set = "Set",
+    Add = "Add",
+    Append = "Append",
+    ReadList = "ReadList",
+    /** Several statements, all or none. */
+    Batch = "Batch",
+}
--- /dev/null
+++ b/src/standIns/endpoint/types/TermSpan.ts
@@ -0,0 +1,5 @@
+/** A run of log entries of one term. */
+export interface TermSpan {
+    readonly term: number;
+    readonly lastPosition: number;
+}
--- /dev/null
+++ b/src/standIns/listenSchema/index.ts
@@ -0,0 +1,9 @@
+import { z } from "zod";
+
+/**
+ * Where a process listens, in settings.
+ *
+ * @example
+ * listenSchema.parse({ host: "127.0.0.1", port: 7100 });
+ */
+export const listenSchema = z.strictObject({ host: z.string(), port: z.number().int().min(0).max(65_535) });
--- /dev/null
+++ b/src/standIns/platform/platformStandInSchema/index.ts
@@ -0,0 +1,19 @@
+import { z } from "zod";
+import { listenSchema } from "../../listenSchema/index.js";
+import { linkChangeSchema } from "../linkChangeSchema/index.js";
+import { vmRecordSchema } from "../vmRecordSchema/index.js";
+
+/**
+ * Settings of the platform stand-in as they stand in a file, with defaults.
+ *
+ * @example
+ * const settings = await readStandInSettings(path, platformStandInSchema);
+ */
+export const platformStandInSchema = z.strictObject({
+    listen: listenSchema,
+    admin: listenSchema,
+    network: listenSchema,
+    links: z.array(linkChangeSchema).default([]),
+    vms: z.array(vmRecordSchema).default([]),
+    vmListLagMilliseconds: z.number().min(0).default(0),
+});
--- /dev/null
+++ b/src/standIns/platform/types/NetworkState.ts
@@ -0,0 +1,9 @@
+import type { EmulatedLink } from "../../../network/types/EmulatedLink.js";
+import type { LinkChange } from "./LinkChange.js";
+
+/** The emulated network between places. */
+export interface NetworkState {
+    change(change: LinkChange): void;
+    list(): readonly EmulatedLink[];
+    onChange(listener: () => void): () => void;
+}
--- /dev/null
+++ b/src/standIns/platform/types/PlatformStandInSettings.ts
@@ -0,0 +1,13 @@
+import type { VmRecord } from "../../../platform/types/VmRecord.js";
+import type { LinkChange } from "./LinkChange.js";
+
+/** Settings of the platform stand-in. */
+export interface PlatformStandInSettings {
+    readonly listen: { readonly host: string; readonly port: number; };
+    readonly admin: { readonly host: string; readonly port: number; };
+    /** Where the emulated network is published. */
+    readonly network: { readonly host: string; readonly port: number; };
+    readonly links: readonly LinkChange[];
+    readonly vms: readonly VmRecord[];
+    readonly vmListLagMilliseconds: number;
+}
