--- /dev/null
+++ b/src/configuration/applyPatch/index.ts
@@ -0,0 +1,49 @@
+import jsonMergePatch from "json-merge-patch";
+import { isRecord } from "../isRecord/index.js";
+import type { ConfigurationDocument } from "../types/ConfigurationDocument.js";
+
+/**
+ * Applies a JSON merge patch (RFC 7396) to a content without changing it.
+ *
+ * Entries that the patch does not name are shared with the content before, so that the cost and the later
+ * comparison follow the size of the patch.
+ *
+ * @param document The content before.
+ * @param patch The patch, an object.
+ * @returns The content after.
+ *
+ * @example
+ * applyPatch({ limits: { requestBytes: 1 } }, { limits: { requestBytes: 2 } });
+ */
+export function applyPatch(
+    document: ConfigurationDocument,
+    patch: Readonly<Record<string, unknown>>,
+): ConfigurationDocument {
+    return mergeRecord(document as Readonly<Record<string, unknown>>, patch, mergeSection) as ConfigurationDocument;
+}
+
+function mergeSection(before: unknown, patch: unknown): unknown {
+    return isRecord(patch) ? mergeRecord(isRecord(before) ? before : {}, patch, mergeEntry) : patch;
+}
+
+function mergeEntry(before: unknown, patch: unknown): unknown {
+    return jsonMergePatch.apply(structuredClone(before), structuredClone(patch));
+}
+
+/** Copies one level of a record and merges the keys that the patch names; a key without a value is removed. */
+function mergeRecord(
+    before: Readonly<Record<string, unknown>>,
+    patch: Readonly<Record<string, unknown>>,
+    merge: (before: unknown, patch: unknown) => unknown,
+): Readonly<Record<string, unknown>> {
+    const after: Record<string, unknown> = { ...before };
+    for (const [key, value] of Object.entries(patch)) {
+        if ((value ?? undefined) === undefined) {
+            delete after[key];
+        }
+        else {
+            after[key] = merge(Object.hasOwn(before, key) ? before[key] : undefined, value);
+        }
+    }
+    return after;
+}
--- /dev/null
+++ b/src/configuration/applyUpdates/index.ts
@@ -0,0 +1,38 @@
+import { snapshotSchema } from "../snapshotSchema/index.js";
+import type { ConfigurationState } from "../types/ConfigurationState.js";
+import type { ConfigurationUpdate } from "../types/ConfigurationUpdate.js";
+import { UpdateKind } from "../types/UpdateKind.js";
+import { versionRecordSchema } from "../versionRecordSchema/index.js";
+
+/**
+ * Takes in the items by which another process brings this one to its version.
+ *
+ * @param state The configuration of this process.
+ * @param updates The items, in the order they were sent.
+ * @returns Resolves when the items end.
+ * @throws When an item does not have the expected form, or when the items end by an error.
+ *
+ * @example
+ * await applyUpdates(state, iterateSubscription(subscribe, signal));
+ */
+export async function applyUpdates(
+    state: ConfigurationState,
+    updates: AsyncIterable<ConfigurationUpdate>,
+): Promise<void> {
+    let parts: string[] = [];
+    for await (const update of updates) {
+        if (update.kind === UpdateKind.Record) {
+            state.takeIn(versionRecordSchema.parse(update.record));
+        }
+        else if (update.kind === UpdateKind.InForce) {
+            state.hear(update.version);
+        }
+        else {
+            parts = update.index === 0 ? [update.text] : [...parts, update.text];
+            if (parts.length === update.partCount) {
+                state.restore(snapshotSchema.parse(JSON.parse(parts.join(""))));
+                parts = [];
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/configuration/canonicalizeValue/index.ts
@@ -0,0 +1,18 @@
+import { isRecord } from "../isRecord/index.js";
+
+/**
+ * Writes a JSON value with sorted keys, so that equal values give equal texts.
+ *
+ * @param value Any JSON value.
+ * @returns The text.
+ *
+ * @example
+ * canonicalizeValue({ b: 1, a: 2 }); // '{"a":2,"b":1}'
+ */
+export function canonicalizeValue(value: unknown): string {
+    return JSON.stringify(
+        value,
+        (_key, inner: unknown) =>
+            isRecord(inner) ? Object.fromEntries(Object.entries(inner).sort(([a], [b]) => (a < b ? -1 : 1))) : inner,
+    );
+}
--- /dev/null
+++ b/src/configuration/createConfigurationService/index.ts
@@ -0,0 +1,147 @@
+import { RecordKind } from "../../dissemination/types/RecordKind.js";
+import { EventKind } from "../../events/types/EventKind.js";
+import type { PlatformClient } from "../../platform/types/PlatformClient.js";
+import { announceVersion } from "../announceVersion/index.js";
+import { configurationConstants } from "../constants.js";
+import { createConfigurationState } from "../createConfigurationState/index.js";
+import { createConfigurationStore } from "../createConfigurationStore/index.js";
+import { isRelay } from "../isRelay/index.js";
+import { loadConfiguration } from "../loadConfiguration/index.js";
+import { readVersion } from "../readVersion/index.js";
+import { receiveAnnouncement } from "../receiveAnnouncement/index.js";
+import { runRelay } from "../runRelay/index.js";
+import { runRepairs } from "../runRepairs/index.js";
+import { submitPatch } from "../submitPatch/index.js";
+import type { ConfigurationParts } from "../types/ConfigurationParts.js";
+import type { GatewayConfiguration } from "../types/GatewayConfiguration.js";
+import type { PatchAnswer } from "../types/PatchAnswer.js";
+import type { PatchRequest } from "../types/PatchRequest.js";
+import type { VersionRecord } from "../types/VersionRecord.js";
+import { writeDueSnapshot } from "../writeDueSnapshot/index.js";
+
+/** Options of `createConfigurationService`. */
+interface ConfigurationServiceOptions extends Omit<ConfigurationParts, "state" | "store"> {
+    readonly platform: PlatformClient;
+}
+
+/**
+ * Creates the configuration service of a gateway.
+ *
+ * It starts from peers first, then from the store; it learns of new versions through dissemination, and as a relay of
+ * its availability zone from the store; versions that it missed it pulls from peers, then from the store.
+ *
+ * @param options The services it works with, and the seed gateways.
+ * @returns The service, at version 0 until it is started.
+ *
+ * @example
+ * const configuration = createConfigurationService({ platform, membership, dissemination, peers, ...others });
+ */
+export function createConfigurationService(options: ConfigurationServiceOptions): GatewayConfiguration {
+    const { membership, dissemination, events, clock } = options;
+    const processName = membership.self.name;
+    const state = createConfigurationState(events);
+    const store = createConfigurationStore(options.platform, processName);
+    const parts: ConfigurationParts = { ...options, state, store };
+    const entryVersions = new Map<string, number>();
+    const abort = new AbortController();
+    const tasks = new Set<Promise<unknown>>();
+    let isLoaded = false;
+    let isRepairing = false;
+    let writtenSnapshotVersion = 0;
+
+    function track(task: Promise<unknown>): void {
+        tasks.add(task);
+        void task.finally(() => tasks.delete(task));
+    }
+
+    function repairIfBehind(): void {
+        if (!isRepairing && !abort.signal.aborted && state.highestHeard() > state.current().version) {
+            isRepairing = true;
+            track(
+                runRepairs(parts, abort.signal).finally(() => {
+                    isRepairing = false;
+                }),
+            );
+        }
+    }
+
+    function announceInForce(version: number): void {
+        announceVersion(dissemination, version, state.recordsAfter(version - 1)?.[0]);
+    }
+
+    async function load(): Promise<void> {
+        isLoaded = await loadConfiguration(parts, abort.signal);
+        for (const announcement of dissemination.list(RecordKind.ConfigurationVersion)) {
+            receiveAnnouncement(state, announcement);
+        }
+        repairIfBehind();
+    }
+
+    async function start(): Promise<void> {
+        state.onChange(({ version }) => announceInForce(version));
+        dissemination.onRecord(RecordKind.ConfigurationVersion, announcement => {
+            receiveAnnouncement(state, announcement);
+            repairIfBehind();
+        });
+        const loading = load();
+        track(loading);
+        await Promise.race([loading, clock.sleep(configurationConstants.startTimeoutMilliseconds, abort.signal)]);
+        track(runRelay(parts, abort.signal));
+    }
+
+    async function stop(): Promise<void> {
+        abort.abort();
+        await Promise.allSettled(tasks);
+    }
+
+    async function submit(request: PatchRequest): Promise<PatchAnswer> {
+        const answer = await submitPatch(request, parts);
+        const { version } = answer;
+        const text = answer.isRepeated
+            ? `Patch ${request.patchId} of ${request.author} had become version ${version} already.`
+            : `Patch ${request.patchId} of ${request.author} became version ${version}.`;
+        events.record({ kind: EventKind.ConfigurationPatched, version, text });
+        track(
+            writeDueSnapshot(parts, writtenSnapshotVersion).then(written => {
+                writtenSnapshotVersion = written;
+            }),
+        );
+        return answer;
+    }
+
+    async function readRecords(first: number, last: number): Promise<readonly VersionRecord[]> {
+        const kept = state.recordsAfter(first - 1);
+        if (kept !== undefined) {
+            return kept.filter(record => record.version <= last);
+        }
+        const records: VersionRecord[] = [];
+        for await (const record of store.listRecords(first - 1)) {
+            if (record.version > last) {
+                break;
+            }
+            records.push(record);
+        }
+        return records;
+    }
+
+    return {
+        state,
+        current: state.current,
+        onChange: state.onChange,
+        start,
+        stop,
+        submitPatch: submit,
+        readDocument: version => readVersion(state, store, version),
+        readRecords,
+        status: () => ({
+            process: processName,
+            version: state.current().version,
+            highestHeard: state.highestHeard(),
+            isLoaded,
+            isRelay: isRelay(membership),
+            entries: [...entryVersions].map(([process, version]) => ({ process, version })),
+        }),
+        noteEntry: (process, version) => void entryVersions.set(process, version),
+        forgetEntry: process => void entryVersions.delete(process),
+    };
+}
--- /dev/null
+++ b/src/configuration/receiveAnnouncement/index.ts
@@ -0,0 +1,29 @@
+import { z } from "zod";
+import type { DisseminatedRecord } from "../../dissemination/types/DisseminatedRecord.js";
+import type { ConfigurationState } from "../types/ConfigurationState.js";
+import { versionRecordSchema } from "../versionRecordSchema/index.js";
+
+const announcementSchema = z.object({
+    version: z.number().int().min(1),
+    record: versionRecordSchema.optional(),
+});
+
+/**
+ * Takes in a version that another gateway announced.
+ *
+ * @param state The configuration of this process.
+ * @param announcement What dissemination delivered; ignored when it is malformed.
+ *
+ * @example
+ * dissemination.onRecord(RecordKind.ConfigurationVersion, announcement => receiveAnnouncement(state, announcement));
+ */
+export function receiveAnnouncement(state: ConfigurationState, announcement: DisseminatedRecord): void {
+    const outcome = announcementSchema.safeParse(announcement.value);
+    if (!outcome.success) {
+        return;
+    }
+    state.hear(outcome.data.version);
+    if (outcome.data.record !== undefined) {
+        state.takeIn(outcome.data.record);
+    }
+}
--- /dev/null
+++ b/src/configuration/summarizeRecord/index.ts
@@ -0,0 +1,29 @@
+import { configurationConstants } from "../constants.js";
+import { isRecord } from "../isRecord/index.js";
+import type { VersionRecord } from "../types/VersionRecord.js";
+import type { VersionSummary } from "../types/VersionSummary.js";
+
+/**
+ * Summarizes a version for the operator's list of versions.
+ *
+ * @param record The version.
+ * @returns Who, when and which entries, without their values.
+ *
+ * @example
+ * records.map(summarizeRecord);
+ */
+export function summarizeRecord(record: VersionRecord): VersionSummary {
+    const { version, patchId, author, wallMilliseconds, patch } = record;
+    const keys = Object.entries(patch).flatMap(([section, value]) =>
+        isRecord(value) ? Object.keys(value).map(key => `${section}.${key}`) : [section]
+    );
+    const patchBytes = Buffer.byteLength(JSON.stringify(patch));
+    return {
+        version,
+        patchId,
+        author,
+        wallMilliseconds,
+        patchBytes,
+        keys: keys.slice(0, configurationConstants.maximumSummaryKeys),
+    };
+}
--- /dev/null
+++ b/src/configuration/types/ConfigurationStore.ts
@@ -0,0 +1,18 @@
+import type { ConfigurationSnapshot } from "./ConfigurationSnapshot.js";
+import type { VersionRecord } from "./VersionRecord.js";
+
+/** Versions and snapshots in the platform's store; nothing in it is ever overwritten but the pointer to a snapshot. */
+export interface ConfigurationStore {
+    readRecord(version: number): Promise<VersionRecord | undefined>;
+    /** Yields the records above `version`, in order. */
+    listRecords(version: number): AsyncGenerator<VersionRecord>;
+    /** Yields records as they are created; ends by throwing. */
+    watchRecords(signal: AbortSignal): AsyncGenerator<VersionRecord>;
+    /** Creates the version; fails with `Conflict` when it exists. */
+    createRecord(record: VersionRecord): Promise<void>;
+    /** The newest snapshot that is not above `highestVersion`; the newest of all when left out. */
+    readSnapshot(highestVersion?: number): Promise<ConfigurationSnapshot | undefined>;
+    /** Version of the newest snapshot, 0 when there is none. */
+    readSnapshotVersion(): Promise<number>;
+    writeSnapshot(snapshot: ConfigurationSnapshot): Promise<void>;
+}
--- /dev/null
+++ b/src/configuration/types/ConfigurationUpdate.ts
@@ -0,0 +1,13 @@
+import type { UpdateKind } from "./UpdateKind.js";
+import type { VersionRecord } from "./VersionRecord.js";
+
+/** One item by which one process brings another to its configuration version. */
+export type ConfigurationUpdate =
+    | { readonly kind: UpdateKind.InForce; readonly version: number; }
+    | { readonly kind: UpdateKind.Record; readonly record: VersionRecord; }
+    | {
+        readonly kind: UpdateKind.SnapshotPart;
+        readonly index: number;
+        readonly partCount: number;
+        readonly text: string;
+    };
