--- a/src/configuration/checkPatch/index.ts
+++ b/src/configuration/checkPatch/index.ts
@@ -1,3 +1,4 @@
+import type { z } from "zod";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { applyPatch } from "../applyPatch/index.js";
@@ -29,7 +30,7 @@
     const outcome = systemConfigurationSchema.safeParse(next);
     const problems = outcome.success
         ? [...findReferenceProblems(next)]
-        : outcome.error.issues.map(issue => ({ key: issue.path.join("."), reason: issue.message }));
+        : outcome.error.issues.flatMap(describeIssue);
     const first = problems[0];
     if (first === undefined) {
         return next;
@@ -41,6 +42,13 @@
     });
 }
 
+function describeIssue(issue: z.core.$ZodIssue): PatchProblem[] {
+    if (issue.code === "unrecognized_keys") {
+        return issue.keys.map(key => ({ key: [...issue.path, key].join("."), reason: "unknown key" }));
+    }
+    return [{ key: issue.path.join("."), reason: issue.message }];
+}
+
 function* findReferenceProblems(document: ConfigurationDocument): Generator<PatchProblem> {
     const { databases = {}, callers = {} } = document;
     const databaseByEndpoint = new Map<string, string>();
--- a/src/configuration/isRelay/index.ts
+++ b/src/configuration/isRelay/index.ts
@@ -1,7 +1,6 @@
-import { rankByRendezvous } from "../../hashing/rankByRendezvous/index.js";
 import type { MembershipService } from "../../membership/types/MembershipService.js";
-import type { PeerRecord } from "../../membership/types/PeerRecord.js";
 import { PeerState } from "../../membership/types/PeerState.js";
+import { rankByRendezvous } from "../../ownership/rankByRendezvous/index.js";
 import { configurationConstants } from "../constants.js";
 
 /**
@@ -15,9 +14,9 @@
  */
 export function isRelay(membership: MembershipService): boolean {
     const { self } = membership;
-    const isCandidate = (peer: PeerRecord): boolean =>
-        peer.availabilityZone === self.availabilityZone && peer.state === PeerState.Live;
-    const others = membership.peers().filter(peer => isCandidate(peer) && peer.name !== self.name);
-    const ranked = rankByRendezvous(`configuration/${self.availabilityZone}`, [...others, self], peer => peer.name);
-    return ranked.indexOf(self) < configurationConstants.relaysPerZone;
+    const names = membership.peers()
+        .filter(peer => peer.availabilityZone === self.availabilityZone && peer.state === PeerState.Live)
+        .map(peer => peer.name);
+    const ranked = rankByRendezvous(`configuration/${self.availabilityZone}`, [...new Set([...names, self.name])]);
+    return ranked.indexOf(self.name) < configurationConstants.relaysPerZone;
 }
--- /dev/null
+++ b/src/testing/createConfigurationFleet/index.ts
@@ -0,0 +1,123 @@
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import type { Clock } from "../../clock/types/Clock.js";
+import { createConfigurationRouter } from "../../configuration/createConfigurationRouter/index.js";
+import { createConfigurationService } from "../../configuration/createConfigurationService/index.js";
+import type { GatewayConfiguration } from "../../configuration/types/GatewayConfiguration.js";
+import { createEventRecorder } from "../../events/createEventRecorder/index.js";
+import { createLogger } from "../../logging/createLogger/index.js";
+import { PeerState } from "../../membership/types/PeerState.js";
+import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { createPeers } from "../../transport/createPeers/index.js";
+import { createTransportServer } from "../../transport/createTransportServer/index.js";
+import { createCountingPlatform } from "../createCountingPlatform/index.js";
+import { createFixedMembership } from "../createFixedMembership/index.js";
+import { createLinkedDissemination } from "../createLinkedDissemination/index.js";
+import type { ConfigurationFleet } from "../types/ConfigurationFleet.js";
+
+const peerSecret = "secret-of-the-fleet";
+const zones = ["a", "b", "c"];
+
+/** Options of `createConfigurationFleet`. */
+interface FleetOptions {
+    readonly clock?: Clock;
+}
+
+/**
+ * Creates gateways in one process, for tests and benchmarks of the configuration.
+ *
+ * @param seed Seed of all randomness.
+ * @param options A clock other than the system's.
+ * @returns The fleet, without gateways yet.
+ *
+ * @example
+ * const fleet = createConfigurationFleet(7);
+ * const gateway = await fleet.add();
+ */
+export function createConfigurationFleet(seed: number, options: FleetOptions = {}): ConfigurationFleet {
+    const platform = createCountingPlatform();
+    const linked = createLinkedDissemination();
+    const clock = options.clock ?? createSystemClock();
+    const random = createRandomSource(seed);
+    const members = new Map<string, FleetMember>();
+    let lastNumber = 0;
+
+    function shareMembership(): void {
+        const records = [...members.values()].map(member => member.membership.self);
+        for (const member of members.values()) {
+            member.membership.change(records);
+        }
+    }
+
+    async function add(): ReturnType<ConfigurationFleet["add"]> {
+        lastNumber += 1;
+        const name = `gateway-${lastNumber}`;
+        const availabilityZone = zones[lastNumber % zones.length] as string;
+        const address = { host: "127.0.0.1", port: 0, availabilityZone };
+        const self = { ...address, name, region: "north", state: PeerState.Live, incarnation: 1 };
+        const membership = createFixedMembership(self, [self]);
+        const events = createEventRecorder(name, clock);
+        const logger = createLogger(name, clock);
+        const peers = createPeers(
+            { name, availabilityZone, peerSecret },
+            createNeutralNetwork(availabilityZone),
+            events,
+        );
+        const dissemination = linked.join();
+        const configuration = createConfigurationService({
+            platform,
+            membership,
+            dissemination,
+            peers,
+            seedGateways: [],
+            events,
+            clock,
+            random,
+            logger,
+        });
+        const router = createConfigurationRouter(configuration);
+        const server = createTransportServer({ host: "127.0.0.1", port: 0, peerSecret, router, events, logger });
+        await server.start();
+        address.port = server.port();
+        self.port = server.port();
+
+        async function stop(): Promise<void> {
+            members.delete(name);
+            shareMembership();
+            await configuration.stop();
+            await Promise.all([peers.stop(), server.stop()]);
+        }
+
+        members.set(name, { membership, configuration, stop });
+        shareMembership();
+        await configuration.start();
+        return { name, address, configuration, events, peers, stop };
+    }
+
+    async function waitForVersion(version: number): Promise<void> {
+        await Promise.all([...members.values()].map(({ configuration }) =>
+            new Promise<void>(resolve => {
+                const stopListening = configuration.onChange(check);
+                function check(): void {
+                    if (configuration.current().version >= version) {
+                        stopListening();
+                        resolve();
+                    }
+                }
+                check();
+            })
+        ));
+    }
+
+    async function stop(): Promise<void> {
+        await Promise.all([...members.values()].map(member => member.stop()));
+    }
+
+    return { platform, add, setAnnouncing: linked.setConnected, waitForVersion, stop };
+}
+
+interface FleetMember {
+    readonly membership: ReturnType<typeof createFixedMembership>;
+    readonly configuration: GatewayConfiguration;
+    stop(): Promise<void>;
+}
--- /dev/null
+++ b/src/testing/createCountingPlatform/index.ts
@@ -0,0 +1,96 @@
+import { EventEmitter, on } from "node:events";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { StoredObject } from "../../platform/types/StoredObject.js";
+import type { CountingPlatform } from "../types/CountingPlatform.js";
+
+/**
+ * Creates a platform for tests and benchmarks: objects with watches in memory, calls counted by kind.
+ *
+ * @returns The platform, empty and reachable.
+ *
+ * @example
+ * const platform = createCountingPlatform();
+ * platform.loseNextAnswer(ErrorKind.OutcomeUnknown);
+ */
+export function createCountingPlatform(): CountingPlatform {
+    const objects = new Map<string, StoredObject>();
+    const changes = new EventEmitter().setMaxListeners(0).on("error", () => {});
+    const calls = new Map<string, number>();
+    let isDown = false;
+    let lostAnswer: ErrorKind | undefined;
+    let droppedWrite: ErrorKind | undefined;
+    let largestBytes = 0;
+
+    function fail(kind: ErrorKind): never {
+        throw createError(kind, `The platform answered ${kind}.`, { remedy: "Retry." });
+    }
+
+    async function count(method: string): Promise<void> {
+        calls.set(method, (calls.get(method) ?? 0) + 1);
+        await new Promise(resolve => setImmediate(resolve));
+        if (isDown) {
+            fail(ErrorKind.PlatformUnavailable);
+        }
+    }
+
+    function write(key: string, value: unknown, expectedVersion: number): StoredObject {
+        if (droppedWrite !== undefined) {
+            const kind = droppedWrite;
+            droppedWrite = undefined;
+            fail(kind);
+        }
+        if ((objects.get(key)?.version ?? 0) !== expectedVersion) {
+            fail(ErrorKind.Conflict);
+        }
+        const text = JSON.stringify(value);
+        largestBytes = Math.max(largestBytes, Buffer.byteLength(text));
+        const stored = { key, version: expectedVersion + 1, value: JSON.parse(text) as unknown };
+        objects.set(key, stored);
+        changes.emit("change", stored);
+        if (lostAnswer !== undefined) {
+            const kind = lostAnswer;
+            lostAnswer = undefined;
+            fail(kind);
+        }
+        return stored;
+    }
+
+    async function listObjects(prefix: string, afterKey = ""): Promise<StoredObject[]> {
+        await count("listObjects");
+        const matching = [...objects.values()].filter(({ key }) => key.startsWith(prefix) && key > afterKey);
+        return matching.sort((a, b) => (a.key < b.key ? -1 : 1)).slice(0, 1_000);
+    }
+
+    async function* watchObjects(prefix: string, signal: AbortSignal): AsyncGenerator<StoredObject> {
+        await count("watchObjects");
+        for await (const [stored] of on(changes, "change", { signal })) {
+            if ((stored as StoredObject).key.startsWith(prefix)) {
+                yield stored as StoredObject;
+            }
+        }
+    }
+
+    return {
+        readObject: key => count("readObject").then(() => objects.get(key)),
+        listObjects,
+        createObject: (key, value) => count("createObject").then(() => write(key, value, 0)),
+        updateObject: (key, value, version) => count("updateObject").then(() => write(key, value, version)),
+        watchObjects,
+        listVms: () => count("listVms").then(() => []),
+        setDown: down => {
+            isDown = down;
+            if (down) {
+                changes.emit("error", createError(ErrorKind.PlatformUnavailable, "Cut.", { remedy: "Retry." }));
+            }
+        },
+        loseNextAnswer: kind => {
+            lostAnswer = kind;
+        },
+        dropNextWrite: kind => {
+            droppedWrite = kind;
+        },
+        calls,
+        largestValueBytes: () => largestBytes,
+    };
+}
