--- /dev/null
+++ b/src/leaving/constants.ts
@@ -0,0 +1,4 @@
+/** Constants of the watch on leaving endpoints. */
+export const leavingConstants = {
+    checkIntervalMilliseconds: 200,
+} as const;
--- /dev/null
+++ b/src/leaving/types/LeavingWatch.ts
@@ -0,0 +1,5 @@
+/** Tells all gateways which endpoints are leaving. */
+export interface LeavingWatch {
+    start(): Promise<void>;
+    stop(): Promise<void>;
+}
--- a/src/messages/types/EndpointReply.ts
+++ b/src/messages/types/EndpointReply.ts
@@ -5,7 +5,7 @@
 export type EndpointReply =
     | {
         readonly outcome: OutcomeKind.Answer;
-        readonly result: unknown;
+        readonly result?: unknown;
         readonly term: number;
         /** For a write, its own position; for a read, the position that the endpoint had applied. Confirmed. */
         readonly position: number;
--- a/src/processServices/listProcessServices/index.ts
+++ b/src/processServices/listProcessServices/index.ts
@@ -62,7 +62,7 @@
         {
             name: ServiceName.PlatformClient,
             dependencies: [ServiceName.NetworkConditions],
-            create: (conditions: NetworkConditions) => createPlatformClient({ address: platform, conditions, callerName: name }),
+            create: (conditions: NetworkConditions) => createPlatformClient(platform, { caller: name, conditions }),
         },
     ];
 }
