Add admission queues and connection pools of endpoints

One owner sees an endpoint's whole load, so its slots are counted exactly and shared by deficit round robin.

--- /dev/null
+++ b/src/admission/createFairQueue/index.ts
@@ -0,0 +1,98 @@
+import { admissionConstants } from "../constants.js";
+import type { FairQueue } from "../types/FairQueue.js";
+
+/** The waiting items of one caller. */
+interface CallerQueue<T> {
+    readonly caller: string;
+    readonly items: T[];
+    /** What the caller may still spend in its turn. */
+    deficit: number;
+}
+
+/**
+ * Creates a queue that shares turns between callers by deficit round robin (Shreedhar and Varghese, 1995).
+ *
+ * @param costOf The cost of a caller's next item, from `leastCost` to `greatestCost`; 1 is the mean.
+ * @returns The queue, empty.
+ *
+ * @example
+ * const queue = createFairQueue<Ticket>(caller => serviceTimes.relativeCost(caller));
+ */
+export function createFairQueue<T>(costOf: (caller: string) => number): FairQueue<T> {
+    const queuesByCaller = new Map<string, CallerQueue<T>>();
+    const rotation: CallerQueue<T>[] = [];
+    let length = 0;
+
+    function push(caller: string, item: T): void {
+        let queue = queuesByCaller.get(caller);
+        if (queue === undefined) {
+            queue = { caller, items: [], deficit: 0 };
+            queuesByCaller.set(caller, queue);
+            rotation.push(queue);
+        }
+        queue.items.push(item);
+        length += 1;
+    }
+
+    function shift(): T | undefined {
+        while (length > 0) {
+            const queue = rotation[0]!;
+            const cost = costOf(queue.caller);
+            if (queue.deficit >= cost) {
+                queue.deficit -= cost;
+                return takeOut(queue, 0);
+            }
+            queue.deficit += admissionConstants.quantum;
+            rotation.push(rotation.shift()!);
+        }
+        return undefined;
+    }
+
+    function takeOut(queue: CallerQueue<T>, index: number): T {
+        const [item] = queue.items.splice(index, 1);
+        length -= 1;
+        if (queue.items.length === 0) {
+            queuesByCaller.delete(queue.caller);
+            rotation.splice(rotation.indexOf(queue), 1);
+        }
+        return item!;
+    }
+
+    function remove(caller: string, item: T): boolean {
+        const queue = queuesByCaller.get(caller);
+        const index = queue?.items.indexOf(item) ?? -1;
+        if (queue === undefined || index < 0) {
+            return false;
+        }
+        takeOut(queue, index);
+        return true;
+    }
+
+    function dropFromLongest(caller: string): T | undefined {
+        let longest = queuesByCaller.get(caller);
+        for (const queue of rotation) {
+            if (queue.items.length > (longest?.items.length ?? 0)) {
+                longest = queue;
+            }
+        }
+        return longest === undefined || longest.caller === caller
+            ? undefined
+            : takeOut(longest, longest.items.length - 1);
+    }
+
+    function countBefore(caller: string): number {
+        const own = queuesByCaller.get(caller)?.items.length ?? 0;
+        return rotation.reduce((count, queue) => count + Math.min(queue.items.length, own + 1), 0);
+    }
+
+    return {
+        push,
+        shift,
+        remove,
+        dropFromLongest,
+        countBefore,
+        get length() {
+            return length;
+        },
+    };
+}
--- /dev/null
+++ b/src/admission/types/AdmissionTicket.ts
@@ -0,0 +1,11 @@
+import type { AdmissionClass } from "./AdmissionClass.js";
+
+/** A request for a slot. */
+export interface AdmissionTicket {
+    /** Slots are shared fairly between callers. */
+    readonly caller: string;
+    readonly admissionClass: AdmissionClass;
+    readonly timeLeftMilliseconds: number;
+    /** Ends the wait; a slot already given is not affected. */
+    readonly signal?: AbortSignal;
+}
--- /dev/null
+++ b/src/connections/types/ConnectionGauge.ts
@@ -0,0 +1,7 @@
+/** Connections of one endpoint's pool. */
+export interface ConnectionGauge {
+    readonly endpoint: string;
+    readonly open: number;
+    readonly inUse: number;
+    readonly limit: number;
+}
