--- a/src/admission/constants.ts
+++ b/src/admission/constants.ts
@@ -11,4 +11,7 @@
     greatestCost: 4,
     /** Callers whose service times are remembered at one endpoint. */
     rememberedCallers: 1_000,
+    /** Retries that a key may have saved up. */
+    retryReserve: 10,
+    rememberedBudgets: 10_000,
 } as const;
--- /dev/null
+++ b/src/confirmation/types/Confirmation.ts
@@ -0,0 +1,17 @@
+import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
+import type { ConfirmationOutcome } from "./ConfirmationOutcome.js";
+
+/** Knows which positions a majority of a group holds, from the statuses that its endpoints report. */
+export interface Confirmation {
+    /** Waits until a majority of the group, the primary of the term included, holds the position in that term. */
+    waitUntilConfirmed(
+        database: string,
+        term: number,
+        position: number,
+        timeoutMilliseconds: number,
+    ): Promise<ConfirmationOutcome>;
+    /** The latest status of each endpoint of the group; empty while the group is not watched. */
+    statusesOf(database: string): readonly EndpointStatus[];
+    start(): Promise<void>;
+    stop(): Promise<void>;
+}
--- /dev/null
+++ b/src/confirmation/watchEndpointStatus/index.ts
@@ -0,0 +1,57 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { EndpointDefinition } from "../../configuration/types/EndpointDefinition.js";
+import type { EndpointDriver } from "../../endpoints/types/EndpointDriver.js";
+import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createBackoff } from "../../retries/createBackoff/index.js";
+import { confirmationConstants } from "../constants.js";
+
+/** Options of `watchEndpointStatus`. */
+interface WatchEndpointStatusOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly driver: EndpointDriver;
+    readonly signal: AbortSignal;
+}
+
+/**
+ * Yields the statuses of one endpoint over a connection of its own, opened again whenever it fails.
+ *
+ * @param endpoint The endpoint.
+ * @param options Clock, random source, driver, and the signal that ends the watch.
+ * @returns The statuses, until the signal is aborted.
+ *
+ * @example
+ * for await (const status of watchEndpointStatus(endpoint, { clock, random, driver, signal })) { take(status); }
+ */
+export async function* watchEndpointStatus(
+    endpoint: EndpointDefinition,
+    options: WatchEndpointStatusOptions,
+): AsyncGenerator<EndpointStatus, void, undefined> {
+    const { clock, random, driver, signal } = options;
+    const createPauses = (): Generator<number, void, undefined> =>
+        createBackoff(random, {
+            firstMilliseconds: confirmationConstants.firstReconnectMilliseconds,
+            greatestMilliseconds: confirmationConstants.greatestReconnectMilliseconds,
+        });
+    let pauses = createPauses();
+    while (!signal.aborted) {
+        try {
+            const timeout = confirmationConstants.connectTimeoutMilliseconds;
+            const connection = await driver.connect(endpoint.name, endpoint, timeout);
+            try {
+                for await (const status of connection.watchStatus(signal)) {
+                    pauses = createPauses();
+                    yield status;
+                }
+            }
+            finally {
+                connection.close();
+            }
+        }
+        catch {
+            // Whatever the failure was, the remedy is a new connection.
+        }
+        await clock.sleep(pauses.next().value as number, signal);
+    }
+}
--- a/src/connections/createEndpointPool/index.ts
+++ b/src/connections/createEndpointPool/index.ts
@@ -33,7 +33,8 @@
 /** What an idle connection is woken for. */
 type Wake =
     | { readonly kind: WakeKind.Use; readonly waiter: Waiter<ConnectionLease>; }
-    | { readonly kind: WakeKind.Verify | WakeKind.Close; };
+    | { readonly kind: WakeKind.Verify; }
+    | { readonly kind: WakeKind.Close; };
 
 const troubleKinds: Partial<Record<ErrorKind, EndpointTroubleKind>> = {
     [ErrorKind.ConnectionLimitReached]: EndpointTroubleKind.ConnectionRefused,
