Add single-statement requests: at-most-once writes, held reads, settling of request keys

A lost answer is never told as not run unless a cancelling row under the request key was confirmed. Telling a read whose answer was lost as not run was ruled out: it may have run; entries may repeat any read. Interfaces: EndpointRequest gains the optional isAgedRead, ServiceName gains Admission.

--- a/src/kernel/types/ServiceName.ts
+++ b/src/kernel/types/ServiceName.ts
@@ -1,5 +1,6 @@
 /** The names by which services find each other in a kernel. */
 export enum ServiceName {
+    Admission = "Admission",
     CallerFront = "CallerFront",
     Clock = "Clock",
     Configuration = "Configuration",
--- a/src/messages/types/EndpointRequest.ts
+++ b/src/messages/types/EndpointRequest.ts
@@ -17,6 +17,8 @@
     readonly waitMilliseconds: number;
     /** Makes a write idempotent. */
     readonly requestKey?: string;
+    /** True for a read that accepts an age; it waits behind all other work. */
+    readonly isAgedRead?: boolean;
     /** Name of the caller, for fair queueing. */
     readonly caller: string;
     readonly timeLeftMilliseconds: number;
--- /dev/null
+++ b/src/requests/confirmAnswer/index.ts
@@ -0,0 +1,39 @@
+import { ConfirmationOutcome } from "../../confirmation/types/ConfirmationOutcome.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { createUnknownOutcome } from "../createUnknownOutcome/index.js";
+import type { RequestServices } from "../types/RequestServices.js";
+
+/** The position to be confirmed and by when. */
+interface AwaitedPosition {
+    readonly database: string;
+    readonly term: number;
+    readonly position: number;
+    readonly deadlineAt: number;
+}
+
+const unconfirmedCauses: Record<Exclude<ConfirmationOutcome, ConfirmationOutcome.Confirmed>, string> = {
+    [ConfirmationOutcome.Superseded]: "Its term ended before a majority confirmed the position.",
+    [ConfirmationOutcome.TimedOut]: "No majority confirmed the position before the deadline.",
+};
+
+/**
+ * Holds a reply until a majority of the group confirmed its position in the term it was routed under.
+ *
+ * @param services Clock and confirmation.
+ * @param awaited Database, term, position and the deadline as a reading of the clock.
+ * @param reply The reply to give once confirmed.
+ * @returns The reply, or `OutcomeUnknown` when the position was not confirmed.
+ *
+ * @example
+ * return await confirmAnswer(services, { database, term, position: answer.position, deadlineAt }, reply);
+ */
+export async function confirmAnswer(
+    services: Pick<RequestServices, "clock" | "confirmation">,
+    awaited: AwaitedPosition,
+    reply: EndpointReply,
+): Promise<EndpointReply> {
+    const { database, term, position, deadlineAt } = awaited;
+    const timeLeft = Math.max(deadlineAt - services.clock.now(), 0);
+    const outcome = await services.confirmation.waitUntilConfirmed(database, term, position, timeLeft);
+    return outcome === ConfirmationOutcome.Confirmed ? reply : createUnknownOutcome(unconfirmedCauses[outcome]);
+}
--- /dev/null
+++ b/src/requests/createEndpointRequests/index.ts
@@ -0,0 +1,128 @@
+import { AdmissionClass } from "../../admission/types/AdmissionClass.js";
+import type { AdmissionSlot } from "../../admission/types/AdmissionSlot.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import type { Logger } from "../../logging/types/Logger.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import type { EndpointRequest } from "../../messages/types/EndpointRequest.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { RequestKind } from "../../messages/types/RequestKind.js";
+import { createWorkTracker } from "../../waiting/createWorkTracker/index.js";
+import { checkEndpoint } from "../checkEndpoint/index.js";
+import { createLeavingGrace } from "../createLeavingGrace/index.js";
+import { createNotRun } from "../createNotRun/index.js";
+import { createUnknownOutcome } from "../createUnknownOutcome/index.js";
+import { executeRead } from "../executeRead/index.js";
+import { executeWrite } from "../executeWrite/index.js";
+import { settleRequestKey } from "../settleRequestKey/index.js";
+import { toNotRun } from "../toNotRun/index.js";
+import type { EndpointCheck } from "../types/EndpointCheck.js";
+import type { EndpointRequests } from "../types/EndpointRequests.js";
+import type { EndpointWork } from "../types/EndpointWork.js";
+import type { RequestLookUp } from "../types/RequestLookUp.js";
+import type { RequestServices } from "../types/RequestServices.js";
+
+/** Options of `createEndpointRequests`. */
+interface EndpointRequestsOptions extends RequestServices {
+    readonly logger: Logger;
+}
+
+/** What every kind of work has in common before it is given a slot. */
+interface IncomingWork extends EndpointCheck {
+    readonly requestId: string;
+    readonly caller: string;
+    readonly timeLeftMilliseconds: number;
+    readonly admissionClass: AdmissionClass;
+}
+
+const executors = {
+    [RequestKind.Read]: executeRead,
+    [RequestKind.Write]: executeWrite,
+};
+
+/**
+ * Creates the service that runs single-statement requests at endpoints.
+ *
+ * Each request ends in an answer, in `NotRun` or in `OutcomeUnknown` within its time left.
+ *
+ * @param options The services of the gateway and the logger.
+ * @returns The service.
+ *
+ * @example
+ * const reply = await endpointRequests.execute(request);
+ */
+export function createEndpointRequests(options: EndpointRequestsOptions): EndpointRequests {
+    const { clock, admission, topology, retryBudget } = options;
+    const log = options.logger.topic("requests");
+    const work = createWorkTracker();
+    const isInGrace = createLeavingGrace(clock, topology);
+    let isStopping = false;
+
+    async function run(
+        incoming: IncomingWork,
+        signal: AbortSignal | undefined,
+        execute: (held: EndpointWork) => Promise<EndpointReply>,
+    ): Promise<EndpointReply> {
+        const deadlineAt = clock.now() + incoming.timeLeftMilliseconds;
+        const refusal = isStopping ? createStoppingReply() : checkEndpoint(options, incoming, isInGrace);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        let slot: AdmissionSlot;
+        try {
+            slot = await admission.queueOf(incoming.database, incoming.endpoint).enter({ ...incoming, signal });
+        }
+        catch (error) {
+            return toNotRun(toTypedError(error), incoming.term);
+        }
+        try {
+            retryBudget.countRequest(incoming.endpoint);
+            return await execute({ slot, deadlineAt });
+        }
+        catch (error) {
+            const typed = toTypedError(error);
+            log("request failed", { requestId: incoming.requestId, error: typed.message });
+            return createUnknownOutcome(typed.message);
+        }
+        finally {
+            slot.release();
+        }
+    }
+
+    function execute(request: EndpointRequest, signal?: AbortSignal): Promise<EndpointReply> {
+        const admissionClass = request.kind === RequestKind.Read && request.isAgedRead === true
+            ? AdmissionClass.AgedRead
+            : AdmissionClass.Statement;
+        return work.track(
+            `${request.kind} ${request.requestId} at ${request.endpoint}`,
+            () => run({ ...request, admissionClass }, signal, held => executors[request.kind](options, request, held)),
+        );
+    }
+
+    function lookUpRequestKey(lookUp: RequestLookUp, signal?: AbortSignal): Promise<EndpointReply> {
+        return work.track(`look-up ${lookUp.requestId} at ${lookUp.endpoint}`, async () => {
+            const reply = await run(
+                { ...lookUp, admissionClass: AdmissionClass.Statement },
+                signal,
+                held => settleRequestKey(options, lookUp, held),
+            );
+            // A look-up that was refused says nothing about the request that it asked for.
+            const isAboutLookUp = "reason" in reply && reply.reason !== NotRunReason.Cancelled;
+            return isAboutLookUp ? createUnknownOutcome(reply.message) : reply;
+        });
+    }
+
+    function createStoppingReply(): EndpointReply {
+        return createNotRun(NotRunReason.Stopping, "This gateway is stopping. Send the request to another gateway.");
+    }
+
+    async function start(): Promise<void> {
+        isStopping = false;
+    }
+
+    async function stop(): Promise<void> {
+        isStopping = true;
+        await work.whenIdle();
+    }
+
+    return { execute, lookUpRequestKey, describeWork: work.describe, start, stop };
+}
--- /dev/null
+++ b/src/requests/createNotRun/index.ts
@@ -0,0 +1,24 @@
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import type { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+
+/** Further facts of a reply. */
+interface NotRunFacts {
+    readonly newerTerm?: number;
+    readonly position?: number;
+}
+
+/**
+ * Creates the reply to a request that did not run and never will.
+ *
+ * @param reason Why it did not run.
+ * @param message What happened and the remedy.
+ * @param facts A newer term and the endpoint's position, when known.
+ * @returns The reply.
+ *
+ * @example
+ * return createNotRun(NotRunReason.Stopping, "This gateway is stopping. Send the request to another gateway.");
+ */
+export function createNotRun(reason: NotRunReason, message: string, facts: NotRunFacts = {}): EndpointReply {
+    return { outcome: OutcomeKind.NotRun, reason, message, ...facts };
+}
--- /dev/null
+++ b/src/requests/createRequestsRouter/index.ts
@@ -0,0 +1,59 @@
+import { z } from "zod";
+import type { EndpointRequest } from "../../messages/types/EndpointRequest.js";
+import { RequestKind } from "../../messages/types/RequestKind.js";
+import { trpc } from "../../transport/trpc/index.js";
+import { requestConstants } from "../constants.js";
+import { parseInput } from "../parseInput/index.js";
+import type { EndpointRequests } from "../types/EndpointRequests.js";
+import type { RequestLookUp } from "../types/RequestLookUp.js";
+
+const name = z.string().min(1).max(requestConstants.maximumNameLength);
+const counter = z.number().int().nonnegative();
+const milliseconds = z.number().nonnegative().max(requestConstants.maximumTimeLeftMilliseconds);
+
+const requestSchema: z.ZodType<EndpointRequest> = z.object({
+    requestId: name,
+    database: name,
+    endpoint: name,
+    kind: z.enum(RequestKind),
+    statement: z.unknown(),
+    term: counter,
+    leastPosition: counter,
+    waitMilliseconds: milliseconds,
+    requestKey: name.optional(),
+    isAgedRead: z.boolean().optional(),
+    caller: name,
+    timeLeftMilliseconds: milliseconds,
+});
+
+const lookUpSchema: z.ZodType<RequestLookUp> = z.object({
+    requestId: name,
+    database: name,
+    endpoint: name,
+    term: counter,
+    requestKey: name,
+    caller: name,
+    timeLeftMilliseconds: milliseconds,
+});
+
+/**
+ * Creates the router through which entries send single-statement requests to this gateway.
+ *
+ * @param requests The service that runs them.
+ * @returns The router with `requests.execute` and `requests.lookUp`.
+ *
+ * @example
+ * const reply = await peers.clientOf<RequestsRouter>(address).requests.execute.mutate(request);
+ */
+export function createRequestsRouter(requests: EndpointRequests) {
+    return trpc.router({
+        requests: trpc.router({
+            execute: trpc.procedure
+                .input(parseInput(requestSchema))
+                .mutation(({ input, signal }) => requests.execute(input, signal)),
+            lookUp: trpc.procedure
+                .input(parseInput(lookUpSchema))
+                .mutation(({ input, signal }) => requests.lookUpRequestKey(input, signal)),
+        }),
+    });
+}
--- /dev/null
+++ b/src/requests/createUnknownOutcome/index.ts
@@ -0,0 +1,16 @@
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+
+/**
+ * Creates the reply to a request that may or may not have run.
+ *
+ * @param cause What happened, as a sentence.
+ * @returns The reply; its message ends with the remedy.
+ *
+ * @example
+ * return createUnknownOutcome("The answer of stock-1 was lost.");
+ */
+export function createUnknownOutcome(cause: string): EndpointReply {
+    const remedy = "Look the outcome up under its request key; a read or a write with that key may be sent again.";
+    return { outcome: OutcomeKind.OutcomeUnknown, message: `${cause} ${remedy}` };
+}
--- /dev/null
+++ b/src/requests/executeRead/index.ts
@@ -0,0 +1,81 @@
+import type { StatementAnswer } from "../../endpoints/types/StatementAnswer.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import type { EndpointRequest } from "../../messages/types/EndpointRequest.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { attemptTimeouts } from "../attemptTimeouts/index.js";
+import { confirmAnswer } from "../confirmAnswer/index.js";
+import { createUnknownOutcome } from "../createUnknownOutcome/index.js";
+import { runStatement } from "../runStatement/index.js";
+import { toNotRun } from "../toNotRun/index.js";
+import type { EndpointWork } from "../types/EndpointWork.js";
+import type { RequestServices } from "../types/RequestServices.js";
+import { StatementOutcomeKind } from "../types/StatementOutcomeKind.js";
+
+/**
+ * Runs a read at an endpoint that has applied the least position.
+ *
+ * A lost answer is asked for again on another connection. An answer of a primary is held until its position is
+ * confirmed, as a failover could take back what no replica has. What a replica of the term has applied is confirmed.
+ *
+ * @param services The services of the gateway.
+ * @param request The request.
+ * @param work The slot held, and the deadline.
+ * @returns The reply; this function does not fail.
+ *
+ * @example
+ * const reply = await executeRead(services, request, { slot, deadlineAt });
+ */
+export async function executeRead(
+    services: RequestServices,
+    request: EndpointRequest,
+    work: EndpointWork,
+): Promise<EndpointReply> {
+    const { database, endpoint, term } = request;
+    let cause = "The deadline passed.";
+    let wasSent = false;
+    for (const timeoutMilliseconds of attemptTimeouts(services.clock, work.deadlineAt, true)) {
+        if (wasSent && !services.retryBudget.tryRetry(endpoint)) {
+            break;
+        }
+        const outcome = await runStatement(
+            services,
+            { database, endpoint, timeoutMilliseconds },
+            (connection, timeLeft) =>
+                connection.execute({
+                    statement: request.statement,
+                    isWrite: false,
+                    term,
+                    leastPosition: request.leastPosition,
+                    waitMilliseconds: Math.min(request.waitMilliseconds, timeLeft),
+                    timeoutMilliseconds: timeLeft,
+                }),
+        );
+        if (outcome.kind === StatementOutcomeKind.Answered) {
+            work.slot.release();
+            return await holdAnswer(services, request, work, outcome.answer);
+        }
+        if (outcome.kind !== StatementOutcomeKind.Lost && !wasSent) {
+            return toNotRun(outcome.error, term);
+        }
+        wasSent = true;
+        cause = outcome.error.message;
+    }
+    return createUnknownOutcome(cause);
+}
+
+async function holdAnswer(
+    services: RequestServices,
+    request: EndpointRequest,
+    work: EndpointWork,
+    answer: StatementAnswer,
+): Promise<EndpointReply> {
+    const { database, endpoint, term } = request;
+    const { position, result } = answer;
+    const queueLength = services.admission.queueOf(database, endpoint).waiting();
+    const reply: EndpointReply = { outcome: OutcomeKind.Answer, result, term: answer.term, position, queueLength };
+    const group = services.topology.groupOf(database);
+    const isReplica = group?.term === term && group.primary !== endpoint;
+    return isReplica || !services.holdsPrimaryReads
+        ? reply
+        : await confirmAnswer(services, { database, term, position, deadlineAt: work.deadlineAt }, reply);
+}
--- /dev/null
+++ b/src/requests/executeWrite/index.ts
@@ -0,0 +1,105 @@
+import { EndpointRefusal } from "../../endpoints/types/EndpointRefusal.js";
+import type { StatementAnswer } from "../../endpoints/types/StatementAnswer.js";
+import type { TypedError } from "../../errors/types/TypedError.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import type { EndpointRequest } from "../../messages/types/EndpointRequest.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { attemptTimeouts } from "../attemptTimeouts/index.js";
+import { confirmAnswer } from "../confirmAnswer/index.js";
+import { createNotRun } from "../createNotRun/index.js";
+import { createUnknownOutcome } from "../createUnknownOutcome/index.js";
+import { runStatement } from "../runStatement/index.js";
+import { settleRequestKey } from "../settleRequestKey/index.js";
+import { toNotRun } from "../toNotRun/index.js";
+import type { EndpointWork } from "../types/EndpointWork.js";
+import type { RequestServices } from "../types/RequestServices.js";
+import { StatementOutcomeKind } from "../types/StatementOutcomeKind.js";
+
+/**
+ * Runs a write at the primary of the term it was routed under, at most once.
+ *
+ * It is acknowledged only when a majority of the group holds it in that term. Without a request key it is sent once.
+ * With one, a lost answer is asked for again under the same key; when the attempts are used up, the key is settled.
+ *
+ * @param services The services of the gateway.
+ * @param request The request.
+ * @param work The slot held, and the deadline.
+ * @returns The reply; this function does not fail.
+ *
+ * @example
+ * const reply = await executeWrite(services, request, { slot, deadlineAt });
+ */
+export async function executeWrite(
+    services: RequestServices,
+    request: EndpointRequest,
+    work: EndpointWork,
+): Promise<EndpointReply> {
+    const { database, endpoint, term, requestKey } = request;
+    const isRepeatable = requestKey !== undefined;
+    let lastError: TypedError | undefined;
+    let mayHaveRun = false;
+    for (const timeoutMilliseconds of attemptTimeouts(services.clock, work.deadlineAt, isRepeatable)) {
+        if (mayHaveRun && !services.retryBudget.tryRetry(endpoint)) {
+            break;
+        }
+        const outcome = await runStatement(
+            services,
+            { database, endpoint, timeoutMilliseconds },
+            (connection, timeLeft) =>
+                connection.execute({
+                    statement: request.statement,
+                    isWrite: true,
+                    term,
+                    leastPosition: request.leastPosition,
+                    waitMilliseconds: Math.min(request.waitMilliseconds, timeLeft),
+                    requestKey,
+                    timeoutMilliseconds: timeLeft,
+                }),
+        );
+        if (outcome.kind === StatementOutcomeKind.Answered) {
+            work.slot.release();
+            return await acknowledge(services, request, work, outcome.answer);
+        }
+        lastError = outcome.error;
+        if (outcome.kind === StatementOutcomeKind.Refused) {
+            // The cancelling row itself may not be confirmed yet.
+            mayHaveRun ||= lastError.details.refusal === EndpointRefusal.Cancelled;
+            break;
+        }
+        if (outcome.kind === StatementOutcomeKind.NotSent && !mayHaveRun) {
+            break;
+        }
+        mayHaveRun ||= outcome.kind === StatementOutcomeKind.Lost;
+    }
+    if (lastError === undefined) {
+        return createNotRun(NotRunReason.DeadlineExceeded, "No time was left. Send the request with a later deadline.");
+    }
+    if (!mayHaveRun) {
+        return toNotRun(lastError, term);
+    }
+    return isRepeatable
+        ? await settleRequestKey(services, { ...request, requestKey }, work)
+        : createUnknownOutcome(lastError.message);
+}
+
+async function acknowledge(
+    services: RequestServices,
+    request: EndpointRequest,
+    work: EndpointWork,
+    answer: StatementAnswer,
+): Promise<EndpointReply> {
+    const { database, endpoint, term } = request;
+    const { position, result } = answer;
+    if (answer.term !== term && !answer.isRepeated) {
+        return createUnknownOutcome(`Endpoint ${endpoint} answered under term ${answer.term} in place of ${term}.`);
+    }
+    const queueLength = services.admission.queueOf(database, endpoint).waiting();
+    return await confirmAnswer(services, { database, term, position, deadlineAt: work.deadlineAt }, {
+        outcome: OutcomeKind.Answer,
+        result,
+        term,
+        position,
+        queueLength,
+    });
+}
--- /dev/null
+++ b/src/requests/runStatement/index.ts
@@ -0,0 +1,56 @@
+import type { ConnectionLease } from "../../connections/types/ConnectionLease.js";
+import type { EndpointConnection } from "../../endpoints/types/EndpointConnection.js";
+import type { StatementAnswer } from "../../endpoints/types/StatementAnswer.js";
+import { isTypedError } from "../../errors/isTypedError/index.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { RequestServices } from "../types/RequestServices.js";
+import type { StatementOutcome } from "../types/StatementOutcome.js";
+import { StatementOutcomeKind } from "../types/StatementOutcomeKind.js";
+
+/** Where and for how long a statement is run. */
+interface StatementTarget {
+    readonly database: string;
+    readonly endpoint: string;
+    readonly timeoutMilliseconds: number;
+}
+
+/**
+ * Runs one call on a connection of its own and gives the connection back, or closes it when the answer was lost.
+ *
+ * @param services Clock and connections.
+ * @param target Database, endpoint and the time limit for connection and call together, in milliseconds.
+ * @param call The call; it is given the connection and the time left in milliseconds.
+ * @returns How the attempt ended; this function does not fail.
+ *
+ * @example
+ * const outcome = await runStatement(services, target, (connection, left) => connection.execute(createCall(left)));
+ */
+export async function runStatement(
+    services: Pick<RequestServices, "clock" | "connections">,
+    target: StatementTarget,
+    call: (connection: EndpointConnection, timeLeftMilliseconds: number) => Promise<StatementAnswer>,
+): Promise<StatementOutcome> {
+    const { clock, connections } = services;
+    const deadlineAt = clock.now() + target.timeoutMilliseconds;
+    let lease: ConnectionLease;
+    try {
+        lease = await connections.acquire(target.database, target.endpoint, target.timeoutMilliseconds);
+    }
+    catch (error) {
+        return { kind: StatementOutcomeKind.NotSent, error: toTypedError(error) };
+    }
+    try {
+        const answer = await call(lease.connection, Math.max(deadlineAt - clock.now(), 0));
+        lease.release();
+        return { kind: StatementOutcomeKind.Answered, answer };
+    }
+    catch (error) {
+        if (isTypedError(error, ErrorKind.EndpointRefused)) {
+            lease.release();
+            return { kind: StatementOutcomeKind.Refused, error };
+        }
+        lease.discard(error);
+        return { kind: StatementOutcomeKind.Lost, error: toTypedError(error) };
+    }
+}
--- /dev/null
+++ b/src/requests/settleRequestKey/index.ts
@@ -0,0 +1,69 @@
+import type { StatementAnswer } from "../../endpoints/types/StatementAnswer.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { attemptTimeouts } from "../attemptTimeouts/index.js";
+import { confirmAnswer } from "../confirmAnswer/index.js";
+import { createNotRun } from "../createNotRun/index.js";
+import { createUnknownOutcome } from "../createUnknownOutcome/index.js";
+import { runStatement } from "../runStatement/index.js";
+import type { EndpointWork } from "../types/EndpointWork.js";
+import type { RequestLookUp } from "../types/RequestLookUp.js";
+import type { RequestServices } from "../types/RequestServices.js";
+import { StatementOutcomeKind } from "../types/StatementOutcomeKind.js";
+
+/**
+ * Settles a request key: learns the outcome recorded under it, or makes sure that it never runs.
+ *
+ * A cancelling row is inserted under the key at the primary of the term. If the row wins, a late original finds it and
+ * does not run; if it loses, the recorded outcome is the answer. Either is told only once it is confirmed.
+ *
+ * @param services The services of the gateway.
+ * @param lookUp Database, primary, term and request key.
+ * @param work The slot held, and the deadline.
+ * @returns The recorded answer, `NotRun` with reason `Cancelled`, or `OutcomeUnknown`.
+ *
+ * @example
+ * return await settleRequestKey(services, { ...request, requestKey }, work);
+ */
+export async function settleRequestKey(
+    services: RequestServices,
+    lookUp: Omit<RequestLookUp, "caller" | "timeLeftMilliseconds">,
+    work: EndpointWork,
+): Promise<EndpointReply> {
+    const { database, endpoint, term, requestKey } = lookUp;
+    let cause = "No time was left to look up the request key.";
+    for (const timeoutMilliseconds of attemptTimeouts(services.clock, work.deadlineAt, true)) {
+        let wasCancelled = false;
+        const outcome = await runStatement(
+            services,
+            { database, endpoint, timeoutMilliseconds },
+            async (connection, timeLeft) => {
+                const answer = await connection.cancelRequestKey(requestKey, term, timeLeft);
+                wasCancelled = "cancelledAt" in answer;
+                return "cancelledAt" in answer ? createCancellation(answer.cancelledAt, term) : answer;
+            },
+        );
+        if (outcome.kind === StatementOutcomeKind.Answered) {
+            work.slot.release();
+            const { position, result } = outcome.answer;
+            const queueLength = services.admission.queueOf(database, endpoint).waiting();
+            const reply: EndpointReply = wasCancelled
+                ? createNotRun(
+                    NotRunReason.Cancelled,
+                    "The request had not run and was cancelled. Send it again under a new request key.",
+                )
+                : { outcome: OutcomeKind.Answer, result, term, position, queueLength };
+            return await confirmAnswer(services, { database, term, position, deadlineAt: work.deadlineAt }, reply);
+        }
+        cause = outcome.error.message;
+        if (outcome.kind === StatementOutcomeKind.Refused || !services.retryBudget.tryRetry(endpoint)) {
+            break;
+        }
+    }
+    return createUnknownOutcome(cause);
+}
+
+function createCancellation(position: number, term: number): StatementAnswer {
+    return { result: undefined, term, position, isRepeated: false };
+}
--- /dev/null
+++ b/src/requests/types/EndpointRequests.ts
@@ -0,0 +1,20 @@
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import type { EndpointRequest } from "../../messages/types/EndpointRequest.js";
+import type { RequestLookUp } from "./RequestLookUp.js";
+
+/** Runs single-statement requests at endpoints. */
+export interface EndpointRequests {
+    /** Runs the request; never fails. The signal ends the wait before anything was sent. */
+    execute(request: EndpointRequest, signal?: AbortSignal): Promise<EndpointReply>;
+    /**
+     * Looks up the outcome under a request key; never fails.
+     *
+     * Answers `NotRun` with reason `Cancelled` when the original had not run and never will. Any other reason than the
+     * recorded outcome itself is answered as `OutcomeUnknown`.
+     */
+    lookUpRequestKey(lookUp: RequestLookUp, signal?: AbortSignal): Promise<EndpointReply>;
+    describeWork(): readonly string[];
+    start(): Promise<void>;
+    /** Refuses new requests and waits for those under way. */
+    stop(): Promise<void>;
+}
