Add interactive transactions, one task each

A transaction handle works at any entry, so the loss of one entry's connection does not end it; the idle limit and the deadline do. A repeated end is given the first reply; the commit of a transaction that is not remembered is answered as unknown, for it may have run.

--- a/src/connections/createEndpointPool/index.ts
+++ b/src/connections/createEndpointPool/index.ts
@@ -92,7 +92,7 @@
                     waiters.unshift(wake.waiter);
                     return;
                 }
-                if (!await serveUse(connection, wake.waiter)) {
+                if (!await serveUse(connection, wake.waiter, end.signal)) {
                     return;
                 }
                 await connection.reset(connectionConstants.resetTimeoutMilliseconds);
@@ -157,22 +157,31 @@
         });
     }
 
-    async function serveUse(connection: EndpointConnection, waiter: Waiter<ConnectionLease>): Promise<boolean> {
+    async function serveUse(
+        connection: EndpointConnection,
+        waiter: Waiter<ConnectionLease>,
+        lost: AbortSignal,
+    ): Promise<boolean> {
         if (waiter.isSettled) {
             return true;
         }
         inUse += 1;
         const isReusable = await new Promise<boolean>(resolve => {
-            waiter.resolve({
-                connection,
-                release: () => resolve(true),
-                discard: error => {
+            let isHeld = true;
+            const discard = (error: unknown): void => {
+                if (isHeld) {
+                    isHeld = false;
                     // Closed at once, so that an answer that comes late finds no connection.
                     connection.close();
                     suspect(error);
                     resolve(false);
-                },
-            });
+                }
+            };
+            const release = (): void => {
+                isHeld = false;
+                resolve(true);
+            };
+            waiter.resolve({ connection, lost, release, discard });
         });
         inUse -= 1;
         return isReusable;
--- /dev/null
+++ b/src/messages/fieldSchemas/index.ts
@@ -0,0 +1,11 @@
+import { z } from "zod";
+
+const maximumNameLength = 256;
+const maximumMilliseconds = 600_000;
+
+/** Schemas of the fields that several messages between processes have in common. */
+export const fieldSchemas = {
+    name: z.string().min(1).max(maximumNameLength),
+    counter: z.number().int().nonnegative(),
+    milliseconds: z.number().nonnegative().max(maximumMilliseconds),
+} as const;
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -8,6 +8,4 @@
     leastAttemptMilliseconds: 5,
     /** A leaving primary still takes writes for this time, until it is succeeded. */
     leavingPrimaryGraceMilliseconds: 2_000,
-    maximumNameLength: 256,
-    maximumTimeLeftMilliseconds: 600_000,
 } as const;
--- a/src/requests/createRequestsRouter/index.ts
+++ b/src/requests/createRequestsRouter/index.ts
@@ -1,15 +1,13 @@
 import { z } from "zod";
+import { fieldSchemas } from "../../messages/fieldSchemas/index.js";
 import type { EndpointRequest } from "../../messages/types/EndpointRequest.js";
 import { RequestKind } from "../../messages/types/RequestKind.js";
 import { trpc } from "../../transport/trpc/index.js";
-import { requestConstants } from "../constants.js";
 import { parseInput } from "../parseInput/index.js";
 import type { EndpointRequests } from "../types/EndpointRequests.js";
 import type { RequestLookUp } from "../types/RequestLookUp.js";
 
-const name = z.string().min(1).max(requestConstants.maximumNameLength);
-const counter = z.number().int().nonnegative();
-const milliseconds = z.number().nonnegative().max(requestConstants.maximumTimeLeftMilliseconds);
+const { name, counter, milliseconds } = fieldSchemas;
 
 const requestSchema: z.ZodType<EndpointRequest> = z.object({
     requestId: name,
--- /dev/null
+++ b/src/transactions/createTransactions/index.ts
@@ -0,0 +1,182 @@
+import { AdmissionClass } from "../../admission/types/AdmissionClass.js";
+import type { AdmissionSlot } from "../../admission/types/AdmissionSlot.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { EventKind } from "../../events/types/EventKind.js";
+import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import type { TransactionBegin } from "../../messages/types/TransactionBegin.js";
+import type { TransactionEnd } from "../../messages/types/TransactionEnd.js";
+import { TransactionEndKind } from "../../messages/types/TransactionEndKind.js";
+import type { TransactionStatement } from "../../messages/types/TransactionStatement.js";
+import { checkEndpoint } from "../../requests/checkEndpoint/index.js";
+import { createLeavingGrace } from "../../requests/createLeavingGrace/index.js";
+import { createNotRun } from "../../requests/createNotRun/index.js";
+import { toNotRun } from "../../requests/toNotRun/index.js";
+import type { RequestServices } from "../../requests/types/RequestServices.js";
+import { createWorkTracker } from "../../waiting/createWorkTracker/index.js";
+import { commitTransaction } from "../commitTransaction/index.js";
+import { transactionConstants } from "../constants.js";
+import { createEndedTransactions } from "../createEndedTransactions/index.js";
+import { openTransaction } from "../openTransaction/index.js";
+import { rollBackTransaction } from "../rollBackTransaction/index.js";
+import { runTransactionStatement } from "../runTransactionStatement/index.js";
+import type { OpenTransaction } from "../types/OpenTransaction.js";
+import type { TransactionCommand } from "../types/TransactionCommand.js";
+import type { Transactions } from "../types/Transactions.js";
+import type { TransactionStep } from "../types/TransactionStep.js";
+
+/** Options of `createTransactions`. */
+interface TransactionsOptions extends RequestServices {
+    readonly events: EventRecorder;
+}
+
+/**
+ * Creates the service that runs interactive transactions, each by one task.
+ *
+ * A transaction holds one connection and one slot. It is rolled back at its deadline, when it is idle for too long,
+ * when its connection is lost, and never used by another caller than the one who opened it.
+ *
+ * @param options The services of the gateway and the event recorder.
+ * @returns The service.
+ *
+ * @example
+ * const reply = await transactions.begin(begin);
+ */
+export function createTransactions(options: TransactionsOptions): Transactions {
+    const { clock, admission, topology, events } = options;
+    const open = new Map<string, OpenTransaction>();
+    const ended = createEndedTransactions();
+    const work = createWorkTracker();
+    const isInGrace = createLeavingGrace(clock, topology);
+    let isStopping = false;
+
+    const enders: Record<TransactionEndKind, typeof commitTransaction> = {
+        [TransactionEndKind.Commit]: commitTransaction,
+        [TransactionEndKind.Rollback]: (_services, transaction) => rollBackTransaction(transaction),
+    };
+
+    function begin(request: TransactionBegin, signal?: AbortSignal): Promise<EndpointReply> {
+        return work.track(
+            `begin ${request.requestId} at ${request.endpoint}`,
+            () => beginTransaction(request, signal),
+        );
+    }
+
+    async function beginTransaction(begin: TransactionBegin, signal?: AbortSignal): Promise<EndpointReply> {
+        const startedAt = clock.now();
+        const refusal = isStopping ? createStoppingReply() : checkEndpoint(options, begin, isInGrace);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        let slot: AdmissionSlot | undefined;
+        try {
+            const ticket = { ...begin, admissionClass: AdmissionClass.Transaction, signal };
+            slot = await admission.queueOf(begin.database, begin.endpoint).enter(ticket);
+            const timeLeftMilliseconds = Math.max(begin.timeLeftMilliseconds - (clock.now() - startedAt), 0);
+            const transaction = await openTransaction(options, { ...begin, timeLeftMilliseconds }, slot);
+            return serve(transaction);
+        }
+        catch (error) {
+            slot?.release();
+            return toNotRun(toTypedError(error), begin.term);
+        }
+    }
+
+    function serve(transaction: OpenTransaction): EndpointReply {
+        const { transactionId, begin, position, lease, mailbox } = transaction;
+        open.set(transactionId, transaction);
+        lease.lost.addEventListener("abort", mailbox.close);
+        void work.track(`transaction ${begin.requestId} at ${begin.endpoint}`, () => runTransaction(transaction));
+        return { outcome: OutcomeKind.Answer, result: transactionId, term: begin.term, position, queueLength: 0 };
+    }
+
+    async function runTransaction(transaction: OpenTransaction): Promise<void> {
+        const { transactionId, begin, deadlineAt, mailbox, lease, slot } = transaction;
+        let lastReply: EndpointReply | undefined;
+        let isOver = false;
+        while (!isOver) {
+            const limit = Math.min(transactionConstants.idleMilliseconds, deadlineAt - clock.now());
+            const command = await mailbox.next(limit);
+            if (command === undefined) {
+                break;
+            }
+            const step = await handle(transaction, command);
+            isOver = step.isOver;
+            lastReply = "statement" in command.call ? undefined : step.reply;
+            command.reply(step.reply);
+        }
+        lease.lost.removeEventListener("abort", mailbox.close);
+        open.delete(transactionId);
+        ended.add(transactionId, begin.caller, lastReply);
+        mailbox.close();
+        if (lastReply === undefined) {
+            recordRollback(transaction);
+            await rollBackTransaction(transaction);
+        }
+        // Without effect when the connection was given back or closed before.
+        lease.release();
+        slot.release();
+        for (const command of mailbox.drain()) {
+            command.reply(ended.replyTo(command.call));
+        }
+    }
+
+    async function handle(transaction: OpenTransaction, command: TransactionCommand): Promise<TransactionStep> {
+        const { call } = command;
+        const deadlineAt = Math.min(command.deadlineAt, transaction.deadlineAt);
+        if ("statement" in call) {
+            return await runTransactionStatement(options, transaction, call, deadlineAt);
+        }
+        return { reply: await enders[call.kind](options, transaction, deadlineAt), isOver: true };
+    }
+
+    function send(call: TransactionEnd | TransactionStatement): Promise<EndpointReply> {
+        const transaction = open.get(call.transactionId);
+        if (transaction === undefined) {
+            return Promise.resolve(ended.replyTo(call));
+        }
+        if (transaction.begin.caller !== call.caller) {
+            return Promise.resolve(createForeignReply());
+        }
+        const deadlineAt = clock.now() + call.timeLeftMilliseconds;
+        return new Promise(resolve => {
+            if (!transaction.mailbox.push({ call, deadlineAt, reply: resolve })) {
+                resolve(ended.replyTo(call));
+            }
+        });
+    }
+
+    function recordRollback({ begin }: OpenTransaction): void {
+        events.record({
+            kind: EventKind.TransactionRolledBack,
+            database: begin.database,
+            endpoint: begin.endpoint,
+            requestId: begin.requestId,
+            term: begin.term,
+            text: `Rolled back the transaction of ${begin.caller}: it was idle, past its deadline, or cut off.`,
+        });
+    }
+
+    function createStoppingReply(): EndpointReply {
+        const message = "This gateway is stopping. Begin the transaction at another gateway.";
+        return createNotRun(NotRunReason.Stopping, message);
+    }
+
+    function createForeignReply(): EndpointReply {
+        const message = "The transaction belongs to another caller. Use a handle that was given to this caller.";
+        return createNotRun(NotRunReason.Forbidden, message);
+    }
+
+    async function start(): Promise<void> {
+        isStopping = false;
+    }
+
+    async function stop(): Promise<void> {
+        isStopping = true;
+        await work.whenIdle();
+    }
+
+    return { begin, execute: send, end: send, describeWork: work.describe, start, stop };
+}
--- /dev/null
+++ b/src/transactions/openTransaction/index.ts
@@ -0,0 +1,62 @@
+import { randomBytes } from "node:crypto";
+import type { AdmissionSlot } from "../../admission/types/AdmissionSlot.js";
+import type { StatementAnswer } from "../../endpoints/types/StatementAnswer.js";
+import { isTypedError } from "../../errors/isTypedError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { TransactionBegin } from "../../messages/types/TransactionBegin.js";
+import type { RequestServices } from "../../requests/types/RequestServices.js";
+import { createMailbox } from "../../waiting/createMailbox/index.js";
+import { transactionConstants } from "../constants.js";
+import type { OpenTransaction } from "../types/OpenTransaction.js";
+
+/**
+ * Opens a transaction on a connection of its own.
+ *
+ * @param services Clock and connections.
+ * @param begin What the entry asked for.
+ * @param slot The slot that the transaction holds until it ends.
+ * @returns The open transaction, with an identifier that cannot be guessed.
+ * @throws TarragonpostError as the endpoint or its connection failed; nothing has run then.
+ *
+ * @example
+ * const transaction = await openTransaction(services, begin, slot);
+ */
+export async function openTransaction(
+    services: Pick<RequestServices, "clock" | "connections">,
+    begin: TransactionBegin,
+    slot: AdmissionSlot,
+): Promise<OpenTransaction> {
+    const { clock, connections } = services;
+    const total = Math.min(begin.timeLeftMilliseconds, transactionConstants.totalMilliseconds);
+    const deadlineAt = clock.now() + total;
+    const lease = await connections.acquire(begin.database, begin.endpoint, total);
+    let answer: StatementAnswer;
+    try {
+        const timeLeft = Math.max(deadlineAt - clock.now(), 0);
+        answer = await lease.connection.begin({
+            isWrite: true,
+            term: begin.term,
+            leastPosition: begin.leastPosition,
+            waitMilliseconds: Math.min(begin.waitMilliseconds, timeLeft),
+            timeoutMilliseconds: timeLeft,
+        });
+    }
+    catch (error) {
+        if (isTypedError(error, ErrorKind.EndpointRefused)) {
+            lease.release();
+        }
+        else {
+            lease.discard(error);
+        }
+        throw error;
+    }
+    return {
+        transactionId: randomBytes(transactionConstants.identifierBytes).toString("base64url"),
+        begin,
+        position: answer.position,
+        deadlineAt,
+        slot,
+        lease,
+        mailbox: createMailbox(clock),
+    };
+}
--- /dev/null
+++ b/src/transactions/runTransactionStatement/index.ts
@@ -0,0 +1,65 @@
+import { EndpointRefusal } from "../../endpoints/types/EndpointRefusal.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { RequestKind } from "../../messages/types/RequestKind.js";
+import type { TransactionStatement } from "../../messages/types/TransactionStatement.js";
+import { confirmAnswer } from "../../requests/confirmAnswer/index.js";
+import { createNotRun } from "../../requests/createNotRun/index.js";
+import { toNotRun } from "../../requests/toNotRun/index.js";
+import type { RequestServices } from "../../requests/types/RequestServices.js";
+import type { OpenTransaction } from "../types/OpenTransaction.js";
+import type { TransactionStep } from "../types/TransactionStep.js";
+
+/**
+ * Runs one statement within an open transaction.
+ *
+ * A lost answer ends the transaction: its connection is closed and no commit was sent, so nothing of it lasts. What a
+ * read returns is held until its position is confirmed, like any answer of a primary.
+ *
+ * @param services The services of the gateway.
+ * @param transaction The transaction.
+ * @param statement The statement.
+ * @param deadlineAt Reading of the clock by which the reply has to be given.
+ * @returns The reply, and whether the transaction is over.
+ *
+ * @example
+ * const { reply, isOver } = await runTransactionStatement(services, transaction, statement, deadlineAt);
+ */
+export async function runTransactionStatement(
+    services: RequestServices,
+    transaction: OpenTransaction,
+    statement: TransactionStatement,
+    deadlineAt: number,
+): Promise<TransactionStep> {
+    const { clock } = services;
+    const { begin, lease } = transaction;
+    const { database, term } = begin;
+    try {
+        const answer = await lease.connection.execute({
+            statement: statement.statement,
+            isWrite: statement.kind === RequestKind.Write,
+            term,
+            leastPosition: 0,
+            waitMilliseconds: 0,
+            timeoutMilliseconds: Math.max(deadlineAt - clock.now(), 0),
+        });
+        const { result, position } = answer;
+        const reply: EndpointReply = { outcome: OutcomeKind.Answer, result, term, position, queueLength: 0 };
+        const isHeld = services.holdsPrimaryReads && statement.kind === RequestKind.Read;
+        const awaited = { database, term, position, deadlineAt };
+        return { reply: isHeld ? await confirmAnswer(services, awaited, reply) : reply, isOver: false };
+    }
+    catch (error) {
+        const typed = toTypedError(error);
+        if (typed.kind === ErrorKind.EndpointRefused) {
+            const isOver = typed.details.refusal !== EndpointRefusal.StatementInvalid;
+            return { reply: toNotRun(typed, term), isOver };
+        }
+        lease.discard(error);
+        const message = `The transaction was rolled back: ${typed.message} Run it again from its beginning.`;
+        return { reply: createNotRun(NotRunReason.TransactionOver, message), isOver: true };
+    }
+}
--- /dev/null
+++ b/src/transactions/types/OpenTransaction.ts
@@ -0,0 +1,18 @@
+import type { AdmissionSlot } from "../../admission/types/AdmissionSlot.js";
+import type { ConnectionLease } from "../../connections/types/ConnectionLease.js";
+import type { TransactionBegin } from "../../messages/types/TransactionBegin.js";
+import type { Mailbox } from "../../waiting/types/Mailbox.js";
+import type { TransactionCommand } from "./TransactionCommand.js";
+
+/** A transaction under way. */
+export interface OpenTransaction {
+    readonly transactionId: string;
+    readonly begin: TransactionBegin;
+    /** Position that the endpoint had applied when it began. */
+    readonly position: number;
+    /** Reading of the monotonic clock at which it is rolled back. */
+    readonly deadlineAt: number;
+    readonly slot: AdmissionSlot;
+    readonly lease: ConnectionLease;
+    readonly mailbox: Mailbox<TransactionCommand>;
+}
--- /dev/null
+++ b/src/transactions/types/TransactionStep.ts
@@ -0,0 +1,7 @@
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+
+/** The reply to one command of a transaction, and whether the transaction is over by it. */
+export interface TransactionStep {
+    readonly reply: EndpointReply;
+    readonly isOver: boolean;
+}
