Name the confirming replica, end a transaction with any refused statement, use the common hashes

An endpoint may give up a transaction with any failed statement; going on would run later statements outside of it.

--- a/src/confirmation/createConfirmation/index.ts
+++ b/src/confirmation/createConfirmation/index.ts
@@ -11,8 +11,10 @@
 import { createGroupWatch } from "../createGroupWatch/index.js";
 import { isConfirmed } from "../isConfirmed/index.js";
 import { isSuperseded } from "../isSuperseded/index.js";
+import { listHolders } from "../listHolders/index.js";
 import type { Confirmation } from "../types/Confirmation.js";
 import { ConfirmationOutcome } from "../types/ConfirmationOutcome.js";
+import type { ConfirmationResult } from "../types/ConfirmationResult.js";
 import type { GroupWatch } from "../types/GroupWatch.js";
 
 /** Options of `createConfirmation`. */
@@ -29,7 +31,7 @@
 interface PendingPosition {
     readonly term: number;
     readonly position: number;
-    readonly waiter: Waiter<ConfirmationOutcome>;
+    readonly waiter: Waiter<ConfirmationResult>;
 }
 
 /** One watched group and the positions waited for in it. */
@@ -41,6 +43,8 @@
     usedAt: number;
 }
 
+const timedOut: ConfirmationResult = { outcome: ConfirmationOutcome.TimedOut };
+
 /**
  * Creates the confirmation service of one gateway.
  *
@@ -50,7 +54,7 @@
  * @returns The service.
  *
  * @example
- * const outcome = await confirmation.waitUntilConfirmed("stock", answer.term, answer.position, 500);
+ * const { outcome } = await confirmation.waitUntilConfirmed("stock", answer.term, answer.position, 500);
  */
 export function createConfirmation(options: ConfirmationOptions): Confirmation {
     const { clock, random, configuration, topology, membership, driver } = options;
@@ -64,14 +68,14 @@
         term: number,
         position: number,
         timeoutMilliseconds: number,
-    ): Promise<ConfirmationOutcome> {
+    ): Promise<ConfirmationResult> {
         const group = watchGroup(database);
         const record = topology.groupOf(database);
         // An entry of an earlier term counts only once the marker of this term is confirmed.
         const leastPosition = record?.term === term ? Math.max(position, record.markerPosition) : position;
         const decided = group === undefined ? undefined : decide(database, group, { term, position: leastPosition });
         if (group === undefined || decided !== undefined) {
-            return Promise.resolve(decided ?? ConfirmationOutcome.TimedOut);
+            return Promise.resolve(decided ?? timedOut);
         }
         const pending: PendingPosition = {
             term,
@@ -84,21 +88,23 @@
             }),
         };
         group.pending.add(pending);
-        return pending.waiter.promise.catch(() => ConfirmationOutcome.TimedOut);
+        return pending.waiter.promise.catch(() => timedOut);
     }
 
     function decide(
         database: string,
         group: WatchedGroup,
         awaited: { readonly term: number; readonly position: number; },
-    ): ConfirmationOutcome | undefined {
+    ): ConfirmationResult | undefined {
         const { endpointCount } = group.watch;
         const statuses = group.watch.statuses();
         const knownTerm = topology.groupOf(database)?.term ?? 0;
         if (knownTerm > awaited.term || isSuperseded(statuses, awaited.term, endpointCount)) {
-            return ConfirmationOutcome.Superseded;
+            return { outcome: ConfirmationOutcome.Superseded };
         }
-        return isConfirmed(statuses, { ...awaited, endpointCount }) ? ConfirmationOutcome.Confirmed : undefined;
+        return isConfirmed(statuses, { ...awaited, endpointCount })
+            ? { outcome: ConfirmationOutcome.Confirmed, confirmedBy: listHolders(statuses, awaited)[0] }
+            : undefined;
     }
 
     function settle(database: string): void {
@@ -148,7 +154,7 @@
         const group = groups.get(database);
         groups.delete(database);
         for (const pending of group?.pending ?? []) {
-            pending.waiter.resolve(ConfirmationOutcome.TimedOut);
+            pending.waiter.resolve(timedOut);
         }
         return group?.watch.stop() ?? Promise.resolve();
     }
--- a/src/confirmation/isConfirmed/index.ts
+++ b/src/confirmation/isConfirmed/index.ts
@@ -1,12 +1,11 @@
-import { EndpointRole } from "../../endpoints/types/EndpointRole.js";
 import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
+import { listHolders } from "../listHolders/index.js";
 import type { ConfirmationRule } from "../types/ConfirmationRule.js";
 
 /**
  * Tells whether a majority of a group holds a position in a term.
  *
- * The primary of the term holds it, as it assigned it. A replica counts only if it follows that very term, for it
- * then holds the primary's whole starting log, so its entry at the position is the primary's.
+ * The primary of the term holds it, as it assigned it; the others have to be replicas of that term.
  *
  * @param statuses Statuses that the group's endpoints reported, at most one for each.
  * @param rule Term, position and size of the group.
@@ -16,9 +15,5 @@
  * isConfirmed(statuses, { term: 4, position: answer.position, endpointCount: 3 });
  */
 export function isConfirmed(statuses: readonly EndpointStatus[], rule: ConfirmationRule): boolean {
-    const holders = statuses.filter(status =>
-        status.role === EndpointRole.Replica && status.term === rule.term && status.position >= rule.position
-    );
-    const neededReplicas = Math.floor(rule.endpointCount / 2);
-    return holders.length >= neededReplicas;
+    return listHolders(statuses, rule).length >= Math.floor(rule.endpointCount / 2);
 }
--- a/src/confirmation/types/Confirmation.ts
+++ b/src/confirmation/types/Confirmation.ts
@@ -1,5 +1,5 @@
 import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
-import type { ConfirmationOutcome } from "./ConfirmationOutcome.js";
+import type { ConfirmationResult } from "./ConfirmationResult.js";
 
 /** Knows which positions a majority of a group holds, from the statuses that its endpoints report. */
 export interface Confirmation {
@@ -9,7 +9,7 @@
         term: number,
         position: number,
         timeoutMilliseconds: number,
-    ): Promise<ConfirmationOutcome>;
+    ): Promise<ConfirmationResult>;
     /** The latest status of each endpoint of the group; empty while the group is not watched. */
     statusesOf(database: string): readonly EndpointStatus[];
     start(): Promise<void>;
--- a/src/requests/checkEndpoint/index.ts
+++ b/src/requests/checkEndpoint/index.ts
@@ -1,6 +1,6 @@
-import { findEndpoint } from "../../configuration/findEndpoint/index.js";
-import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { findDatabaseEndpoint } from "../../configuration/findDatabaseEndpoint/index.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import type { NotRunReply } from "../../messages/types/NotRunReply.js";
 import { createNotRun } from "../createNotRun/index.js";
 import type { EndpointCheck } from "../types/EndpointCheck.js";
 import type { RequestServices } from "../types/RequestServices.js";
@@ -22,10 +22,10 @@
     services: Pick<RequestServices, "configuration" | "topology">,
     check: EndpointCheck,
     leaving: (check: EndpointCheck) => boolean,
-): EndpointReply | undefined {
+): NotRunReply | undefined {
     const { database, endpoint, term } = check;
     const { configuration, topology } = services;
-    if (findEndpoint(configuration.current().content, database, endpoint) === undefined) {
+    if (findDatabaseEndpoint(configuration.current().content, database, endpoint) === undefined) {
         const message = `Database ${database} has no endpoint ${endpoint}. Read the configuration in force again.`;
         return createNotRun(NotRunReason.UnknownDatabase, message);
     }
--- a/src/requests/confirmAnswer/index.ts
+++ b/src/requests/confirmAnswer/index.ts
@@ -1,5 +1,6 @@
 import { ConfirmationOutcome } from "../../confirmation/types/ConfirmationOutcome.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import { createUnknownOutcome } from "../createUnknownOutcome/index.js";
 import type { RequestServices } from "../types/RequestServices.js";
 
@@ -19,6 +20,8 @@
 /**
  * Holds a reply until a majority of the group confirmed its position in the term it was routed under.
  *
+ * An answer then names the replica that confirmed it.
+ *
  * @param services Clock and confirmation.
  * @param awaited Database, term, position and the deadline as a reading of the clock.
  * @param reply The reply to give once confirmed.
@@ -34,6 +37,9 @@
 ): Promise<EndpointReply> {
     const { database, term, position, deadlineAt } = awaited;
     const timeLeft = Math.max(deadlineAt - services.clock.now(), 0);
-    const outcome = await services.confirmation.waitUntilConfirmed(database, term, position, timeLeft);
-    return outcome === ConfirmationOutcome.Confirmed ? reply : createUnknownOutcome(unconfirmedCauses[outcome]);
+    const confirmed = await services.confirmation.waitUntilConfirmed(database, term, position, timeLeft);
+    if (confirmed.outcome !== ConfirmationOutcome.Confirmed) {
+        return createUnknownOutcome(unconfirmedCauses[confirmed.outcome]);
+    }
+    return reply.outcome === OutcomeKind.Answer ? { ...reply, confirmedBy: confirmed.confirmedBy } : reply;
 }
--- a/src/requests/createNotRun/index.ts
+++ b/src/requests/createNotRun/index.ts
@@ -1,5 +1,5 @@
-import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import type { NotRunReason } from "../../messages/types/NotRunReason.js";
+import type { NotRunReply } from "../../messages/types/NotRunReply.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 
 /** Further facts of a reply. */
@@ -19,6 +19,6 @@
  * @example
  * return createNotRun(NotRunReason.Stopping, "This gateway is stopping. Send the request to another gateway.");
  */
-export function createNotRun(reason: NotRunReason, message: string, facts: NotRunFacts = {}): EndpointReply {
+export function createNotRun(reason: NotRunReason, message: string, facts: NotRunFacts = {}): NotRunReply {
     return { outcome: OutcomeKind.NotRun, reason, message, ...facts };
 }
--- a/src/requests/createRequestsRouter/index.ts
+++ b/src/requests/createRequestsRouter/index.ts
@@ -7,7 +7,7 @@
 import type { EndpointRequests } from "../types/EndpointRequests.js";
 import type { RequestLookUp } from "../types/RequestLookUp.js";
 
-const { name, counter, milliseconds } = fieldSchemas;
+const { name, requestKey, counter, milliseconds } = fieldSchemas;
 
 const requestSchema: z.ZodType<EndpointRequest> = z.object({
     requestId: name,
@@ -18,7 +18,7 @@
     term: counter,
     leastPosition: counter,
     waitMilliseconds: milliseconds,
-    requestKey: name.optional(),
+    requestKey: requestKey.optional(),
     isAgedRead: z.boolean().optional(),
     caller: name,
     timeLeftMilliseconds: milliseconds,
@@ -29,7 +29,7 @@
     database: name,
     endpoint: name,
     term: counter,
-    requestKey: name,
+    requestKey,
     caller: name,
     timeLeftMilliseconds: milliseconds,
 });
--- a/src/requests/toNotRun/index.ts
+++ b/src/requests/toNotRun/index.ts
@@ -1,8 +1,8 @@
 import { EndpointRefusal } from "../../endpoints/types/EndpointRefusal.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { TypedError } from "../../errors/types/TypedError.js";
-import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import type { NotRunReply } from "../../messages/types/NotRunReply.js";
 import { createNotRun } from "../createNotRun/index.js";
 
 const reasonsByRefusal: Record<EndpointRefusal, NotRunReason> = {
@@ -34,7 +34,7 @@
  * @example
  * return toNotRun(outcome.error, request.term);
  */
-export function toNotRun(error: TypedError, term: number): EndpointReply {
+export function toNotRun(error: TypedError, term: number): NotRunReply {
     const { refusal, term: endpointTerm, position } = error.details;
     const reason = reasonsByRefusal[refusal as EndpointRefusal] ?? reasonsByKind[error.kind]
         ?? NotRunReason.EndpointUnavailable;
--- a/src/transactions/createTransactionsRouter/index.ts
+++ b/src/transactions/createTransactionsRouter/index.ts
@@ -9,7 +9,7 @@
 import { trpc } from "../../transport/trpc/index.js";
 import type { Transactions } from "../types/Transactions.js";
 
-const { name, counter, milliseconds } = fieldSchemas;
+const { name, requestKey, counter, milliseconds } = fieldSchemas;
 
 const beginSchema: z.ZodType<TransactionBegin> = z.object({
     requestId: name,
@@ -19,7 +19,7 @@
     leastPosition: counter,
     waitMilliseconds: milliseconds,
     caller: name,
-    requestKey: name.optional(),
+    requestKey: requestKey.optional(),
     timeLeftMilliseconds: milliseconds,
 });
 
--- a/src/transactions/runTransactionStatement/index.ts
+++ b/src/transactions/runTransactionStatement/index.ts
@@ -1,4 +1,3 @@
-import { EndpointRefusal } from "../../endpoints/types/EndpointRefusal.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
@@ -16,7 +15,7 @@
 /**
  * Runs one statement within an open transaction.
  *
- * A lost answer ends the transaction: its connection is closed and no commit was sent, so nothing of it lasts. What a
+ * A refused statement or a lost answer ends the transaction: no commit was sent, so nothing of it lasts. What a
  * read returns is held until its position is confirmed, like any answer of a primary.
  *
  * @param services The services of the gateway.
@@ -55,8 +54,8 @@
     catch (error) {
         const typed = toTypedError(error);
         if (typed.kind === ErrorKind.EndpointRefused) {
-            const isOver = typed.details.refusal !== EndpointRefusal.StatementInvalid;
-            return { reply: toNotRun(typed, term), isOver };
+            // An endpoint may give up the transaction with any failed statement.
+            return { reply: toNotRun(typed, term), isOver: true };
         }
         lease.discard(error);
         const message = `The transaction was rolled back: ${typed.message} Run it again from its beginning.`;
