--- /dev/null
+++ b/src/history/createHistory/index.ts
@@ -0,0 +1,15 @@
+import type { History } from "../types/History.js";
+import type { RecordedOperation } from "../types/RecordedOperation.js";
+
+/**
+ * Creates an empty history.
+ *
+ * @returns The history, to be filled by the sessions of one run.
+ *
+ * @example
+ * const history = createHistory();
+ */
+export function createHistory(): History {
+    const operations: RecordedOperation[] = [];
+    return { record: operation => operations.push(operation), operations };
+}
--- /dev/null
+++ b/src/history/indexHistory/index.ts
@@ -0,0 +1,51 @@
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import type { FinalState } from "../types/FinalState.js";
+import type { IndexedHistory } from "../types/IndexedHistory.js";
+import type { RecordedOperation } from "../types/RecordedOperation.js";
+
+/**
+ * Arranges a history for the checks.
+ *
+ * @param operations The recorded operations, in any order.
+ * @param finalStates The final states; the first of a database is the one that reads are compared with.
+ * @returns The arranged history.
+ *
+ * @example
+ * const indexed = indexHistory(history.operations, finalStates);
+ */
+export function indexHistory(
+    operations: readonly RecordedOperation[],
+    finalStates: readonly FinalState[],
+): IndexedHistory {
+    const writerOf = new Map<string, RecordedOperation>();
+    const acknowledgedWrites = new Map<string, RecordedOperation[]>();
+    const byCompletion = [...operations].sort((left, right) => left.completedAt - right.completedAt);
+    for (const operation of byCompletion) {
+        if (operation.value === undefined) {
+            continue;
+        }
+        writerOf.set(`${operation.database}/${operation.value}`, operation);
+        if (operation.outcome !== OutcomeKind.Answer) {
+            continue;
+        }
+        for (const list of operation.lists) {
+            const key = `${operation.database}/${list}`;
+            const writes = acknowledgedWrites.get(key) ?? [];
+            writes.push(operation);
+            acknowledgedWrites.set(key, writes);
+        }
+    }
+    const firstStates = new Map<string, FinalState>();
+    for (const state of finalStates) {
+        if (!firstStates.has(state.database)) {
+            firstStates.set(state.database, state);
+        }
+    }
+    return {
+        operations: [...operations].sort((left, right) => left.invokedAt - right.invokedAt),
+        writerOf,
+        acknowledgedWrites,
+        finalStates: firstStates,
+        allFinalStates: finalStates,
+    };
+}
--- /dev/null
+++ b/src/history/types/ReadGuarantee.ts
@@ -0,0 +1,11 @@
+/** Which data a read was promised. */
+export enum ReadGuarantee {
+    /** All that its session wrote or saw before. */
+    Session = "Session",
+    /** All that anyone had acknowledged before the read began. */
+    Latest = "Latest",
+    /** All that anyone had acknowledged earlier than the proven age. */
+    Age = "Age",
+    /** Any state that once was acknowledged: a new session has no floor. */
+    Any = "Any",
+}
