--- /dev/null
+++ b/src/load/performOperation/index.ts
@@ -0,0 +1,90 @@
+import { OperationKind } from "../../history/types/OperationKind.js";
+import type { ReadGuarantee } from "../../history/types/ReadGuarantee.js";
+import type { RecordedOperation } from "../../history/types/RecordedOperation.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { TransactionEndKind } from "../../messages/types/TransactionEndKind.js";
+import { loadConstants } from "../constants.js";
+import { drawGuarantee } from "../drawGuarantee/index.js";
+import { performAppend } from "../performAppend/index.js";
+import { performAppendPair } from "../performAppendPair/index.js";
+import { performRead } from "../performRead/index.js";
+import { readListResult } from "../readListResult/index.js";
+import type { LoadServices } from "../types/LoadServices.js";
+import type { LoadStatement } from "../types/LoadStatement.js";
+import type { OperationResult } from "../types/OperationResult.js";
+import type { SessionState } from "../types/SessionState.js";
+
+type Perform = (
+    services: LoadServices,
+    session: SessionState,
+    statement: LoadStatement,
+    guarantee: ReadGuarantee | undefined,
+) => Promise<OperationResult>;
+
+const performRecordedRead: Perform = (services, session, statement, guarantee) =>
+    performRead(services, session, statement, guarantee as ReadGuarantee);
+
+function keyOf({ plan, random }: LoadServices, statement: LoadStatement): string | undefined {
+    return random.next() < plan.keylessShare ? undefined : statement.value;
+}
+
+const performers: Readonly<Record<OperationKind, Perform>> = {
+    [OperationKind.ReadList]: performRecordedRead,
+    [OperationKind.ReadPair]: performRecordedRead,
+    [OperationKind.Append]: (services, session, statement) =>
+        performAppend(services, session, statement, keyOf(services, statement)),
+    [OperationKind.AppendPair]: (services, session, statement) => {
+        const drawn = services.random.next();
+        if (drawn < loadConstants.singleStatementShare) {
+            return performAppend(services, session, statement, keyOf(services, statement));
+        }
+        const isRollback = drawn > 1 - loadConstants.rollbackShare;
+        const endKind = isRollback ? TransactionEndKind.Rollback : TransactionEndKind.Commit;
+        return performAppendPair(services, session, statement, endKind);
+    },
+};
+
+/**
+ * Runs one operation of a session and records it.
+ *
+ * The token of an answer replaces the session's token.
+ *
+ * @param services What the sessions share.
+ * @param session The session.
+ * @param statement The operation's statement.
+ * @returns The recorded operation.
+ *
+ * @example
+ * const operation = await performOperation(services, session, drawStatement(services, session));
+ */
+export async function performOperation(
+    services: LoadServices,
+    session: SessionState,
+    statement: LoadStatement,
+): Promise<RecordedOperation> {
+    const { clock, history, plan } = services;
+    const guarantee = statement.value === undefined ? drawGuarantee(services, session) : undefined;
+    const invokedAt = clock.now();
+    const result = await performers[statement.kind](services, session, statement, guarantee);
+    const isAnswer = result.outcome === OutcomeKind.Answer;
+    if (isAnswer) {
+        session.token = result.sessionToken ?? session.token;
+    }
+    const operation: RecordedOperation = {
+        ...statement,
+        database: session.database,
+        caller: session.caller.name,
+        session: session.name,
+        guarantee,
+        maximumAgeMilliseconds: guarantee === undefined ? undefined : plan.maximumAgeMilliseconds,
+        invokedAt,
+        completedAt: clock.now(),
+        outcome: result.outcome,
+        reason: result.reason,
+        contents: isAnswer ? readListResult(statement.kind, statement.lists, result.result) : undefined,
+        ageMilliseconds: result.ageMilliseconds,
+        servedBy: result.servedBy,
+    };
+    history.record(operation);
+    return operation;
+}
--- /dev/null
+++ b/src/load/runSession/index.ts
@@ -0,0 +1,47 @@
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { loadConstants } from "../constants.js";
+import { drawStatement } from "../drawStatement/index.js";
+import { performOperation } from "../performOperation/index.js";
+import type { LoadEntry } from "../types/LoadEntry.js";
+import type { LoadServices } from "../types/LoadServices.js";
+import type { SessionState } from "../types/SessionState.js";
+
+/**
+ * Runs one session until the signal is aborted: one operation after another, roaming between entries.
+ *
+ * @param services What the sessions share.
+ * @param session The session.
+ * @param signal Ends the session after the operation under way.
+ * @returns Nothing.
+ *
+ * @example
+ * await runSession(services, session, AbortSignal.timeout(10_000));
+ */
+export async function runSession(services: LoadServices, session: SessionState, signal: AbortSignal): Promise<void> {
+    const { clock, plan, random } = services;
+    await clock.sleep(random.next() * plan.pauseMilliseconds, signal);
+    while (!signal.aborted) {
+        if (random.next() < plan.roamShare) {
+            session.entry = drawEntry(services, session);
+        }
+        const operation = await performOperation(services, session, drawStatement(services, session));
+        if (operation.outcome !== OutcomeKind.Answer) {
+            session.entry = drawEntry(services, session);
+            await clock.sleep(drawPause(services, loadConstants.refusalPauseMilliseconds), signal);
+        }
+        if (plan.pauseMilliseconds > 0) {
+            await clock.sleep(drawPause(services, plan.pauseMilliseconds), signal);
+        }
+    }
+}
+
+function drawPause({ random }: LoadServices, meanMilliseconds: number): number {
+    return -Math.log(1 - random.next()) * meanMilliseconds;
+}
+
+function drawEntry({ random, target }: LoadServices, session: SessionState): LoadEntry {
+    const isAnywhere = random.next() < loadConstants.foreignRoamShare;
+    const near = target.entries.filter(entry => isAnywhere || entry.region === session.homeRegion);
+    const candidates = near.length > 0 ? near : target.entries;
+    return candidates[random.nextInteger(candidates.length)] ?? session.entry;
+}
--- /dev/null
+++ b/src/load/types/CallerReply.ts
@@ -0,0 +1,19 @@
+import type { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+
+/** One answer of an entry, as the caller reads it. */
+export interface CallerReply {
+    readonly outcome: OutcomeKind;
+    readonly requestId?: string;
+    readonly reason?: string;
+    readonly message?: string;
+    readonly result?: unknown;
+    readonly sessionToken?: string;
+    readonly transactionHandle?: string;
+    readonly ageMilliseconds?: number;
+    readonly servedBy?: {
+        readonly endpoint: string;
+        readonly role: string;
+        readonly term: number;
+        readonly position: number;
+    };
+}
--- /dev/null
+++ b/src/load/types/LoadFault.ts
@@ -0,0 +1,8 @@
+/** A fault caused during a run. */
+export interface LoadFault {
+    /** Monotonic time in milliseconds, on the clock of the history. */
+    readonly at: number;
+    readonly text: string;
+    /** The database whose writes it interrupts; all when left out. */
+    readonly database?: string;
+}
--- /dev/null
+++ b/src/load/types/SessionState.ts
@@ -0,0 +1,12 @@
+import type { LoadEntry } from "./LoadEntry.js";
+
+/** What a caller keeps of one session. */
+export interface SessionState {
+    readonly name: string;
+    readonly caller: { readonly name: string; readonly key: string; };
+    readonly database: string;
+    readonly homeRegion: string;
+    entry: LoadEntry;
+    token?: string;
+    writeCount: number;
+}
