--- a/src/history/checkHistory/test.ts
+++ b/src/history/checkHistory/test.ts
@@ -84,6 +84,10 @@
         [append("v1", 1), read(["v1"], 3, { session: "s2" }), read([], 5, { session: "s2" })],
         finalA,
     ]],
+    ["a session's aged read misses its write", ViolationKind.StaleRead, [
+        [append("v1", 1), read([], 3, { ...aged, session: "s1", ageMilliseconds: 50 })],
+        finalA,
+    ]],
     ["a read without token misses a write", ViolationKind.MissedLatestWrite, [
         [append("v1", 1), read([], 3, { guarantee: ReadGuarantee.Latest, session: "s2" })],
         finalA,
--- a/src/history/checkSessions/index.ts
+++ b/src/history/checkSessions/index.ts
@@ -1,6 +1,5 @@
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import type { IndexedHistory } from "../types/IndexedHistory.js";
-import { ReadGuarantee } from "../types/ReadGuarantee.js";
 import type { RecordedOperation } from "../types/RecordedOperation.js";
 import type { Violation } from "../types/Violation.js";
 import { ViolationKind } from "../types/ViolationKind.js";
@@ -14,7 +13,8 @@
 /**
  * Checks that each session reads its own writes, and never less than it read before.
  *
- * A read that accepted an age, or that began a new session, has no floor; what it returned raises the floor.
+ * That also holds for a read that accepted an age, as long as it carried the session's token; a read without one
+ * belongs to a session of its own.
  *
  * @param history The arranged history.
  * @returns The violations found.
@@ -53,9 +53,6 @@
     values: readonly string[],
     floor: ListFloor,
 ): Generator<Violation> {
-    if (operation.guarantee === ReadGuarantee.Age || operation.guarantee === ReadGuarantee.Any) {
-        return;
-    }
     const present = new Set(values);
     for (const value of floor.ownWrites) {
         if (!present.has(value)) {
--- a/src/history/types/ReadGuarantee.ts
+++ b/src/history/types/ReadGuarantee.ts
@@ -4,7 +4,7 @@
     Session = "Session",
     /** All that anyone had acknowledged before the read began. */
     Latest = "Latest",
-    /** All that anyone had acknowledged earlier than the proven age. */
+    /** All that anyone had acknowledged earlier than the proven age, besides what its session wrote or saw. */
     Age = "Age",
     /** Any state that once was acknowledged: a new session has no floor. */
     Any = "Any",
--- a/src/load/constants.ts
+++ b/src/load/constants.ts
@@ -12,6 +12,8 @@
     finalReadAttempts: 60,
     finalReadPauseMilliseconds: 100,
     finalReadConcurrency: 16,
+    /** Share of aged reads that belong to no session. */
+    detachedAgedShare: 0.5,
     connectionsPerEntry: 256,
     /** Share of pair writes that are one statement in place of a transaction of several requests. */
     singleStatementShare: 0.3,
--- a/src/load/performOperation/index.ts
+++ b/src/load/performOperation/index.ts
@@ -1,5 +1,5 @@
 import { OperationKind } from "../../history/types/OperationKind.js";
-import type { ReadGuarantee } from "../../history/types/ReadGuarantee.js";
+import { ReadGuarantee } from "../../history/types/ReadGuarantee.js";
 import type { RecordedOperation } from "../../history/types/RecordedOperation.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import { TransactionEndKind } from "../../messages/types/TransactionEndKind.js";
@@ -62,8 +62,25 @@
     session: SessionState,
     statement: LoadStatement,
 ): Promise<RecordedOperation> {
-    const { clock, history, plan } = services;
     const guarantee = statement.value === undefined ? drawGuarantee(services, session) : undefined;
+    const isDetached = guarantee === ReadGuarantee.Age && services.random.next() < loadConstants.detachedAgedShare;
+    return isDetached
+        ? performAs(services, createDetachedSession(services, session), statement, guarantee)
+        : performAs(services, session, statement, guarantee);
+}
+
+/** A session of one read, so that nothing but its age binds it. */
+function createDetachedSession({ history }: LoadServices, session: SessionState): SessionState {
+    return { ...session, name: `${session.name}-detached-${history.operations.length}`, token: undefined };
+}
+
+async function performAs(
+    services: LoadServices,
+    session: SessionState,
+    statement: LoadStatement,
+    guarantee: ReadGuarantee | undefined,
+): Promise<RecordedOperation> {
+    const { clock, history, plan } = services;
     const invokedAt = clock.now();
     const result = await performers[statement.kind](services, session, statement, guarantee);
     const isAnswer = result.outcome === OutcomeKind.Answer;
@@ -76,7 +93,7 @@
         caller: session.caller.name,
         session: session.name,
         guarantee,
-        maximumAgeMilliseconds: guarantee === undefined ? undefined : plan.maximumAgeMilliseconds,
+        maximumAgeMilliseconds: guarantee === ReadGuarantee.Age ? plan.maximumAgeMilliseconds : undefined,
         invokedAt,
         completedAt: clock.now(),
         outcome: result.outcome,
--- a/src/load/runLoad/index.ts
+++ b/src/load/runLoad/index.ts
@@ -3,6 +3,7 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { runSession } from "../runSession/index.js";
+import type { CauseFaults } from "../types/CauseFaults.js";
 import type { LoadFault } from "../types/LoadFault.js";
 import type { LoadRun } from "../types/LoadRun.js";
 import type { LoadServices } from "../types/LoadServices.js";
@@ -13,7 +14,7 @@
     /** Ends the run early. */
     readonly signal?: AbortSignal;
     /** Causes faults while the load runs; the run lasts at least until it has finished. */
-    readonly causeFaults?: (mark: (fault: Omit<LoadFault, "at">) => void) => Promise<void>;
+    readonly causeFaults?: CauseFaults;
 }
 
 /**
--- /dev/null
+++ b/src/load/runLoadCommand/index.ts
@@ -0,0 +1,84 @@
+import { cac } from "cac";
+import { writeFile } from "node:fs/promises";
+import { readProductVersion } from "../../commandLine/readProductVersion/index.js";
+import { reportFailure } from "../../commandLine/reportFailure/index.js";
+import { ExitCode } from "../../commandLine/types/ExitCode.js";
+import type { ProcessControl } from "../../commandLine/types/ProcessControl.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { readSettings } from "../../settings/readSettings/index.js";
+import { formatLoadSummary } from "../formatLoadSummary/index.js";
+import { loadTargetSchema } from "../loadTargetSchema/index.js";
+import { offerLoad } from "../offerLoad/index.js";
+import { readPlan } from "../readPlan/index.js";
+
+/**
+ * Runs the program `tarragonpost-load`: offers load, prints the figures and checks the history.
+ *
+ * It exits with 0 when every promise was kept, with 1 when one was broken or the run failed, and with 2 when the
+ * command line is wrong. A first signal ends the load early; the history is checked all the same.
+ *
+ * @param control The process.
+ *
+ * @example
+ * await runLoadCommand(createProcessControl());
+ */
+export async function runLoadCommand(control: ProcessControl): Promise<void> {
+    try {
+        control.exit(await runCommand(control));
+    }
+    catch (error) {
+        control.exit(reportFailure(error, control));
+    }
+}
+
+async function runCommand(control: ProcessControl): Promise<ExitCode> {
+    const options = parseOptions(control);
+    if (options["help"] === true || options["version"] === true) {
+        return ExitCode.Success;
+    }
+    if (typeof options["target"] !== "string") {
+        throw createError(ErrorKind.InvalidSettings, "No target is given.", {
+            remedy: "Name the entries, callers and databases in a file and give it with --target FILE.",
+        });
+    }
+    const ending = new AbortController();
+    control.onStopSignal(() => ending.abort());
+    const target = readSettings(options["target"], loadTargetSchema);
+    const plan = readPlan(options);
+    const { summary, verdict } = await offerLoad(target, plan, { signal: ending.signal });
+    control.write(formatLoadSummary(summary, verdict));
+    if (typeof options["json"] === "string") {
+        await writeFile(options["json"], JSON.stringify({ plan, summary, verdict }, undefined, 4));
+    }
+    return verdict.isSound ? ExitCode.Success : ExitCode.Failure;
+}
+
+function parseOptions(control: ProcessControl): Readonly<Record<string, unknown>> {
+    const commandLine = cac("tarragonpost-load");
+    const command = commandLine.command("", "Offers load to entries, measures it and checks the history of answers.")
+        .usage("--target FILE [options]")
+        .option("--target <file>", "Entries, callers and databases, in JSON with comments")
+        .option("--seconds <number>", "Duration")
+        .option("--sessions <number>", "Concurrent sessions")
+        .option("--seed <number>", "Seed of all randomness")
+        .option("--write-share <share>", "Share of operations that write")
+        .option("--transaction-share <share>", "Share of operations over pairs of lists")
+        .option("--keyless-share <share>", "Share of writes without a request key")
+        .option("--aged-share <share>", "Share of reads that accept an age")
+        .option("--age <milliseconds>", "The age that they accept")
+        .option("--lost-token-share <share>", "Share of reads without the session's token")
+        .option("--roam-share <share>", "Share of operations that move to another entry")
+        .option("--lists <number>", "Lists of each caller in each database")
+        .option("--deadline <milliseconds>", "Deadline of each request")
+        .option("--pause <milliseconds>", "Mean pause of a session between operations")
+        .option("--json <file>", "Write the figures and the verdict as JSON")
+        .action(() => {});
+    commandLine.help();
+    commandLine.version(readProductVersion());
+    const parsed = commandLine.parse(["node", "tarragonpost-load", ...control.words], { run: false });
+    if (parsed.options["help"] !== true && parsed.options["version"] !== true) {
+        command.checkUnknownOptions();
+    }
+    return parsed.options;
+}
--- /dev/null
+++ b/src/site/constants.ts
@@ -0,0 +1,16 @@
+/** Constants of the launcher of test sites. */
+export const siteConstants = {
+    host: "127.0.0.1",
+    pollIntervalMilliseconds: 25,
+    startTimeoutMilliseconds: 30_000,
+    primariesTimeoutMilliseconds: 20_000,
+    convergenceTimeoutMilliseconds: 20_000,
+    adminTimeoutMilliseconds: 5_000,
+    operatorTimeoutMilliseconds: 20_000,
+    stopTimeoutMilliseconds: 10_000,
+    logEntriesPerRead: 10_000,
+    maximumLogReads: 1_000,
+    maximumOutputCharacters: 200_000,
+    peerSecret: "secret-of-a-test-site",
+    tokenSecret: "token-secret-of-a-test-site",
+} as const;
--- /dev/null
+++ b/src/site/cutZone/index.ts
@@ -0,0 +1,18 @@
+import { changeNetwork } from "../changeNetwork/index.js";
+import type { SitePlan } from "../types/SitePlan.js";
+
+/**
+ * Cuts an availability zone off from all others, or joins it again.
+ *
+ * @param plan The site.
+ * @param availabilityZone The zone.
+ * @param isCut Whether it is to be cut off.
+ *
+ * @example
+ * await cutZone(site.plan, "ga-north-1", true);
+ */
+export async function cutZone(plan: SitePlan, availabilityZone: string, isCut: boolean): Promise<void> {
+    const zones = plan.description.regions.flatMap(region => region.availabilityZones.map(zone => zone.name));
+    const others = zones.filter(zone => zone !== availabilityZone);
+    await changeNetwork(plan, others.map(other => ({ from: availabilityZone, to: other, isCut })));
+}
--- /dev/null
+++ b/src/site/planSite/index.ts
@@ -0,0 +1,59 @@
+import type { Address } from "../../network/types/Address.js";
+import { siteConstants } from "../constants.js";
+import { reservePorts } from "../reservePorts/index.js";
+import type { SiteDescription } from "../types/SiteDescription.js";
+import type { SiteEndpoint } from "../types/SiteEndpoint.js";
+import type { SitePlan } from "../types/SitePlan.js";
+import type { SiteVm } from "../types/SiteVm.js";
+
+/** Ports of the platform stand-in: service, administrator, network. */
+const platformPortCount = 3;
+const portsPerProcess = 2;
+
+/**
+ * Gives every process of a site its name, availability zone and ports.
+ *
+ * @param description The site.
+ * @returns The site with all its addresses.
+ *
+ * @example
+ * const plan = await planSite(describeSmallSite(7));
+ */
+export async function planSite(description: SiteDescription): Promise<SitePlan> {
+    const zones = description.regions.flatMap(region =>
+        region.availabilityZones.map(zone => ({ ...zone, region: region.name }))
+    );
+    const vmZones = zones.flatMap(zone => Array.from({ length: zone.vmCount }, () => zone));
+    const endpointCount = zones.length * description.databases.length;
+    const ports = await reservePorts(platformPortCount + portsPerProcess * (vmZones.length + endpointCount));
+
+    function takeAddress(availabilityZone: string): Address {
+        return { host: siteConstants.host, port: ports.pop() ?? 0, availabilityZone };
+    }
+
+    const storeZone = zones[0]?.name ?? "";
+    const endpoints = description.databases.flatMap(database =>
+        zones.map((zone, index): SiteEndpoint => ({
+            name: `${database}-${zone.name}-${index + 1}`,
+            database,
+            region: zone.region,
+            address: takeAddress(zone.name),
+            admin: takeAddress(zone.name),
+        }))
+    );
+    const vms = vmZones.map((zone, index): SiteVm => ({
+        name: `vm-${index + 1}`,
+        region: zone.region,
+        availabilityZone: zone.name,
+        gateway: takeAddress(zone.name),
+        entry: takeAddress(zone.name),
+    }));
+    return {
+        description,
+        platform: takeAddress(storeZone),
+        platformAdmin: takeAddress(storeZone),
+        network: takeAddress(storeZone),
+        endpoints,
+        vms,
+    };
+}
--- /dev/null
+++ b/src/site/readEndpointStates/index.ts
@@ -0,0 +1,80 @@
+import { z } from "zod";
+import { EndpointRole } from "../../endpoints/types/EndpointRole.js";
+import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
+import type { FinalState } from "../../history/types/FinalState.js";
+import { siteConstants } from "../constants.js";
+import { readEndpointStatus } from "../readEndpointStatus/index.js";
+import { sendAdminCall } from "../sendAdminCall/index.js";
+import type { SiteEndpoint } from "../types/SiteEndpoint.js";
+import type { SitePlan } from "../types/SitePlan.js";
+import { waitUntil } from "../waitUntil/index.js";
+
+const logSchema = z.object({
+    entries: z.array(z.object({
+        position: z.number(),
+        operations: z.array(z.object({ list: z.string().optional(), value: z.unknown().optional() })),
+    })),
+});
+
+/**
+ * Reads the lists of a database out of its endpoints' logs, once no write is under way and the replicas have caught up.
+ *
+ * @param plan The site.
+ * @param database The database.
+ * @returns The primary's lists first, then those of each endpoint that follows it.
+ * @throws TarragonpostError of kind `DeadlineExceeded` when the endpoints do not come to the same position.
+ *
+ * @example
+ * const [primaryState] = await readEndpointStates(site.plan, "stock");
+ */
+export async function readEndpointStates(plan: SitePlan, database: string): Promise<FinalState[]> {
+    const endpoints = plan.endpoints.filter(endpoint => endpoint.database === database);
+    let before = "";
+    const settled = await waitUntil(
+        `the endpoints of ${database} to hold the same log`,
+        siteConstants.convergenceTimeoutMilliseconds,
+        async () => {
+            const statuses = await Promise.all(endpoints.map(readEndpointStatus));
+            const following = listFollowing(statuses);
+            const now = following.map(status => `${status.endpoint}@${status.position}`).join();
+            const isSettled = now !== "" && now === before
+                && following.every(status => status.position === following[0]?.position);
+            before = now;
+            return isSettled ? following : undefined;
+        },
+    );
+    return Promise.all(settled.map(async status => {
+        const endpoint = endpoints.find(each => each.name === status.endpoint) as SiteEndpoint;
+        return { database, source: status.endpoint, lists: await readLists(endpoint) };
+    }));
+}
+
+/** The primary of the highest term and its replicas; empty when the primary has no replica. */
+function listFollowing(statuses: readonly EndpointStatus[]): EndpointStatus[] {
+    const term = Math.max(...statuses.map(status => status.term));
+    const primary = statuses.find(status => status.role === EndpointRole.Primary && status.term === term);
+    const replicas = statuses.filter(status => status.role === EndpointRole.Replica && status.term === term);
+    return primary === undefined || replicas.length === 0 ? [] : [primary, ...replicas];
+}
+
+async function readLists(endpoint: SiteEndpoint): Promise<Map<string, string[]>> {
+    const lists = new Map<string, string[]>();
+    let after = 0;
+    for (let read = 0; read < siteConstants.maximumLogReads; read += 1) {
+        const path = `/log?after=${after}&limit=${siteConstants.logEntriesPerRead}`;
+        const { entries } = logSchema.parse(await sendAdminCall(endpoint.admin, path));
+        for (const operation of entries.flatMap(entry => entry.operations)) {
+            if (operation.list !== undefined) {
+                const values = lists.get(operation.list) ?? [];
+                values.push(String(operation.value));
+                lists.set(operation.list, values);
+            }
+        }
+        const last = entries.at(-1);
+        if (last === undefined) {
+            break;
+        }
+        after = last.position;
+    }
+    return lists;
+}
--- /dev/null
+++ b/src/site/reservePorts/index.ts
@@ -0,0 +1,22 @@
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
+import { siteConstants } from "../constants.js";
+
+/**
+ * Finds free ports on the loopback interface.
+ *
+ * All are held at once while they are looked for, so they differ.
+ *
+ * @param count How many.
+ * @returns The ports.
+ *
+ * @example
+ * const [port] = await reservePorts(1);
+ */
+export async function reservePorts(count: number): Promise<number[]> {
+    const servers = Array.from({ length: count }, () => createServer().listen(0, siteConstants.host));
+    await Promise.all(servers.map(server => once(server, "listening")));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
--- /dev/null
+++ b/src/site/startProcess/index.ts
@@ -0,0 +1,75 @@
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { siteConstants } from "../constants.js";
+import { SiteBinary } from "../types/SiteBinary.js";
+import type { SiteProcess } from "../types/SiteProcess.js";
+
+const folders: Readonly<Record<SiteBinary, string>> = {
+    [SiteBinary.Endpoint]: "endpointStandIn",
+    [SiteBinary.Entry]: "entry",
+    [SiteBinary.Gateway]: "gateway",
+    [SiteBinary.Operator]: "operator",
+    [SiteBinary.Platform]: "platformStandIn",
+};
+
+const settingsWords: Readonly<Record<SiteBinary, (file: string) => readonly string[]>> = {
+    [SiteBinary.Endpoint]: file => [file],
+    [SiteBinary.Entry]: file => ["--settings", file],
+    [SiteBinary.Gateway]: file => ["--settings", file],
+    [SiteBinary.Operator]: () => [],
+    [SiteBinary.Platform]: file => [file],
+};
+
+/** Options of `startProcess`. */
+interface StartProcessOptions {
+    /** Settings file, when the program takes one. */
+    readonly settingsFile?: string;
+    /** Further words of the command line. */
+    readonly words?: readonly string[];
+}
+
+/**
+ * Starts one program of a site from the build's output.
+ *
+ * The process ends with this one at the latest.
+ *
+ * @param name Name of the process within the site.
+ * @param binary The program.
+ * @param options Its settings file and further words.
+ * @returns The process.
+ *
+ * @example
+ * const gateway = startProcess("vm-1-gateway", SiteBinary.Gateway, { settingsFile });
+ */
+export function startProcess(name: string, binary: SiteBinary, options: StartProcessOptions): SiteProcess {
+    const file = new URL(`../../../dist/binaries/${folders[binary]}/index.js`, import.meta.url).pathname;
+    const settings = options.settingsFile === undefined ? [] : settingsWords[binary](options.settingsFile);
+    const child = spawn(process.execPath, [file, ...settings, ...options.words ?? []], {
+        stdio: ["ignore", "pipe", "pipe"],
+        env: { ...process.env, NODE_OPTIONS: "" },
+    });
+    let output = "";
+    const keep = (text: Buffer): void => {
+        output = (output + text.toString()).slice(-siteConstants.maximumOutputCharacters);
+    };
+    child.stdout.on("data", keep);
+    child.stderr.on("data", keep);
+    const killAtExit = (): void => {
+        child.kill("SIGKILL");
+    };
+    process.once("exit", killAtExit);
+    let hasExited = false;
+    const exited = once(child, "close").then(([code, signal]) => {
+        hasExited = true;
+        process.removeListener("exit", killAtExit);
+        return String(signal ?? code);
+    });
+
+    function signal(signalName: NodeJS.Signals): void {
+        if (!hasExited) {
+            child.kill(signalName);
+        }
+    }
+
+    return { name, processId: child.pid ?? 0, exited, signal, output: () => output };
+}
--- /dev/null
+++ b/src/site/types/Site.ts
@@ -0,0 +1,16 @@
+import type { LoadTarget } from "../../load/types/LoadTarget.js";
+import type { SitePlan } from "./SitePlan.js";
+import type { SiteProcess } from "./SiteProcess.js";
+
+/** A running site. */
+export interface Site {
+    readonly plan: SitePlan;
+    readonly target: LoadTarget;
+    readonly folder: string;
+    /** By name: `platform`, an endpoint's name, `vm-1-gateway`, `vm-1-entry`. */
+    process(name: string): SiteProcess;
+    /** Starts a program of the site again, with the same settings. */
+    restart(name: string): Promise<void>;
+    /** Ends every process by its id and removes the settings. */
+    stop(): Promise<void>;
+}
--- /dev/null
+++ b/src/site/types/SiteBinary.ts
@@ -0,0 +1,8 @@
+/** Programs that a site consists of. */
+export enum SiteBinary {
+    Endpoint = "Endpoint",
+    Entry = "Entry",
+    Gateway = "Gateway",
+    Operator = "Operator",
+    Platform = "Platform",
+}
--- /dev/null
+++ b/src/site/types/SiteDescription.ts
@@ -0,0 +1,32 @@
+import type { SystemLimits } from "../../configuration/types/SystemLimits.js";
+import type { ReadPolicy } from "../../routing/types/ReadPolicy.js";
+
+/** The site that a test or benchmark wants. */
+export interface SiteDescription {
+    readonly seed: number;
+    readonly regions: readonly SiteRegion[];
+    /** One-way delay between availability zones of one region. */
+    readonly zoneDelayMilliseconds: number;
+    /** One-way delay between regions. */
+    readonly regionDelayMilliseconds: number;
+    /** One-way delay between callers and entries. */
+    readonly callerDelayMilliseconds: number;
+    /** Each has one endpoint in every availability zone. */
+    readonly databases: readonly string[];
+    readonly callers: readonly string[];
+    /** Statements that an endpoint runs at once. */
+    readonly slots: number;
+    readonly connectionLimit: number;
+    /** Time to open a connection to an endpoint. */
+    readonly connectMilliseconds: number;
+    /** Time that a statement holds its slot. */
+    readonly serviceMilliseconds: number;
+    readonly limits?: Partial<SystemLimits>;
+    readonly readPolicy?: ReadPolicy;
+    readonly logTopics?: string;
+}
+
+interface SiteRegion {
+    readonly name: string;
+    readonly availabilityZones: readonly { readonly name: string; readonly vmCount: number; }[];
+}
--- /dev/null
+++ b/src/site/types/SiteProgram.ts
@@ -0,0 +1,8 @@
+import type { SiteBinary } from "./SiteBinary.js";
+
+/** One program of a site with the settings that it is started with. */
+export interface SiteProgram {
+    readonly name: string;
+    readonly binary: SiteBinary;
+    readonly settings: object;
+}
--- /dev/null
+++ b/src/site/waitForPrimaries/index.ts
@@ -0,0 +1,22 @@
+import { siteConstants } from "../constants.js";
+import { findPrimary } from "../findPrimary/index.js";
+import type { SitePlan } from "../types/SitePlan.js";
+import { waitUntil } from "../waitUntil/index.js";
+
+/**
+ * Waits until every database has a primary with a follower.
+ *
+ * @param plan The site.
+ *
+ * @example
+ * await waitForPrimaries(site.plan);
+ */
+export async function waitForPrimaries(plan: SitePlan): Promise<void> {
+    await Promise.all(plan.description.databases.map(database =>
+        waitUntil(
+            `a primary of ${database}`,
+            siteConstants.primariesTimeoutMilliseconds,
+            () => findPrimary(plan, database),
+        )
+    ));
+}
