--- a/src/binaries/endpointStandIn/index.ts
+++ b/src/binaries/endpointStandIn/index.ts
@@ -1,33 +1,38 @@
 #!/usr/bin/env node
+import { runBinary } from "../../commandLine/runBinary/index.js";
+import { ServiceName } from "../../kernel/types/ServiceName.js";
 import { createEmulatedNetwork } from "../../network/createEmulatedNetwork/index.js";
 import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
+import type { NetworkConditions } from "../../network/types/NetworkConditions.js";
+import { readSettings } from "../../settings/readSettings/index.js";
+import { announceStart } from "../../standIns/announceStart/index.js";
 import { createEndpointStandIn } from "../../standIns/endpoint/createEndpointStandIn/index.js";
 import { endpointStandInSchema } from "../../standIns/endpoint/endpointStandInSchema/index.js";
-import { readStandInSettings } from "../../standIns/readStandInSettings/index.js";
-import { runStandIn } from "../../standIns/runStandIn/index.js";
 
-await runStandIn({
+await runBinary({
     name: "tarragonpost-endpoint-stand-in",
     description: "Stands in for one endpoint of a database group in tests.",
-    run: async settingsPath => {
-        const settings = await readStandInSettings(settingsPath, endpointStandInSchema);
-        const localZone = settings.availabilityZone;
-        const emulated = settings.emulatedNetwork === undefined ? undefined : createEmulatedNetwork({
-            localZone,
-            processName: settings.name,
-            publisher: settings.emulatedNetwork,
-        });
-        await emulated?.start();
-        const endpoint = createEndpointStandIn(settings, emulated ?? createNeutralNetwork(localZone));
-        await endpoint.start();
-        const ports = { port: endpoint.port(), adminPort: endpoint.adminPort() };
-        process.stdout.write(`${JSON.stringify({ listening: true, ...ports })}\n`);
-
-        async function stop(): Promise<void> {
-            await endpoint.stop();
-            await emulated?.stop();
-        }
-
-        return { stop };
-    },
+    readSettings: file => readSettings(file, endpointStandInSchema),
+    createServices: settings => [
+        {
+            name: ServiceName.NetworkConditions,
+            dependencies: [],
+            create: () =>
+                settings.emulatedNetwork === undefined
+                    ? createNeutralNetwork(settings.availabilityZone)
+                    : createEmulatedNetwork({
+                        localZone: settings.availabilityZone,
+                        processName: settings.name,
+                        publisher: settings.emulatedNetwork,
+                    }),
+        },
+        {
+            name: ServiceName.EndpointStandIn,
+            dependencies: [ServiceName.NetworkConditions],
+            create: (conditions: NetworkConditions) => {
+                const endpoint = createEndpointStandIn(settings, conditions);
+                return announceStart(endpoint, () => ({ port: endpoint.port(), adminPort: endpoint.adminPort() }));
+            },
+        },
+    ],
 });
--- a/src/binaries/platformStandIn/index.ts
+++ b/src/binaries/platformStandIn/index.ts
@@ -1,18 +1,25 @@
 #!/usr/bin/env node
+import { runBinary } from "../../commandLine/runBinary/index.js";
+import { ServiceName } from "../../kernel/types/ServiceName.js";
+import { readSettings } from "../../settings/readSettings/index.js";
+import { announceStart } from "../../standIns/announceStart/index.js";
 import { createPlatformStandIn } from "../../standIns/platform/createPlatformStandIn/index.js";
 import { platformStandInSchema } from "../../standIns/platform/platformStandInSchema/index.js";
-import { readStandInSettings } from "../../standIns/readStandInSettings/index.js";
-import { runStandIn } from "../../standIns/runStandIn/index.js";
 
-await runStandIn({
+await runBinary({
     name: "tarragonpost-platform-stand-in",
     description: "Stands in for the platform's service in tests; also publishes the emulated network.",
-    run: async settingsPath => {
-        const settings = await readStandInSettings(settingsPath, platformStandInSchema);
-        const platform = createPlatformStandIn(settings);
-        await platform.start();
-        const ports = { port: platform.port(), adminPort: platform.adminPort(), networkPort: platform.networkPort() };
-        process.stdout.write(`${JSON.stringify({ listening: true, ...ports })}\n`);
-        return platform;
-    },
+    readSettings: file => readSettings(file, platformStandInSchema),
+    createServices: settings => [{
+        name: ServiceName.PlatformStandIn,
+        dependencies: [],
+        create: () => {
+            const platform = createPlatformStandIn(settings);
+            return announceStart(platform, () => ({
+                port: platform.port(),
+                adminPort: platform.adminPort(),
+                networkPort: platform.networkPort(),
+            }));
+        },
+    }],
 });
--- /dev/null
+++ b/src/standIns/announceStart/index.ts
@@ -0,0 +1,20 @@
+import type { Service } from "../../kernel/types/Service.js";
+
+/**
+ * Makes a service print one JSON line with its ports once it has started, for whoever waits for it.
+ *
+ * @param service The service.
+ * @param readPorts Reads the ports that it listens on.
+ * @returns The service.
+ *
+ * @example
+ * announceStart(endpoint, () => ({ port: endpoint.port(), adminPort: endpoint.adminPort() }));
+ */
+export function announceStart(service: Service, readPorts: () => Readonly<Record<string, number>>): Service {
+    async function start(): Promise<void> {
+        await service.start?.();
+        process.stdout.write(`${JSON.stringify({ listening: true, ...readPorts() })}\n`);
+    }
+
+    return { start, stop: async () => service.stop?.() };
+}
--- a/src/standIns/endpoint/endpointStandInSchema/index.ts
+++ b/src/standIns/endpoint/endpointStandInSchema/index.ts
@@ -5,7 +5,7 @@
  * Settings of an endpoint stand-in as they stand in a file, with defaults.
  *
  * @example
- * const settings = await readStandInSettings(path, endpointStandInSchema);
+ * const settings = readSettings("stock-1.jsonc", endpointStandInSchema);
  */
 export const endpointStandInSchema = z.strictObject({
     name: z.string().min(1),
--- a/src/standIns/platform/platformStandInSchema/index.ts
+++ b/src/standIns/platform/platformStandInSchema/index.ts
@@ -7,9 +7,10 @@
  * Settings of the platform stand-in as they stand in a file, with defaults.
  *
  * @example
- * const settings = await readStandInSettings(path, platformStandInSchema);
+ * const settings = readSettings("platform.jsonc", platformStandInSchema);
  */
 export const platformStandInSchema = z.strictObject({
+    name: z.string().min(1).default("platform"),
     listen: listenSchema,
     admin: listenSchema,
     network: listenSchema,
