--- a/src/gateway/listDataServices/index.ts
+++ b/src/gateway/listDataServices/index.ts
@@ -11,6 +11,8 @@
 import type { DisseminationService } from "../../dissemination/types/DisseminationService.js";
 import type { EndpointDriver } from "../../endpoints/types/EndpointDriver.js";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import { createSuspicionReports } from "../../failover/createSuspicionReports/index.js";
+import type { FailoverService } from "../../failover/types/FailoverService.js";
 import { createPositionReader } from "../../freshness/createPositionReader/index.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
@@ -23,26 +25,6 @@
 import type { TopologyService } from "../../topology/types/TopologyService.js";
 import { createTransactions } from "../../transactions/createTransactions/index.js";
 
-const requestServiceNames = [
-    ServiceName.Clock,
-    ServiceName.Configuration,
-    ServiceName.Topology,
-    ServiceName.Admission,
-    ServiceName.EndpointConnections,
-    ServiceName.Confirmation,
-    ServiceName.RetryBudget,
-] as const;
-
-type RequestServiceArguments = [
-    Clock,
-    ConfigurationService,
-    TopologyService,
-    Admission,
-    EndpointConnections,
-    Confirmation,
-    RetryBudget,
-];
-
 /**
  * Lists a gateway's services of the data path: connections, admission, confirmation, requests, transactions.
  *
@@ -110,10 +92,73 @@
                 driver: EndpointDriver,
             ) => createConfirmation({ clock, random, configuration, topology, membership, driver }),
         },
+        {
+            name: ServiceName.RequestServices,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Configuration,
+                ServiceName.Topology,
+                ServiceName.Admission,
+                ServiceName.EndpointConnections,
+                ServiceName.Confirmation,
+                ServiceName.RetryBudget,
+            ],
+            create: (
+                clock: Clock,
+                configuration: ConfigurationService,
+                topology: TopologyService,
+                admission: Admission,
+                connections: EndpointConnections,
+                confirmation: Confirmation,
+                retryBudget: RetryBudget,
+            ): RequestServices => ({
+                clock,
+                configuration,
+                topology,
+                admission,
+                connections,
+                confirmation,
+                retryBudget,
+                holdsPrimaryReads: true,
+            }),
+        },
         {
             name: ServiceName.EndpointRequests,
-            dependencies: [...requestServiceNames, ServiceName.Logger],
-            create: (...[logger, services]: never[]) => createEndpointRequests({ ...(services as object), logger } as never),
+            dependencies: [ServiceName.RequestServices, ServiceName.Logger],
+            create: (services: RequestServices, logger: Logger) => createEndpointRequests({ ...services, logger }),
+        },
+        {
+            name: ServiceName.Transactions,
+            dependencies: [ServiceName.RequestServices, ServiceName.Events],
+            create: (services: RequestServices, events: EventRecorder) => createTransactions({ ...services, events }),
+        },
+        {
+            name: ServiceName.PositionReader,
+            dependencies: [ServiceName.RequestServices],
+            create: (services: RequestServices) => createPositionReader(services),
+        },
+        {
+            name: ServiceName.LeavingWatch,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Configuration,
+                ServiceName.Confirmation,
+                ServiceName.Dissemination,
+                ServiceName.Events,
+            ],
+            create: (
+                clock: Clock,
+                configuration: ConfigurationService,
+                confirmation: Confirmation,
+                dissemination: DisseminationService,
+                events: EventRecorder,
+            ) => createLeavingWatch({ clock, configuration, confirmation, dissemination, events }),
+        },
+        {
+            name: ServiceName.SuspicionReports,
+            dependencies: [ServiceName.EndpointConnections, ServiceName.Topology, ServiceName.Failover],
+            create: (connections: EndpointConnections, topology: TopologyService, failover: FailoverService) =>
+                createSuspicionReports(connections, topology, failover),
         },
     ];
 }
--- /dev/null
+++ b/src/gateway/listServerServices/index.ts
@@ -0,0 +1,86 @@
+import { createRetirement } from "../createRetirement/index.js";
+import { createConfigurationRouter } from "../../configuration/createConfigurationRouter/index.js";
+import type { GatewayConfiguration } from "../../configuration/types/GatewayConfiguration.js";
+import { createDisseminationRouter } from "../../dissemination/createDisseminationRouter/index.js";
+import type { DisseminationService } from "../../dissemination/types/DisseminationService.js";
+import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import { createFailoverRouter } from "../../failover/createFailoverRouter/index.js";
+import type { FailoverService } from "../../failover/types/FailoverService.js";
+import { createFreshnessRouter } from "../../freshness/createFreshnessRouter/index.js";
+import type { PositionReader } from "../../freshness/types/PositionReader.js";
+import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
+import { ServiceName } from "../../kernel/types/ServiceName.js";
+import type { Logger } from "../../logging/types/Logger.js";
+import { createRequestsRouter } from "../../requests/createRequestsRouter/index.js";
+import type { EndpointRequests } from "../../requests/types/EndpointRequests.js";
+import type { GatewaySettings } from "../../settings/types/GatewaySettings.js";
+import { createViewRouter } from "../../topology/createViewRouter/index.js";
+import type { GatewayTopology } from "../../topology/types/GatewayTopology.js";
+import { createTransactionsRouter } from "../../transactions/createTransactionsRouter/index.js";
+import type { Transactions } from "../../transactions/types/Transactions.js";
+import { createTransportServer } from "../../transport/createTransportServer/index.js";
+import { trpc } from "../../transport/trpc/index.js";
+
+/**
+ * Lists the service by which a gateway answers other processes.
+ *
+ * @param settings Settings of the gateway.
+ * @returns Its definition, for a kernel.
+ *
+ * @example
+ * const definitions = listServerServices(settings);
+ */
+export function listServerServices(settings: GatewaySettings): ServiceDefinition[] {
+    return [
+        {
+            name: ServiceName.TransportServer,
+            dependencies: [
+                ServiceName.EndpointRequests,
+                ServiceName.Transactions,
+                ServiceName.PositionReader,
+                ServiceName.Topology,
+                ServiceName.Dissemination,
+                ServiceName.Configuration,
+                ServiceName.Failover,
+                ServiceName.Events,
+                ServiceName.Logger,
+            ],
+            create: (
+                requests: EndpointRequests,
+                transactions: Transactions,
+                positionReader: PositionReader,
+                topology: GatewayTopology,
+                dissemination: DisseminationService,
+                configuration: GatewayConfiguration,
+                failover: FailoverService,
+                events: EventRecorder,
+                logger: Logger,
+            ) =>
+                createTransportServer({
+                    ...settings.listen,
+                    peerSecret: settings.peerSecret,
+                    events,
+                    logger,
+                    router: trpc.mergeRouters(
+                        createRequestsRouter(requests),
+                        createTransactionsRouter(transactions),
+                        createFreshnessRouter(positionReader),
+                        createViewRouter(topology),
+                        createDisseminationRouter(dissemination),
+                        createConfigurationRouter(configuration),
+                        createFailoverRouter(failover),
+                    ),
+                }),
+        },
+        {
+            name: ServiceName.Retirement,
+            dependencies: [
+                ServiceName.Membership,
+                ServiceName.EndpointRequests,
+                ServiceName.Transactions,
+                ServiceName.TransportServer,
+            ],
+            create: createRetirement,
+        },
+    ];
+}
