--- /dev/null
+++ b/src/testing/createMemoryPlatform/index.ts
@@ -0,0 +1,84 @@
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { PlatformClient } from "../../platform/types/PlatformClient.js";
+import type { StoredObject } from "../../platform/types/StoredObject.js";
+
+/** A platform in memory whose failures a test commands. */
+interface MemoryPlatform extends PlatformClient {
+    setDown(isDown: boolean): void;
+    /** The next write takes effect and its answer is replaced by this failure. */
+    failNext(kind: ErrorKind): void;
+    writes(): number;
+    conflicts(): number;
+}
+
+/**
+ * Creates a platform for tests: objects with versions and conditional updates, in memory.
+ *
+ * @returns The platform, empty.
+ *
+ * @example
+ * const platform = createMemoryPlatform();
+ * platform.setDown(true);
+ */
+export function createMemoryPlatform(): MemoryPlatform {
+    const objects = new Map<string, StoredObject>();
+    let isDown = false;
+    let nextFailure: ErrorKind | undefined;
+    let writes = 0;
+    let conflicts = 0;
+
+    function fail(kind: ErrorKind): never {
+        throw createError(kind, `The platform answered ${kind}.`, { remedy: "Retry." });
+    }
+
+    async function answer(): Promise<void> {
+        await new Promise(resolve => setImmediate(resolve));
+        if (isDown) {
+            fail(ErrorKind.PlatformUnavailable);
+        }
+    }
+
+    async function write(key: string, value: unknown, expectedVersion: number): Promise<StoredObject> {
+        await answer();
+        if ((objects.get(key)?.version ?? 0) !== expectedVersion) {
+            conflicts += 1;
+            fail(ErrorKind.Conflict);
+        }
+        writes += 1;
+        const stored = { key, version: expectedVersion + 1, value: structuredClone(value) };
+        objects.set(key, stored);
+        const failure = nextFailure;
+        nextFailure = undefined;
+        return failure === undefined ? stored : fail(failure);
+    }
+
+    async function readObject(key: string): Promise<StoredObject | undefined> {
+        await answer();
+        return objects.get(key);
+    }
+
+    async function listObjects(prefix: string): Promise<StoredObject[]> {
+        await answer();
+        return [...objects.values()].filter(({ key }) => key.startsWith(prefix));
+    }
+
+    return {
+        readObject,
+        listObjects,
+        createObject: (key, value) => write(key, value, 0),
+        updateObject: write,
+        watchObjects: async function*() {
+            await answer();
+        },
+        listVms: async () => [],
+        setDown: down => {
+            isDown = down;
+        },
+        failNext: kind => {
+            nextFailure = kind;
+        },
+        writes: () => writes,
+        conflicts: () => conflicts,
+    };
+}
