Coordinate failover: probe, judge, fence, promote, confirm a marker, publish (not yet tested)

Cause: a group needs a new primary within a second, without the store in the way. Conclusion: one task a group that looks, decides, acts; decisions are pure functions.

--- /dev/null
+++ b/src/failover/changePrimary/index.ts
@@ -0,0 +1,72 @@
+import { EventKind } from "../../events/types/EventKind.js";
+import type { GroupRecord } from "../../topology/types/GroupRecord.js";
+import { choosePromotionCandidate } from "../choosePromotionCandidate/index.js";
+import { confirmTerm } from "../confirmTerm/index.js";
+import { failoverConstants } from "../constants.js";
+import { fenceEndpoints } from "../fenceEndpoints/index.js";
+import { readRefusedTerm } from "../readRefusedTerm/index.js";
+import type { CoordinatedGroup } from "../types/CoordinatedGroup.js";
+
+/** Options of `changePrimary`. */
+interface ChangePrimaryOptions {
+    readonly reason: string;
+    /** Endpoints to promote only if there is no majority without them. */
+    readonly avoided: ReadonlySet<string>;
+    /** Promoted when it holds as much as any other. */
+    readonly preferred?: string;
+    /** An endpoint that must hold the marker before the term counts as confirmed. */
+    readonly requiredHolder?: string;
+}
+
+/**
+ * Gives a group a primary of a new term: fences a majority, promotes the most advanced, confirms its marker.
+ *
+ * No term ever has two primaries: a term with which an endpoint was asked to be promoted is not used again.
+ *
+ * @param group The group.
+ * @param options Why, and which endpoints to avoid or prefer.
+ * @returns The record of the new term, not yet published; undefined when it could not be brought about.
+ *
+ * @example
+ * const record = await changePrimary(group, { reason: "it refuses connections", avoided: new Set(["stock-1"]) });
+ */
+export async function changePrimary(
+    group: CoordinatedGroup,
+    options: ChangePrimaryOptions,
+): Promise<GroupRecord | undefined> {
+    const { database, dependencies: { events, logger } } = group;
+    const term = group.takeTerm();
+    if (term === undefined) {
+        group.reportWaiting(`No term is reserved for ${database}: bring the platform's store back.`);
+        return undefined;
+    }
+    const recordEvent = (kind: EventKind, text: string, endpoint?: string): void =>
+        events.record({ kind, database, term, endpoint, text });
+    recordEvent(EventKind.FailoverStarted, `Changing the primary of ${database}: ${options.reason}.`);
+    const { answers, higherTerm } = await fenceEndpoints(group, term, options.avoided);
+    if (higherTerm !== undefined) {
+        group.standBack(higherTerm);
+        group.reportWaiting(`Another coordinator uses term ${higherTerm} of ${database}, above ${term}.`);
+        return undefined;
+    }
+    const holdings = answers.map(answer => `${answer.endpoint} at ${answer.lastEntryTerm}/${answer.position}`);
+    recordEvent(EventKind.Fenced, `Fenced ${holdings.join(", ")}.`);
+    const candidate = choosePromotionCandidate(answers, { ...options, majority: group.majority });
+    const primary = candidate === undefined ? undefined : group.probes.get(candidate.endpoint);
+    if (candidate === undefined || primary === undefined) {
+        group.returnTerm(term);
+        group.reportWaiting(`Only ${answers.length} of ${group.probes.size} endpoints of ${database} can be fenced.`);
+        return undefined;
+    }
+    try {
+        await primary.use(connection => connection.promote(term, failoverConstants.callTimeoutMilliseconds));
+        recordEvent(EventKind.Promoted, `Promoted ${candidate.endpoint}.`, candidate.endpoint);
+        return await confirmTerm(group, { term, primary: candidate.endpoint, requiredHolder: options.requiredHolder });
+    }
+    catch (error) {
+        group.standBack(readRefusedTerm(error) ?? 0);
+        group.reportWaiting(`${candidate.endpoint} could not become primary of term ${term}: ${String(error)}`);
+        logger.topic("failover")("promotion failed", { database, term, error: String(error) });
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/failover/confirmMarker/index.ts
@@ -0,0 +1,59 @@
+import { EndpointRole } from "../../endpoints/types/EndpointRole.js";
+import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
+import { failoverConstants } from "../constants.js";
+import { isConfirmed } from "../isConfirmed/index.js";
+import type { CoordinatedGroup } from "../types/CoordinatedGroup.js";
+import type { EndpointProbe } from "../types/EndpointProbe.js";
+
+/** A marker entry and the primary that wrote it. */
+interface Marker {
+    readonly term: number;
+    readonly position: number;
+    readonly primary: string;
+    /** An endpoint that must be among those which hold it. */
+    readonly requiredHolder?: string;
+}
+
+/**
+ * Waits until a marker is held by a majority that serves its term.
+ *
+ * @param group The group.
+ * @param marker The marker, its primary and optionally an endpoint that must hold it.
+ * @returns True when it is confirmed; false at the time limit, or when no endpoint can be watched any more.
+ *
+ * @example
+ * const isSafe = await confirmMarker(group, { term: 5, position: 121, primary: "stock-2" });
+ */
+export async function confirmMarker(group: CoordinatedGroup, marker: Marker): Promise<boolean> {
+    const done = new AbortController();
+    const primaryStatus = { role: EndpointRole.Primary, term: marker.term, position: marker.position };
+    const statuses = new Map<string, Pick<EndpointStatus, "role" | "term" | "position">>();
+    statuses.set(marker.primary, primaryStatus);
+    let isHeld = false;
+
+    function learn(status: EndpointStatus): void {
+        statuses.set(status.endpoint, status);
+        const { requiredHolder } = marker;
+        const required = requiredHolder === undefined ? primaryStatus : statuses.get(requiredHolder);
+        const hasRequired = required !== undefined && isConfirmed([required], marker, 1);
+        if (hasRequired && isConfirmed([...statuses.values()], marker, group.majority)) {
+            isHeld = true;
+            done.abort();
+        }
+    }
+
+    async function watch(probe: EndpointProbe): Promise<void> {
+        await probe.use(async connection => {
+            for await (const status of connection.watchStatus(done.signal)) {
+                learn(status);
+            }
+        }).catch(() => {});
+    }
+
+    const others = [...group.probes.values()].filter(probe => probe.definition.name !== marker.primary);
+    const watches = Promise.all(others.map(watch));
+    const timeLimit = group.dependencies.clock.sleep(failoverConstants.confirmationTimeoutMilliseconds, done.signal);
+    await Promise.race([watches, timeLimit]);
+    done.abort();
+    return isHeld || group.majority === 1;
+}
--- /dev/null
+++ b/src/failover/createFailoverRouter/index.ts
@@ -0,0 +1,39 @@
+import { z } from "zod";
+import { trpc } from "../../transport/trpc/index.js";
+import type { FailoverService } from "../types/FailoverService.js";
+import { SuspicionReason } from "../types/SuspicionReason.js";
+
+const name = z.string().min(1).max(256);
+const suspicionSchema = z.object({
+    database: name,
+    endpoint: name,
+    term: z.number().int().nonnegative(),
+    reason: z.enum(SuspicionReason),
+    /** Whether a gateway passed it on, so that it is not passed on again. */
+    isForwarded: z.boolean().optional(),
+});
+
+/**
+ * Creates the router by which entries report suspicions and gateways probe for each other, under `failover`.
+ *
+ * @param service The failover service.
+ * @returns The router.
+ *
+ * @example
+ * const router = trpc.mergeRouters(createFailoverRouter(failover), createDisseminationRouter(dissemination));
+ */
+export function createFailoverRouter(
+    service: Pick<FailoverService, "reportSuspicion" | "takeReport" | "probeEndpoint" | "handOver" | "state">,
+) {
+    const report = trpc.procedure.input(suspicionSchema).mutation(({ input: { isForwarded, ...suspicion } }) =>
+        isForwarded === true ? service.takeReport(suspicion) : service.reportSuspicion(suspicion)
+    );
+    const probeEndpoint = trpc.procedure.input(z.object({ endpoint: name })).query(({ input }) =>
+        service.probeEndpoint(input.endpoint)
+    );
+    const handOver = trpc.procedure.input(z.object({ database: name })).mutation(({ input }) =>
+        service.handOver(input.database)
+    );
+    const state = trpc.procedure.query(() => service.state());
+    return trpc.router({ failover: trpc.router({ report, probeEndpoint, handOver, state }) });
+}
--- /dev/null
+++ b/src/failover/createGroupCoordinator/index.ts
@@ -0,0 +1,131 @@
+import type { DatabaseDefinition } from "../../configuration/types/DatabaseDefinition.js";
+import { RecordKind } from "../../dissemination/types/RecordKind.js";
+import { failoverConstants } from "../constants.js";
+import { createCoordinatedGroup } from "../createCoordinatedGroup/index.js";
+import { createEndpointProbe } from "../createEndpointProbe/index.js";
+import { createGroupHandlers } from "../createGroupHandlers/index.js";
+import { decideGroupAction } from "../decideGroupAction/index.js";
+import type { EndpointProbe } from "../types/EndpointProbe.js";
+import type { FailoverDependencies } from "../types/FailoverDependencies.js";
+import type { GroupAction } from "../types/GroupAction.js";
+import { GroupActionKind } from "../types/GroupActionKind.js";
+import type { GroupState } from "../types/GroupState.js";
+import type { GroupView } from "../types/GroupView.js";
+
+/** The running coordinator of one group. */
+interface GroupCoordinator {
+    /** Probes all endpoints at once. */
+    checkNow(): void;
+    state(): GroupState;
+    stop(): Promise<void>;
+}
+
+/**
+ * Creates the coordinator of one group and starts its task: look, decide, act, wait for a change.
+ *
+ * @param database Name of the database.
+ * @param definition Its endpoints.
+ * @param dependencies Services that it uses.
+ * @returns The coordinator, running.
+ *
+ * @example
+ * const coordinator = createGroupCoordinator("stock", definition, dependencies);
+ */
+export function createGroupCoordinator(
+    database: string,
+    definition: DatabaseDefinition,
+    dependencies: FailoverDependencies,
+): GroupCoordinator {
+    const { clock, dissemination, terms } = dependencies;
+    const startedAt = clock.now();
+    let strandedSince: number | undefined;
+    let isStopped = false;
+    let hasChanged = true;
+    let pause = new AbortController();
+
+    function wake(): void {
+        hasChanged = true;
+        pause.abort();
+    }
+
+    const probes = new Map<string, EndpointProbe>();
+    for (const [name, endpoint] of Object.entries(definition.endpoints)) {
+        probes.set(name, createEndpointProbe({ ...endpoint, name }, dependencies, { onChange: wake }));
+    }
+    const group = createCoordinatedGroup(database, probes, dependencies);
+    const handlers = createGroupHandlers(group, { leaving });
+    const observations = () => [...probes.values()].map(probe => probe.observation());
+
+    function leaving(): ReadonlySet<string> {
+        const isLeaving = (probe: EndpointProbe): boolean =>
+            probe.observation().status?.isLeaving === true
+            || dissemination.get(RecordKind.EndpointLeaving, probe.definition.name)?.value === true;
+        return new Set([...probes.values()].filter(isLeaving).map(probe => probe.definition.name));
+    }
+
+    function look(): GroupView {
+        const record = group.record();
+        const recordedTerm = record?.term ?? Infinity;
+        const isStranded = observations().some(({ status }) => (status?.fencedTerm ?? 0) > recordedTerm);
+        strandedSince = isStranded ? strandedSince ?? clock.now() : undefined;
+        for (const [name, probe] of probes) {
+            probe.setInterval(
+                name === record?.primary
+                    ? failoverConstants.primaryProbeIntervalMilliseconds
+                    : failoverConstants.replicaProbeIntervalMilliseconds,
+            );
+        }
+        return {
+            record,
+            observations: observations(),
+            initialPrimary: definition.initialPrimary,
+            leaving: leaving(),
+            watchedForMilliseconds: clock.now() - startedAt,
+            strandedForMilliseconds: strandedSince === undefined ? 0 : clock.now() - strandedSince,
+        };
+    }
+
+    async function act(action: GroupAction): Promise<void> {
+        if (!group.isStandingBack() || action.kind === GroupActionKind.Adopt) {
+            await handlers[action.kind](action as never);
+        }
+    }
+
+    async function run(): Promise<void> {
+        while (!isStopped) {
+            if (hasChanged) {
+                hasChanged = false;
+                pause = new AbortController();
+            }
+            await act(decideGroupAction(look()));
+            if (!hasChanged && !isStopped) {
+                await clock.sleep(failoverConstants.groupTickMilliseconds, pause.signal);
+            }
+        }
+    }
+
+    function checkNow(): void {
+        for (const probe of probes.values()) {
+            void probe.refresh();
+        }
+    }
+
+    async function stop(): Promise<void> {
+        isStopped = true;
+        pause.abort();
+        await task;
+        await Promise.all([...probes.values()].map(probe => probe.stop()));
+    }
+
+    const task = run();
+    return {
+        checkNow,
+        state: () => ({
+            database,
+            observations: observations(),
+            reservedTerms: terms.count(database, group.highestTerm()),
+            activity: group.activity(),
+        }),
+        stop,
+    };
+}
--- /dev/null
+++ b/src/failover/keepTermsReserved/index.ts
@@ -0,0 +1,70 @@
+import { z } from "zod";
+import type { PeerRecord } from "../../membership/types/PeerRecord.js";
+import { failoverConstants } from "../constants.js";
+import type { FailoverDependencies } from "../types/FailoverDependencies.js";
+import type { FailoverRouter } from "../types/FailoverRouter.js";
+
+const termsSchema = z.array(z.number().int().positive()).max(1_000);
+
+/** Options of `keepTermsReserved`. */
+interface KeepTermsReservedOptions {
+    /** Highest known term; the reserved ones must be above it. */
+    readonly highestTerm: () => number;
+    /** Gateways that may hold terms from having been coordinators before. */
+    readonly formerCoordinators: () => readonly PeerRecord[];
+    readonly signal: AbortSignal;
+}
+
+/**
+ * Keeps terms of a database reserved ahead until the signal is aborted.
+ *
+ * The first reservation waits for a random time that grows with the fleet, so that a restart of all gateways does not
+ * become a burst of store writes. While the store can't be reached, former coordinators are asked to hand over theirs.
+ *
+ * @param database Name of the database.
+ * @param dependencies Services that it uses.
+ * @param options Highest known term, former coordinators and the signal.
+ *
+ * @example
+ * void keepTermsReserved("stock", dependencies, { highestTerm, formerCoordinators, signal });
+ */
+export async function keepTermsReserved(
+    database: string,
+    dependencies: FailoverDependencies,
+    options: KeepTermsReservedOptions,
+): Promise<void> {
+    const { terms, clock, random, membership, peers, logger } = dependencies;
+    const { highestTerm, signal } = options;
+    const log = logger.topic("failover");
+    let delay: number = failoverConstants.reservationRetryMilliseconds;
+
+    async function askFormerCoordinators(): Promise<void> {
+        for (const peer of options.formerCoordinators()) {
+            const callSignal = AbortSignal.timeout(failoverConstants.peerCallTimeoutMilliseconds);
+            const client = peers.clientOf<FailoverRouter>(peer).failover;
+            const answer = await client.handOver.mutate({ database }, { signal: callSignal }).catch(() => []);
+            const handedOver = termsSchema.safeParse(answer);
+            terms.accept(database, handedOver.success ? handedOver.data : []);
+            if (terms.count(database, highestTerm()) > 0) {
+                return;
+            }
+        }
+    }
+
+    const spread = membership.peers().length * failoverConstants.reservationSpreadMillisecondsPerGateway;
+    await clock.sleep(random.next() * spread, signal);
+    while (!signal.aborted) {
+        try {
+            await terms.reserve(database, highestTerm());
+            delay = failoverConstants.reservationRetryMilliseconds;
+        }
+        catch (error) {
+            log("no terms reserved", { database, error: String(error) });
+            if (terms.count(database, highestTerm()) === 0) {
+                await askFormerCoordinators();
+            }
+            delay = Math.min(delay * 2, failoverConstants.longestReservationRetryMilliseconds);
+        }
+        await clock.sleep(delay * (0.5 + random.next()), signal);
+    }
+}
--- /dev/null
+++ b/src/failover/types/SuspicionReason.ts
@@ -0,0 +1,7 @@
+/** Why an endpoint is suspected. */
+export enum SuspicionReason {
+    ConnectionLost = "ConnectionLost",
+    /** Writes are accepted and not confirmed by any replica. */
+    NoProgress = "NoProgress",
+    Silent = "Silent",
+}
