Take a status older than the current term as no evidence; try the failover service on stand-ins

Cause: after a failover the last status of the new primary was read before its promotion and triggered a second failover. One time limit for a fresh probe shortens the detection of a freeze.

--- a/src/failover/changePrimary/index.ts
+++ b/src/failover/changePrimary/index.ts
@@ -37,7 +37,7 @@
     const { database, dependencies: { events, logger } } = group;
     const term = group.takeTerm();
     if (term === undefined) {
-        group.reportWaiting(`No term is reserved for ${database}: bring the platform's store back.`);
+        group.reportWaiting(`No term is reserved for ${database} yet; that needs the platform's store.`);
         return undefined;
     }
     const recordEvent = (kind: EventKind, text: string, endpoint?: string): void =>
--- a/src/failover/constants.ts
+++ b/src/failover/constants.ts
@@ -2,7 +2,9 @@
 export const failoverConstants = {
     primaryProbeIntervalMilliseconds: 100,
     replicaProbeIntervalMilliseconds: 500,
-    statusTimeoutMilliseconds: 250,
+    statusTimeoutMilliseconds: 200,
+    /** Time limit of a fresh connection together with the first status over it. */
+    freshProbeTimeoutMilliseconds: 300,
     connectTimeoutMilliseconds: 300,
     firstReconnectDelayMilliseconds: 50,
     longestReconnectDelayMilliseconds: 500,
--- a/src/failover/createEndpointProbe/index.ts
+++ b/src/failover/createEndpointProbe/index.ts
@@ -75,7 +75,8 @@
         return driver.connect(definition.name, definition, failoverConstants.connectTimeoutMilliseconds);
     }
 
-    async function pollUntilLost(connection: EndpointConnection): Promise<void> {
+    async function pollUntilLost(connection: EndpointConnection, firstTimeoutMilliseconds: number): Promise<void> {
+        let timeoutMilliseconds = firstTimeoutMilliseconds;
         let isOver = false;
         void connection.closed.then(() => {
             isOver = true;
@@ -83,15 +84,17 @@
         });
         while (!isStopped && !isOver) {
             round += 1;
-            const status = await connection.readStatus(failoverConstants.statusTimeoutMilliseconds);
+            const status = await connection.readStatus(timeoutMilliseconds);
+            timeoutMilliseconds = failoverConstants.statusTimeoutMilliseconds;
             observe(ProbeVerdict.Alive, status);
             await rest(interval);
         }
     }
 
     async function openAndPoll(): Promise<void> {
+        const deadline = clock.now() + failoverConstants.freshProbeTimeoutMilliseconds;
         current = await open();
-        await pollUntilLost(current);
+        await pollUntilLost(current, Math.max(1, deadline - clock.now()));
     }
 
     async function run(): Promise<void> {
--- a/src/failover/createFailoverService/index.ts
+++ b/src/failover/createFailoverService/index.ts
@@ -66,6 +66,7 @@
             void keepTermsReserved(database, dependencies, {
                 highestTerm: () => recordedTerm(database),
                 formerCoordinators: () => index.formerCoordinatorsOf(database),
+                onReserved: () => coordinators.get(database)?.coordinator.checkNow(),
                 signal: abort.signal,
             });
         }
--- a/src/failover/createGroupCoordinator/index.ts
+++ b/src/failover/createGroupCoordinator/index.ts
@@ -5,12 +5,14 @@
 import { createEndpointProbe } from "../createEndpointProbe/index.js";
 import { createGroupHandlers } from "../createGroupHandlers/index.js";
 import { decideGroupAction } from "../decideGroupAction/index.js";
+import type { EndpointObservation } from "../types/EndpointObservation.js";
 import type { EndpointProbe } from "../types/EndpointProbe.js";
 import type { FailoverDependencies } from "../types/FailoverDependencies.js";
 import type { GroupAction } from "../types/GroupAction.js";
 import { GroupActionKind } from "../types/GroupActionKind.js";
 import type { GroupState } from "../types/GroupState.js";
 import type { GroupView } from "../types/GroupView.js";
+import { ProbeVerdict } from "../types/ProbeVerdict.js";
 
 /** The running coordinator of one group. */
 interface GroupCoordinator {
@@ -39,6 +41,8 @@
     const { clock, dissemination, terms } = dependencies;
     const startedAt = clock.now();
     let strandedSince: number | undefined;
+    let lastTerm = 0;
+    let termLearnedAt = startedAt;
     let isStopped = false;
     let hasChanged = true;
     let pause = new AbortController();
@@ -56,6 +60,23 @@
     const handlers = createGroupHandlers(group, { leaving });
     const observations = () => [...probes.values()].map(probe => probe.observation());
 
+    /** A status read before the current term was learned says nothing about that term. */
+    function currentObservations(): EndpointObservation[] {
+        return observations().map(observation =>
+            observation.verdict === ProbeVerdict.Alive && observation.heardAt < termLearnedAt
+                ? { ...observation, verdict: ProbeVerdict.Unknown }
+                : observation
+        );
+    }
+
+    function noteTerm(term: number): void {
+        if (term !== lastTerm) {
+            lastTerm = term;
+            termLearnedAt = clock.now();
+            checkNow();
+        }
+    }
+
     function leaving(): ReadonlySet<string> {
         const isLeaving = (probe: EndpointProbe): boolean =>
             probe.observation().status?.isLeaving === true
@@ -65,8 +86,9 @@
 
     function look(): GroupView {
         const record = group.record();
+        noteTerm(record?.term ?? 0);
         const recordedTerm = record?.term ?? Infinity;
-        const isStranded = observations().some(({ status }) => (status?.fencedTerm ?? 0) > recordedTerm);
+        const isStranded = currentObservations().some(({ status }) => (status?.fencedTerm ?? 0) > recordedTerm);
         strandedSince = isStranded ? strandedSince ?? clock.now() : undefined;
         for (const [name, probe] of probes) {
             probe.setInterval(
@@ -77,7 +99,7 @@
         }
         return {
             record,
-            observations: observations(),
+            observations: currentObservations(),
             initialPrimary: definition.initialPrimary,
             leaving: leaving(),
             watchedForMilliseconds: clock.now() - startedAt,
--- a/src/failover/createGroupHandlers/index.ts
+++ b/src/failover/createGroupHandlers/index.ts
@@ -5,6 +5,7 @@
 import { failoverConstants } from "../constants.js";
 import { tellToFollow } from "../tellToFollow/index.js";
 import type { CoordinatedGroup } from "../types/CoordinatedGroup.js";
+import type { EndpointProbe } from "../types/EndpointProbe.js";
 import type { GroupAction } from "../types/GroupAction.js";
 import { GroupActionKind } from "../types/GroupActionKind.js";
 import { PrimaryJudgement } from "../types/PrimaryJudgement.js";
@@ -57,13 +58,21 @@
         return false;
     }
 
+    /** Among equally advanced endpoints one in the region of the last primary is preferred, near the same callers. */
+    function findNeighbour(): string | undefined {
+        const primary = group.probes.get(group.record()?.primary ?? "")?.definition;
+        const isNeighbour = ({ definition }: EndpointProbe): boolean =>
+            definition.region === primary?.region && definition.name !== primary.name;
+        return [...group.probes.values()].find(isNeighbour)?.definition.name;
+    }
+
     async function promoteAvoiding(suspects: readonly string[], reason: string, preferred?: string): Promise<void> {
         if (!hasMajorityInReach()) {
             return;
         }
         const startedAt = clock.now();
         const avoided = new Set([...options.leaving(), ...suspects]);
-        const record = await changePrimary(group, { reason, avoided, preferred });
+        const record = await changePrimary(group, { reason, avoided, preferred: preferred ?? findNeighbour() });
         if (record === undefined) {
             return;
         }
--- a/src/failover/keepTermsReserved/index.ts
+++ b/src/failover/keepTermsReserved/index.ts
@@ -12,6 +12,8 @@
     readonly highestTerm: () => number;
     /** Gateways that may hold terms from having been coordinators before. */
     readonly formerCoordinators: () => readonly PeerRecord[];
+    /** Called after each successful reservation. */
+    readonly onReserved: () => void;
     readonly signal: AbortSignal;
 }
 
@@ -26,7 +28,7 @@
  * @param options Highest known term, former coordinators and the signal.
  *
  * @example
- * void keepTermsReserved("stock", dependencies, { highestTerm, formerCoordinators, signal });
+ * void keepTermsReserved("stock", dependencies, options);
  */
 export async function keepTermsReserved(
     database: string,
@@ -55,7 +57,11 @@
     await clock.sleep(random.next() * spread, signal);
     while (!signal.aborted) {
         try {
+            const countBefore = terms.count(database, highestTerm());
             await terms.reserve(database, highestTerm());
+            if (terms.count(database, highestTerm()) > countBefore) {
+                options.onReserved();
+            }
             delay = failoverConstants.reservationRetryMilliseconds;
         }
         catch (error) {
--- a/src/failover/probeOnce/index.ts
+++ b/src/failover/probeOnce/index.ts
@@ -16,6 +16,7 @@
  * const { verdict } = await probeOnce(driver, endpoint);
  */
 export async function probeOnce(driver: EndpointDriver, endpoint: EndpointDefinition): Promise<ProbeAnswer> {
+    const deadline = performance.now() + failoverConstants.freshProbeTimeoutMilliseconds;
     try {
         const connection = await driver.connect(
             endpoint.name,
@@ -23,7 +24,7 @@
             failoverConstants.connectTimeoutMilliseconds,
         );
         try {
-            const status = await connection.readStatus(failoverConstants.statusTimeoutMilliseconds);
+            const status = await connection.readStatus(Math.max(1, deadline - performance.now()));
             return { verdict: ProbeVerdict.Alive, status };
         }
         finally {
--- /dev/null
+++ b/src/testing/createFailoverFleet/index.ts
@@ -0,0 +1,174 @@
+import type { AnyTRPCRouter } from "@trpc/server";
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
+import type { DatabaseDefinition } from "../../configuration/types/DatabaseDefinition.js";
+import type { VersionedConfiguration } from "../../configuration/types/VersionedConfiguration.js";
+import { createDisseminationRouter } from "../../dissemination/createDisseminationRouter/index.js";
+import { createDisseminationService } from "../../dissemination/createDisseminationService/index.js";
+import { RecordKind } from "../../dissemination/types/RecordKind.js";
+import { createEndpointDriver } from "../../endpoints/createEndpointDriver/index.js";
+import { createEventRecorder } from "../../events/createEventRecorder/index.js";
+import type { EventKind } from "../../events/types/EventKind.js";
+import type { TimelineEvent } from "../../events/types/TimelineEvent.js";
+import { createFailoverRouter } from "../../failover/createFailoverRouter/index.js";
+import { createFailoverService } from "../../failover/createFailoverService/index.js";
+import { createLogger } from "../../logging/createLogger/index.js";
+import type { PeerRecord } from "../../membership/types/PeerRecord.js";
+import { PeerState } from "../../membership/types/PeerState.js";
+import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { startEndpointGroup } from "../../standIns/endpoint/startEndpointGroup/index.js";
+import { createTermReservation } from "../../terms/createTermReservation/index.js";
+import type { GroupRecord } from "../../topology/types/GroupRecord.js";
+import { trpc } from "../../transport/trpc/index.js";
+import { createCuttableDriver } from "../createCuttableDriver/index.js";
+import { createDirectPeers } from "../createDirectPeers/index.js";
+import { createFixedMembership } from "../createFixedMembership/index.js";
+import { createMemoryPlatform } from "../createMemoryPlatform/index.js";
+
+/** Options of `createFailoverFleet`. */
+interface FailoverFleetOptions {
+    /** Gateways in each of the three availability zones. */
+    readonly gatewaysPerZone: number;
+    readonly seed: number;
+    /** Whether a call between gateways arrives. */
+    readonly arrives?: (from: string, toPort: number) => boolean;
+}
+
+const clock = createSystemClock();
+const zones = ["zone-a", "zone-b", "zone-c"];
+
+/**
+ * Creates gateways with failover services and a group of endpoint stand-ins for tests, all in this process.
+ *
+ * The group is the database `stock`; its endpoints stock-1, stock-2 and stock-3 count as standing in zone-a, zone-b
+ * and zone-c of one region. Gateways call each other directly.
+ *
+ * @param options Number of gateways, seed and lost calls.
+ * @returns The fleet, not yet started.
+ *
+ * @example
+ * const fleet = await createFailoverFleet({ gatewaysPerZone: 2, seed: 1 });
+ * await fleet.start();
+ */
+export async function createFailoverFleet(options: FailoverFleetOptions) {
+    const group = await startEndpointGroup({ connectionLimit: 60 });
+    const platform = createMemoryPlatform();
+    const routers = new Map<number, AnyTRPCRouter>();
+    const timeline: TimelineEvent[] = [];
+    const definition: DatabaseDefinition = {
+        initialPrimary: "stock-1",
+        endpoints: Object.fromEntries(
+            Object.keys(group.endpoints).map((name, index) => [name, {
+                ...group.addressOf(name),
+                availabilityZone: zones[index] as string,
+                region: "north",
+                slots: 3,
+                connectionLimit: 60,
+            }]),
+        ),
+    };
+    const configuration = {
+        current: () =>
+            ({ version: 1, content: { databases: { stock: definition } } }) as unknown as VersionedConfiguration,
+        onChange: () => () => {},
+        start: async () => {},
+        stop: async () => {},
+    } satisfies ConfigurationService;
+    const records: PeerRecord[] = Array.from({ length: options.gatewaysPerZone * zones.length }, (_, index) => ({
+        name: `gateway-${index + 1}`,
+        host: "127.0.0.1",
+        port: index + 1,
+        availabilityZone: zones[index % zones.length] as string,
+        region: "north",
+        state: PeerState.Live,
+        incarnation: 0,
+    }));
+
+    function createGateway(self: PeerRecord) {
+        const events = createEventRecorder(self.name, clock);
+        events.onEvent(event => timeline.push(event));
+        const random = createRandomSource(options.seed * 1_000 + self.port);
+        const logger = createLogger(self.name, clock);
+        const membership = createFixedMembership(self, records);
+        const driver = createCuttableDriver(createEndpointDriver(createNeutralNetwork(self.availabilityZone)));
+        const peers = createDirectPeers({ peerName: self.name, peerZone: self.availabilityZone }, {
+            routers,
+            arrives: address => options.arrives?.(self.name, address.port) !== false,
+        });
+        const dissemination = createDisseminationService({ membership, peers, clock, random, logger });
+        const terms = createTermReservation({ platform, clock, random, events });
+        const failover = createFailoverService({
+            configuration,
+            membership,
+            dissemination,
+            terms,
+            driver,
+            peers,
+            clock,
+            random,
+            events,
+            logger,
+        });
+        routers.set(
+            self.port,
+            trpc.mergeRouters(createDisseminationRouter(dissemination), createFailoverRouter(failover)),
+        );
+        const start = async (): Promise<void> => {
+            await dissemination.start();
+            await failover.start();
+        };
+        const stop = async (): Promise<void> => {
+            routers.delete(self.port);
+            await failover.stop();
+            await dissemination.stop();
+        };
+        return { self, membership, driver, dissemination, terms, failover, start, stop };
+    }
+
+    const gateways = records.map(createGateway);
+
+    function record(): GroupRecord | undefined {
+        const known = gateways.map(gateway => gateway.dissemination.get(RecordKind.Group, "stock"));
+        const newest = known.sort((left, right) => (right?.stamp ?? 0) - (left?.stamp ?? 0))[0];
+        return newest?.value as GroupRecord | undefined;
+    }
+
+    /** Waits until a condition holds, looking after each event and each record. */
+    function waitUntil(condition: () => boolean): Promise<void> {
+        return new Promise(resolve => {
+            const look = (): void => {
+                if (condition()) {
+                    clearInterval(timer);
+                    resolve();
+                }
+            };
+            const timer = setInterval(look, 2);
+        });
+    }
+
+    async function waitForTermAbove(term: number): Promise<GroupRecord> {
+        await waitUntil(() => (record()?.term ?? 0) > term);
+        return record() as GroupRecord;
+    }
+
+    return {
+        group,
+        platform,
+        gateways,
+        timeline,
+        record,
+        waitUntil,
+        waitForTermAbove,
+        eventsOf: (kind: EventKind) => timeline.filter(event => event.kind === kind),
+        /** The gateways that coordinate at this moment. */
+        coordinators: () => gateways.filter(gateway => gateway.failover.state().length > 0),
+        start: async () => {
+            await Promise.all(gateways.map(gateway => gateway.start()));
+        },
+        stop: async () => {
+            await Promise.all(gateways.map(gateway => gateway.stop()));
+            await group.stop();
+        },
+    };
+}
--- /dev/null
+++ b/src/testing/runConfirmedWriter/index.ts
@@ -0,0 +1,94 @@
+import type { EndpointConnection } from "../../endpoints/types/EndpointConnection.js";
+import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
+import { isConfirmed } from "../../failover/isConfirmed/index.js";
+import type { GroupRecord } from "../../topology/types/GroupRecord.js";
+
+/** Options of `runConfirmedWriter`. */
+interface ConfirmedWriterOptions {
+    readonly record: () => GroupRecord | undefined;
+    readonly connect: (endpoint: string) => Promise<EndpointConnection>;
+    readonly endpoints: readonly string[];
+    readonly signal: AbortSignal;
+}
+
+/** What a writer saw. */
+interface WriterReport {
+    /** Values whose write was acknowledged, in order. */
+    readonly acknowledged: readonly number[];
+    /** Times between two acknowledgements in milliseconds. */
+    readonly gapsMilliseconds: readonly number[];
+}
+
+/**
+ * Writes to the list `log` of a group for tests, one value after the other, as an entry with its gateway would.
+ *
+ * A write counts as acknowledged once a majority of the recorded term holds it. A write that fails is not repeated.
+ *
+ * @param options The group's record, how to connect and when to end.
+ * @returns What was acknowledged, and the gaps.
+ *
+ * @example
+ * const report = await runConfirmedWriter({ record, connect, endpoints, signal });
+ */
+export async function runConfirmedWriter(options: ConfirmedWriterOptions): Promise<WriterReport> {
+    const { signal } = options;
+    const acknowledged: number[] = [];
+    const gapsMilliseconds: number[] = [];
+    const connections = new Map<string, Promise<EndpointConnection>>();
+    let acknowledgedAt = performance.now();
+
+    function connectionTo(endpoint: string): Promise<EndpointConnection> {
+        const opened = connections.get(endpoint) ?? options.connect(endpoint);
+        connections.set(endpoint, opened);
+        const forget = (): boolean => connections.delete(endpoint);
+        opened.then(connection => connection.closed).then(forget, forget);
+        return opened;
+    }
+
+    async function readStatuses(): Promise<EndpointStatus[]> {
+        const statuses = await Promise.allSettled(
+            options.endpoints.map(async endpoint => (await connectionTo(endpoint)).readStatus(100)),
+        );
+        return statuses.flatMap(status => status.status === "fulfilled" ? [status.value] : []);
+    }
+
+    async function write(value: number, record: GroupRecord): Promise<boolean> {
+        const primary = await connectionTo(record.primary);
+        const { position } = await primary.execute({
+            statement: { operation: "Append", list: "log", value },
+            isWrite: true,
+            term: record.term,
+            leastPosition: 0,
+            waitMilliseconds: 0,
+            timeoutMilliseconds: 200,
+        });
+        for (let attempt = 0; attempt < 20 && !signal.aborted; attempt += 1) {
+            if (isConfirmed(await readStatuses(), { term: record.term, position }, 2)) {
+                return true;
+            }
+            await pause(2);
+        }
+        return false;
+    }
+
+    for (let value = 1; !signal.aborted; value += 1) {
+        const record = options.record();
+        const isAcknowledged = record !== undefined && await write(value, record).catch(() => false);
+        if (isAcknowledged) {
+            acknowledged.push(value);
+            gapsMilliseconds.push(performance.now() - acknowledgedAt);
+            acknowledgedAt = performance.now();
+        }
+        await pause(2);
+    }
+    for (const connection of await Promise.allSettled(connections.values())) {
+        if (connection.status === "fulfilled") {
+            connection.value.close();
+        }
+    }
+    return { acknowledged, gapsMilliseconds };
+}
+
+function pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
