--- /dev/null
+++ b/src/binaries/operator/index.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runOperator } from "../../operator/runOperator/index.js";
+
+await runOperator();
--- /dev/null
+++ b/src/operator/operatorSettingsSchema/index.ts
@@ -0,0 +1,13 @@
+import { z } from "zod";
+import { processSettingsSchema } from "../../settings/processSettingsSchema/index.js";
+
+/**
+ * Schema of the operator's settings file.
+ *
+ * @example
+ * const settings = readSettings("operator.jsonc", operatorSettingsSchema);
+ */
+export const operatorSettingsSchema = z.strictObject({
+    gateways: z.array(processSettingsSchema.shape.platform.partial({ availabilityZone: true })).min(1),
+    peerSecret: processSettingsSchema.shape.peerSecret,
+});
--- /dev/null
+++ b/src/status/createEntryReporter/index.ts
@@ -0,0 +1,90 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { eventConstants } from "../../events/constants.js";
+import type { createEventsRouter } from "../../events/createEventsRouter/index.js";
+import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import type { Service } from "../../kernel/types/Service.js";
+import type { Logger } from "../../logging/types/Logger.js";
+import type { Address } from "../../network/types/Address.js";
+import type { Peers } from "../../transport/types/Peers.js";
+import { statusConstants } from "../constants.js";
+import type { createStatusRouter } from "../createStatusRouter/index.js";
+import type { StatusBoard } from "../types/StatusBoard.js";
+
+/** Options of `createEntryReporter`. */
+interface EntryReporterOptions {
+    readonly board: StatusBoard;
+    readonly events: EventRecorder;
+    /** The gateway on the same VM. */
+    readonly localGateway: Address;
+    /** Gateways to report to while the local one is away. */
+    readonly otherGateways: readonly Address[];
+    readonly peers: Peers;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Begins the graceful stop of this process. */
+    readonly requestStop: () => void;
+}
+
+/** Routers of a gateway that an entry reports to. */
+type ReportRouter = ReturnType<typeof createStatusRouter> & ReturnType<typeof createEventsRouter>;
+
+/**
+ * Creates the service by which an entry reports its status and its events to its local gateway.
+ *
+ * A gateway that answers with an older sequence has started anew and is sent all events that are still kept.
+ *
+ * @param options What to report, and to whom.
+ * @returns The service.
+ *
+ * @example
+ * const reporter = createEntryReporter({ ...settings, board, events, peers, clock, logger, requestStop });
+ */
+export function createEntryReporter(options: EntryReporterOptions): Service {
+    const { board, events, clock } = options;
+    const log = options.logger.topic("status");
+    const abort = new AbortController();
+    const sequenceByGateway = new Map<Address, number>();
+    let isStopRequested = false;
+    let task: Promise<void> | undefined;
+
+    async function reportTo(address: Address): Promise<void> {
+        const client = options.peers.clientOf<ReportRouter>(address);
+        const { isDraining } = await client.status.push.mutate(board.report());
+        const afterSequence = sequenceByGateway.get(address) ?? 0;
+        const pushed = events.list(afterSequence).slice(0, eventConstants.maximumPushedEvents);
+        const { newestSequence } = await client.events.push.mutate({ afterSequence, events: pushed });
+        sequenceByGateway.set(address, newestSequence);
+        if (isDraining && !isStopRequested) {
+            isStopRequested = true;
+            options.requestStop();
+        }
+    }
+
+    async function run(): Promise<void> {
+        while (!abort.signal.aborted) {
+            for (const address of [options.localGateway, ...options.otherGateways]) {
+                try {
+                    await reportTo(address);
+                    break;
+                }
+                catch (error) {
+                    log("status not reported", { port: address.port, reason: toTypedError(error).message });
+                }
+            }
+            await clock.sleep(statusConstants.reportMilliseconds, abort.signal);
+        }
+    }
+
+    async function start(): Promise<void> {
+        task = run();
+    }
+
+    async function stop(): Promise<void> {
+        abort.abort();
+        await task;
+        await reportTo(options.localGateway).catch(() => {});
+    }
+
+    return { start, stop };
+}
--- /dev/null
+++ b/src/status/createReadCounter/index.ts
@@ -0,0 +1,33 @@
+import { EndpointRole } from "../../endpoints/types/EndpointRole.js";
+import type { StatusProvider } from "../types/StatusProvider.js";
+
+/** Counts the reads of an entry by the role of the endpoint that served them. */
+interface ReadCounter {
+    count(role: EndpointRole): void;
+    readonly provide: StatusProvider;
+}
+
+/**
+ * Creates the counter behind the share of reads that replicas serve.
+ *
+ * @returns The counter, and the provider of its status.
+ *
+ * @example
+ * const reads = createReadCounter();
+ * reads.count(EndpointRole.Replica);
+ */
+export function createReadCounter(): ReadCounter {
+    let replicaReads = 0;
+    let primaryReads = 0;
+
+    function count(role: EndpointRole): void {
+        if (role === EndpointRole.Replica) {
+            replicaReads += 1;
+        }
+        else {
+            primaryReads += 1;
+        }
+    }
+
+    return { count, provide: () => ({ replicaReads, primaryReads }) };
+}
--- /dev/null
+++ b/src/status/types/ProcessKind.ts
@@ -0,0 +1,5 @@
+/** Kinds of processes that report their status. */
+export enum ProcessKind {
+    Entry = "Entry",
+    Gateway = "Gateway",
+}
