Test the operator's program against gateways over loopback

Patch, wait, history, difference, refusals, status, drain, and a time line merged over gateways and an entry.

--- a/src/testing/createConfigurationFleet/index.ts
+++ b/src/testing/createConfigurationFleet/index.ts
@@ -3,13 +3,21 @@
 import { createConfigurationRouter } from "../../configuration/createConfigurationRouter/index.js";
 import { createConfigurationService } from "../../configuration/createConfigurationService/index.js";
 import type { GatewayConfiguration } from "../../configuration/types/GatewayConfiguration.js";
+import { createEventArchive } from "../../events/createEventArchive/index.js";
 import { createEventRecorder } from "../../events/createEventRecorder/index.js";
+import { createEventsRouter } from "../../events/createEventsRouter/index.js";
+import { EventKind } from "../../events/types/EventKind.js";
 import { createLogger } from "../../logging/createLogger/index.js";
 import { PeerState } from "../../membership/types/PeerState.js";
 import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { createFailoverGaps } from "../../status/createFailoverGaps/index.js";
+import { createStatusBoard } from "../../status/createStatusBoard/index.js";
+import { createStatusRouter } from "../../status/createStatusRouter/index.js";
+import { ProcessKind } from "../../status/types/ProcessKind.js";
 import { createPeers } from "../../transport/createPeers/index.js";
 import { createTransportServer } from "../../transport/createTransportServer/index.js";
+import { trpc } from "../../transport/trpc/index.js";
 import { createCountingPlatform } from "../createCountingPlatform/index.js";
 import { createFixedMembership } from "../createFixedMembership/index.js";
 import { createLinkedDissemination } from "../createLinkedDissemination/index.js";
@@ -75,7 +83,22 @@
             random,
             logger,
         });
-        const router = createConfigurationRouter(configuration);
+        const board = createStatusBoard({
+            process: name,
+            kind: ProcessKind.Gateway,
+            availabilityZone,
+            providers: [
+                () => ({ version: configuration.current().version, gateways: membership.peers() }),
+                createFailoverGaps(events, clock),
+            ],
+            clock,
+            requestStop: () => events.record({ kind: EventKind.ProcessStopping, text: "Asked to stop." }),
+        });
+        const router = trpc.mergeRouters(
+            createConfigurationRouter(configuration),
+            createEventsRouter(createEventArchive(events)),
+            createStatusRouter(board),
+        );
         const server = createTransportServer({ host: "127.0.0.1", port: 0, peerSecret, router, events, logger });
         await server.start();
         address.port = server.port();
