--- a/src/execution/beginTransaction/index.ts
+++ b/src/execution/beginTransaction/index.ts
@@ -1,6 +1,7 @@
 import type { PeerRecord } from "../../membership/types/PeerRecord.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import type { TransactionBeginReply } from "../../messages/types/TransactionBeginReply.js";
 import { executionConstants } from "../constants.js";
 import { createNotRun } from "../createNotRun/index.js";
 import { encodeTransactionHandle } from "../encodeTransactionHandle/index.js";
@@ -43,7 +44,7 @@
         }
         const { primary, term } = group;
         let gateway: PeerRecord | undefined;
-        const reply = await sendToOwner(context, primary, owner => {
+        const reply = await sendToOwner<TransactionBeginReply>(context, primary, owner => {
             gateway = owner;
             return context.gateways.beginTransaction(owner, {
                 requestId,
@@ -59,7 +60,7 @@
         });
         if (reply.outcome === OutcomeKind.Answer && gateway !== undefined) {
             const { host, port, availabilityZone } = gateway;
-            const transactionId = String(reply.result);
+            const { transactionId } = reply;
             const { sessionToken } = request;
             const transactionHandle = encodeTransactionHandle({
                 caller,
--- a/src/gateway/listServerServices/index.ts
+++ b/src/gateway/listServerServices/index.ts
@@ -2,7 +2,7 @@
 import { createConfigurationRouter } from "../../configuration/createConfigurationRouter/index.js";
 import type { GatewayConfiguration } from "../../configuration/types/GatewayConfiguration.js";
 import { createDisseminationRouter } from "../../dissemination/createDisseminationRouter/index.js";
-import type { DisseminationService } from "../../dissemination/types/DisseminationService.js";
+import type { DisseminationExchange } from "../../dissemination/types/DisseminationExchange.js";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
 import { createFailoverRouter } from "../../failover/createFailoverRouter/index.js";
 import type { FailoverService } from "../../failover/types/FailoverService.js";
@@ -50,7 +50,7 @@
                 transactions: Transactions,
                 positionReader: PositionReader,
                 topology: GatewayTopology,
-                dissemination: DisseminationService,
+                dissemination: DisseminationExchange,
                 configuration: GatewayConfiguration,
                 failover: FailoverService,
                 events: EventRecorder,
