--- a/src/history/types/RecordedOperation.ts
+++ b/src/history/types/RecordedOperation.ts
@@ -2,6 +2,7 @@
 import type { ListContents } from "./ListContents.js";
 import type { OperationKind } from "./OperationKind.js";
 import type { ReadGuarantee } from "./ReadGuarantee.js";
+import type { ServedBy } from "./ServedBy.js";
 
 /**
  * One operation as its caller saw it.
@@ -30,10 +31,5 @@
     readonly contents?: readonly ListContents[];
     /** The bound of age that came with the answer. */
     readonly ageMilliseconds?: number;
-    readonly servedBy?: {
-        readonly endpoint: string;
-        readonly role: string;
-        readonly term: number;
-        readonly position: number;
-    };
+    readonly servedBy?: ServedBy;
 }
--- a/src/load/types/CallerReply.ts
+++ b/src/load/types/CallerReply.ts
@@ -1,3 +1,4 @@
+import type { ServedBy } from "../../history/types/ServedBy.js";
 import type { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 
 /** One answer of an entry, as the caller reads it. */
@@ -10,10 +11,5 @@
     readonly sessionToken?: string;
     readonly transactionHandle?: string;
     readonly ageMilliseconds?: number;
-    readonly servedBy?: {
-        readonly endpoint: string;
-        readonly role: string;
-        readonly term: number;
-        readonly position: number;
-    };
+    readonly servedBy?: ServedBy;
 }
