--- a/src/site/startSite/index.ts
+++ b/src/site/startSite/index.ts
@@ -5,6 +5,7 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LoadTarget } from "../../load/types/LoadTarget.js";
 import type { Address } from "../../network/types/Address.js";
+import { siteConstants } from "../constants.js";
 import { createSiteConfiguration } from "../createSiteConfiguration/index.js";
 import { listProgramSettings } from "../listProgramSettings/index.js";
 import { planSite } from "../planSite/index.js";
@@ -71,6 +72,7 @@
         const [platform, ...others] = programs;
         await start(platform as SiteProgram);
         await Promise.all(others.map(start));
+        await writeOperatorSettings(plan, folder);
         await submitPatch(plan, createSiteConfiguration(plan, target), { against: 0, folder });
         await waitForPrimaries(plan);
         await waitForService(target);
@@ -82,6 +84,11 @@
     return { plan, target, folder, process: findProcess, restart, stop };
 }
 
+async function writeOperatorSettings(plan: SitePlan, folder: string): Promise<void> {
+    const settings = { gateways: plan.vms.map(vm => vm.gateway), peerSecret: siteConstants.peerSecret };
+    await writeFile(join(folder, siteConstants.operatorSettingsFile), JSON.stringify(settings, undefined, 4));
+}
+
 function createTarget(plan: SitePlan): LoadTarget {
     return {
         entries: plan.vms.map(vm => ({ name: `${vm.name}-entry`, region: vm.region, ...vm.entry })),
--- a/src/site/submitPatch/index.ts
+++ b/src/site/submitPatch/index.ts
@@ -1,7 +1,5 @@
 import { writeFile } from "node:fs/promises";
 import { join } from "node:path";
-import { createError } from "../../errors/createError/index.js";
-import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { runOperator } from "../runOperator/index.js";
 import type { SitePlan } from "../types/SitePlan.js";
 
@@ -9,7 +7,7 @@
 interface SubmitPatchOptions {
     /** The version that the patch is submitted against. */
     readonly against: number;
-    /** Where the patch is written to a file. */
+    /** Folder of the site, where the patch is written to a file. */
     readonly folder: string;
     /** Waits until the version is in force everywhere. */
     readonly isWaiting?: boolean;
@@ -30,12 +28,9 @@
  * await submitPatch(site.plan, { limits: { requestBytes: 65_536 } }, { against: 1, folder: site.folder });
  */
 export async function submitPatch(plan: SitePlan, patch: object, options: SubmitPatchOptions): Promise<string> {
-    const vm = plan.vms[options.vmIndex ?? 0];
-    if (vm === undefined) {
-        throw createError(ErrorKind.InvalidSettings, "The site has no VM.", { remedy: "Describe at least one." });
-    }
     const file = join(options.folder, `patch-${options.against + 1}-${options.vmIndex ?? 0}.jsonc`);
     await writeFile(file, JSON.stringify(patch, undefined, 4));
     const waiting = options.isWaiting === true ? ["--wait"] : [];
-    return runOperator(["config", "patch", file, "--against", String(options.against), ...waiting]);
+    const words = ["config", "patch", file, "--against", String(options.against), ...waiting];
+    return runOperator(words, { folder: options.folder, gateway: plan.vms[options.vmIndex ?? 0]?.gateway });
 }
