--- a/src/site/startProcess/index.ts
+++ b/src/site/startProcess/index.ts
@@ -12,14 +12,6 @@
     [SiteBinary.Platform]: "platformStandIn",
 };
 
-const settingsWords: Readonly<Record<SiteBinary, (file: string) => readonly string[]>> = {
-    [SiteBinary.Endpoint]: file => [file],
-    [SiteBinary.Entry]: file => ["--settings", file],
-    [SiteBinary.Gateway]: file => ["--settings", file],
-    [SiteBinary.Operator]: () => [],
-    [SiteBinary.Platform]: file => [file],
-};
-
 /** Options of `startProcess`. */
 interface StartProcessOptions {
     /** Settings file, when the program takes one. */
@@ -43,7 +35,7 @@
  */
 export function startProcess(name: string, binary: SiteBinary, options: StartProcessOptions): SiteProcess {
     const file = new URL(`../../../dist/binaries/${folders[binary]}/index.js`, import.meta.url).pathname;
-    const settings = options.settingsFile === undefined ? [] : settingsWords[binary](options.settingsFile);
+    const settings = options.settingsFile === undefined ? [] : ["--settings", options.settingsFile];
     const child = spawn(process.execPath, [file, ...settings, ...options.words ?? []], {
         stdio: ["ignore", "pipe", "pipe"],
         env: { ...process.env, NODE_OPTIONS: "" },
