--- a/src/callers/createCallerFront/index.ts
+++ b/src/callers/createCallerFront/index.ts
@@ -4,10 +4,12 @@
 import type { z } from "zod";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
+import type { EndpointRole } from "../../endpoints/types/EndpointRole.js";
 import type { CallerReply } from "../../execution/types/CallerReply.js";
 import type { RequestExecutionService } from "../../execution/types/RequestExecutionService.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { RequestKind } from "../../messages/types/RequestKind.js";
 import { chooseStatus } from "../chooseStatus/index.js";
 import { callerConstants } from "../constants.js";
 import { createAuthentication } from "../createAuthentication/index.js";
@@ -24,8 +26,8 @@
     readonly execution: RequestExecutionService;
     readonly configuration: ConfigurationService;
     readonly clock: Clock;
-    /** Called with each finished request. */
-    readonly onFinished?: (database: string | undefined, reply: CallerReply, milliseconds: number) => void;
+    /** Called with the role of the endpoint that served each read. */
+    readonly onRead?: (role: EndpointRole) => void;
 }
 
 /** A request as a route's handler gets it. */
@@ -103,11 +105,7 @@
         handle: (request: RoutedRequest<z.output<Schema>>) => Promise<CallerReply>,
     ): void {
         server.post(path, async (request, response) => {
-            const startedAt = clock.now();
-            const reply = await answer(request);
-            const { database } = request.params as { readonly database?: string; };
-            options.onFinished?.(database, reply, clock.now() - startedAt);
-            return send(response, reply);
+            return send(response, await answer(request));
         });
 
         server.route({
@@ -159,7 +157,15 @@
     addRoute(
         "/v1/databases/:database/statements",
         requestSchemas.statement,
-        ({ body, ...request }) => execution.execute({ ...body, ...request }),
+        async ({ body, ...request }) => {
+            const reply = await execution.execute({ ...body, ...request });
+            if (
+                body.kind === RequestKind.Read && reply.outcome === OutcomeKind.Answer && reply.servedBy !== undefined
+            ) {
+                options.onRead?.(reply.servedBy.role);
+            }
+            return reply;
+        },
     );
     addRoute(
         "/v1/databases/:database/request-keys/lookup",
--- a/src/entry/listEntryServices/index.ts
+++ b/src/entry/listEntryServices/index.ts
@@ -1,9 +1,9 @@
 import { createCallerFront } from "../../callers/createCallerFront/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
+import { requestStop } from "../../commandLine/requestStop/index.js";
 import { createEntryConfiguration } from "../../configuration/createEntryConfiguration/index.js";
 import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
-import { createEntryExecution } from "../createEntryExecution/index.js";
 import type { RequestExecutionService } from "../../execution/types/RequestExecutionService.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
@@ -11,9 +11,17 @@
 import { listProcessServices } from "../../processServices/listProcessServices/index.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import type { EntrySettings } from "../../settings/types/EntrySettings.js";
+import { createEntryReporter } from "../../status/createEntryReporter/index.js";
+import { createReadCounter } from "../../status/createReadCounter/index.js";
+import { createStatusBoard } from "../../status/createStatusBoard/index.js";
+import { ProcessKind } from "../../status/types/ProcessKind.js";
+import type { StatusBoard } from "../../status/types/StatusBoard.js";
 import { createEntryTopology } from "../../topology/createEntryTopology/index.js";
 import type { TopologyService } from "../../topology/types/TopologyService.js";
 import type { Peers } from "../../transport/types/Peers.js";
+import { createEntryExecution } from "../createEntryExecution/index.js";
+
+type ReadCounter = ReturnType<typeof createReadCounter>;
 
 /**
  * Lists the services of an entry.
@@ -63,11 +71,46 @@
                 random: RandomSource,
             ) => createEntryExecution({ settings, topology, configuration, peers, clock, random }),
         },
+        { name: ServiceName.ReadCounter, dependencies: [], create: createReadCounter },
         {
             name: ServiceName.CallerFront,
-            dependencies: [ServiceName.RequestExecution, ServiceName.Configuration, ServiceName.Clock],
-            create: (execution: RequestExecutionService, configuration: ConfigurationService, clock: Clock) =>
-                createCallerFront({ ...listen, execution, configuration, clock }),
+            dependencies: [
+                ServiceName.RequestExecution,
+                ServiceName.Configuration,
+                ServiceName.Clock,
+                ServiceName.ReadCounter,
+            ],
+            create: (
+                execution: RequestExecutionService,
+                configuration: ConfigurationService,
+                clock: Clock,
+                readCounter: ReadCounter,
+            ) => createCallerFront({ ...listen, execution, configuration, clock, onRead: readCounter.count }),
+        },
+        {
+            name: ServiceName.StatusBoard,
+            dependencies: [ServiceName.Configuration, ServiceName.ReadCounter, ServiceName.Clock],
+            create: (configuration: ConfigurationService, readCounter: ReadCounter, clock: Clock) =>
+                createStatusBoard({
+                    process: settings.name,
+                    kind: ProcessKind.Entry,
+                    availabilityZone: settings.availabilityZone,
+                    providers: [() => ({ version: configuration.current().version }), readCounter.provide],
+                    clock,
+                    requestStop,
+                }),
+        },
+        {
+            name: ServiceName.EntryReporter,
+            dependencies: [
+                ServiceName.StatusBoard,
+                ServiceName.Events,
+                ServiceName.Peers,
+                ServiceName.Clock,
+                ServiceName.Logger,
+            ],
+            create: (board: StatusBoard, events: EventRecorder, peers: Peers, clock: Clock, logger: Logger) =>
+                createEntryReporter({ board, events, localGateway, otherGateways, peers, clock, logger, requestStop }),
         },
     ];
 }
--- /dev/null
+++ b/src/gateway/createGatewayStatus/index.ts
@@ -0,0 +1,55 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import { requestStop } from "../../commandLine/requestStop/index.js";
+import type { GatewayConfiguration } from "../../configuration/types/GatewayConfiguration.js";
+import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import type { FailoverService } from "../../failover/types/FailoverService.js";
+import type { MembershipService } from "../../membership/types/MembershipService.js";
+import type { GatewaySettings } from "../../settings/types/GatewaySettings.js";
+import { createFailoverGaps } from "../../status/createFailoverGaps/index.js";
+import { createStatusBoard } from "../../status/createStatusBoard/index.js";
+import { listGroups } from "../../status/listGroups/index.js";
+import { ProcessKind } from "../../status/types/ProcessKind.js";
+import type { StatusBoard } from "../../status/types/StatusBoard.js";
+import type { GatewayTopology } from "../../topology/types/GatewayTopology.js";
+
+/** Options of `createGatewayStatus`. */
+interface GatewayStatusOptions {
+    readonly settings: GatewaySettings;
+    readonly configuration: GatewayConfiguration;
+    readonly topology: GatewayTopology;
+    readonly membership: MembershipService;
+    readonly failover: FailoverService;
+    readonly events: EventRecorder;
+    readonly clock: Clock;
+}
+
+/**
+ * Creates the status board of a gateway from what its services know.
+ *
+ * @param options Settings and the services that contribute.
+ * @returns The board.
+ *
+ * @example
+ * const board = createGatewayStatus({ settings, configuration, topology, membership, failover, events, clock });
+ */
+export function createGatewayStatus(options: GatewayStatusOptions): StatusBoard {
+    const { settings, configuration, topology, membership, failover, events, clock } = options;
+    const { name, availabilityZone } = settings;
+    const isCoordinator = (database: string): boolean => failover.state().some(group => group.database === database);
+    return createStatusBoard({
+        process: name,
+        kind: ProcessKind.Gateway,
+        availabilityZone,
+        providers: [
+            () => ({
+                version: configuration.current().version,
+                gateways: membership.peers(),
+                groups: listGroups({ configuration, topology, process: name, isCoordinator }),
+                leavingEndpoints: topology.leavingEndpoints(),
+            }),
+            createFailoverGaps(events, clock),
+        ],
+        clock,
+        requestStop,
+    });
+}
--- a/src/gateway/listServerServices/index.ts
+++ b/src/gateway/listServerServices/index.ts
@@ -1,8 +1,10 @@
-import { createRetirement } from "../createRetirement/index.js";
+import type { Clock } from "../../clock/types/Clock.js";
 import { createConfigurationRouter } from "../../configuration/createConfigurationRouter/index.js";
 import type { GatewayConfiguration } from "../../configuration/types/GatewayConfiguration.js";
 import { createDisseminationRouter } from "../../dissemination/createDisseminationRouter/index.js";
 import type { DisseminationExchange } from "../../dissemination/types/DisseminationExchange.js";
+import { createEventArchive } from "../../events/createEventArchive/index.js";
+import { createEventsRouter } from "../../events/createEventsRouter/index.js";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
 import { createFailoverRouter } from "../../failover/createFailoverRouter/index.js";
 import type { FailoverService } from "../../failover/types/FailoverService.js";
@@ -11,15 +13,20 @@
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
+import type { MembershipService } from "../../membership/types/MembershipService.js";
 import { createRequestsRouter } from "../../requests/createRequestsRouter/index.js";
 import type { EndpointRequests } from "../../requests/types/EndpointRequests.js";
 import type { GatewaySettings } from "../../settings/types/GatewaySettings.js";
+import { createStatusRouter } from "../../status/createStatusRouter/index.js";
+import type { StatusBoard } from "../../status/types/StatusBoard.js";
 import { createViewRouter } from "../../topology/createViewRouter/index.js";
 import type { GatewayTopology } from "../../topology/types/GatewayTopology.js";
 import { createTransactionsRouter } from "../../transactions/createTransactionsRouter/index.js";
 import type { Transactions } from "../../transactions/types/Transactions.js";
 import { createTransportServer } from "../../transport/createTransportServer/index.js";
 import { trpc } from "../../transport/trpc/index.js";
+import { createGatewayStatus } from "../createGatewayStatus/index.js";
+import { createRetirement } from "../createRetirement/index.js";
 
 /**
  * Lists the service by which a gateway answers other processes.
@@ -32,6 +39,25 @@
  */
 export function listServerServices(settings: GatewaySettings): ServiceDefinition[] {
     return [
+        {
+            name: ServiceName.StatusBoard,
+            dependencies: [
+                ServiceName.Configuration,
+                ServiceName.Topology,
+                ServiceName.Membership,
+                ServiceName.Failover,
+                ServiceName.Events,
+                ServiceName.Clock,
+            ],
+            create: (
+                configuration: GatewayConfiguration,
+                topology: GatewayTopology,
+                membership: MembershipService,
+                failover: FailoverService,
+                events: EventRecorder,
+                clock: Clock,
+            ) => createGatewayStatus({ settings, configuration, topology, membership, failover, events, clock }),
+        },
         {
             name: ServiceName.TransportServer,
             dependencies: [
@@ -42,6 +68,7 @@
                 ServiceName.Dissemination,
                 ServiceName.Configuration,
                 ServiceName.Failover,
+                ServiceName.StatusBoard,
                 ServiceName.Events,
                 ServiceName.Logger,
             ],
@@ -53,24 +80,26 @@
                 dissemination: DisseminationExchange,
                 configuration: GatewayConfiguration,
                 failover: FailoverService,
+                board: StatusBoard,
                 events: EventRecorder,
                 logger: Logger,
-            ) =>
-                createTransportServer({
-                    ...settings.listen,
-                    peerSecret: settings.peerSecret,
-                    events,
-                    logger,
-                    router: trpc.mergeRouters(
-                        createRequestsRouter(requests),
-                        createTransactionsRouter(transactions),
-                        createFreshnessRouter(positionReader),
-                        createViewRouter(topology),
-                        createDisseminationRouter(dissemination),
-                        createConfigurationRouter(configuration),
-                        createFailoverRouter(failover),
-                    ),
-                }),
+            ) => createTransportServer({
+                ...settings.listen,
+                peerSecret: settings.peerSecret,
+                events,
+                logger,
+                router: trpc.mergeRouters(
+                    createRequestsRouter(requests),
+                    createTransactionsRouter(transactions),
+                    createFreshnessRouter(positionReader),
+                    createViewRouter(topology),
+                    createDisseminationRouter(dissemination),
+                    createConfigurationRouter(configuration),
+                    createFailoverRouter(failover),
+                    createStatusRouter(board),
+                    createEventsRouter(createEventArchive(events)),
+                ),
+            }),
         },
         {
             name: ServiceName.Retirement,
--- a/src/kernel/types/ServiceName.ts
+++ b/src/kernel/types/ServiceName.ts
@@ -23,6 +23,7 @@
     PlatformStandIn = "PlatformStandIn",
     PositionReader = "PositionReader",
     Random = "Random",
+    ReadCounter = "ReadCounter",
     RequestExecution = "RequestExecution",
     RequestServices = "RequestServices",
     Retirement = "Retirement",
