Add the membership: probes, indirect probes, suspicions and lost zones

Gateways need to know who lives at a cost that stays flat as the fleet grows. Probing random members was ruled out: the transport keeps a connection to each address, and at 700 members of a zone its heartbeats alone would exceed the budget; successors in eight hashed rings keep connections few and the same. Suspecting a lost zone's members one by one was ruled out: 700 updates through a budget of 700 bytes a message; a lost zone is one record, spread within the observing zone.

--- /dev/null
+++ b/src/membership/createMembershipService/index.ts
@@ -0,0 +1,135 @@
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { EventKind } from "../../events/types/EventKind.js";
+import { hashText } from "../../hashing/hashText/index.js";
+import type { Address } from "../../network/types/Address.js";
+import type { PeerContext } from "../../transport/types/PeerContext.js";
+import { membershipConstants } from "../constants.js";
+import { createIntroductions } from "../createIntroductions/index.js";
+import { createPeerTable } from "../createPeerTable/index.js";
+import { createProbeCaller } from "../createProbeCaller/index.js";
+import { createProbePlan } from "../createProbePlan/index.js";
+import { createProber } from "../createProber/index.js";
+import { createSuspicions } from "../createSuspicions/index.js";
+import { createUpdateQueue } from "../createUpdateQueue/index.js";
+import { digestRecords } from "../digestRecords/index.js";
+import type { MembershipDependencies } from "../types/MembershipDependencies.js";
+import type { MembershipExchange } from "../types/MembershipExchange.js";
+import type { MembershipService } from "../types/MembershipService.js";
+import type { MembershipUpdates } from "../types/MembershipUpdates.js";
+import type { PeerRecord } from "../types/PeerRecord.js";
+import { PeerState } from "../types/PeerState.js";
+import type { ProbeMessage } from "../types/ProbeMessage.js";
+
+/** Who this process is and whom it asks first. */
+interface MembershipOptions {
+    readonly self: Omit<PeerRecord, "state" | "incarnation">;
+    readonly seeds: readonly Address[];
+}
+
+/**
+ * Creates the membership: probes, indirect probes and suspicions as in SWIM, on targets that stay the same.
+ *
+ * @param options The own record and the seed gateways.
+ * @param dependencies Services that it uses.
+ * @returns The service, with the exchange that its router needs; not yet started.
+ *
+ * @example
+ * const membership = createMembershipService({ self, seeds: settings.seedGateways }, dependencies);
+ */
+export function createMembershipService(
+    options: MembershipOptions,
+    dependencies: MembershipDependencies,
+): MembershipService & MembershipExchange {
+    const { clock, random, peers, events } = dependencies;
+    const stopped = new AbortController();
+    const { signal } = stopped;
+    const queue = createUpdateQueue();
+    const table = createPeerTable({ ...options.self, state: PeerState.Live, incarnation: 0 }, {
+        clock,
+        queue,
+        onTransition: record =>
+            events.record({
+                kind: EventKind.PeerChanged,
+                text: `Gateway ${record.name} is ${record.state} at incarnation ${record.incarnation}.`,
+            }),
+    });
+    const plan = createProbePlan(table);
+    const caller = createProbeCaller({ table, queue, peers, clock, random });
+    const suspicions = createSuspicions({
+        table,
+        clock,
+        zoneSize: availabilityZone => plan.membersOf(availabilityZone).length,
+        signal,
+    });
+    const prober = createProber({ table, plan, caller, suspicions, clock, random, signal });
+    const introductions = createIntroductions({ ...dependencies, table, plan, seeds: options.seeds, signal });
+    let loops: Promise<unknown> = Promise.resolve();
+
+    function probe(message: ProbeMessage, from: PeerContext): MembershipUpdates {
+        if (message.target !== table.self().name) {
+            throw createError(ErrorKind.NotFound, `This is ${table.self().name}, not ${message.target}.`, {
+                remedy: "Learn the gateway's new address.",
+            });
+        }
+        const isSameZone = from.peerZone === table.self().availabilityZone;
+        table.learn(isSameZone ? message.updates : { ...message.updates, zones: [] });
+        const known = table.find(from.peerName);
+        const told = known === undefined || known.state === PeerState.Live ? [] : [known];
+        const updates = queue.take(table.reachable().length, isSameZone);
+        return { ...updates, peers: [...updates.peers, ...told] };
+    }
+
+    function join(record: PeerRecord, from: PeerContext): readonly PeerRecord[] {
+        if (record.name !== from.peerName) {
+            throw createError(ErrorKind.InvalidRequest, `${from.peerName} presented itself as ${record.name}.`, {
+                remedy: "Give each process one name in its settings.",
+            });
+        }
+        table.learn({ peers: [record], zones: [] });
+        return table.all().filter(known => known.state !== PeerState.Dead || known.name === record.name);
+    }
+
+    function synchronize(theirs: readonly number[]): readonly PeerRecord[] {
+        const own = digestRecords(table.all());
+        const differs = (record: PeerRecord): boolean => {
+            const bucket = hashText(record.name) % membershipConstants.synchronizationBuckets;
+            return own[bucket] !== theirs[bucket];
+        };
+        return random.shuffle(table.all().filter(differs)).slice(0, membershipConstants.recordsPerAnswer);
+    }
+
+    async function announce(state: PeerState): Promise<void> {
+        table.announceSelf(state);
+        const told = random.shuffle(plan.localSubjects()).slice(0, membershipConstants.leaveFanOut);
+        await Promise.all(
+            [...told, ...plan.remoteSubjects()].map(peer => caller.probeDirectly({ ...peer, target: peer.name })),
+        );
+    }
+
+    async function start(): Promise<void> {
+        await introductions.start();
+        loops = Promise.all([prober.run(), introductions.run()]);
+    }
+
+    async function stop(): Promise<void> {
+        await announce(PeerState.Dead);
+        stopped.abort();
+        await loops;
+    }
+
+    return {
+        get self() {
+            return table.self();
+        },
+        peers: table.reachable,
+        onChange: table.onChange,
+        leave: () => announce(PeerState.Leaving),
+        start,
+        stop,
+        probe,
+        probeFor: caller.probeDirectly,
+        join,
+        synchronize,
+    };
+}
--- /dev/null
+++ b/src/membership/digestRecords/index.ts
@@ -0,0 +1,25 @@
+import { hashText } from "../../hashing/hashText/index.js";
+import { membershipConstants } from "../constants.js";
+import type { PeerRecord } from "../types/PeerRecord.js";
+import { PeerState } from "../types/PeerState.js";
+
+/**
+ * Computes digests of all records that are not dead, one for each bucket of names.
+ *
+ * @param records The records.
+ * @returns The digests; equal lists of records have equal digests in any order.
+ *
+ * @example
+ * const differing = digestRecords(records).map((digest, bucket) => digest !== theirs[bucket]);
+ */
+export function digestRecords(records: readonly PeerRecord[]): readonly number[] {
+    const { synchronizationBuckets } = membershipConstants;
+    const digests = Array.from({ length: synchronizationBuckets }, () => 0);
+    for (const { name, incarnation, state } of records) {
+        if (state !== PeerState.Dead) {
+            const bucket = hashText(name) % synchronizationBuckets;
+            digests[bucket] = ((digests[bucket] ?? 0) ^ hashText(`${name}/${incarnation}/${state}`)) >>> 0;
+        }
+    }
+    return digests;
+}
--- /dev/null
+++ b/src/membership/membershipSchemas.ts
@@ -0,0 +1,30 @@
+import { z } from "zod";
+import { membershipConstants } from "./constants.js";
+import { PeerState } from "./types/PeerState.js";
+
+const text = z.string().min(1).max(membershipConstants.nameLength);
+const port = z.number().int().min(1).max(65_535);
+const count = z.number().int().min(0).max(membershipConstants.highestIncarnation);
+const record = z.object({
+    name: text,
+    host: text,
+    port,
+    availabilityZone: text,
+    region: text,
+    state: z.enum(PeerState),
+    incarnation: count,
+});
+const updates = z.object({
+    peers: z.array(record).max(membershipConstants.recordsPerAnswer),
+    zones: z.array(z.object({ availabilityZone: text, isLost: z.boolean(), stamp: count })).max(1_000),
+});
+
+/** Schemas of what peers send to the membership service, and answer. */
+export const membershipSchemas = {
+    record,
+    records: z.array(record),
+    updates,
+    probe: z.object({ target: text, updates }),
+    indirectProbe: z.object({ target: text, host: text, port, availabilityZone: text }),
+    digests: z.array(z.number().int()).length(membershipConstants.synchronizationBuckets),
+} as const;
--- /dev/null
+++ b/src/membership/types/MembershipRouter.ts
@@ -0,0 +1,4 @@
+import type { createMembershipRouter } from "../createMembershipRouter/index.js";
+
+/** The router that the membership service mounts. */
+export type MembershipRouter = ReturnType<typeof createMembershipRouter>;
