--- a/src/entry/createEntryExecution/index.ts
+++ b/src/entry/createEntryExecution/index.ts
@@ -54,11 +54,8 @@
         if (group === undefined) {
             return createNotRun(NotRunReason.NoPrimary, `No primary of ${database} is known. Retry in a moment.`);
         }
-        return sendToOwner(
-            context,
-            group.primary,
-            gateway => context.gateways.readPosition(gateway, { database, term: group.term, timeLeftMilliseconds }),
-        );
+        return sendToOwner(context, group.primary, gateway =>
+            context.gateways.readPosition(gateway, { database, term: group.term, timeLeftMilliseconds }));
     }
 
     return createRequestExecution(context);
--- a/src/entry/listEntryServices/index.ts
+++ b/src/entry/listEntryServices/index.ts
@@ -3,6 +3,7 @@
 import { createEntryConfiguration } from "../../configuration/createEntryConfiguration/index.js";
 import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import { createEntryExecution } from "../createEntryExecution/index.js";
 import type { RequestExecutionService } from "../../execution/types/RequestExecutionService.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
@@ -13,7 +14,6 @@
 import { createEntryTopology } from "../../topology/createEntryTopology/index.js";
 import type { TopologyService } from "../../topology/types/TopologyService.js";
 import type { Peers } from "../../transport/types/Peers.js";
-import { createEntryExecution } from "../createEntryExecution/index.js";
 
 /**
  * Lists the services of an entry.
--- a/src/execution/createGatewayClient/index.ts
+++ b/src/execution/createGatewayClient/index.ts
@@ -20,7 +20,7 @@
 export function createGatewayClient(peers: Peers): GatewayClient {
     const requestsOf = (gateway: Address) => peers.clientOf<RequestsRouter>(gateway).requests;
     const transactionsOf = (gateway: Address) => peers.clientOf<TransactionsRouter>(gateway).transactions;
-    const limit = ({ timeLeftMilliseconds }: { readonly timeLeftMilliseconds: number; }) => ({
+    const limit = ({ timeLeftMilliseconds }: { readonly timeLeftMilliseconds: number }) => ({
         signal: AbortSignal.timeout(Math.ceil(timeLeftMilliseconds + executionConstants.replyMarginMilliseconds / 2)),
     });
     return {
@@ -29,8 +29,7 @@
         readPosition: (gateway, request) =>
             peers.clientOf<FreshnessRouter>(gateway).freshness.readPosition.query(request, limit(request)),
         beginTransaction: (gateway, begin) => transactionsOf(gateway).begin.mutate(begin, limit(begin)),
-        executeInTransaction: (gateway, statement) =>
-            transactionsOf(gateway).execute.mutate(statement, limit(statement)),
+        executeInTransaction: (gateway, statement) => transactionsOf(gateway).execute.mutate(statement, limit(statement)),
         endTransaction: (gateway, end) => transactionsOf(gateway).end.mutate(end, limit(end)),
     };
 }
--- a/src/execution/types/GatewayClient.ts
+++ b/src/execution/types/GatewayClient.ts
@@ -6,8 +6,8 @@
 import type { TransactionBeginReply } from "../../messages/types/TransactionBeginReply.js";
 import type { TransactionEnd } from "../../messages/types/TransactionEnd.js";
 import type { TransactionStatement } from "../../messages/types/TransactionStatement.js";
-import type { Address } from "../../network/types/Address.js";
 import type { RequestLookUp } from "../../requests/types/RequestLookUp.js";
+import type { Address } from "../../network/types/Address.js";
 
 /** An entry's calls to gateways. They fail only with typed errors of the transport. */
 export interface GatewayClient {
