--- a/src/failover/confirmSuspicion/index.ts
+++ b/src/failover/confirmSuspicion/index.ts
@@ -52,5 +52,7 @@
         }
     }
     await refreshed;
+    // The probers' time limits have passed since the first look at the replicas.
+    await Promise.all(replicas.map(probe => probe.refresh()));
     return judge(true);
 }
