Test failovers on endpoint stand-ins; let next in line hold terms, and hand terms over

Cause: with the platform down a new coordinator had no terms, because the gateway next in line was not the one that had reserved. Now the coordinator, the next gateway of its zone and the first of the next zone reserve; a coordinator without terms asks them after 300 ms. A refresh of a lost endpoint waited for a second fresh probe, 300 ms more in each freeze. Ruled out: giving up terms to whoever asks (two standbys took them from each other and from the coordinator in turn); only the coordinator asks, and it gives none.

--- a/src/failover/chooseCoordinators/index.ts
+++ b/src/failover/chooseCoordinators/index.ts
@@ -34,8 +34,8 @@
  * Chooses the failover coordinator of a database and those who stand by, by rendezvous hashing.
  *
  * A coordinator stands outside the primary's availability zone where possible, so that a zone's loss does not take
- * both; and in its region, so that its probes don't cross the link between regions. Those who stand by come from
- * further zones first.
+ * both; and in its region, so that its probes don't cross the link between regions. Those who stand by are the next in
+ * line if the coordinator is lost, and if its whole zone is.
  *
  * @param database Name of the database.
  * @param primary Where the current primary stands.
@@ -56,9 +56,7 @@
         .sort((left, right) => left.distance - right.distance || right.weight - left.weight)
         .slice(0, failoverConstants.coordinatorsPerGroup)
         .map(({ zone }) => heaviest(zone, databaseHash, failoverConstants.coordinatorsPerGroup));
-    const chosen: PeerRecord[] = [];
-    for (let rank = 0; rank < failoverConstants.coordinatorsPerGroup; rank += 1) {
-        chosen.push(...ranked.flatMap(gateways => gateways[rank] ?? []));
-    }
-    return chosen.slice(0, failoverConstants.coordinatorsPerGroup);
+    const [first = [], ...further] = ranked;
+    return [...first.slice(0, 2), ...further.flatMap(gateways => gateways.slice(0, 1)), ...first.slice(2)]
+        .slice(0, failoverConstants.coordinatorsPerGroup);
 }
--- a/src/failover/constants.ts
+++ b/src/failover/constants.ts
@@ -40,6 +40,8 @@
     reportIntervalMilliseconds: 200,
     /** Spread of the first reservation, for each gateway of the fleet. */
     reservationSpreadMillisecondsPerGateway: 10,
+    /** How long a coordinator without terms waits for the store before it asks former coordinators. */
+    handOverDelayMilliseconds: 300,
     reservationRetryMilliseconds: 1_000,
-    longestReservationRetryMilliseconds: 15_000,
+    longestReservationRetryMilliseconds: 5_000,
 } as const;
--- a/src/failover/createEndpointProbe/index.ts
+++ b/src/failover/createEndpointProbe/index.ts
@@ -45,7 +45,7 @@
     };
     let pause = new AbortController();
     let settled: (() => void)[] = [];
-    /** Number of the probe under way; a refresh waits for one that began after it was asked for. */
+    /** Number of the probe under way; a refresh waits for one that began after the call or the loss. */
     let round = 0;
 
     function observe(verdict: ProbeVerdict, status?: EndpointStatus): void {
@@ -121,12 +121,13 @@
     }
 
     async function refresh(): Promise<EndpointObservation> {
-        const asked = round;
-        while (round === asked && !isStopped) {
+        const awaitedRound = observation.verdict === ProbeVerdict.Lost ? round : round + 1;
+        do {
             const settlement = new Promise<void>(resolve => settled.push(resolve));
             pause.abort();
             await settlement;
         }
+        while (round < awaitedRound && !isStopped);
         return observation;
     }
 
--- a/src/failover/createFailoverService/index.ts
+++ b/src/failover/createFailoverService/index.ts
@@ -26,7 +26,7 @@
  * Creates the failover service of one gateway.
  *
  * It runs a coordinator for each database for which this gateway ranks first, and keeps terms reserved also for those
- * for which it ranks second. What it publishes are group records; nothing else decides who is primary.
+ * for which it stands by. What it publishes are group records; nothing else decides who is primary.
  *
  * @param dependencies Services that it uses.
  * @returns The service, not yet started.
@@ -65,6 +65,7 @@
             reservations.set(database, abort);
             void keepTermsReserved(database, dependencies, {
                 highestTerm: () => recordedTerm(database),
+                isCoordinator: () => index.ownRank(database) === 0,
                 formerCoordinators: () => index.formerCoordinatorsOf(database),
                 onReserved: () => coordinators.get(database)?.coordinator.checkNow(),
                 signal: abort.signal,
@@ -97,7 +98,7 @@
         for (const database of names) {
             const rank = index.ownRank(database);
             const isActive = rank === 0 || (standbyUntil.get(database) ?? -Infinity) > clock.now();
-            reserveAhead(database, rank === 0 || rank === 1);
+            reserveAhead(database, rank >= 0);
             coordinate(database, isActive ? databases[database] : undefined);
         }
     }
@@ -178,7 +179,7 @@
         reportSuspicion: createReportForwarder(dependencies, { coordinatorsOf: index.coordinatorsOf, takeReport }),
         takeReport,
         probeEndpoint,
-        handOver: database => terms.relinquish(database),
+        handOver: database => index.ownRank(database) === 0 ? [] : terms.relinquish(database),
         state: () => [...coordinators.values()].map(({ coordinator }) => coordinator.state()),
         start,
         stop,
--- a/src/failover/createReportForwarder/index.ts
+++ b/src/failover/createReportForwarder/index.ts
@@ -42,7 +42,7 @@
         if (clock.now() - lastAt < failoverConstants.reportIntervalMilliseconds) {
             return;
         }
-        const coordinators = options.coordinatorsOf(suspicion.database).slice(0, 2);
+        const coordinators = options.coordinatorsOf(suspicion.database);
         if (coordinators.length > 0) {
             forwardedAt.set(suspicion.endpoint, clock.now());
         }
--- a/src/failover/keepTermsReserved/index.ts
+++ b/src/failover/keepTermsReserved/index.ts
@@ -10,6 +10,8 @@
 interface KeepTermsReservedOptions {
     /** Highest known term; the reserved ones must be above it. */
     readonly highestTerm: () => number;
+    /** Whether this gateway coordinates the database now, so that others may give up their terms for it. */
+    readonly isCoordinator: () => boolean;
     /** Gateways that may hold terms from having been coordinators before. */
     readonly formerCoordinators: () => readonly PeerRecord[];
     /** Called after each successful reservation. */
@@ -41,6 +43,9 @@
     let delay: number = failoverConstants.reservationRetryMilliseconds;
 
     async function askFormerCoordinators(): Promise<void> {
+        if (!options.isCoordinator() || terms.count(database, highestTerm()) > 0) {
+            return;
+        }
         for (const peer of options.formerCoordinators()) {
             const callSignal = AbortSignal.timeout(failoverConstants.peerCallTimeoutMilliseconds);
             const client = peers.clientOf<FailoverRouter>(peer).failover;
@@ -48,6 +53,7 @@
             const handedOver = termsSchema.safeParse(answer);
             terms.accept(database, handedOver.success ? handedOver.data : []);
             if (terms.count(database, highestTerm()) > 0) {
+                options.onReserved();
                 return;
             }
         }
@@ -58,7 +64,14 @@
     while (!signal.aborted) {
         try {
             const countBefore = terms.count(database, highestTerm());
-            await terms.reserve(database, highestTerm());
+            const reserving = terms.reserve(database, highestTerm());
+            if (countBefore === 0) {
+                await Promise.race([
+                    reserving,
+                    clock.sleep(failoverConstants.handOverDelayMilliseconds, signal).then(askFormerCoordinators),
+                ]);
+            }
+            await reserving;
             if (terms.count(database, highestTerm()) > countBefore) {
                 options.onReserved();
             }
@@ -66,9 +79,6 @@
         }
         catch (error) {
             log("no terms reserved", { database, error: String(error) });
-            if (terms.count(database, highestTerm()) === 0) {
-                await askFormerCoordinators();
-            }
             delay = Math.min(delay * 2, failoverConstants.longestReservationRetryMilliseconds);
         }
         await clock.sleep(delay * (0.5 + random.next()), signal);
--- a/src/failover/types/FailoverService.ts
+++ b/src/failover/types/FailoverService.ts
@@ -10,7 +10,7 @@
     takeReport(suspicion: Suspicion): void;
     /** Probes an endpoint over a fresh connection, for another gateway. */
     probeEndpoint(endpoint: string): Promise<ProbeAnswer>;
-    /** Gives up the reserved terms of the database in favour of another coordinator. */
+    /** Gives up the reserved terms of the database for its coordinator, unless this gateway is that itself. */
     handOver(database: string): readonly number[];
     state(): readonly GroupState[];
     start(): Promise<void>;
--- a/src/testing/createFailoverFleet/index.ts
+++ b/src/testing/createFailoverFleet/index.ts
@@ -31,8 +31,11 @@
     /** Gateways in each of the three availability zones. */
     readonly gatewaysPerZone: number;
     readonly seed: number;
-    /** Whether a call between gateways arrives. */
-    readonly arrives?: (from: string, toPort: number) => boolean;
+    /** The endpoints and the platform of an earlier fleet; new ones when left out. */
+    readonly earlier?: {
+        readonly group: Awaited<ReturnType<typeof startEndpointGroup>>;
+        readonly platform: ReturnType<typeof createMemoryPlatform>;
+    };
 }
 
 const clock = createSystemClock();
@@ -52,8 +55,8 @@
  * await fleet.start();
  */
 export async function createFailoverFleet(options: FailoverFleetOptions) {
-    const group = await startEndpointGroup({ connectionLimit: 60 });
-    const platform = createMemoryPlatform();
+    const group = options.earlier?.group ?? await startEndpointGroup({ connectionLimit: 60 });
+    const platform = options.earlier?.platform ?? createMemoryPlatform();
     const routers = new Map<number, AnyTRPCRouter>();
     const timeline: TimelineEvent[] = [];
     const definition: DatabaseDefinition = {
@@ -92,10 +95,7 @@
         const logger = createLogger(self.name, clock);
         const membership = createFixedMembership(self, records);
         const driver = createCuttableDriver(createEndpointDriver(createNeutralNetwork(self.availabilityZone)));
-        const peers = createDirectPeers({ peerName: self.name, peerZone: self.availabilityZone }, {
-            routers,
-            arrives: address => options.arrives?.(self.name, address.port) !== false,
-        });
+        const peers = createDirectPeers({ peerName: self.name, peerZone: self.availabilityZone }, { routers });
         const dissemination = createDisseminationService({ membership, peers, clock, random, logger });
         const terms = createTermReservation({ platform, clock, random, events });
         const failover = createFailoverService({
@@ -134,7 +134,6 @@
         return newest?.value as GroupRecord | undefined;
     }
 
-    /** Waits until a condition holds, looking after each event and each record. */
     function waitUntil(condition: () => boolean): Promise<void> {
         return new Promise(resolve => {
             const look = (): void => {
@@ -160,15 +159,16 @@
         record,
         waitUntil,
         waitForTermAbove,
+        switchesOf: (endpoint: string) => group.endpoints[endpoint]!.core.switches,
+        statuses: () => Object.values(group.endpoints).map(endpoint => endpoint.core.readStatus()),
         eventsOf: (kind: EventKind) => timeline.filter(event => event.kind === kind),
         /** The gateways that coordinate at this moment. */
         coordinators: () => gateways.filter(gateway => gateway.failover.state().length > 0),
         start: async () => {
             await Promise.all(gateways.map(gateway => gateway.start()));
         },
-        stop: async () => {
+        stopGateways: async () => {
             await Promise.all(gateways.map(gateway => gateway.stop()));
-            await group.stop();
         },
     };
 }
