--- /dev/null
+++ b/src/benchmarks/readResidentMegabytes/index.ts
@@ -0,0 +1,18 @@
+import { readFile } from "node:fs/promises";
+
+const kilobytesPerMegabyte = 1_024;
+
+/**
+ * Reads the resident memory of a process.
+ *
+ * @param processId The process.
+ * @returns Megabytes; 0 where the system does not tell.
+ *
+ * @example
+ * const megabytes = await readResidentMegabytes(site.process("vm-1-entry").processId);
+ */
+export async function readResidentMegabytes(processId: number): Promise<number> {
+    const status = await readFile(`/proc/${processId}/status`, "utf8").catch(() => "");
+    const match = /^VmRSS:\s+(\d+) kB$/m.exec(status);
+    return Math.round(Number(match?.[1] ?? 0) / kilobytesPerMegabyte);
+}
--- a/src/site/startProcess/index.ts
+++ b/src/site/startProcess/index.ts
@@ -1,4 +1,4 @@
-import { spawn } from "node:child_process";
+import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { siteConstants } from "../constants.js";
 import { SiteBinary } from "../types/SiteBinary.js";
@@ -12,6 +12,14 @@
     [SiteBinary.Platform]: "platformStandIn",
 };
 
+const running = new Set<ChildProcess>();
+
+process.once("exit", () => {
+    for (const child of running) {
+        child.kill("SIGKILL");
+    }
+});
+
 /** Options of `startProcess`. */
 interface StartProcessOptions {
     /** Settings file, when the program takes one. */
@@ -46,14 +54,11 @@
     };
     child.stdout.on("data", keep);
     child.stderr.on("data", keep);
-    const killAtExit = (): void => {
-        child.kill("SIGKILL");
-    };
-    process.once("exit", killAtExit);
+    running.add(child);
     let hasExited = false;
     const exited = once(child, "close").then(([code, signal]) => {
         hasExited = true;
-        process.removeListener("exit", killAtExit);
+        running.delete(child);
         return String(signal ?? code);
     });
 
