--- /dev/null
+++ b/src/benchmarks/benchmarks/index.ts
@@ -0,0 +1,17 @@
+import { measurePath } from "../measurePath/index.js";
+import { measureReads } from "../measureReads/index.js";
+import { measureSiteFailover } from "../measureSiteFailover/index.js";
+import type { Benchmark } from "../types/Benchmark.js";
+import { BenchmarkName } from "../types/BenchmarkName.js";
+
+/**
+ * The benchmarks by name.
+ *
+ * @example
+ * const report = await benchmarks[BenchmarkName.Path]?.(7);
+ */
+export const benchmarks: Readonly<Partial<Record<BenchmarkName, Benchmark>>> = {
+    [BenchmarkName.Failover]: measureSiteFailover,
+    [BenchmarkName.Path]: measurePath,
+    [BenchmarkName.Reads]: measureReads,
+};
