--- a/src/benchmarks/summarizeSamples/index.ts
+++ b/src/benchmarks/summarizeSamples/index.ts
@@ -17,6 +17,7 @@
  */
 export function summarizeSamples(samples: readonly number[]): SampleSummary {
     const sorted = [...samples].sort((left, right) => left - right);
-    const at = (share: number): number => sorted[Math.min(sorted.length - 1, Math.ceil(share * sorted.length) - 1)] ?? 0;
+    const at = (share: number): number =>
+        sorted[Math.min(sorted.length - 1, Math.ceil(share * sorted.length) - 1)] ?? 0;
     return { count: sorted.length, p50: at(0.5), p99: at(0.99), maximum: sorted.at(-1) ?? 0 };
 }
