--- a/src/admission/constants.ts
+++ b/src/admission/constants.ts
@@ -14,4 +14,13 @@
     /** Retries that a key may have saved up. */
     retryReserve: 10,
     rememberedBudgets: 10_000,
+    /** Time for which an idle link saves up its bytes. */
+    linkBurstMilliseconds: 100,
+    /** Requests that an entry may have under way at one endpoint: at the start, at least and at most. */
+    startLimit: 32,
+    leastLimit: 1,
+    greatestLimit: 1_024,
+    /** What a refusal leaves of the limit, and the least pause between two decreases. */
+    decreaseFactor: 0.7,
+    decreasePauseMilliseconds: 100,
 } as const;
--- /dev/null
+++ b/src/admission/createAdaptiveLimit/test.ts
@@ -0,0 +1,51 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { admissionConstants } from "../constants.js";
+import { createAdaptiveLimit } from "./index.js";
+
+function createLimit() {
+    let now = 0;
+    const clock = { now: () => now, wallTime: () => now, sleep: () => Promise.resolve() };
+    const limit = createAdaptiveLimit(clock);
+    /** Sends as many requests as the limit lets through; those above the capacity are refused. */
+    function sendRound(capacity: number): number {
+        now += admissionConstants.decreasePauseMilliseconds;
+        let sent = 0;
+        while (limit.tryEnter()) {
+            sent += 1;
+        }
+        for (let index = 0; index < sent; index += 1) {
+            limit.leave(index >= capacity);
+        }
+        return sent;
+    }
+    return { limit, sendRound };
+}
+
+test("the limit settles around the capacity, and follows when it changes", () => {
+    const { limit, sendRound } = createLimit();
+    for (const capacity of [20, 100, 5]) {
+        for (let round = 0; round < 400; round += 1) {
+            sendRound(capacity);
+        }
+        const sizes = Array.from({ length: 50 }, () => sendRound(capacity));
+        const mean = sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
+        assert.ok(mean > 0.6 * capacity && mean < 1.4 * capacity, `mean ${mean} at capacity ${capacity}`);
+    }
+    assert.equal(limit.underWay(), 0);
+});
+
+test("the limit never falls below its least value and does not grow unused", () => {
+    const { limit, sendRound } = createLimit();
+    for (let round = 0; round < 50; round += 1) {
+        sendRound(0);
+    }
+    assert.equal(limit.limit(), admissionConstants.leastLimit);
+    sendRound(100);
+    const settled = limit.limit();
+    for (let index = 0; index < 1_000; index += 1) {
+        limit.tryEnter();
+        limit.leave(false);
+    }
+    assert.ok(limit.limit() <= settled + 2);
+});
--- /dev/null
+++ b/src/admission/createAdmissionQueue/test.ts
@@ -0,0 +1,153 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import type { Clock } from "../../clock/types/Clock.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { AdmissionClass } from "../types/AdmissionClass.js";
+import type { AdmissionSlot } from "../types/AdmissionSlot.js";
+import type { AdmissionTicket } from "../types/AdmissionTicket.js";
+import { createAdmissionQueue } from "./index.js";
+
+/** A clock whose time stands still until the test moves it; waits never end by themselves. */
+function createStillClock(): Clock & { advance(milliseconds: number): void; } {
+    let now = 0;
+    return {
+        now: () => now,
+        wallTime: () => now,
+        sleep: (_milliseconds, signal) => new Promise(resolve => signal?.addEventListener("abort", () => resolve())),
+        advance: milliseconds => {
+            now += milliseconds;
+        },
+    };
+}
+
+function createQueue(clock: Clock, changes: { slots?: number; queueLength?: number; isLimiting?: boolean; } = {}) {
+    const { slots = 1, queueLength = 100, isLimiting = true } = changes;
+    return createAdmissionQueue({
+        clock,
+        endpoint: "stock-1",
+        slots: () => slots,
+        queueLength: () => queueLength,
+        isLimiting,
+    });
+}
+
+function createTicket(caller: string, changes: Partial<AdmissionTicket> = {}): AdmissionTicket {
+    return { caller, admissionClass: AdmissionClass.Statement, timeLeftMilliseconds: 1_000, ...changes };
+}
+
+async function kindOf(entering: Promise<AdmissionSlot>): Promise<ErrorKind | undefined> {
+    return entering.then(() => undefined, error => toTypedError(error).kind);
+}
+
+test("a quiet caller is served after one turn of each greedy caller", async () => {
+    const clock = createStillClock();
+    const queue = createQueue(clock);
+    const held = await queue.enter(createTicket("greedy"));
+    const served: string[] = [];
+    const enter = (caller: string) =>
+        queue.enter(createTicket(caller)).then(slot => {
+            served.push(caller);
+            slot.release();
+        });
+    const waiting = [...Array.from({ length: 20 }, () => enter("greedy")), enter("quiet")];
+    held.release();
+    await Promise.all(waiting);
+    assert.ok(served.indexOf("quiet") <= 1, `served ${served.indexOf("quiet")} requests first`);
+});
+
+test("a full queue drops the newest request of the greediest caller for a quiet one", async () => {
+    const queue = createQueue(createStillClock(), { queueLength: 4 });
+    const held = await queue.enter(createTicket("greedy"));
+    const greedy = Array.from({ length: 4 }, () => queue.enter(createTicket("greedy")));
+    const greedyKinds = Promise.all(greedy.map(kindOf));
+    assert.equal(await kindOf(queue.enter(createTicket("greedy"))), ErrorKind.Overloaded);
+    const quiet = queue.enter(createTicket("quiet"));
+    assert.equal(queue.waiting(), 4);
+    const release = (slot: AdmissionSlot): void => slot.release();
+    greedy.forEach(entering => entering.then(release, () => {}));
+    held.release();
+    await quiet.then(release);
+    assert.deepEqual(await greedyKinds, [undefined, undefined, undefined, ErrorKind.Overloaded]);
+});
+
+test("what cannot make its deadline is refused at once, and a free slot is always given", async () => {
+    const clock = createStillClock();
+    const queue = createQueue(clock);
+    const first = await queue.enter(createTicket("clover"));
+    clock.advance(50);
+    first.release();
+    const held = await queue.enter(createTicket("clover", { timeLeftMilliseconds: 1 }));
+    assert.equal(await kindOf(queue.enter(createTicket("clover", { timeLeftMilliseconds: 90 }))), ErrorKind.Overloaded);
+    const waiting = queue.enter(createTicket("clover", { timeLeftMilliseconds: 110 }));
+    clock.advance(80);
+    held.release();
+    assert.equal(await kindOf(waiting), ErrorKind.Overloaded);
+    assert.equal(queue.running(), 0);
+});
+
+test("aged reads wait behind everything else", async () => {
+    const queue = createQueue(createStillClock());
+    const held = await queue.enter(createTicket("clover"));
+    const served: AdmissionClass[] = [];
+    const enter = (admissionClass: AdmissionClass) =>
+        queue.enter(createTicket("clover", { admissionClass })).then(slot => {
+            served.push(admissionClass);
+            slot.release();
+        });
+    const waiting = [enter(AdmissionClass.AgedRead), enter(AdmissionClass.Statement), enter(AdmissionClass.Statement)];
+    held.release();
+    await Promise.all(waiting);
+    assert.deepEqual(served, [AdmissionClass.Statement, AdmissionClass.Statement, AdmissionClass.AgedRead]);
+});
+
+test("transactions leave one slot to statements, and one deferred is served when another ends", async () => {
+    const queue = createQueue(createStillClock(), { slots: 3 });
+    const transaction = createTicket("clover", { admissionClass: AdmissionClass.Transaction });
+    const open = [await queue.enter(transaction), await queue.enter(transaction)];
+    const third = queue.enter(transaction);
+    const statement = await queue.enter(createTicket("needlepoint"));
+    assert.equal(queue.running(), 3);
+    statement.release();
+    assert.equal(queue.running(), 2);
+    open[0]!.release();
+    (await third).release();
+    open[1]!.release();
+    assert.deepEqual([queue.running(), queue.waiting()], [0, 0]);
+});
+
+test("no slot is lost or given twice, whatever is cancelled or times out", async () => {
+    const random = createRandomSource(11);
+    const queue = createQueue(createSystemClock(), { slots: 3, queueLength: 30 });
+    let held = 0;
+    let most = 0;
+    async function visit(index: number): Promise<void> {
+        const cancel = new AbortController();
+        const classes = Object.values(AdmissionClass);
+        const entering = queue.enter(createTicket(`caller-${index % 5}`, {
+            admissionClass: classes[random.nextInteger(classes.length)]!,
+            timeLeftMilliseconds: 1 + random.nextInteger(40),
+            signal: cancel.signal,
+        }));
+        if (random.next() < 0.3) {
+            setImmediate(() => cancel.abort());
+        }
+        const slot = await entering.catch(() => undefined);
+        if (slot === undefined) {
+            return;
+        }
+        held += 1;
+        most = Math.max(most, held);
+        await new Promise(resolve => setTimeout(resolve, random.nextInteger(3)));
+        held -= 1;
+        slot.release();
+        slot.release();
+    }
+    for (let round = 0; round < 10; round += 1) {
+        await Promise.all(Array.from({ length: 60 }, (_, index) => visit(index)));
+    }
+    assert.ok(most <= 3, `${most} slots at once`);
+    assert.deepEqual([queue.running(), queue.waiting()], [0, 0]);
+});
--- /dev/null
+++ b/src/admission/types/LinkPriority.ts
@@ -0,0 +1,6 @@
+/** What is sent over a link between regions, most urgent first. */
+export enum LinkPriority {
+    Control = "Control",
+    Write = "Write",
+    Read = "Read",
+}
