--- a/src/transactions/createTransactions/index.ts
+++ b/src/transactions/createTransactions/index.ts
@@ -89,6 +89,9 @@
     function serve(transaction: OpenTransaction): TransactionBeginReply {
         const { transactionId, begin, lease, mailbox } = transaction;
         open.set(transactionId, transaction);
+        if (lease.lost.aborted) {
+            mailbox.close();
+        }
         lease.lost.addEventListener("abort", mailbox.close);
         void work.track(`transaction ${begin.requestId} at ${begin.endpoint}`, () => runTransaction(transaction));
         return { outcome: OutcomeKind.Answer, transactionId };
