Run the real membership in gateways

Before: gateways believed the platform's list, which lags. After: probes and suspicions decide who is tried.

--- a/src/gateway/listControlServices/index.ts
+++ b/src/gateway/listControlServices/index.ts
@@ -10,7 +10,7 @@
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
-import { createListedMembership } from "../../membership/createListedMembership/index.js";
+import { createMembershipService } from "../../membership/createMembershipService/index.js";
 import type { MembershipService } from "../../membership/types/MembershipService.js";
 import type { NetworkConditions } from "../../network/types/NetworkConditions.js";
 import type { PlatformClient } from "../../platform/types/PlatformClient.js";
@@ -31,11 +31,29 @@
  * const definitions = listControlServices(settings);
  */
 export function listControlServices(settings: GatewaySettings): ServiceDefinition[] {
+    const { name, listen, availabilityZone, region } = settings;
     return [
         {
             name: ServiceName.Membership,
-            dependencies: [ServiceName.PlatformClient, ServiceName.Clock],
-            create: (platform: PlatformClient, clock: Clock) => createListedMembership(settings, platform, clock),
+            dependencies: [
+                ServiceName.PlatformClient,
+                ServiceName.Peers,
+                ServiceName.Clock,
+                ServiceName.Random,
+                ServiceName.Events,
+                ServiceName.Logger,
+            ],
+            create: (
+                platform: PlatformClient,
+                peers: Peers,
+                clock: Clock,
+                random: RandomSource,
+                events: EventRecorder,
+                logger: Logger,
+            ) => createMembershipService(
+                { self: { name, ...listen, availabilityZone, region }, seeds: settings.seedGateways },
+                { platform, peers, clock, random, events, logger },
+            ),
         },
         {
             name: ServiceName.Dissemination,
--- a/src/gateway/listServerServices/index.ts
+++ b/src/gateway/listServerServices/index.ts
@@ -13,6 +13,8 @@
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
+import { createMembershipRouter } from "../../membership/createMembershipRouter/index.js";
+import type { MembershipExchange } from "../../membership/types/MembershipExchange.js";
 import type { MembershipService } from "../../membership/types/MembershipService.js";
 import { createRequestsRouter } from "../../requests/createRequestsRouter/index.js";
 import type { EndpointRequests } from "../../requests/types/EndpointRequests.js";
@@ -69,6 +71,7 @@
                 ServiceName.Configuration,
                 ServiceName.Failover,
                 ServiceName.StatusBoard,
+                ServiceName.Membership,
                 ServiceName.Events,
                 ServiceName.Logger,
             ],
@@ -81,6 +84,7 @@
                 configuration: GatewayConfiguration,
                 failover: FailoverService,
                 board: StatusBoard,
+                membership: MembershipExchange,
                 events: EventRecorder,
                 logger: Logger,
             ) => createTransportServer({
@@ -96,6 +100,7 @@
                     createDisseminationRouter(dissemination),
                     createConfigurationRouter(configuration),
                     createFailoverRouter(failover),
+                    createMembershipRouter(membership),
                     createStatusRouter(board),
                     createEventsRouter(createEventArchive(events)),
                 ),
