--- /dev/null
+++ b/cucumber.mjs
@@ -0,0 +1,6 @@
+export default {
+    paths: ["features/**/*.feature"],
+    import: ["features/support/*.ts", "features/steps/*.ts"],
+    format: ["summary", "progress"],
+    strict: true,
+};
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -39,7 +39,7 @@
     {
         files: ["src/**/*.ts", "features/**/*.ts"],
         plugins: { jsdoc, house: houseRules },
-        languageOptions: { parserOptions: { projectService: { allowDefaultProject: ["features/*.ts", "features/*/*.ts"] } } },
+        languageOptions: { parserOptions: { projectService: true } },
         rules: {
             "curly": ["error", "all"],
             "eqeqeq": "error",
--- /dev/null
+++ b/features/endpoint-failures.feature
@@ -0,0 +1,39 @@
+Feature: Failures of endpoints
+    No acknowledged write is lost or doubled, reads are never stale, and writes come back.
+
+    Background:
+        Given a small site under load
+
+    Scenario: The primary is killed
+        When the primary is killed
+        Then writes are acknowledged again under a higher term
+        And every promise to callers was kept
+
+    Scenario: The primary is frozen, and wakes after its succession
+        When the primary is frozen
+        Then writes are acknowledged again under a higher term
+        When the frozen endpoint wakes
+        Then it follows the new primary
+        And every promise to callers was kept
+
+    Scenario: The primary is killed while the platform is down
+        When the platform is down
+        And the primary is killed
+        Then writes are acknowledged again under a higher term
+        And every promise to callers was kept
+
+    Scenario: A replica falls far behind
+        When one replica lags by 3000 ms
+        And callers make 300 more operations
+        Then every promise to callers was kept
+
+    Scenario: The primary is cut off from its replicas
+        When the primary is cut off from its replicas
+        Then writes are acknowledged again under a higher term
+        And every promise to callers was kept
+
+    Scenario: The primary leaves
+        When the primary is leaving
+        Then writes are acknowledged again under a higher term
+        And the leaving endpoint takes no new work
+        And every promise to callers was kept
--- /dev/null
+++ b/features/steps/configuration.ts
@@ -0,0 +1,41 @@
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { runOperator } from "../../src/site/runOperator/index.js";
+import { submitPatch } from "../../src/site/submitPatch/index.js";
+import type { Scene } from "../support/Scene.js";
+
+const limitOf = (vmIndex: number): number => 70 + vmIndex;
+
+function submit(scene: Scene, vmIndex: number): Promise<string> {
+    const patch = { limits: { replicaWaitMilliseconds: limitOf(vmIndex) } };
+    return submitPatch(scene.site.plan, patch, { against: 1, folder: scene.site.folder, vmIndex })
+        .catch(error => `refused: ${error.message}`);
+}
+
+function listAccepted(scene: Scene): number[] {
+    return scene.operatorOutputs.flatMap((output, index) => output.startsWith("refused") ? [] : [index]);
+}
+
+When("two operators submit different patches against version 1 at the same moment", async function(this: Scene) {
+    this.operatorOutputs = await Promise.all([submit(this, 0), submit(this, 1)]);
+});
+
+When("an operator submits a patch against version 1", async function(this: Scene) {
+    this.operatorOutputs = [await submit(this, 0)];
+});
+
+Then("exactly one patch is accepted", async function(this: Scene) {
+    assert.equal(listAccepted(this).length, 1, this.operatorOutputs.join("\n"));
+    const refusal = this.operatorOutputs.find(output => output.startsWith("refused"));
+    assert.match(refusal ?? "", /Conflict/);
+});
+
+Then("the patch is reported as version 2", async function(this: Scene) {
+    assert.match(this.operatorOutputs[0] ?? "", /is version 2/);
+});
+
+Then("the version in force is 2 with the accepted patch", async function(this: Scene) {
+    const printed = await runOperator(["config", "get"], { folder: this.site.folder });
+    const [accepted = 0] = listAccepted(this);
+    assert.match(printed, new RegExp(`"replicaWaitMilliseconds": ${limitOf(accepted)}\\b`));
+});
--- /dev/null
+++ b/features/steps/endpoints.ts
@@ -0,0 +1,66 @@
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { z } from "zod";
+import { EndpointRole } from "../../src/endpoints/types/EndpointRole.js";
+import { changeEndpointSwitches } from "../../src/site/changeEndpointSwitches/index.js";
+import { readEndpointStatus } from "../../src/site/readEndpointStatus/index.js";
+import { sendAdminCall } from "../../src/site/sendAdminCall/index.js";
+import { waitUntil } from "../../src/site/waitUntil/index.js";
+import type { EndpointSwitches } from "../../src/standIns/endpoint/types/EndpointSwitches.js";
+import { featureConstants } from "../support/featureConstants.js";
+import { requirePrimary } from "../support/requirePrimary.js";
+import type { Scene } from "../support/Scene.js";
+import { waitForAnswers } from "../support/waitForAnswers.js";
+
+const faults: Readonly<Record<string, Partial<EndpointSwitches>>> = {
+    "killed": { isKilled: true },
+    "frozen": { isFrozen: true },
+    "cut off from its replicas": { isCutFromPeers: true },
+    "leaving": { isLeaving: true },
+};
+
+When(
+    /^the primary is (killed|frozen|cut off from its replicas|leaving)$/,
+    async function(this: Scene, fault: string) {
+        const primary = await requirePrimary(this);
+        this.load.mark({ text: `primary ${fault}`, database: primary.database });
+        await changeEndpointSwitches(primary, faults[fault] ?? {});
+    },
+);
+
+When("the frozen endpoint wakes", async function(this: Scene) {
+    await changeEndpointSwitches(this.endpoint, { isFrozen: false });
+});
+
+When("one replica lags by {int} ms", async function(this: Scene, lagMilliseconds: number) {
+    const primary = await requirePrimary(this);
+    const replica = this.site.plan.endpoints.find(endpoint => endpoint !== primary);
+    assert.ok(replica);
+    await changeEndpointSwitches(replica, { replicationLagMilliseconds: lagMilliseconds });
+});
+
+When("the connections open to the primary go silent", async function(this: Scene) {
+    const primary = await requirePrimary(this);
+    await sendAdminCall(primary.admin, "/silence", { method: "POST" });
+});
+
+Then("it follows the new primary", async function(this: Scene) {
+    await waitUntil("the endpoint to follow", featureConstants.waitTimeoutMilliseconds, async () => {
+        const status = await readEndpointStatus(this.endpoint);
+        return status.role === EndpointRole.Replica && status.term > this.termBefore ? true : undefined;
+    });
+});
+
+Then("the leaving endpoint takes no new work", async function(this: Scene) {
+    const readNewWork = async (): Promise<number> =>
+        z.object({ newWorkWhileLeaving: z.number() }).parse(await sendAdminCall(this.endpoint.admin, "/counters"))
+            .newWorkWhileLeaving;
+    let before = await readNewWork();
+    await waitUntil("new work to cease", featureConstants.waitTimeoutMilliseconds, async () => {
+        await waitForAnswers(this, 100);
+        const now = await readNewWork();
+        const hasCeased = now === before;
+        before = now;
+        return hasCeased ? true : undefined;
+    });
+});
--- /dev/null
+++ b/features/steps/load.ts
@@ -0,0 +1,51 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { defaultPlan } from "../../src/load/defaultPlan/index.js";
+import { OutcomeKind } from "../../src/messages/types/OutcomeKind.js";
+import { describeSmallSite } from "../../src/site/describeSmallSite/index.js";
+import { startSite } from "../../src/site/startSite/index.js";
+import { startSiteLoad } from "../../src/site/startSiteLoad/index.js";
+import { waitUntil } from "../../src/site/waitUntil/index.js";
+import { featureConstants } from "../support/featureConstants.js";
+import type { Scene } from "../support/Scene.js";
+import { waitForAnswers } from "../support/waitForAnswers.js";
+
+const answersBeforeFaults = 50;
+
+Given("a small site under load", async function(this: Scene) {
+    const { seed, sessionCount, writeShare } = featureConstants;
+    this.site = await startSite(describeSmallSite(seed));
+    this.load = await startSiteLoad(this.site, { ...defaultPlan, seed, sessionCount, writeShare });
+    await waitForAnswers(this, answersBeforeFaults);
+});
+
+When("callers make {int} more operations", async function(this: Scene, count: number) {
+    const before = this.load.operations.length;
+    await waitUntil("more operations", featureConstants.waitTimeoutMilliseconds, async () => {
+        return this.load.operations.length >= before + count ? true : undefined;
+    });
+});
+
+Then("callers get {int} more answers", async function(this: Scene, count: number) {
+    await waitForAnswers(this, count);
+});
+
+Then("writes are acknowledged again under a higher term", async function(this: Scene) {
+    await waitForAnswers(
+        this,
+        20,
+        operation => operation.value !== undefined && (operation.servedBy?.term ?? 0) > this.termBefore,
+    );
+});
+
+Then("no request has an unknown outcome", async function(this: Scene) {
+    const { run } = await this.load.end();
+    const unknown = run.operations.filter(operation => operation.outcome === OutcomeKind.OutcomeUnknown);
+    assert.deepEqual(unknown, []);
+});
+
+Then("every promise to callers was kept", async function(this: Scene) {
+    const { verdict } = await this.load.end();
+    assert.deepEqual(verdict.violations, []);
+    assert.ok(verdict.acknowledgedWriteCount > 0 && verdict.answeredReadCount > 0);
+});
--- /dev/null
+++ b/features/steps/network.ts
@@ -0,0 +1,32 @@
+import { When } from "@cucumber/cucumber";
+import { changeNetwork } from "../../src/site/changeNetwork/index.js";
+import { changePlatformSwitches } from "../../src/site/changePlatformSwitches/index.js";
+import { cutZone } from "../../src/site/cutZone/index.js";
+import { listLinks } from "../../src/site/listLinks/index.js";
+import { OutageKind } from "../../src/standIns/platform/types/OutageKind.js";
+import { requirePrimary } from "../support/requirePrimary.js";
+import type { Scene } from "../support/Scene.js";
+
+When("the availability zone of the primary is cut off", async function(this: Scene) {
+    const primary = await requirePrimary(this);
+    this.load.mark({ text: "zone of the primary cut off" });
+    await cutZone(this.site.plan, primary.address.availabilityZone, true);
+});
+
+When("all availability zones are joined again", async function(this: Scene) {
+    await cutZone(this.site.plan, this.endpoint.address.availabilityZone, false);
+});
+
+When("all open connections between availability zones go silent", async function(this: Scene) {
+    const links = listLinks(this.site.plan.description);
+    this.load.mark({ text: "open connections between zones go silent" });
+    await changeNetwork(this.site.plan, links.map(({ from, to }) => ({ from, to, isSilenced: true })));
+});
+
+When(/^the platform is (down|up again)$/, async function(this: Scene, state: string) {
+    await changePlatformSwitches(this.site.plan, { outage: state === "down" ? OutageKind.Hanging : OutageKind.None });
+});
+
+When("the platform loses its next answer about the configuration", async function(this: Scene) {
+    await changePlatformSwitches(this.site.plan, { lostAnswers: 1, lostAnswerPrefix: "configuration/" });
+});
--- /dev/null
+++ b/features/steps/processes.ts
@@ -0,0 +1,28 @@
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { Scene } from "../support/Scene.js";
+
+const signals: Readonly<Record<string, NodeJS.Signals>> = {
+    "killed": "SIGKILL",
+    "paused": "SIGSTOP",
+    "resumed": "SIGCONT",
+    "stopped gracefully": "SIGTERM",
+};
+
+When(
+    /^the (entry|gateway) of VM (\d) is (killed|paused|resumed|stopped gracefully)$/,
+    async function(this: Scene, program: string, vm: string, fault: string) {
+        this.stopped = `vm-${vm}-${program}`;
+        this.load.mark({ text: `${this.stopped} ${fault}` });
+        this.site.process(this.stopped).signal(signals[fault] ?? "SIGKILL");
+    },
+);
+
+When(/^the (entry|gateway) of VM (\d) is started again$/, async function(this: Scene, program: string, vm: string) {
+    await this.site.restart(`vm-${vm}-${program}`);
+});
+
+Then("it ends by itself without an error", async function(this: Scene) {
+    const stopped = this.site.process(this.stopped);
+    assert.equal(await stopped.exited, "0", stopped.output());
+});
--- /dev/null
+++ b/features/support/requirePrimary.ts
@@ -0,0 +1,16 @@
+import { findPrimary } from "../../src/site/findPrimary/index.js";
+import { readEndpointStatus } from "../../src/site/readEndpointStatus/index.js";
+import type { SiteEndpoint } from "../../src/site/types/SiteEndpoint.js";
+import { featureConstants } from "./featureConstants.js";
+import type { Scene } from "./Scene.js";
+
+/** Finds the primary, and keeps it and its term in the scene. */
+export async function requirePrimary(scene: Scene): Promise<SiteEndpoint> {
+    const primary = await findPrimary(scene.site.plan, featureConstants.database);
+    if (primary === undefined) {
+        throw new Error("the database has no primary with a follower");
+    }
+    scene.endpoint = primary;
+    scene.termBefore = (await readEndpointStatus(primary)).term;
+    return primary;
+}
--- a/src/load/runLoad/index.ts
+++ b/src/load/runLoad/index.ts
@@ -42,7 +42,7 @@
     try {
         await Promise.all([
             clock.sleep(plan.durationMilliseconds, options.signal),
-            options.causeFaults?.(fault => faults.push({ ...fault, at: clock.now() })),
+            options.causeFaults?.(fault => faults.push({ ...fault, at: clock.now() }), history.operations),
         ]);
     }
     finally {
--- /dev/null
+++ b/src/site/types/RunningLoad.ts
@@ -0,0 +1,12 @@
+import type { RecordedOperation } from "../../history/types/RecordedOperation.js";
+import type { LoadFault } from "../../load/types/LoadFault.js";
+import type { LoadOutcome } from "../../load/types/LoadOutcome.js";
+
+/** Load that runs until it is ended. */
+export interface RunningLoad {
+    /** The operations recorded so far; grows while the load runs. */
+    readonly operations: readonly RecordedOperation[];
+    mark(fault: Omit<LoadFault, "at">): void;
+    /** Ends the load and checks its history; a second call returns the same outcome. */
+    end(): Promise<LoadOutcome>;
+}
