--- a/src/site/waitUntil/index.ts
+++ b/src/site/waitUntil/index.ts
@@ -33,8 +33,13 @@
         }
         await new Promise(resolve => setTimeout(resolve, siteConstants.pollIntervalMilliseconds));
     }
-    throw createError(ErrorKind.DeadlineExceeded, `Waited ${timeoutMilliseconds} ms in vain for ${what}.`, {
+    const description = `Waited ${timeoutMilliseconds} ms in vain for ${what}; last failure: ${describeCause(cause)}.`;
+    throw createError(ErrorKind.DeadlineExceeded, description, {
         remedy: "Look at the output of the processes concerned.",
         cause,
     });
 }
+
+function describeCause(cause: unknown): string {
+    return cause instanceof Error ? cause.message : String(cause ?? "none");
+}
