--- a/src/admission/constants.ts
+++ b/src/admission/constants.ts
@@ -4,6 +4,10 @@
     slotsWithoutOwnership: 1,
     /** Weight of the newest service time in the mean. */
     serviceTimeWeight: 0.1,
+    /** Share of a ticket's time left that its expected wait may take. */
+    waitShare: 0.5,
+    /** Mean service times that must be left when a ticket is given its slot. */
+    leastServiceTimesLeft: 2,
     /** Share of a slot's turn that each caller is given in each round. */
     quantum: 1,
     /** Bounds of the cost of one item, relative to the mean of all callers. */
--- a/src/admission/createAdmissionQueue/index.ts
+++ b/src/admission/createAdmissionQueue/index.ts
@@ -3,6 +3,7 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import type { Waiter } from "../../waiting/types/Waiter.js";
+import { admissionConstants } from "../constants.js";
 import { createFairQueue } from "../createFairQueue/index.js";
 import { createServiceTimes } from "../createServiceTimes/index.js";
 import { AdmissionClass } from "../types/AdmissionClass.js";
@@ -34,7 +35,8 @@
  * Creates the slots of one endpoint with a bounded queue that is fair between callers.
  *
  * Transactions leave one slot to single statements when there are several. Aged reads pass when nothing else waits.
- * A ticket whose expected wait exceeds its time left is refused at once.
+ * A ticket whose expected wait would take too much of its time left is refused at once: were the queue to grow up to
+ * the deadlines, every statement would run at the edge of its deadline, and the least jitter would waste it.
  *
  * @param options Clock, endpoint, limits and whether they are applied.
  * @returns The queue, empty.
@@ -64,8 +66,8 @@
             return Promise.resolve(grant(ticket));
         }
         const expectedWait = expectedWaitOf(ticket);
-        if (expectedWait + serviceTimes.mean() > ticket.timeLeftMilliseconds) {
-            return Promise.reject(createOverload(`Expected wait ${Math.ceil(expectedWait)} ms exceeds the time left.`));
+        if (expectedWait > admissionConstants.waitShare * ticket.timeLeftMilliseconds) {
+            return Promise.reject(createOverload(`Expected wait ${Math.ceil(expectedWait)} ms is too long.`));
         }
         if (waiting() >= options.queueLength() && !makeRoom(ticket)) {
             return Promise.reject(createOverload(`The queue is full with ${waiting()} requests.`));
@@ -153,8 +155,9 @@
             if (queued === undefined) {
                 return;
             }
-            if (queued.expiresAt - clock.now() < serviceTimes.mean()) {
-                queued.waiter.reject(createOverload("The time left is shorter than a statement takes."));
+            const leastTimeLeft = admissionConstants.leastServiceTimesLeft * serviceTimes.mean();
+            if (queued.expiresAt - clock.now() < leastTimeLeft) {
+                queued.waiter.reject(createOverload("The time left is too short to run a statement."));
             }
             else if (!queued.waiter.isSettled) {
                 queued.waiter.resolve(grant(queued.ticket));
--- a/src/requests/attemptTimeouts/index.ts
+++ b/src/requests/attemptTimeouts/index.ts
@@ -18,9 +18,10 @@
     isRepeatable: boolean,
 ): Generator<number, void, undefined> {
     const attempts = isRepeatable ? requestConstants.attempts : 1;
-    const share = isRepeatable ? requestConstants.attemptShare : 1;
     for (let attempt = 0; attempt < attempts; attempt += 1) {
-        const timeout = share * (deadlineAt - clock.now());
+        const left = deadlineAt - clock.now();
+        const shared = Math.max(requestConstants.attemptShare * left, requestConstants.undividedAttemptMilliseconds);
+        const timeout = isRepeatable ? Math.min(shared, left) : left;
         if (timeout < requestConstants.leastAttemptMilliseconds) {
             return;
         }
