--- /dev/null
+++ b/src/benchmarks/measureHeldReads/index.ts
@@ -0,0 +1,73 @@
+import { build } from "hdr-histogram-js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { RequestKind } from "../../messages/types/RequestKind.js";
+import { StatementOperation } from "../../standIns/endpoint/types/StatementOperation.js";
+import { startDataPlane } from "../../testing/startDataPlane/index.js";
+import { benchmarkConstants } from "../constants.js";
+import type { HeldReadFigures } from "../types/HeldReadFigures.js";
+
+/**
+ * Measures what it costs to hold answers read at a primary until their position is confirmed.
+ *
+ * One reader reads in a closed loop while one writer writes with a short pause, all within this process.
+ *
+ * @returns The figures, one for each replication lag and setting.
+ *
+ * @example
+ * console.table(await measureHeldReads());
+ */
+export async function measureHeldReads(): Promise<HeldReadFigures[]> {
+    const figures: HeldReadFigures[] = [];
+    for (const replicationLagMilliseconds of benchmarkConstants.replicationLagsMilliseconds) {
+        for (const isHeld of [true, false]) {
+            figures.push(await measureOne(isHeld, replicationLagMilliseconds));
+        }
+    }
+    return figures;
+}
+
+async function measureOne(isHeld: boolean, replicationLagMilliseconds: number): Promise<HeldReadFigures> {
+    const plane = await startDataPlane({ holdsPrimaryReads: isHeld });
+    for (const name of ["stock-2", "stock-3"]) {
+        plane.group.endpoints[name]!.core.switches.set({ replicationLagMilliseconds });
+    }
+    const latencies = build();
+    const shared = {
+        requestId: "request",
+        database: "stock",
+        endpoint: "stock-1",
+        term: 1,
+        leastPosition: 0,
+        waitMilliseconds: 0,
+        timeLeftMilliseconds: 2_000,
+    };
+    let isOver = false;
+
+    async function write(): Promise<void> {
+        const statement = { operation: StatementOperation.Add, register: "stock", amount: 1 };
+        while (!isOver) {
+            await plane.requests.execute({ ...shared, kind: RequestKind.Write, statement, caller: "writer" });
+            await plane.clock.sleep(benchmarkConstants.writePauseMilliseconds);
+        }
+    }
+
+    const writing = write();
+    const statement = { operation: StatementOperation.Get, register: "stock" };
+    for (let read = 0; read < benchmarkConstants.heldReads; read += 1) {
+        const startedAt = plane.clock.now();
+        const reply = await plane.requests.execute({ ...shared, kind: RequestKind.Read, statement, caller: "reader" });
+        if (reply.outcome === OutcomeKind.Answer) {
+            latencies.recordValue(Math.round((plane.clock.now() - startedAt) * 1_000));
+        }
+    }
+    isOver = true;
+    await writing;
+    await plane.stop();
+    return {
+        isHeld,
+        replicationLagMilliseconds,
+        reads: latencies.totalCount,
+        readP50Milliseconds: latencies.getValueAtPercentile(50) / 1_000,
+        readP99Milliseconds: latencies.getValueAtPercentile(99) / 1_000,
+    };
+}
--- a/src/benchmarks/measureOverload/index.ts
+++ b/src/benchmarks/measureOverload/index.ts
@@ -3,7 +3,7 @@
 import { RequestKind } from "../../messages/types/RequestKind.js";
 import { StatementOperation } from "../../standIns/endpoint/types/StatementOperation.js";
 import { startDataPlane } from "../../testing/startDataPlane/index.js";
-import { overloadConstants } from "../constants.js";
+import { benchmarkConstants } from "../constants.js";
 import type { OverloadFigures } from "../types/OverloadFigures.js";
 
 type DataPlane = Awaited<ReturnType<typeof startDataPlane>>;
@@ -29,7 +29,7 @@
 export async function measureOverload(): Promise<OverloadFigures[]> {
     const figures: OverloadFigures[] = [];
     for (const isLimiting of [true, false]) {
-        for (const loadFactor of overloadConstants.loadFactors) {
+        for (const loadFactor of benchmarkConstants.loadFactors) {
             figures.push(await measureOne(isLimiting, loadFactor));
         }
     }
@@ -37,7 +37,7 @@
 }
 
 async function measureOne(isLimiting: boolean, loadFactor: number): Promise<OverloadFigures> {
-    const { slots, serviceMilliseconds, runMilliseconds, warmUpMilliseconds, quietShare } = overloadConstants;
+    const { slots, serviceMilliseconds, runMilliseconds, warmUpMilliseconds, quietShare } = benchmarkConstants;
     const plane = await startDataPlane({ endpoints: { slots, serviceMilliseconds }, isLimiting });
     const capacity = slots * 1_000 / serviceMilliseconds;
     const greedy: CallerCounts = { caller: "greedy", offered: 0, answered: 0, refused: 0 };
@@ -57,7 +57,7 @@
         }
         const elapsed = performance.now() - sentAt;
         counts.offered += 1;
-        if (outcome === OutcomeKind.Answer && elapsed <= overloadConstants.deadlineMilliseconds) {
+        if (outcome === OutcomeKind.Answer && elapsed <= benchmarkConstants.deadlineMilliseconds) {
             counts.answered += 1;
             answers.recordValue(Math.ceil(elapsed));
         }
@@ -79,7 +79,7 @@
         for (; sent.quiet < due.quiet; sent.quiet += 1) {
             running.push(send(quiet));
         }
-        await new Promise(resolve => setTimeout(resolve, overloadConstants.tickMilliseconds));
+        await new Promise(resolve => setTimeout(resolve, benchmarkConstants.tickMilliseconds));
         elapsed = performance.now() - startedAt;
     }
     await Promise.all(running);
@@ -98,7 +98,7 @@
         leastPosition: 0,
         waitMilliseconds: 0,
         caller,
-        timeLeftMilliseconds: overloadConstants.deadlineMilliseconds,
+        timeLeftMilliseconds: benchmarkConstants.deadlineMilliseconds,
     });
     return outcome;
 }
@@ -115,7 +115,7 @@
 
 function summarize(counts: OverloadCounts): OverloadFigures {
     const { isLimiting, loadFactor, greedy, quiet, answers, refusals } = counts;
-    const seconds = overloadConstants.runMilliseconds / 1_000;
+    const seconds = benchmarkConstants.runMilliseconds / 1_000;
     const offered = greedy.offered + quiet.offered;
     const refused = greedy.refused + quiet.refused;
     const lost = offered - refused - greedy.answered - quiet.answered;
