--- a/src/entry/createEntryExecution/index.ts
+++ b/src/entry/createEntryExecution/index.ts
@@ -1,6 +1,11 @@
+import { createAdaptiveLimit } from "../../admission/createAdaptiveLimit/index.js";
+import { createLinkBudget } from "../../admission/createLinkBudget/index.js";
+import { createRetryBudget } from "../../admission/createRetryBudget/index.js";
+import type { LinkBudget } from "../../admission/types/LinkBudget.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
 import { createGatewayClient } from "../../execution/createGatewayClient/index.js";
+import { createLimitedGatewayClient } from "../../execution/createLimitedGatewayClient/index.js";
 import { createNotRun } from "../../execution/createNotRun/index.js";
 import { createRequestExecution } from "../../execution/createRequestExecution/index.js";
 import { sendToOwner } from "../../execution/sendToOwner/index.js";
@@ -12,13 +17,13 @@
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { createEndpointObservations } from "../../routing/createEndpointObservations/index.js";
 import type { EntrySettings } from "../../settings/types/EntrySettings.js";
-import type { TopologyService } from "../../topology/types/TopologyService.js";
+import type { EntryTopology } from "../../topology/types/EntryTopology.js";
 import type { Peers } from "../../transport/types/Peers.js";
 
 /** Options of `createEntryExecution`. */
 interface EntryExecutionOptions {
     readonly settings: EntrySettings;
-    readonly topology: TopologyService;
+    readonly topology: EntryTopology;
     readonly configuration: ConfigurationService;
     readonly peers: Peers;
     readonly clock: Clock;
@@ -39,7 +44,12 @@
     const context: ExecutionContext = {
         topology,
         configuration,
-        gateways: createGatewayClient(peers),
+        gateways: createLimitedGatewayClient(createGatewayClient(peers), {
+            localRegion: settings.region,
+            createLimit: () => createAdaptiveLimit(clock),
+            createBudget,
+        }),
+        retryBudget: createRetryBudget(() => configuration.current().content.limits.retryBudgetShare),
         observations: createEndpointObservations(clock),
         freshness: createFreshness(clock, readPosition),
         clock,
@@ -49,6 +59,17 @@
         localRegion: settings.region,
     };
 
+    /** Every entry of the region takes an equal share of the link's bytes. */
+    function createBudget(region: string): LinkBudget {
+        return createLinkBudget({
+            clock,
+            link: `${settings.region} to ${region}`,
+            bytesPerSecond: () =>
+                configuration.current().content.limits.regionLinkBytesPerSecond
+                / Math.max(1, topology.countGateways(settings.region)),
+        });
+    }
+
     async function readPosition(database: string, timeLeftMilliseconds: number): Promise<EndpointReply> {
         const group = topology.groupOf(database);
         if (group === undefined) {
--- a/src/entry/listEntryServices/index.ts
+++ b/src/entry/listEntryServices/index.ts
@@ -17,7 +17,7 @@
 import { ProcessKind } from "../../status/types/ProcessKind.js";
 import type { StatusBoard } from "../../status/types/StatusBoard.js";
 import { createEntryTopology } from "../../topology/createEntryTopology/index.js";
-import type { TopologyService } from "../../topology/types/TopologyService.js";
+import type { EntryTopology } from "../../topology/types/EntryTopology.js";
 import type { Peers } from "../../transport/types/Peers.js";
 import { createEntryExecution } from "../createEntryExecution/index.js";
 
@@ -64,7 +64,7 @@
                 ServiceName.Random,
             ],
             create: (
-                topology: TopologyService,
+                topology: EntryTopology,
                 configuration: ConfigurationService,
                 peers: Peers,
                 clock: Clock,
--- a/src/execution/listAttempts/index.ts
+++ b/src/execution/listAttempts/index.ts
@@ -11,7 +11,8 @@
 
 /**
  * Paces the attempts of one request: the first at once, each later one after a jittered back-off, or as soon as a
- * newer term of the database's group is known.
+ * newer term of the database's group is known. Retries in the same term are taken from the retry budget; while that is
+ * used up, only a newer term is tried.
  *
  * @param options Context, database and deadline.
  * @returns Yields the number of each attempt, until the deadline.
@@ -22,9 +23,14 @@
 export async function* listAttempts(options: ListAttemptsOptions): AsyncGenerator<number> {
     const { context, database, deadline } = options;
     const { firstRetryDelayMilliseconds, longestRetryDelayMilliseconds } = executionConstants;
+    let triedTerm: number | undefined;
+    context.retryBudget.countRequest(database);
     for (let attempt = 0; !deadline.isOver(); attempt += 1) {
         const term = context.topology.groupOf(database)?.term ?? 0;
-        yield attempt;
+        if (term !== triedTerm || context.retryBudget.tryRetry(database)) {
+            triedTerm = term;
+            yield attempt;
+        }
         const ceiling = Math.min(longestRetryDelayMilliseconds, firstRetryDelayMilliseconds * 2 ** attempt);
         const delayMilliseconds = ceiling * (0.5 + context.random.next() / 2);
         await context.topology.waitForTerm(database, term + 1, Math.min(delayMilliseconds, deadline.timeLeft()));
--- a/src/execution/types/ExecutionContext.ts
+++ b/src/execution/types/ExecutionContext.ts
@@ -1,3 +1,4 @@
+import type { RetryBudget } from "../../admission/types/RetryBudget.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
 import type { FreshnessService } from "../../freshness/types/FreshnessService.js";
@@ -14,6 +15,7 @@
     readonly gateways: GatewayClient;
     readonly observations: EndpointObservations;
     readonly freshness: FreshnessService;
+    readonly retryBudget: RetryBudget;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly readPolicy: ReadPolicy;
--- a/src/topology/createEntryTopology/index.ts
+++ b/src/topology/createEntryTopology/index.ts
@@ -70,6 +70,7 @@
         waitForTerm: groups.waitForTerm,
         ownersOf: owners.ownersOf,
         isLeaving: endpoint => leaving.has(endpoint),
+        countGateways: region => livePeers.filter(peer => peer.region === region).length,
         start,
         stop,
     };
