--- /dev/null
+++ b/src/execution/createRequestExecution/test.ts
@@ -0,0 +1,143 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { EndpointReply } from "../../messages/types/EndpointReply.js";
+import type { EndpointRequest } from "../../messages/types/EndpointRequest.js";
+import { NotRunReason } from "../../messages/types/NotRunReason.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { RequestKind } from "../../messages/types/RequestKind.js";
+import { createExecution } from "../../testing/createExecution/index.js";
+import { createNotRun } from "../createNotRun/index.js";
+import type { CallerReply } from "../types/CallerReply.js";
+import type { CallerRequest } from "../types/CallerRequest.js";
+
+const base = { requestId: "r", caller: "dealer", database: "stock", statement: {}, deadlineMilliseconds: 500 };
+const write: CallerRequest = { ...base, kind: RequestKind.Write };
+const read: CallerRequest = { ...base, kind: RequestKind.Read, isNewSession: true };
+const lost: EndpointReply = { outcome: OutcomeKind.OutcomeUnknown, message: "The answer was lost." };
+
+function answer({ term }: EndpointRequest, position: number, confirmedBy?: string): EndpointReply {
+    return { outcome: OutcomeKind.Answer, result: position, term, position, queueLength: 0, confirmedBy };
+}
+
+function tokenOf(reply: CallerReply): string | undefined {
+    return reply.outcome === OutcomeKind.Answer ? reply.sessionToken : undefined;
+}
+
+function reasonOf(reply: CallerReply): unknown {
+    return reply.outcome === OutcomeKind.NotRun ? reply.reason : reply.outcome;
+}
+
+test("a write without a request key whose answer was lost is sent once and ends unknown", async () => {
+    const { execution, sent } = createExecution(() => lost);
+    assert.equal((await execution.execute(write)).outcome, OutcomeKind.OutcomeUnknown);
+    assert.equal(sent.length, 1);
+});
+
+test("a connection that closed under a write ends unknown, one that was never made ends not run", async () => {
+    const closed = createExecution(() => {
+        throw createError(ErrorKind.ConnectionClosed, "Closed.", { remedy: "Retry." });
+    });
+    assert.equal((await closed.execution.execute(write)).outcome, OutcomeKind.OutcomeUnknown);
+    const unreachable = createExecution(() => {
+        throw createError(ErrorKind.Unreachable, "Not there.", { remedy: "Retry." });
+    });
+    const reply = await unreachable.execution.execute({ ...write, deadlineMilliseconds: 50 });
+    assert.equal(reasonOf(reply), NotRunReason.EndpointUnavailable);
+});
+
+test("a keyed write whose answer was lost is repeated under the same key and returns the answer", async () => {
+    const { execution, sent } = createExecution((request, count) => count < 3 ? lost : answer(request, 7));
+    const reply = await execution.execute({ ...write, requestKey: "fitment" });
+    assert.equal(reply.outcome, OutcomeKind.Answer);
+    assert.deepEqual(new Set(sent.map(request => request.requestKey)), new Set(["dealer/fitment"]));
+});
+
+test("a keyed write that may have run is never called not run, but for a confirmed cancellation", async () => {
+    const refused = createNotRun(NotRunReason.StatementRefused, "Refused.");
+    const doubtful = createExecution((_request, count) => count === 1 ? lost : refused);
+    const doubtfulReply = await doubtful.execution.execute({ ...write, requestKey: "fitment" });
+    assert.equal(doubtfulReply.outcome, OutcomeKind.OutcomeUnknown);
+    const cancelled = createNotRun(NotRunReason.Cancelled, "Cancelled.");
+    const certain = createExecution((_request, count) => count === 1 ? lost : cancelled);
+    const certainReply = await certain.execution.execute({ ...write, requestKey: "fitment" });
+    assert.equal(reasonOf(certainReply), NotRunReason.Cancelled);
+});
+
+test("a write refused for its term waits for the newer one and goes to the new primary", async () => {
+    const { execution, groups, sent } = createExecution(request => {
+        if (request.term === 2) {
+            return answer(request, 9);
+        }
+        setImmediate(() => groups.learn({ database: "stock", term: 2, primary: "stock-2", markerPosition: 8 }));
+        return { ...createNotRun(NotRunReason.WrongTerm, "Superseded."), newerTerm: 2 };
+    });
+    assert.equal((await execution.execute(write)).outcome, OutcomeKind.Answer);
+    assert.deepEqual(sent.map(request => request.endpoint), ["stock-1", "stock-2"]);
+});
+
+test("a keyed write leaves a silent primary as soon as a newer term is known", async () => {
+    const { execution, groups } = createExecution(request => {
+        if (request.term === 2) {
+            return answer(request, 9);
+        }
+        setImmediate(() => groups.learn({ database: "stock", term: 2, primary: "stock-2", markerPosition: 8 }));
+        return new Promise<EndpointReply>(() => {});
+    });
+    const reply = await execution.execute({ ...write, requestKey: "fitment", deadlineMilliseconds: 60_000 });
+    assert.equal(reply.outcome, OutcomeKind.Answer);
+});
+
+test("a read after a write asks for the write's position, first of the replica that confirmed it", async () => {
+    const { execution, context, sent } = createExecution(request => answer(request, 40, "stock-3"));
+    context.observations.noteCommitted("stock", 39);
+    await context.clock.sleep(25);
+    for (let sample = 0; sample < 5; sample += 1) {
+        context.observations.noteApplied("stock", "stock-2", 38);
+    }
+    const sessionToken = tokenOf(await execution.execute(write));
+    await execution.execute({ ...read, isNewSession: undefined, sessionToken });
+    assert.equal(sent[1]?.leastPosition, 40);
+    assert.equal(sent[1]?.endpoint, "stock-3");
+});
+
+test("a read that no replica can serve in time goes to the primary", async () => {
+    const behind = { ...createNotRun(NotRunReason.Behind, "Behind."), position: 3 };
+    const { execution, sent } = createExecution(request =>
+        request.endpoint === "stock-1" ? answer(request, 40) : behind
+    );
+    assert.equal((await execution.execute(read)).outcome, OutcomeKind.Answer);
+    assert.equal(sent.at(-1)?.endpoint, "stock-1");
+});
+
+test("a read without a token must see what was acknowledged before it began; a new session need not", async () => {
+    const { execution, sent } = createExecution(request => answer(request, 50), () => 33);
+    await execution.execute({ ...read, isNewSession: undefined });
+    await execution.execute(read);
+    assert.deepEqual(sent.map(request => request.leastPosition), [33, 1]);
+});
+
+test("a read that accepts an age is refused when no younger position can be proved", async () => {
+    const { execution, context, sent } = createExecution(request => answer(request, 50), () => 33);
+    const fresh = await execution.execute({ ...read, maximumAgeMilliseconds: 10_000 });
+    assert.equal(fresh.outcome === OutcomeKind.Answer && (fresh.ageMilliseconds ?? Infinity) <= 10_000, true);
+    assert.equal(sent[0]?.leastPosition, 33);
+    context.freshness.refresh = async () => createNotRun(NotRunReason.NoPrimary, "Cut off.");
+    const old = await execution.execute({ ...read, maximumAgeMilliseconds: 0, deadlineMilliseconds: 50 });
+    assert.equal(reasonOf(old), NotRunReason.TooOld);
+});
+
+test("a forged token is refused before anything is sent", async () => {
+    const { execution, sent } = createExecution(request => answer(request, 1));
+    assert.equal(reasonOf(await execution.execute({ ...write, sessionToken: "forged" })), NotRunReason.InvalidToken);
+    assert.equal(sent.length, 0);
+});
+
+test("retries in one term stop when the retry budget is used up", async () => {
+    const unavailable = createNotRun(NotRunReason.EndpointUnavailable, "Away.");
+    const { execution, sent, context } = createExecution(() => unavailable);
+    await Promise.all(Array.from({ length: 40 }, () => execution.execute({ ...write, deadlineMilliseconds: 100 })));
+    assert.equal(context.retryBudget.tryRetry("stock"), false);
+    assert.equal(sent.length < 80, true);
+});
