--- /dev/null
+++ b/src/model/searchModel/index.ts
@@ -0,0 +1,59 @@
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createModelState } from "../createModelState/index.js";
+import { findLostEntry } from "../findLostEntry/index.js";
+import { listModelSteps } from "../listModelSteps/index.js";
+import type { ModelRules } from "../types/ModelRules.js";
+import type { ModelState } from "../types/ModelState.js";
+
+/** Options of `searchModel`. */
+interface SearchModelOptions {
+    readonly endpoints: number;
+    readonly terms: number;
+    /** States after which the search ends. */
+    readonly stateLimit: number;
+    /** Order of the search; the same source finds the same violation. */
+    readonly random: RandomSource;
+}
+
+/** What a search found. */
+interface SearchResult {
+    readonly states: number;
+    /** Whether every reachable state was visited. */
+    readonly isExhausted: boolean;
+    /** A state in which an acknowledged entry is lost. */
+    readonly violation?: ModelState;
+}
+
+/**
+ * Searches the interleavings of the model for a state in which an acknowledged entry is lost.
+ *
+ * The search goes deep first and takes the steps in random order, so that a bounded search also sees long runs.
+ *
+ * @param rules The rules to be searched.
+ * @param options Size of the model, bound of the search and source of randomness.
+ * @returns How many states were visited, and a violation if one was found.
+ *
+ * @example
+ * const { violation } = searchModel(rules, { endpoints: 3, terms: 3, stateLimit: 100_000, random });
+ */
+export function searchModel(rules: ModelRules, options: SearchModelOptions): SearchResult {
+    const first = createModelState(options.endpoints, options.terms);
+    const visited = new Set([JSON.stringify(first)]);
+    const waiting: ModelState[] = [first];
+    for (let state = waiting.pop(); state !== undefined; state = waiting.pop()) {
+        if (findLostEntry(state) !== undefined) {
+            return { states: visited.size, isExhausted: false, violation: state };
+        }
+        if (visited.size >= options.stateLimit) {
+            return { states: visited.size, isExhausted: false };
+        }
+        for (const { state: next } of options.random.shuffle([...listModelSteps(state, rules)])) {
+            const key = JSON.stringify(next);
+            if (!visited.has(key)) {
+                visited.add(key);
+                waiting.push(next);
+            }
+        }
+    }
+    return { states: visited.size, isExhausted: true };
+}
