--- a/src/failover/confirmMarker/index.ts
+++ b/src/failover/confirmMarker/index.ts
@@ -17,6 +17,8 @@
 /**
  * Waits until a marker is held by a majority that serves its term.
  *
+ * The time limit starts anew while a replica that is far behind is copying the log.
+ *
  * @param group The group.
  * @param marker The marker, its primary and optionally an endpoint that must hold it.
  * @returns True when it is confirmed; false at the time limit, or when no endpoint can be watched any more.
@@ -42,6 +44,10 @@
         }
     }
 
+    function countCopied(): number {
+        return [...statuses.values()].reduce((sum, status) => sum + status.position, 0);
+    }
+
     async function watch(probe: EndpointProbe): Promise<void> {
         await probe.use(async connection => {
             for await (const status of connection.watchStatus(done.signal)) {
@@ -52,8 +58,13 @@
 
     const others = [...group.probes.values()].filter(probe => probe.definition.name !== marker.primary);
     const watches = Promise.all(others.map(watch));
-    const timeLimit = group.dependencies.clock.sleep(failoverConstants.confirmationTimeoutMilliseconds, done.signal);
-    await Promise.race([watches, timeLimit]);
+    void watches.then(() => done.abort());
+    let copiedBefore: number;
+    do {
+        copiedBefore = countCopied();
+        await group.dependencies.clock.sleep(failoverConstants.confirmationTimeoutMilliseconds, done.signal);
+    }
+    while (!done.signal.aborted && countCopied() > copiedBefore);
     done.abort();
     return isHeld || group.majority === 1;
 }
--- a/src/failover/createGroupHandlers/index.ts
+++ b/src/failover/createGroupHandlers/index.ts
@@ -116,7 +116,7 @@
         const { term, endpoint } = status;
         const record = await confirmTerm(group, { term, primary: endpoint }).catch(() => undefined);
         if (record === undefined) {
-            await promoteAvoiding([], `term ${term} of ${endpoint} can't be confirmed`, endpoint);
+            await promoteAvoiding([endpoint], `term ${term} of ${endpoint} can't be confirmed`);
             return;
         }
         group.publish(record);
--- a/src/testing/createFailoverFleet/index.ts
+++ b/src/testing/createFailoverFleet/index.ts
@@ -98,7 +98,7 @@
         const peers = createDirectPeers({ peerName: self.name, peerZone: self.availabilityZone }, { routers });
         const dissemination = createDisseminationService({ membership, peers, clock, random, logger });
         const terms = createTermReservation({ platform, clock, random, events });
-        const failover = createFailoverService({
+        const dependencies = {
             configuration,
             membership,
             dissemination,
@@ -109,7 +109,8 @@
             random,
             events,
             logger,
-        });
+        };
+        const failover = createFailoverService(dependencies);
         routers.set(
             self.port,
             trpc.mergeRouters(createDisseminationRouter(dissemination), createFailoverRouter(failover)),
@@ -123,7 +124,7 @@
             await failover.stop();
             await dissemination.stop();
         };
-        return { self, membership, driver, dissemination, terms, failover, start, stop };
+        return { self, membership, driver, dissemination, terms, failover, dependencies, start, stop };
     }
 
     const gateways = records.map(createGateway);
--- a/src/testing/runConfirmedWriter/index.ts
+++ b/src/testing/runConfirmedWriter/index.ts
@@ -9,14 +9,14 @@
     readonly connect: (endpoint: string) => Promise<EndpointConnection>;
     readonly endpoints: readonly string[];
     readonly signal: AbortSignal;
+    /** Called at each acknowledgement with the time since the one before, in milliseconds. */
+    readonly onAcknowledged?: (gapMilliseconds: number) => void;
 }
 
 /** What a writer saw. */
 interface WriterReport {
     /** Values whose write was acknowledged, in order. */
     readonly acknowledged: readonly number[];
-    /** Times between two acknowledgements in milliseconds. */
-    readonly gapsMilliseconds: readonly number[];
 }
 
 /**
@@ -25,7 +25,7 @@
  * A write counts as acknowledged once a majority of the recorded term holds it. A write that fails is not repeated.
  *
  * @param options The group's record, how to connect and when to end.
- * @returns What was acknowledged, and the gaps.
+ * @returns What was acknowledged.
  *
  * @example
  * const report = await runConfirmedWriter({ record, connect, endpoints, signal });
@@ -33,7 +33,6 @@
 export async function runConfirmedWriter(options: ConfirmedWriterOptions): Promise<WriterReport> {
     const { signal } = options;
     const acknowledged: number[] = [];
-    const gapsMilliseconds: number[] = [];
     const connections = new Map<string, Promise<EndpointConnection>>();
     let acknowledgedAt = performance.now();
 
@@ -76,7 +75,7 @@
         const isAcknowledged = record !== undefined && await write(value, record).catch(() => false);
         if (isAcknowledged) {
             acknowledged.push(value);
-            gapsMilliseconds.push(performance.now() - acknowledgedAt);
+            options.onAcknowledged?.(performance.now() - acknowledgedAt);
             acknowledgedAt = performance.now();
         }
         await pause(2);
@@ -86,7 +85,7 @@
             connection.value.close();
         }
     }
-    return { acknowledged, gapsMilliseconds };
+    return { acknowledged };
 }
 
 function pause(milliseconds: number): Promise<void> {
