--- a/src/benchmarks/createLeaseCoordinator/index.ts
+++ b/src/benchmarks/createLeaseCoordinator/index.ts
@@ -1,6 +1,8 @@
+import { EndpointRole } from "../../endpoints/types/EndpointRole.js";
 import { changePrimary } from "../../failover/changePrimary/index.js";
 import { createCoordinatedGroup } from "../../failover/createCoordinatedGroup/index.js";
 import { createEndpointProbe } from "../../failover/createEndpointProbe/index.js";
+import { tellToFollow } from "../../failover/tellToFollow/index.js";
 import type { FailoverDependencies } from "../../failover/types/FailoverDependencies.js";
 import { ProbeVerdict } from "../../failover/types/ProbeVerdict.js";
 import type { PlatformClient } from "../../platform/types/PlatformClient.js";
@@ -84,6 +86,18 @@
         }
     }
 
+    async function repair(): Promise<void> {
+        const record = group.record();
+        const detached = [...probes.values()].filter(probe =>
+            probe.definition.name !== record?.primary
+            && probe.observation().verdict === ProbeVerdict.Alive
+            && probe.observation().status?.role === EndpointRole.Detached
+        );
+        if (record !== undefined) {
+            await tellToFollow(group, { ...record, endpoints: detached.map(probe => probe.definition.name) });
+        }
+    }
+
     async function watch(): Promise<void> {
         while (!stopped.signal.aborted) {
             try {
@@ -99,6 +113,7 @@
             catch {
                 // The store is down: nobody may act, and the next look comes soon.
             }
+            await repair();
             await clock.sleep(20, stopped.signal);
         }
     }
--- a/src/failover/keepTermsReserved/index.ts
+++ b/src/failover/keepTermsReserved/index.ts
@@ -79,7 +79,10 @@
         }
         catch (error) {
             log("no terms reserved", { database, error: String(error) });
-            delay = Math.min(delay * 2, failoverConstants.longestReservationRetryMilliseconds);
+            const isUrgent = options.isCoordinator() && terms.count(database, highestTerm()) === 0;
+            delay = isUrgent
+                ? failoverConstants.reservationRetryMilliseconds
+                : Math.min(delay * 2, failoverConstants.longestReservationRetryMilliseconds);
         }
         await clock.sleep(delay * (0.5 + random.next()), signal);
     }
