Keep the lists of several runs on one installation apart

Cause: a second run on the same site used the same list names and request keys, so the checker reported 13 kinds of violations that were its own tool's fault. Each run now has a name of its own.

--- a/src/load/drawStatement/index.ts
+++ b/src/load/drawStatement/index.ts
@@ -16,10 +16,10 @@
  * const statement = drawStatement(services, session);
  */
 export function drawStatement(services: LoadServices, session: SessionState): LoadStatement {
-    const { plan, random } = services;
+    const { plan, random, runName } = services;
     const isWrite = random.next() < plan.writeShare;
     const isPair = random.next() < plan.transactionShare;
-    const list = `${session.caller.name}/${isPair ? "pair" : "list"}-${random.nextInteger(plan.listCount)}`;
+    const list = `${runName}/${session.caller.name}/${isPair ? "pair" : "list"}-${random.nextInteger(plan.listCount)}`;
     const lists = isPair ? [`${list}/left`, `${list}/right`] : [list];
     if (!isWrite) {
         return { kind: isPair ? OperationKind.ReadPair : OperationKind.ReadList, lists };
--- a/src/load/offerLoad/index.ts
+++ b/src/load/offerLoad/index.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import { createSystemClock } from "../../clock/createSystemClock/index.js";
 import { checkHistory } from "../../history/checkHistory/index.js";
 import { createHistory } from "../../history/createHistory/index.js";
@@ -13,6 +14,8 @@
 import type { LoadServices } from "../types/LoadServices.js";
 import type { LoadTarget } from "../types/LoadTarget.js";
 
+const runNameCharacters = 8;
+
 /** Options of `offerLoad`. */
 interface OfferLoadOptions {
     readonly causeFaults?: CauseFaults;
@@ -41,14 +44,15 @@
     const clock = createSystemClock();
     const client = createCallerClient({ clock, callerDelayMilliseconds: plan.callerDelayMilliseconds });
     const random = createRandomSource(plan.seed);
-    const services: LoadServices = { client, clock, history: createHistory(), plan, random, target };
+    const runName = `run-${randomUUID().slice(0, runNameCharacters)}`;
+    const services: LoadServices = { client, clock, history: createHistory(), plan, random, runName, target };
     try {
         const run = await runLoad(services, options);
         const states: FinalState[] = [];
         for (const database of target.databases) {
             const proxyState = await readProxyState(services, database);
             const endpointStates = await options.readEndpointStates?.(database) ?? [];
-            states.push(...endpointStates, proxyState);
+            states.push(...endpointStates.map(state => keepListsOf(state, runName)), proxyState);
         }
         return { run, summary: summarizeLoad(run), verdict: checkHistory(run.operations, states) };
     }
@@ -56,3 +60,9 @@
         await client.stop();
     }
 }
+
+/** Leaves out lists that earlier runs wrote. */
+function keepListsOf(state: FinalState, runName: string): FinalState {
+    const lists = [...state.lists].filter(([list]) => list.startsWith(`${runName}/`));
+    return { ...state, lists: new Map(lists) };
+}
--- a/src/load/runLoad/index.ts
+++ b/src/load/runLoad/index.ts
@@ -52,7 +52,7 @@
     return { operations: history.operations, startedAt, endedAt: clock.now(), faults };
 }
 
-function createSession({ target }: LoadServices, index: number): SessionState {
+function createSession({ runName, target }: LoadServices, index: number): SessionState {
     const entry = target.entries[index % target.entries.length];
     const database = target.databases[index % target.databases.length];
     const caller = target.callers[Math.floor(index / target.databases.length) % target.callers.length];
@@ -61,5 +61,6 @@
             remedy: "Name at least one of each in the target file.",
         });
     }
-    return { name: `session-${index}`, caller, database, homeRegion: entry.region, entry, writeCount: 0 };
+    const name = `${runName}-session-${index}`;
+    return { name, caller, database, homeRegion: entry.region, entry, writeCount: 0 };
 }
--- a/src/load/runLoad/test.ts
+++ b/src/load/runLoad/test.ts
@@ -145,6 +145,7 @@
         history: createHistory(),
         plan,
         random: createRandomSource(plan.seed),
+        runName: "run-1",
         target: { entries, callers: [{ name: "dealer", key: "key" }], databases: ["stock"] },
     };
     try {
--- a/src/load/types/LoadServices.ts
+++ b/src/load/types/LoadServices.ts
@@ -12,5 +12,7 @@
     readonly history: History;
     readonly plan: LoadPlan;
     readonly random: RandomSource;
+    /** Begins the names of all lists and sessions, so that runs on one installation stay apart. */
+    readonly runName: string;
     readonly target: LoadTarget;
 }
