--- a/src/benchmarks/measureSiteFailover/index.ts
+++ b/src/benchmarks/measureSiteFailover/index.ts
@@ -51,7 +51,7 @@
                 toRow("primary killed, platform up", up),
                 toRow("primary killed, platform down", down),
             ],
-            remarks: [describeVerdict(up), describeVerdict(down)],
+            remarks: [up, down].flatMap(outcome => [describeVerdict(outcome), describeGaps(outcome)]),
         };
     });
 }
@@ -104,3 +104,7 @@
         ? `history sound: ${counts}`
         : `history VIOLATED: ${JSON.stringify(verdict.countByKind)}; ${verdict.violations[0]?.text}`;
 }
+
+function describeGaps(outcome: LoadOutcome): string {
+    return `gaps in order, in ms: ${listGaps(outcome).map(Math.round).join(" ")}`;
+}
