Let the load's tests run for a number of operations

Cause: they ran for a fixed time, and on a busy machine too few operations ran to meet the injected fault: 'an entry that answers stale reads is caught' failed once in a whole run at load 14 and passed four times alone. The test now goes on until 300 operations were recorded; its assertions are unchanged.

--- a/src/load/runLoad/test.ts
+++ b/src/load/runLoad/test.ts
@@ -124,6 +124,8 @@
     callerDelayMilliseconds: 0,
 };
 
+const leastOperations = 300;
+
 async function offerLoad(options: FakeEntryOptions) {
     lists.clear();
     const listener = createFakeEntry(options);
@@ -150,7 +152,12 @@
     };
     try {
         const run = await runLoad(services, {
-            causeFaults: async mark => mark({ text: "nothing", database: "stock" }),
+            causeFaults: async (mark, operations) => {
+                mark({ text: "nothing", database: "stock" });
+                while (operations.length < leastOperations) {
+                    await clock.sleep(5);
+                }
+            },
         });
         const proxyState = await readProxyState(services, "stock");
         const endState = { database: "stock", source: "the store", lists: new Map(lists) };
