Let the last replies pass before a stop ends; read positions over the watches' connections

Positions are read over the connections of the status watches: a gateway has only one pooled connection to an endpoint that another owns, and a reset after each use.

--- a/src/confirmation/createConfirmation/index.ts
+++ b/src/confirmation/createConfirmation/index.ts
@@ -2,6 +2,9 @@
 import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
 import type { EndpointDefinition } from "../../configuration/types/EndpointDefinition.js";
 import type { EndpointDriver } from "../../endpoints/types/EndpointDriver.js";
+import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { MembershipService } from "../../membership/types/MembershipService.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import type { TopologyService } from "../../topology/types/TopologyService.js";
@@ -150,6 +153,16 @@
         return group;
     }
 
+    async function readStatus(database: string, endpoint: string): Promise<EndpointStatus> {
+        const group = watchGroup(database);
+        if (group === undefined) {
+            throw createError(ErrorKind.NotFound, `Database ${database} has no endpoints.`, {
+                remedy: "Read the configuration in force again.",
+            });
+        }
+        return await group.watch.readStatus(endpoint);
+    }
+
     function unwatchGroup(database: string): Promise<void> {
         const group = groups.get(database);
         groups.delete(database);
@@ -208,6 +221,7 @@
 
     return {
         waitUntilConfirmed,
+        readStatus,
         statusesOf: database => groups.get(database)?.watch.statuses() ?? [],
         start,
         stop,
--- a/src/confirmation/createGroupWatch/index.ts
+++ b/src/confirmation/createGroupWatch/index.ts
@@ -1,8 +1,14 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { EndpointDefinition } from "../../configuration/types/EndpointDefinition.js";
+import type { EndpointConnection } from "../../endpoints/types/EndpointConnection.js";
 import type { EndpointDriver } from "../../endpoints/types/EndpointDriver.js";
 import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createWaiter } from "../../waiting/createWaiter/index.js";
+import type { Waiter } from "../../waiting/types/Waiter.js";
+import { confirmationConstants } from "../constants.js";
 import type { GroupWatch } from "../types/GroupWatch.js";
 import { watchEndpointStatus } from "../watchEndpointStatus/index.js";
 
@@ -32,10 +38,14 @@
 ): GroupWatch {
     const end = new AbortController();
     const statuses = new Map<string, EndpointStatus>();
+    const connections = new Map<string, EndpointConnection>();
+    const waiters = new Map(endpoints.map(({ name }) => [name, new Set<Waiter<EndpointConnection>>()]));
     const tasks = endpoints.map(watchOne);
 
     async function watchOne(endpoint: EndpointDefinition): Promise<void> {
-        for await (const status of watchEndpointStatus(endpoint, { ...options, signal: end.signal })) {
+        const onConnection = (connection: EndpointConnection | undefined): void =>
+            noteConnection(endpoint.name, connection);
+        for await (const status of watchEndpointStatus(endpoint, { ...options, signal: end.signal, onConnection })) {
             if (status.database === database && status.endpoint === endpoint.name) {
                 statuses.set(endpoint.name, status);
                 options.onStatus();
@@ -43,10 +53,44 @@
         }
     }
 
+    function noteConnection(endpoint: string, connection: EndpointConnection | undefined): void {
+        if (connection === undefined) {
+            connections.delete(endpoint);
+            return;
+        }
+        connections.set(endpoint, connection);
+        waiters.get(endpoint)!.forEach(waiter => waiter.resolve(connection));
+        waiters.get(endpoint)!.clear();
+    }
+
+    function connectionTo(endpoint: string): Promise<EndpointConnection> {
+        const connection = connections.get(endpoint);
+        if (connection !== undefined) {
+            return Promise.resolve(connection);
+        }
+        const waiter = createWaiter<EndpointConnection>({
+            clock: options.clock,
+            timeoutMilliseconds: confirmationConstants.statusTimeoutMilliseconds,
+            signal: end.signal,
+            createTimeoutError: () =>
+                createError(ErrorKind.Unreachable, `The watch of endpoint ${endpoint} is not connected.`, {
+                    remedy: "Retry in a moment.",
+                }),
+            onTimeout: () => waiters.get(endpoint)?.delete(waiter),
+        });
+        waiters.get(endpoint)?.add(waiter);
+        return waiter.promise;
+    }
+
+    async function readStatus(endpoint: string): Promise<EndpointStatus> {
+        const connection = await connectionTo(endpoint);
+        return await connection.readStatus(confirmationConstants.statusTimeoutMilliseconds);
+    }
+
     async function stop(): Promise<void> {
         end.abort();
         await Promise.all(tasks);
     }
 
-    return { statuses: () => [...statuses.values()], endpointCount: endpoints.length, stop };
+    return { statuses: () => [...statuses.values()], readStatus, endpointCount: endpoints.length, stop };
 }
--- a/src/confirmation/types/Confirmation.ts
+++ b/src/confirmation/types/Confirmation.ts
@@ -10,6 +10,12 @@
         position: number,
         timeoutMilliseconds: number,
     ): Promise<ConfirmationResult>;
+    /**
+     * Asks an endpoint of the group for its status anew, over the connection of its watch.
+     *
+     * Fails with `Unreachable` when that does not open in time, `ConnectionClosed` or `DeadlineExceeded`.
+     */
+    readStatus(database: string, endpoint: string): Promise<EndpointStatus>;
     /** The latest status of each endpoint of the group; empty while the group is not watched. */
     statusesOf(database: string): readonly EndpointStatus[];
     start(): Promise<void>;
--- a/src/confirmation/watchEndpointStatus/index.ts
+++ b/src/confirmation/watchEndpointStatus/index.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { EndpointDefinition } from "../../configuration/types/EndpointDefinition.js";
+import type { EndpointConnection } from "../../endpoints/types/EndpointConnection.js";
 import type { EndpointDriver } from "../../endpoints/types/EndpointDriver.js";
 import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
@@ -12,23 +13,27 @@
     readonly random: RandomSource;
     readonly driver: EndpointDriver;
     readonly signal: AbortSignal;
+    /** Told of each connection that was opened, and with undefined when it is over. */
+    readonly onConnection: (connection: EndpointConnection | undefined) => void;
 }
 
 /**
  * Yields the statuses of one endpoint over a connection of its own, opened again whenever it fails.
  *
  * @param endpoint The endpoint.
- * @param options Clock, random source, driver, and the signal that ends the watch.
+ * @param options Clock, random source, driver, the signal that ends the watch, and whom to tell of connections.
  * @returns The statuses, until the signal is aborted.
  *
  * @example
- * for await (const status of watchEndpointStatus(endpoint, { clock, random, driver, signal })) { take(status); }
+ * for await (const status of watchEndpointStatus(endpoint, { clock, random, driver, signal, onConnection })) {
+ *     take(status);
+ * }
  */
 export async function* watchEndpointStatus(
     endpoint: EndpointDefinition,
     options: WatchEndpointStatusOptions,
 ): AsyncGenerator<EndpointStatus, void, undefined> {
-    const { clock, random, driver, signal } = options;
+    const { clock, random, driver, signal, onConnection } = options;
     const createPauses = (): Generator<number, void, undefined> =>
         createBackoff(random, {
             firstMilliseconds: confirmationConstants.firstReconnectMilliseconds,
@@ -40,12 +45,14 @@
             const timeout = confirmationConstants.connectTimeoutMilliseconds;
             const connection = await driver.connect(endpoint.name, endpoint, timeout);
             try {
+                onConnection(connection);
                 for await (const status of connection.watchStatus(signal)) {
                     pauses = createPauses();
                     yield status;
                 }
             }
             finally {
+                onConnection(undefined);
                 connection.close();
             }
         }
--- a/src/freshness/createPositionReader/index.ts
+++ b/src/freshness/createPositionReader/index.ts
@@ -1,5 +1,6 @@
+import type { Clock } from "../../clock/types/Clock.js";
 import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
-import type { EndpointConnections } from "../../connections/types/EndpointConnections.js";
+import type { Confirmation } from "../../confirmation/types/Confirmation.js";
 import { EndpointRole } from "../../endpoints/types/EndpointRole.js";
 import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
@@ -11,8 +12,9 @@
 
 /** Options of `createPositionReader`. */
 interface PositionReaderOptions {
+    readonly clock: Clock;
     readonly configuration: ConfigurationService;
-    readonly connections: EndpointConnections;
+    readonly confirmation: Confirmation;
     readonly topology: TopologyService;
 }
 
@@ -22,35 +24,18 @@
  * The primary and enough replicas for a majority must report the term, all asked after the request arrived. No other
  * primary can then have acknowledged anything before that, since its promotion would have fenced a majority.
  *
- * @param options Configuration, connections and topology.
+ * @param options Clock, configuration, confirmation and topology.
  * @returns The position reader; its promises never reject.
  *
  * @example
  * const reply = await createPositionReader(options).readPosition({ database: "stock", term: 3, timeLeftMilliseconds: 500 });
  */
 export function createPositionReader(options: PositionReaderOptions): PositionReader {
-    const { configuration, connections, topology } = options;
+    const { clock, configuration, confirmation, topology } = options;
 
-    async function readStatus(
-        request: PositionRequest,
-        endpoint: string,
-    ): Promise<EndpointStatus | undefined> {
-        const timeoutMilliseconds = request.timeLeftMilliseconds;
-        try {
-            const lease = await connections.acquire(request.database, endpoint, timeoutMilliseconds);
-            try {
-                const status = await lease.connection.readStatus(timeoutMilliseconds);
-                lease.release();
-                return status;
-            }
-            catch (error) {
-                lease.discard(error);
-            }
-        }
-        catch {
-            // An endpoint that cannot be asked counts as one that did not confirm the term.
-        }
-        return undefined;
+    function readStatus(database: string, endpoint: string): Promise<EndpointStatus | undefined> {
+        // An endpoint that cannot be asked counts as one that did not confirm the term.
+        return confirmation.readStatus(database, endpoint).catch(() => undefined);
     }
 
     async function readPosition(request: PositionRequest): Promise<EndpointReply> {
@@ -64,7 +49,7 @@
         const holders: EndpointStatus[] = [];
         return new Promise(resolve => {
             const readings = names.map(async name => {
-                const status = await readStatus(request, name);
+                const status = await readStatus(request.database, name);
                 if (status !== undefined && isOfTerm(status, request.term, name === group.primary)) {
                     holders.push(status);
                 }
@@ -74,8 +59,10 @@
                     resolve({ outcome: OutcomeKind.Answer, result: undefined, term, position, queueLength: 0 });
                 }
             });
-            void Promise.all(readings).then(() => {
-                resolve(refuse(`No majority of ${request.database} confirmed term ${request.term}.`));
+            const finished = new AbortController();
+            const allRead = Promise.all(readings).finally(() => finished.abort());
+            void Promise.race([allRead, clock.sleep(request.timeLeftMilliseconds, finished.signal)]).then(() => {
+                resolve(refuse(`No majority of ${request.database} confirmed term ${request.term} in time.`));
             });
         });
     }
--- /dev/null
+++ b/src/requests/createRequestsRouter/test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import { RequestKind } from "../../messages/types/RequestKind.js";
+import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
+import { StatementOperation } from "../../standIns/endpoint/types/StatementOperation.js";
+import { startDataPlane } from "../../testing/startDataPlane/index.js";
+import { createPeers } from "../../transport/createPeers/index.js";
+import { createTransportServer } from "../../transport/createTransportServer/index.js";
+import type { RequestsRouter } from "../types/RequestsRouter.js";
+import { createRequestsRouter } from "./index.js";
+
+const request = {
+    requestId: "request-1",
+    database: "stock",
+    endpoint: "stock-1",
+    kind: RequestKind.Write,
+    statement: { operation: StatementOperation.Add, register: "stock", amount: 1 },
+    term: 1,
+    leastPosition: 0,
+    waitMilliseconds: 0,
+    caller: "clover",
+    timeLeftMilliseconds: 2_000,
+};
+
+test("a planned stop cuts off no reply, and bad input is refused with a typed error", async context => {
+    const plane = await startDataPlane({ endpoints: { serviceMilliseconds: 20 } });
+    context.after(plane.stop);
+    const { events, logger, requests } = plane;
+    const peerSecret = "secret";
+    const router = createRequestsRouter(requests);
+    const server = createTransportServer({ host: "127.0.0.1", port: 0, peerSecret, router, events, logger });
+    await server.start();
+    const identity = { name: "entry-1", availabilityZone: "a", peerSecret };
+    const peers = createPeers(identity, createNeutralNetwork("a"), events);
+    const gateway = { host: "127.0.0.1", port: server.port(), availabilityZone: "a" };
+    const client = peers.clientOf<RequestsRouter>(gateway);
+    const invalid = client.requests.execute.mutate({ ...request, term: -1 });
+    assert.equal(toTypedError(await invalid.catch(error => error)).kind, ErrorKind.InvalidRequest);
+    const replies = Array.from({ length: 4 }, () => client.requests.execute.mutate(request));
+    while (requests.describeWork().length < replies.length) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    await requests.stop();
+    await server.stop();
+    for (const reply of await Promise.all(replies)) {
+        assert.equal(reply.outcome, OutcomeKind.Answer);
+    }
+    await peers.stop();
+});
--- a/src/waiting/createWorkTracker/index.ts
+++ b/src/waiting/createWorkTracker/index.ts
@@ -26,8 +26,12 @@
         }
     }
 
-    function whenIdle(): Promise<void> {
-        return descriptions.size === 0 ? Promise.resolve() : new Promise(resolve => idleListeners.push(resolve));
+    async function whenIdle(): Promise<void> {
+        while (descriptions.size > 0) {
+            await new Promise<void>(resolve => idleListeners.push(resolve));
+        }
+        // The results are passed on by tasks that are ready now; only then may the connections be closed.
+        await new Promise(resolve => setImmediate(resolve));
     }
 
     return { track, describe: () => [...descriptions.values()], whenIdle };
--- a/src/waiting/types/WorkTracker.ts
+++ b/src/waiting/types/WorkTracker.ts
@@ -4,6 +4,6 @@
     track<T>(description: string, work: () => Promise<T>): Promise<T>;
     /** Descriptions of the work under way. */
     describe(): readonly string[];
-    /** Resolves when no work is under way. */
+    /** Resolves when no work is under way and the last results were passed on. */
     whenIdle(): Promise<void>;
 }
