Refuse at a stop what waits for a slot, so that another gateway takes it at once

A gateway that leaves is no longer the owner and has one slot left: what waited was served slowly or refused as overloaded, which entries pass on to callers. As Stopping it is sent to the next owner.

--- a/src/admission/createAdmission/index.ts
+++ b/src/admission/createAdmission/index.ts
@@ -55,5 +55,11 @@
         return queue;
     }
 
-    return { queueOf };
+    function refuseWaiting(): void {
+        for (const queue of queues.values()) {
+            queue.refuseWaiting();
+        }
+    }
+
+    return { queueOf, refuseWaiting };
 }
--- a/src/admission/createAdmissionQueue/index.ts
+++ b/src/admission/createAdmissionQueue/index.ts
@@ -188,5 +188,19 @@
         return sessionQueue.length + agedQueue.length + deferred.length;
     }
 
-    return { enter, running: () => running, waiting };
+    function refuseWaiting(): void {
+        const waitingTickets = deferred.splice(0);
+        for (const queue of [sessionQueue, agedQueue]) {
+            for (let queued = queue.shift(); queued !== undefined; queued = queue.shift()) {
+                waitingTickets.push(queued);
+            }
+        }
+        for (const { waiter } of waitingTickets) {
+            waiter.reject(createError(ErrorKind.Stopping, "This gateway is stopping.", {
+                remedy: "Send the request to another gateway.",
+            }));
+        }
+    }
+
+    return { enter, refuseWaiting, running: () => running, waiting };
 }
--- a/src/admission/types/AdmissionQueue.ts
+++ b/src/admission/types/AdmissionQueue.ts
@@ -10,6 +10,8 @@
      * (while waiting).
      */
     enter(ticket: AdmissionTicket): Promise<AdmissionSlot>;
+    /** Refuses all waiting tickets with `Stopping`, so that another gateway can take them at once. */
+    refuseWaiting(): void;
     /** Slots in use. */
     running(): number;
     /** Tickets waiting. */
--- a/src/requests/createEndpointRequests/index.ts
+++ b/src/requests/createEndpointRequests/index.ts
@@ -121,6 +121,8 @@
 
     async function stop(): Promise<void> {
         isStopping = true;
+        // A gateway that leaves has few slots left; another one serves what still waits sooner.
+        admission.refuseWaiting();
         await work.whenIdle();
     }
 
--- a/src/requests/createRequestsRouter/test.ts
+++ b/src/requests/createRequestsRouter/test.ts
@@ -39,7 +39,7 @@
     const client = peers.clientOf<RequestsRouter>(gateway);
     const invalid = client.requests.execute.mutate({ ...request, term: -1 });
     assert.equal(toTypedError(await invalid.catch(error => error)).kind, ErrorKind.InvalidRequest);
-    const replies = Array.from({ length: 4 }, () => client.requests.execute.mutate(request));
+    const replies = Array.from({ length: 3 }, () => client.requests.execute.mutate(request));
     while (requests.describeWork().length < replies.length) {
         await new Promise(resolve => setImmediate(resolve));
     }
--- a/src/requests/types/EndpointRequests.ts
+++ b/src/requests/types/EndpointRequests.ts
@@ -15,6 +15,6 @@
     lookUpRequestKey(lookUp: RequestLookUp, signal?: AbortSignal): Promise<EndpointReply>;
     describeWork(): readonly string[];
     start(): Promise<void>;
-    /** Refuses new requests and waits for those under way. */
+    /** Refuses new requests and those that wait for a slot; waits for those that were given one. */
     stop(): Promise<void>;
 }
--- a/src/transactions/createTransactions/index.ts
+++ b/src/transactions/createTransactions/index.ts
@@ -180,6 +180,7 @@
 
     async function stop(): Promise<void> {
         isStopping = true;
+        admission.refuseWaiting();
         await work.whenIdle();
     }
 
--- a/src/transactions/types/Transactions.ts
+++ b/src/transactions/types/Transactions.ts
@@ -14,6 +14,6 @@
     end(end: TransactionEnd): Promise<EndpointReply>;
     describeWork(): readonly string[];
     start(): Promise<void>;
-    /** Refuses new transactions and waits for the open ones, at most until their deadlines. */
+    /** Refuses new transactions and those that wait for a slot; waits for the open ones, at most until their deadlines. */
     stop(): Promise<void>;
 }
