--- a/src/benchmarks/measurePath/index.ts
+++ b/src/benchmarks/measurePath/index.ts
@@ -11,8 +11,8 @@
 import { readEndpointStatus } from "../../site/readEndpointStatus/index.js";
 import type { Site } from "../../site/types/Site.js";
 import { withSite } from "../../site/withSite/index.js";
+import { summarizeSamples } from "../../statistics/summarizeSamples/index.js";
 import { readResidentMegabytes } from "../readResidentMegabytes/index.js";
-import { summarizeSamples } from "../summarizeSamples/index.js";
 import type { BenchmarkReport } from "../types/BenchmarkReport.js";
 
 const sizes = {
--- a/src/benchmarks/measureSiteFailover/index.ts
+++ b/src/benchmarks/measureSiteFailover/index.ts
@@ -13,7 +13,7 @@
 import { waitForFollowers } from "../../site/waitForFollowers/index.js";
 import { withSite } from "../../site/withSite/index.js";
 import { OutageKind } from "../../standIns/platform/types/OutageKind.js";
-import { summarizeSamples } from "../summarizeSamples/index.js";
+import { summarizeSamples } from "../../statistics/summarizeSamples/index.js";
 import type { BenchmarkReport } from "../types/BenchmarkReport.js";
 import type { BenchmarkRow } from "../types/BenchmarkRow.js";
 
--- a/src/load/runLoadCommand/index.ts
+++ b/src/load/runLoadCommand/index.ts
@@ -6,6 +6,7 @@
 import type { ProcessControl } from "../../commandLine/types/ProcessControl.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { createReport } from "../../report/createReport/index.js";
 import { readSettings } from "../../settings/readSettings/index.js";
 import { formatLoadSummary } from "../formatLoadSummary/index.js";
 import { loadTargetSchema } from "../loadTargetSchema/index.js";
@@ -46,11 +47,15 @@
     control.onStopSignal(() => ending.abort());
     const target = readSettings(options["target"], loadTargetSchema);
     const plan = readPlan(options);
-    const { summary, verdict } = await offerLoad(target, plan, { signal: ending.signal });
+    const outcome = await offerLoad(target, plan, { signal: ending.signal });
+    const { summary, verdict } = outcome;
     control.write(formatLoadSummary(summary, verdict));
     if (typeof options["json"] === "string") {
         await writeFile(options["json"], JSON.stringify({ plan, summary, verdict }, undefined, 4));
     }
+    if (typeof options["report"] === "string") {
+        await writeFile(options["report"], createReport(outcome));
+    }
     return verdict.isSound ? ExitCode.Success : ExitCode.Failure;
 }
 
@@ -73,6 +78,7 @@
         .option("--deadline <milliseconds>", "Deadline of each request")
         .option("--pause <milliseconds>", "Mean pause of a session between operations")
         .option("--json <file>", "Write the figures and the verdict as JSON")
+        .option("--report <file>", "Write a self-contained HTML page with charts over time")
         .action(() => {});
     commandLine.help();
     commandLine.version(readProductVersion());
