Cut off no request at an entry's planned stop; look for a gateway with patience

The entry now waits for a quiet moment, stops accepting, lingers, and then closes; the load tool asks for health as a balancer does. It now looks for a gateway for ten seconds.

--- a/src/callers/createCallerFront/index.ts
+++ b/src/callers/createCallerFront/index.ts
@@ -1,6 +1,6 @@
 import fastify, { type FastifyReply, type FastifyRequest } from "fastify";
 import { randomUUID } from "node:crypto";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server } from "node:net";
 import type { z } from "zod";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
@@ -58,6 +58,7 @@
         genReqId: () => randomUUID(),
     });
     let state = HealthState.Serving;
+    let lastRequestAt = 0;
 
     function refuse(requestId: string, reason: NotRunReason, message: string): CallerReply {
         return { outcome: OutcomeKind.NotRun, requestId, reason, message };
@@ -105,6 +106,7 @@
         handle: (request: RoutedRequest<z.output<Schema>>) => Promise<CallerReply>,
     ): void {
         server.post(path, async (request, response) => {
+            lastRequestAt = clock.now();
             return send(response, await answer(request));
         });
 
@@ -206,12 +208,21 @@
     }
 
     async function stop(): Promise<void> {
+        const startedAt = clock.now();
         state = HealthState.Stopping;
         await clock.sleep(callerConstants.stopNoticeMilliseconds);
-        await server.close();
+        const isQuiet = (): boolean => clock.now() - lastRequestAt >= callerConstants.stopQuietMilliseconds;
+        const isOverdue = (): boolean => clock.now() - startedAt >= callerConstants.longestStopNoticeMilliseconds;
+        while (!isQuiet() && !isOverdue()) {
+            await clock.sleep(callerConstants.shortestStopPollMilliseconds);
+        }
+        // Stops accepting, and leaves accepted connections alone: one of them may be bringing a request.
+        Server.prototype.close.call(server.server);
+        await clock.sleep(callerConstants.stopLingerMilliseconds);
         while (execution.underWay > 0) {
             await clock.sleep(callerConstants.shortestStopPollMilliseconds);
         }
+        await server.close();
     }
 
     return {
--- a/src/load/constants.ts
+++ b/src/load/constants.ts
@@ -14,6 +14,7 @@
     finalReadConcurrency: 16,
     /** Share of aged reads that belong to no session. */
     detachedAgedShare: 0.5,
+    healthIntervalMilliseconds: 250,
     connectionsPerEntry: 256,
     /** Share of pair writes that are one statement in place of a transaction of several requests. */
     singleStatementShare: 0.3,
--- a/src/load/offerLoad/index.ts
+++ b/src/load/offerLoad/index.ts
@@ -4,6 +4,7 @@
 import { createHistory } from "../../history/createHistory/index.js";
 import type { FinalState } from "../../history/types/FinalState.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { createBalancer } from "../createBalancer/index.js";
 import { createCallerClient } from "../createCallerClient/index.js";
 import { readProxyState } from "../readProxyState/index.js";
 import { runLoad } from "../runLoad/index.js";
@@ -45,7 +46,9 @@
     const client = createCallerClient({ clock, callerDelayMilliseconds: plan.callerDelayMilliseconds });
     const random = createRandomSource(plan.seed);
     const runName = `run-${randomUUID().slice(0, runNameCharacters)}`;
-    const services: LoadServices = { client, clock, history: createHistory(), plan, random, runName, target };
+    const balancer = createBalancer(target.entries, clock);
+    const history = createHistory();
+    const services: LoadServices = { client, clock, history, plan, random, runName, target, balancer };
     try {
         const run = await runLoad(services, options);
         const states: FinalState[] = [];
@@ -57,7 +60,7 @@
         return { run, summary: summarizeLoad(run), verdict: checkHistory(run.operations, states) };
     }
     finally {
-        await client.stop();
+        await Promise.all([client.stop(), balancer.stop()]);
     }
 }
 
--- a/src/load/runSession/index.ts
+++ b/src/load/runSession/index.ts
@@ -21,7 +21,7 @@
     const { clock, plan, random } = services;
     await clock.sleep(random.next() * plan.pauseMilliseconds, signal);
     while (!signal.aborted) {
-        if (random.next() < plan.roamShare) {
+        if (random.next() < plan.roamShare || services.balancer?.isServing(session.entry) === false) {
             session.entry = drawEntry(services, session);
         }
         const operation = await performOperation(services, session, drawStatement(services, session));
@@ -39,9 +39,10 @@
     return -Math.log(1 - random.next()) * meanMilliseconds;
 }
 
-function drawEntry({ random, target }: LoadServices, session: SessionState): LoadEntry {
+function drawEntry({ random, target, balancer }: LoadServices, session: SessionState): LoadEntry {
     const isAnywhere = random.next() < loadConstants.foreignRoamShare;
-    const near = target.entries.filter(entry => isAnywhere || entry.region === session.homeRegion);
-    const candidates = near.length > 0 ? near : target.entries;
+    const serving = target.entries.filter(entry => balancer?.isServing(entry) !== false);
+    const near = serving.filter(entry => isAnywhere || entry.region === session.homeRegion);
+    const candidates = near.length > 0 ? near : serving;
     return candidates[random.nextInteger(candidates.length)] ?? session.entry;
 }
--- a/src/load/types/LoadServices.ts
+++ b/src/load/types/LoadServices.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { History } from "../../history/types/History.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
+import type { Balancer } from "./Balancer.js";
 import type { CallerClient } from "./CallerClient.js";
 import type { LoadPlan } from "./LoadPlan.js";
 import type { LoadTarget } from "./LoadTarget.js";
@@ -15,4 +16,6 @@
     /** Begins the names of all lists and sessions, so that runs on one installation stay apart. */
     readonly runName: string;
     readonly target: LoadTarget;
+    /** Keeps sessions away from entries that are stopping; all entries are used when left out. */
+    readonly balancer?: Balancer;
 }
--- a/src/operator/constants.ts
+++ b/src/operator/constants.ts
@@ -2,6 +2,8 @@
 export const operatorConstants = {
     /** Time allowed for one question to one gateway. */
     callTimeoutMilliseconds: 5_000,
+    /** How long a gateway is looked for while none can be reached. */
+    reachTimeoutMilliseconds: 10_000,
     /** Time allowed for a patch, longer than a gateway tries to settle it. */
     patchTimeoutMilliseconds: 15_000,
     /** Time between two looks at the versions in force. */
--- a/src/operator/openSession/index.ts
+++ b/src/operator/openSession/index.ts
@@ -3,12 +3,14 @@
 import { userInfo } from "node:os";
 import { createSystemClock } from "../../clock/createSystemClock/index.js";
 import type { ProcessControl } from "../../commandLine/types/ProcessControl.js";
+import { isTypedError } from "../../errors/isTypedError/index.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { TypedError } from "../../errors/types/TypedError.js";
 import { createEventRecorder } from "../../events/createEventRecorder/index.js";
 import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
 import { createPeers } from "../../transport/createPeers/index.js";
+import { operatorConstants } from "../constants.js";
 import type { OperatorConnection } from "../types/OperatorConnection.js";
 import type { OperatorRouter } from "../types/OperatorRouter.js";
 import type { OperatorSession } from "../types/OperatorSession.js";
@@ -37,6 +39,22 @@
     const peers = createPeers(identity, createNeutralNetwork("operator"), createEventRecorder(name, clock));
 
     async function askAny<T>(call: (client: TRPCClient<OperatorRouter>) => Promise<T>): Promise<T> {
+        const startedAt = clock.now();
+        for (;;) {
+            try {
+                return await askEach(call);
+            }
+            catch (error) {
+                const isPatient = clock.now() - startedAt < operatorConstants.reachTimeoutMilliseconds;
+                if (!isTypedError(error, ErrorKind.Unreachable) || !isPatient) {
+                    throw error;
+                }
+            }
+            await clock.sleep(operatorConstants.waitPollMilliseconds);
+        }
+    }
+
+    async function askEach<T>(call: (client: TRPCClient<OperatorRouter>) => Promise<T>): Promise<T> {
         let failure: TypedError | undefined;
         for (const address of connection.gateways) {
             try {
