--- a/src/benchmarks/benchmarks/index.ts
+++ b/src/benchmarks/benchmarks/index.ts
@@ -1,6 +1,7 @@
 import { measurePath } from "../measurePath/index.js";
 import { measureReads } from "../measureReads/index.js";
 import { measureSiteFailover } from "../measureSiteFailover/index.js";
+import { reportOverload } from "../reportOverload/index.js";
 import type { Benchmark } from "../types/Benchmark.js";
 import { BenchmarkName } from "../types/BenchmarkName.js";
 
@@ -12,6 +13,7 @@
  */
 export const benchmarks: Readonly<Partial<Record<BenchmarkName, Benchmark>>> = {
     [BenchmarkName.Failover]: measureSiteFailover,
+    [BenchmarkName.Overload]: reportOverload,
     [BenchmarkName.Path]: measurePath,
     [BenchmarkName.Reads]: measureReads,
 };
