Keep a gateway alive when a request is cancelled before it is queued

Cause: a waiter created with an aborted signal expired while its creator did not hold it yet, so forgetting the queued ticket failed and the rejected promise was nobody's: the process ended. Seen in the demo on a busy machine, where 4 of 8 gateways ended with 'No slot of ... came free before the deadline'. The new test fails without the change. Also: a patch is submitted through any gateway that answers, and a program that ends by itself is reported.

--- a/src/site/constants.ts
+++ b/src/site/constants.ts
@@ -11,6 +11,7 @@
     logEntriesPerRead: 10_000,
     maximumLogReads: 1_000,
     maximumOutputCharacters: 200_000,
+    reportedOutputCharacters: 2_000,
     operatorSettingsFile: "operator.jsonc",
     peerSecret: "secret-of-a-test-site",
     tokenSecret: "token-secret-of-a-test-site",
--- a/src/site/startSite/index.ts
+++ b/src/site/startSite/index.ts
@@ -46,6 +46,7 @@
         await writeFile(settingsFile, JSON.stringify(program.settings, undefined, 4));
         const started = startProcess(program.name, program.binary, { settingsFile });
         processes.set(program.name, started);
+        void started.exited.then(outcome => reportEnd(started, outcome));
         await waitForReadiness(started, (program.settings as { listen: Address; }).listen);
     }
 
@@ -84,6 +85,14 @@
     return { plan, target, folder, process: findProcess, restart, stop };
 }
 
+/** Tells of a program that ended by itself with a failure; signals and graceful stops are wanted ends. */
+function reportEnd(ended: SiteProcess, outcome: string): void {
+    if (/^[1-9]/.test(outcome)) {
+        const output = ended.output().slice(-siteConstants.reportedOutputCharacters);
+        process.stderr.write(`${ended.name} ended with ${outcome}: ${output}\n`);
+    }
+}
+
 async function writeOperatorSettings(plan: SitePlan, folder: string): Promise<void> {
     const settings = { gateways: plan.vms.map(vm => vm.gateway), peerSecret: siteConstants.peerSecret };
     await writeFile(join(folder, siteConstants.operatorSettingsFile), JSON.stringify(settings, undefined, 4));
--- a/src/site/submitPatch/index.ts
+++ b/src/site/submitPatch/index.ts
@@ -1,5 +1,6 @@
 import { writeFile } from "node:fs/promises";
 import { join } from "node:path";
+import type { Address } from "../../network/types/Address.js";
 import { runOperator } from "../runOperator/index.js";
 import type { SitePlan } from "../types/SitePlan.js";
 
@@ -11,7 +12,7 @@
     readonly folder: string;
     /** Waits until the version is in force everywhere. */
     readonly isWaiting?: boolean;
-    /** Index of the VM whose gateway is asked. */
+    /** Index of the VM whose gateway is asked; any gateway that answers when left out. */
     readonly vmIndex?: number;
 }
 
@@ -32,5 +33,9 @@
     await writeFile(file, JSON.stringify(patch, undefined, 4));
     const waiting = options.isWaiting === true ? ["--wait"] : [];
     const words = ["config", "patch", file, "--against", String(options.against), ...waiting];
-    return runOperator(words, { folder: options.folder, gateway: plan.vms[options.vmIndex ?? 0]?.gateway });
+    return runOperator(words, { folder: options.folder, gateway: gatewayOf(plan, options.vmIndex) });
+}
+
+function gatewayOf(plan: SitePlan, vmIndex: number | undefined): Address | undefined {
+    return vmIndex === undefined ? undefined : plan.vms[vmIndex]?.gateway;
 }
--- a/src/waiting/createWaiter/index.ts
+++ b/src/waiting/createWaiter/index.ts
@@ -53,7 +53,8 @@
 
     signal?.addEventListener("abort", expire);
     if (signal?.aborted === true) {
-        expire();
+        // The creator holds the waiter only after this function has returned.
+        queueMicrotask(expire);
     }
     else {
         void clock.sleep(Math.max(options.timeoutMilliseconds, 0), timer.signal).then(expire);
--- /dev/null
+++ b/src/waiting/createWaiter/test.ts
@@ -0,0 +1,19 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import { createWaiter } from "./index.js";
+
+test("a waiter whose signal was aborted before expires once its creator holds it", async () => {
+    let expired: unknown;
+    const waiter = createWaiter<void>({
+        clock: createSystemClock(),
+        timeoutMilliseconds: 1_000,
+        signal: AbortSignal.abort(),
+        onTimeout: () => {
+            expired = waiter;
+        },
+        createTimeoutError: () => new Error("aborted"),
+    });
+    await assert.rejects(waiter.promise, /aborted/);
+    assert.equal(expired, waiter);
+});
