--- /dev/null
+++ b/.ci/runTests.ts
@@ -0,0 +1,14 @@
+/** Runs all tests; a failure that KNOWN-RED.txt lists is printed and passed over, any other one fails the run. */
+import { readFileSync } from "node:fs";
+import { listSourceFiles } from "../src/tools/listSourceFiles/index.js";
+import { reportTests } from "../src/tools/reportTests/index.js";
+import { runScenarios } from "../src/tools/runScenarios/index.js";
+import { runUnitTests } from "../src/tools/runUnitTests/index.js";
+
+const { scripts } = JSON.parse(readFileSync("package.json", "utf8")) as { readonly scripts: Record<string, string>; };
+const unitFiles = listSourceFiles().filter(file => file.startsWith("src/") && file.endsWith("/test.ts"));
+const tallies = [await runUnitTests(unitFiles)];
+if (scripts["test:scenarios"] !== undefined) {
+    tallies.push(await runScenarios());
+}
+process.exit(reportTests(tallies) ? 0 : 1);
--- a/src/configuration/createConfigurationStore/index.ts
+++ b/src/configuration/createConfigurationStore/index.ts
@@ -52,8 +52,9 @@
         }
     }
 
-    async function* watchRecords(signal: AbortSignal): AsyncGenerator<VersionRecord> {
-        for await (const stored of platform.watchObjects(versionsPrefix, signal)) {
+    async function* watchRecords(version: number, signal: AbortSignal): AsyncGenerator<VersionRecord> {
+        const afterKey = `${versionsPrefix}${versionKey(version)}`;
+        for await (const stored of platform.watchObjects(versionsPrefix, signal, afterKey)) {
             yield parseRecord(stored);
         }
     }
--- a/src/configuration/createEntryConfiguration/index.ts
+++ b/src/configuration/createEntryConfiguration/index.ts
@@ -4,7 +4,7 @@
 import type { Logger } from "../../logging/types/Logger.js";
 import type { Address } from "../../network/types/Address.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
-import { iterateSubscription } from "../../transport/iterateSubscription/index.js";
+import { subscribePeer } from "../../transport/subscribePeer/index.js";
 import type { Peers } from "../../transport/types/Peers.js";
 import { applyUpdates } from "../applyUpdates/index.js";
 import { configurationConstants } from "../constants.js";
@@ -70,7 +70,7 @@
         const stopReporting = state.onChange(report);
         try {
             const input = { version: state.current().version };
-            const updates = iterateSubscription<ConfigurationUpdate>(
+            const updates = subscribePeer<ConfigurationUpdate>(
                 observer => client.configuration.watch.subscribe(input, observer),
                 signal,
             );
--- a/src/configuration/pullFromPeers/index.ts
+++ b/src/configuration/pullFromPeers/index.ts
@@ -1,6 +1,6 @@
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import type { Address } from "../../network/types/Address.js";
-import { iterateSubscription } from "../../transport/iterateSubscription/index.js";
+import { subscribePeer } from "../../transport/subscribePeer/index.js";
 import { applyUpdates } from "../applyUpdates/index.js";
 import { configurationConstants } from "../constants.js";
 import type { createConfigurationRouter } from "../createConfigurationRouter/index.js";
@@ -23,13 +23,14 @@
     const log = parts.logger.topic("configuration");
     for (const address of listSources(parts)) {
         const before = state.current().version;
+        const signal = AbortSignal.timeout(configurationConstants.pullTimeoutMilliseconds);
         try {
-            await applyUpdates(state, requestUpdates(parts, address, before));
+            await applyUpdates(state, requestUpdates(parts, address, before, signal));
             if (state.current().version === before && before < wantedVersion) {
                 // The records did not apply, so the whole content is asked for.
-                await applyUpdates(state, requestUpdates(parts, address, -1));
+                await applyUpdates(state, requestUpdates(parts, address, -1, signal));
             }
-            if (state.current().version >= wantedVersion) {
+            if (!signal.aborted && state.current().version >= wantedVersion) {
                 return true;
             }
         }
@@ -44,10 +45,8 @@
     parts: ConfigurationParts,
     address: Address,
     version: number,
+    signal: AbortSignal,
 ): AsyncGenerator<ConfigurationUpdate> {
     const client = parts.peers.clientOf<ReturnType<typeof createConfigurationRouter>>(address);
-    return iterateSubscription(
-        observer => client.configuration.updates.subscribe({ version }, observer),
-        AbortSignal.timeout(configurationConstants.pullTimeoutMilliseconds),
-    );
+    return subscribePeer(observer => client.configuration.updates.subscribe({ version }, observer), signal);
 }
--- a/src/configuration/runRelay/index.ts
+++ b/src/configuration/runRelay/index.ts
@@ -92,7 +92,7 @@
 }
 
 async function watchStore(parts: ConfigurationParts, signal: AbortSignal, noteReached: () => void): Promise<void> {
-    for await (const record of parts.store.watchRecords(signal)) {
+    for await (const record of parts.store.watchRecords(parts.state.current().version, signal)) {
         noteReached();
         parts.state.takeIn(record);
     }
@@ -106,10 +106,13 @@
 async function readStore(parts: ConfigurationParts, signal: AbortSignal, noteReached: () => void): Promise<void> {
     let writtenVersion = 0;
     while (!signal.aborted) {
-        await catchUpFromStore(parts.state, parts.store, { withSnapshot: false });
-        noteReached();
         const share = 0.75 + parts.random.next() / 2;
         await parts.clock.sleep(configurationConstants.relayReadMilliseconds * share, signal);
+        if (signal.aborted) {
+            return;
+        }
+        await catchUpFromStore(parts.state, parts.store, { withSnapshot: false });
+        noteReached();
         writtenVersion = await writeDueSnapshot(parts, writtenVersion);
     }
 }
--- a/src/configuration/types/ConfigurationStore.ts
+++ b/src/configuration/types/ConfigurationStore.ts
@@ -6,8 +6,8 @@
     readRecord(version: number): Promise<VersionRecord | undefined>;
     /** Yields the records above `version`, in order. */
     listRecords(version: number): AsyncGenerator<VersionRecord>;
-    /** Yields records as they are created; ends by throwing. */
-    watchRecords(signal: AbortSignal): AsyncGenerator<VersionRecord>;
+    /** Yields the records above `version`, then others as they are created; ends by throwing. */
+    watchRecords(version: number, signal: AbortSignal): AsyncGenerator<VersionRecord>;
     /** Creates the version; fails with `Conflict` when it exists. */
     createRecord(record: VersionRecord): Promise<void>;
     /** The newest snapshot that is not above `highestVersion`; the newest of all when left out. */
--- a/src/testing/createCountingPlatform/index.ts
+++ b/src/testing/createCountingPlatform/index.ts
@@ -58,13 +58,21 @@
 
     async function listObjects(prefix: string, afterKey = ""): Promise<StoredObject[]> {
         await count("listObjects");
+        return listSorted(prefix, afterKey).slice(0, 1_000);
+    }
+
+    function listSorted(prefix: string, afterKey: string): StoredObject[] {
         const matching = [...objects.values()].filter(({ key }) => key.startsWith(prefix) && key > afterKey);
-        return matching.sort((a, b) => (a.key < b.key ? -1 : 1)).slice(0, 1_000);
+        return matching.sort((a, b) => (a.key < b.key ? -1 : 1));
     }
 
-    async function* watchObjects(prefix: string, signal: AbortSignal): AsyncGenerator<StoredObject> {
+    async function* watchObjects(prefix: string, signal: AbortSignal, afterKey?: string): AsyncGenerator<StoredObject> {
         await count("watchObjects");
-        for await (const [stored] of on(changes, "change", { signal })) {
+        const later = on(changes, "change", { signal });
+        if (afterKey !== undefined) {
+            yield* listSorted(prefix, afterKey);
+        }
+        for await (const [stored] of later) {
             if ((stored as StoredObject).key.startsWith(prefix)) {
                 yield stored as StoredObject;
             }
--- /dev/null
+++ b/src/tools/runUnitTests/index.ts
@@ -0,0 +1,32 @@
+import { run } from "node:test";
+import { spec } from "node:test/reporters";
+import { toolConstants } from "../constants.js";
+import type { TestTally } from "../types/TestTally.js";
+
+/**
+ * Runs test files of `node:test`, prints their report and tallies the outcome.
+ *
+ * @param files Paths of the test files.
+ * @returns The tally; a file that fails as a whole counts under its path.
+ *
+ * @example
+ * const tally = await runUnitTests(["src/kernel/createKernel/test.ts"]);
+ */
+export async function runUnitTests(files: readonly string[]): Promise<TestTally> {
+    const failures: string[] = [];
+    let passed = 0;
+    const stream = run({ files: [...files], concurrency: toolConstants.parallelTestFiles });
+    stream.on("test:pass", ({ details }) => {
+        passed += details.type === "suite" ? 0 : 1;
+    });
+    stream.on("test:fail", ({ name, details }) => {
+        const { failureType } = details.error as { readonly failureType?: string; };
+        if (failureType !== "subtestsFailed") {
+            failures.push(name);
+        }
+    });
+    const report = stream.compose(new spec());
+    report.pipe(process.stdout);
+    await new Promise((resolve, reject) => report.on("end", resolve).on("error", reject));
+    return { runner: "node:test", passed, failures };
+}
--- /dev/null
+++ b/src/tools/types/TestTally.ts
@@ -0,0 +1,7 @@
+/** What a test runner found. */
+export interface TestTally {
+    readonly runner: string;
+    readonly passed: number;
+    /** Full names of the tests that failed. */
+    readonly failures: readonly string[];
+}
