Make the cost of a configuration version follow the patch, not the content

Cause: digest and check walked every entry. What is left is the copy of one level of the content. Announcements above 1,024 bytes go without the patch: dissemination refuses values above 16,384 bytes, and the old limit counted the patch alone. Missing versions are sought in six rounds of peers before the store is read.

--- a/src/configuration/announceVersion/index.ts
+++ b/src/configuration/announceVersion/index.ts
@@ -21,12 +21,12 @@
     version: number,
     record: VersionRecord | undefined,
 ): void {
-    const isSmall = record !== undefined
-        && JSON.stringify(record.patch).length <= configurationConstants.maximumDisseminatedBytes;
+    const value = record === undefined ? { version } : { version, record };
+    const isSmall = Buffer.byteLength(JSON.stringify(value)) <= configurationConstants.maximumDisseminatedBytes;
     dissemination.publish({
         kind: RecordKind.ConfigurationVersion,
         key: String(version % configurationConstants.disseminationSlots),
         stamp: version,
-        value: isSmall ? { version, record } : { version },
+        value: isSmall ? value : { version },
     });
 }
--- a/src/configuration/applyPatch/test.ts
+++ b/src/configuration/applyPatch/test.ts
@@ -51,7 +51,7 @@
                 assert.deepEqual(document, before);
                 expected = mergeByDefinition(expected, patch);
                 assert.deepEqual(next, expected);
-                digest = updateDigest(digest, document, next);
+                digest = updateDigest(digest, document, next, patch);
                 assert.equal(digest, digestDocument(structuredClone(next)));
                 document = next;
             }
--- a/src/configuration/checkPatch/index.ts
+++ b/src/configuration/checkPatch/index.ts
@@ -2,6 +2,7 @@
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { applyPatch } from "../applyPatch/index.js";
+import { pickTouched } from "../pickTouched/index.js";
 import { systemConfigurationSchema } from "../systemConfigurationSchema/index.js";
 import type { ConfigurationDocument } from "../types/ConfigurationDocument.js";
 
@@ -12,7 +13,9 @@
 }
 
 /**
- * Applies a patch and checks the content that results, each entry and the references between entries.
+ * Applies a patch and checks the content that results: the entries that the patch names, and all references to them.
+ *
+ * Entries that the patch leaves alone were checked when they were submitted.
  *
  * @param document The content that the patch is against.
  * @param patch The patch, an object.
@@ -27,9 +30,10 @@
     patch: Readonly<Record<string, unknown>>,
 ): ConfigurationDocument {
     const next = applyPatch(document, patch);
-    const outcome = systemConfigurationSchema.safeParse(next);
+    const touched = pickTouched(next, patch);
+    const outcome = systemConfigurationSchema.safeParse(touched);
     const problems = outcome.success
-        ? [...findReferenceProblems(next)]
+        ? [...findReferenceProblems(next, touched, patch)]
         : outcome.error.issues.flatMap(describeIssue);
     const first = problems[0];
     if (first === undefined) {
@@ -49,27 +53,53 @@
     return [{ key: issue.path.join("."), reason: issue.message }];
 }
 
-function* findReferenceProblems(document: ConfigurationDocument): Generator<PatchProblem> {
+function* findReferenceProblems(
+    document: ConfigurationDocument,
+    touched: ConfigurationDocument,
+    patch: Readonly<Record<string, unknown>>,
+): Generator<PatchProblem> {
+    yield* findTakenNames(document, touched);
     const { databases = {}, callers = {} } = document;
+    const isDatabasePatched = Object.hasOwn(patch, "databases");
+    for (const [caller, definition] of Object.entries(isDatabasePatched ? callers : touched.callers ?? {})) {
+        for (const database of definition.databases) {
+            if (!Object.hasOwn(databases, database)) {
+                yield { key: `callers.${caller}.databases`, reason: `there is no database ${database}` };
+            }
+        }
+    }
+    if (document.tokenSecret === undefined && Object.keys(callers).length > 0) {
+        yield { key: "tokenSecret", reason: "expected once there is a caller" };
+    }
+}
+
+/** Finds endpoints of touched databases whose name another database uses. */
+function* findTakenNames(document: ConfigurationDocument, touched: ConfigurationDocument): Generator<PatchProblem> {
     const databaseByEndpoint = new Map<string, string>();
-    for (const [database, definition] of Object.entries(databases)) {
-        for (const endpoint of Object.keys(definition.endpoints)) {
+    for (const [database, { endpoints }] of Object.entries(touched.databases ?? {})) {
+        for (const endpoint of Object.keys(endpoints)) {
             const other = databaseByEndpoint.get(endpoint);
             if (other !== undefined) {
-                const key = `databases.${database}.endpoints.${endpoint}`;
-                yield { key, reason: `the name is taken by an endpoint of database ${other}` };
+                yield describeTakenName(database, endpoint, other);
             }
             databaseByEndpoint.set(endpoint, database);
         }
     }
-    for (const [caller, definition] of Object.entries(callers)) {
-        for (const database of definition.databases) {
-            if (!Object.hasOwn(databases, database)) {
-                yield { key: `callers.${caller}.databases`, reason: `there is no database ${database}` };
+    if (databaseByEndpoint.size === 0) {
+        return;
+    }
+    const { databases = {} } = document;
+    for (const other in databases) {
+        for (const endpoint in databases[other]?.endpoints) {
+            const database = databaseByEndpoint.get(endpoint);
+            if (database !== undefined && database !== other && !Object.hasOwn(touched.databases ?? {}, other)) {
+                yield describeTakenName(database, endpoint, other);
             }
         }
     }
-    if (Object.keys(callers).length > 0 && document.tokenSecret === undefined) {
-        yield { key: "tokenSecret", reason: "expected once there is a caller" };
-    }
+}
+
+function describeTakenName(database: string, endpoint: string, other: string): PatchProblem {
+    const key = `databases.${database}.endpoints.${endpoint}`;
+    return { key, reason: `the name is taken by an endpoint of database ${other}` };
 }
--- a/src/configuration/constants.ts
+++ b/src/configuration/constants.ts
@@ -35,8 +35,10 @@
     relaysPerZone: 3,
     /** Slots among which dissemination keeps the last versions. */
     disseminationSlots: 64,
-    /** A larger patch is announced without its text, and pulled. */
-    maximumDisseminatedBytes: 16_384,
+    /** A larger announcement goes without the patch, which is then pulled once by each gateway. */
+    maximumDisseminatedBytes: 1_024,
+    /** Rounds of asking peers for missing versions before the store is read once. */
+    repairRoundsPerStoreRead: 6,
     /** Time between two reads of the store by a relay whose watch shows nothing. */
     relayReadMilliseconds: 5_000,
     /** First and longest pause after a failure. */
--- a/src/configuration/createConfigurationState/index.ts
+++ b/src/configuration/createConfigurationState/index.ts
@@ -59,7 +59,7 @@
 
     function applyNext(record: VersionRecord): TakeInOutcome {
         const document = applyPatch(snapshot.document, record.patch);
-        const digest = updateDigest(snapshot.digest, snapshot.document, document);
+        const digest = updateDigest(snapshot.digest, snapshot.document, document, record.patch);
         if (digest !== record.digest) {
             return TakeInOutcome.Diverged;
         }
--- a/src/configuration/digestDocument/index.ts
+++ b/src/configuration/digestDocument/index.ts
@@ -11,5 +11,5 @@
  * digestDocument({}); // 64 zeros
  */
 export function digestDocument(document: ConfigurationDocument): string {
-    return updateDigest("0".repeat(64), {}, document);
+    return updateDigest("0".repeat(64), {}, document, { ...document });
 }
--- /dev/null
+++ b/src/configuration/pickTouched/index.ts
@@ -0,0 +1,32 @@
+import { isRecord } from "../isRecord/index.js";
+import type { ConfigurationDocument } from "../types/ConfigurationDocument.js";
+
+/**
+ * Picks the entries of a content that a patch names.
+ *
+ * @param document The content after the patch.
+ * @param patch The patch.
+ * @returns The named entries that the content has; a section that is not made of entries is taken whole.
+ *
+ * @example
+ * pickTouched(document, { databases: { stock: {} } }); // { databases: { stock: { ... } } }
+ */
+export function pickTouched(
+    document: ConfigurationDocument,
+    patch: Readonly<Record<string, unknown>>,
+): ConfigurationDocument {
+    const touched = Object.entries(patch).flatMap(([section, sectionPatch]) => {
+        const value: unknown = Object.hasOwn(document, section)
+            ? document[section as keyof ConfigurationDocument]
+            : undefined;
+        if (value === undefined) {
+            return [];
+        }
+        if (!isRecord(value) || !isRecord(sectionPatch)) {
+            return [[section, value] as const];
+        }
+        const keys = Object.keys(sectionPatch).filter(key => Object.hasOwn(value, key));
+        return [[section, Object.fromEntries(keys.map(key => [key, value[key]]))] as const];
+    });
+    return Object.fromEntries(touched) as ConfigurationDocument;
+}
--- a/src/configuration/submitPatch/index.ts
+++ b/src/configuration/submitPatch/index.ts
@@ -47,7 +47,7 @@
         version: base.version + 1,
         patch,
         patchId: request.patchId,
-        digest: updateDigest(base.digest, base.document, document),
+        digest: updateDigest(base.digest, base.document, document, patch),
         author: request.author,
         wallMilliseconds: parts.clock.wallTime(),
     };
--- a/src/testing/createConfigurationFleet/index.ts
+++ b/src/testing/createConfigurationFleet/index.ts
@@ -3,6 +3,8 @@
 import { createConfigurationRouter } from "../../configuration/createConfigurationRouter/index.js";
 import { createConfigurationService } from "../../configuration/createConfigurationService/index.js";
 import type { GatewayConfiguration } from "../../configuration/types/GatewayConfiguration.js";
+import { createDisseminationRouter } from "../../dissemination/createDisseminationRouter/index.js";
+import { createDisseminationService } from "../../dissemination/createDisseminationService/index.js";
 import { createEventArchive } from "../../events/createEventArchive/index.js";
 import { createEventRecorder } from "../../events/createEventRecorder/index.js";
 import { createEventsRouter } from "../../events/createEventsRouter/index.js";
@@ -29,13 +31,15 @@
 /** Options of `createConfigurationFleet`. */
 interface FleetOptions {
     readonly clock?: Clock;
+    /** Spreads announcements by the dissemination service over loopback, in place of at once within the process. */
+    readonly hasRealDissemination?: boolean;
 }
 
 /**
  * Creates gateways in one process, for tests and benchmarks of the configuration.
  *
  * @param seed Seed of all randomness.
- * @param options A clock other than the system's.
+ * @param options A clock other than the system's, and the kind of dissemination.
  * @returns The fleet, without gateways yet.
  *
  * @example
@@ -71,7 +75,8 @@
             createNeutralNetwork(availabilityZone),
             events,
         );
-        const dissemination = linked.join();
+        const real = createDisseminationService({ membership, peers, clock, random, logger });
+        const dissemination = options.hasRealDissemination === true ? real : linked.join();
         const configuration = createConfigurationService({
             platform,
             membership,
@@ -96,6 +101,7 @@
         });
         const router = trpc.mergeRouters(
             createConfigurationRouter(configuration),
+            createDisseminationRouter(real),
             createEventsRouter(createEventArchive(events)),
             createStatusRouter(board),
         );
@@ -108,11 +114,13 @@
             members.delete(name);
             shareMembership();
             await configuration.stop();
+            await dissemination.stop();
             await Promise.all([peers.stop(), server.stop()]);
         }
 
         members.set(name, { membership, configuration, stop });
         shareMembership();
+        await dissemination.start();
         await configuration.start();
         return { name, address, configuration, events, peers, stop };
     }
--- a/src/tools/reportTests/test.ts
+++ b/src/tools/reportTests/test.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { PassThrough } from "node:stream";
 import { test } from "node:test";
 import { countCodeLines } from "../countCodeLines/index.js";
 import { runUnitTests } from "../runUnitTests/index.js";
@@ -56,7 +57,7 @@
         test("outer", t => t.test("inner", () => { throw new Error("red"); }));`,
         );
         writeFileSync(broken, "this is not JavaScript");
-        const { passed, failures } = await runUnitTests([red, broken]);
+        const { passed, failures } = await runUnitTests([red, broken], new PassThrough().resume());
         assert.equal(passed, 1);
         assert.equal(failures.length, 2);
         assert.ok(failures.includes("inner"));
--- a/src/tools/runUnitTests/index.ts
+++ b/src/tools/runUnitTests/index.ts
@@ -7,12 +7,16 @@
  * Runs test files of `node:test`, prints their report and tallies the outcome.
  *
  * @param files Paths of the test files.
+ * @param output Where the report goes; standard output when left out.
  * @returns The tally; a file that fails as a whole counts under its path.
  *
  * @example
  * const tally = await runUnitTests(["src/kernel/createKernel/test.ts"]);
  */
-export async function runUnitTests(files: readonly string[]): Promise<TestTally> {
+export async function runUnitTests(
+    files: readonly string[],
+    output: NodeJS.WritableStream = process.stdout,
+): Promise<TestTally> {
     const failures: string[] = [];
     let passed = 0;
     const stream = run({ files: [...files], concurrency: toolConstants.parallelTestFiles });
@@ -26,7 +30,7 @@
         }
     });
     const report = stream.compose(new spec());
-    report.pipe(process.stdout);
+    report.pipe(output);
     await new Promise((resolve, reject) => report.on("end", resolve).on("error", reject));
     return { runner: "node:test", passed, failures };
 }
