Read the store's newest versions in one call, and end pulls with the service

It now stops at a page of one record. A pull in progress ends with the service. AbortSignal.any was ruled out: Node.js 20 may collect its timeout. An entry that reconnects is not dropped from its gateway's list by the end of its earlier connection.

--- a/src/configuration/catchUpFromStore/index.ts
+++ b/src/configuration/catchUpFromStore/index.ts
@@ -1,5 +1,6 @@
 import type { ConfigurationState } from "../types/ConfigurationState.js";
 import type { ConfigurationStore } from "../types/ConfigurationStore.js";
+import type { VersionRecord } from "../types/VersionRecord.js";
 
 /** Options of `catchUpFromStore`. */
 interface CatchUpFromStoreOptions {
@@ -13,7 +14,7 @@
  * @param state The configuration of this process.
  * @param store The versions in the platform's store.
  * @param options Whether to look for a snapshot first.
- * @returns Resolves when every version found is in force.
+ * @returns Resolves when the newest version found is in force.
  * @throws TarragonpostError of kind `PlatformUnavailable` when the store cannot be read.
  *
  * @example
@@ -30,7 +31,13 @@
             state.restore(snapshot);
         }
     }
-    for await (const record of store.listRecords(state.current().version)) {
-        state.takeIn(record);
+    let page: readonly VersionRecord[] = [];
+    do {
+        page = await store.readPage(page.at(-1)?.version ?? state.current().version);
+        for (const record of page) {
+            state.takeIn(record);
+        }
+        // A single record is the newest one; reading on would chase operators who go on submitting.
     }
+    while (page.length > 1);
 }
--- a/src/configuration/createConfigurationRouter/index.ts
+++ b/src/configuration/createConfigurationRouter/index.ts
@@ -83,12 +83,12 @@
             watch: trpc.procedure.input(z.strictObject({ version })).subscription(
                 async function*({ input, ctx, signal }) {
                     checkLoaded();
-                    configuration.noteEntry(ctx.peerName, input.version);
+                    const detach = configuration.attachEntry(ctx.peerName, input.version);
                     try {
                         yield* streamUpdates(state, input.version, signal ?? new AbortController().signal);
                     }
                     finally {
-                        configuration.forgetEntry(ctx.peerName);
+                        detach();
                     }
                 },
             ),
--- a/src/configuration/createConfigurationService/index.ts
+++ b/src/configuration/createConfigurationService/index.ts
@@ -3,6 +3,7 @@
 import type { PlatformClient } from "../../platform/types/PlatformClient.js";
 import { announceVersion } from "../announceVersion/index.js";
 import { configurationConstants } from "../constants.js";
+import { createAttachedEntries } from "../createAttachedEntries/index.js";
 import { createConfigurationState } from "../createConfigurationState/index.js";
 import { createConfigurationStore } from "../createConfigurationStore/index.js";
 import { isRelay } from "../isRelay/index.js";
@@ -42,7 +43,7 @@
     const state = createConfigurationState(events);
     const store = createConfigurationStore(options.platform, processName);
     const parts: ConfigurationParts = { ...options, state, store };
-    const entryVersions = new Map<string, number>();
+    const attachedEntries = createAttachedEntries();
     const abort = new AbortController();
     const tasks = new Set<Promise<unknown>>();
     let isLoaded = false;
@@ -139,9 +140,9 @@
             highestHeard: state.highestHeard(),
             isLoaded,
             isRelay: isRelay(membership),
-            entries: [...entryVersions].map(([process, version]) => ({ process, version })),
+            entries: attachedEntries.list(),
         }),
-        noteEntry: (process, version) => void entryVersions.set(process, version),
-        forgetEntry: process => void entryVersions.delete(process),
+        attachEntry: attachedEntries.attach,
+        noteEntry: attachedEntries.note,
     };
 }
--- a/src/configuration/createConfigurationStore/index.ts
+++ b/src/configuration/createConfigurationStore/index.ts
@@ -39,16 +39,14 @@
         return stored === undefined ? undefined : parseRecord(stored);
     }
 
+    async function readPage(version: number): Promise<readonly VersionRecord[]> {
+        const page = await platform.listObjects(versionsPrefix, `${versionsPrefix}${versionKey(version)}`);
+        return page.map(parseRecord);
+    }
+
     async function* listRecords(version: number): AsyncGenerator<VersionRecord> {
-        let afterKey = `${versionsPrefix}${versionKey(version)}`;
-        for (;;) {
-            const page = await platform.listObjects(versionsPrefix, afterKey);
-            yield* page.map(parseRecord);
-            const last = page.at(-1);
-            if (last === undefined) {
-                return;
-            }
-            afterKey = last.key;
+        for (let page = await readPage(version); page.length > 0; page = await readPage(page.at(-1)!.version)) {
+            yield* page;
         }
     }
 
@@ -125,7 +123,16 @@
         }
     }
 
-    return { readRecord, listRecords, watchRecords, createRecord, readSnapshot, readSnapshotVersion, writeSnapshot };
+    return {
+        readRecord,
+        readPage,
+        listRecords,
+        watchRecords,
+        createRecord,
+        readSnapshot,
+        readSnapshotVersion,
+        writeSnapshot,
+    };
 }
 
 function parseRecord(stored: StoredObject): VersionRecord {
--- a/src/configuration/createEntryConfiguration/index.ts
+++ b/src/configuration/createEntryConfiguration/index.ts
@@ -1,3 +1,4 @@
+import { limitSignal } from "../../clock/limitSignal/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
@@ -60,9 +61,9 @@
 
     /** Follows one gateway until the connection fails, one that is not local for a limited time. */
     async function follow(address: Address): Promise<void> {
-        const signal = address === options.localGateway
-            ? abort.signal
-            : AbortSignal.any([abort.signal, AbortSignal.timeout(configurationConstants.otherGatewayMilliseconds)]);
+        const isLocal = address === options.localGateway;
+        const limitMilliseconds = isLocal ? undefined : configurationConstants.otherGatewayMilliseconds;
+        const { signal, release } = limitSignal(abort.signal, clock, limitMilliseconds);
         const client = options.peers.clientOf<ReturnType<typeof createConfigurationRouter>>(address);
         const report = (): void => {
             client.configuration.report.mutate({ version: state.current().version }).catch(() => {});
@@ -78,6 +79,7 @@
         }
         finally {
             stopReporting();
+            release();
         }
     }
 
--- a/src/configuration/loadConfiguration/index.ts
+++ b/src/configuration/loadConfiguration/index.ts
@@ -23,7 +23,7 @@
         if (signal.aborted) {
             return false;
         }
-        if (await pullFromPeers(parts, 0)) {
+        if (await pullFromPeers(parts, 0, signal)) {
             const text = `Took version ${state.current().version} over from a peer, without asking the platform.`;
             events.record({ kind: EventKind.ConfigurationInForce, version: state.current().version, text });
             return true;
--- a/src/configuration/pullFromPeers/index.ts
+++ b/src/configuration/pullFromPeers/index.ts
@@ -1,3 +1,4 @@
+import { limitSignal } from "../../clock/limitSignal/index.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import type { Address } from "../../network/types/Address.js";
 import { subscribePeer } from "../../transport/subscribePeer/index.js";
@@ -13,17 +14,29 @@
  *
  * @param parts State, membership and peers.
  * @param wantedVersion Peers are asked one after another until this version is in force; 0 takes any peer's answer.
+ * @param stopSignal Gives up.
  * @returns True when a peer answered and the wanted version is in force.
  *
  * @example
- * const isDone = await pullFromPeers(parts, parts.state.highestHeard());
+ * const isDone = await pullFromPeers(parts, parts.state.highestHeard(), signal);
  */
-export async function pullFromPeers(parts: ConfigurationParts, wantedVersion: number): Promise<boolean> {
+export async function pullFromPeers(
+    parts: ConfigurationParts,
+    wantedVersion: number,
+    stopSignal: AbortSignal,
+): Promise<boolean> {
     const { state } = parts;
     const log = parts.logger.topic("configuration");
     for (const address of listSources(parts)) {
+        if (stopSignal.aborted) {
+            return false;
+        }
         const before = state.current().version;
-        const signal = AbortSignal.timeout(configurationConstants.pullTimeoutMilliseconds);
+        const { signal, release } = limitSignal(
+            stopSignal,
+            parts.clock,
+            configurationConstants.pullTimeoutMilliseconds,
+        );
         try {
             await applyUpdates(state, requestUpdates(parts, address, before, signal));
             if (state.current().version === before && before < wantedVersion) {
@@ -37,6 +50,9 @@
         catch (error) {
             log("peer could not send versions", { port: address.port, reason: toTypedError(error).message });
         }
+        finally {
+            release();
+        }
     }
     return false;
 }
--- a/src/configuration/runRepairs/index.ts
+++ b/src/configuration/runRepairs/index.ts
@@ -26,7 +26,7 @@
             return;
         }
         round += 1;
-        const isDone = await pullFromPeers(parts, state.highestHeard());
+        const isDone = await pullFromPeers(parts, state.highestHeard(), signal);
         if (!isDone && round % configurationConstants.repairRoundsPerStoreRead === 0) {
             await readStore(parts);
         }
--- a/src/configuration/types/ConfigurationStore.ts
+++ b/src/configuration/types/ConfigurationStore.ts
@@ -4,7 +4,9 @@
 /** Versions and snapshots in the platform's store; nothing in it is ever overwritten but the pointer to a snapshot. */
 export interface ConfigurationStore {
     readRecord(version: number): Promise<VersionRecord | undefined>;
-    /** Yields the records above `version`, in order. */
+    /** The first records above `version`, in order; how many is up to the platform. */
+    readPage(version: number): Promise<readonly VersionRecord[]>;
+    /** Yields all records above `version`, in order. */
     listRecords(version: number): AsyncGenerator<VersionRecord>;
     /** Yields the records above `version`, then others as they are created; ends by throwing. */
     watchRecords(version: number, signal: AbortSignal): AsyncGenerator<VersionRecord>;
--- a/src/configuration/types/GatewayConfiguration.ts
+++ b/src/configuration/types/GatewayConfiguration.ts
@@ -15,7 +15,8 @@
     /** The records of the versions from `first` to `last`, from memory or from the store. */
     readRecords(first: number, last: number): Promise<readonly VersionRecord[]>;
     status(): ConfigurationStatus;
+    /** Begins to feed an entry; the returned function ends it, unless the entry has connected again since. */
+    attachEntry(process: string, version: number): () => void;
     /** Notes the version in force in an entry that this gateway feeds. */
     noteEntry(process: string, version: number): void;
-    forgetEntry(process: string): void;
 }
