--- a/.ci/runTests.ts
+++ b/.ci/runTests.ts
@@ -8,7 +8,7 @@
 const { scripts } = JSON.parse(readFileSync("package.json", "utf8")) as { readonly scripts: Record<string, string>; };
 const unitFiles = listSourceFiles().filter(file => file.startsWith("src/") && file.endsWith("/test.ts"));
 const tallies = [await runUnitTests(unitFiles)];
-if (scripts["test:scenarios"] !== undefined) {
+if (scripts["test:features"] !== undefined) {
     tallies.push(await runScenarios());
 }
 process.exit(reportTests(tallies) ? 0 : 1);
--- a/src/tools/runScenarios/index.ts
+++ b/src/tools/runScenarios/index.ts
@@ -26,7 +26,7 @@
     const { scenarioReportFile } = toolConstants;
     mkdirSync(dirname(scenarioReportFile), { recursive: true });
     rmSync(scenarioReportFile, { force: true });
-    const child = spawn("npm", ["run", "test:scenarios", "--", "--format", `json:${scenarioReportFile}`], {
+    const child = spawn("npm", ["run", "test:features", "--", "--format", `json:${scenarioReportFile}`], {
         stdio: "inherit",
     });
     const [exitCode] = await once(child, "exit") as [number | undefined];
