--- a/src/benchmarks/benchmarks/index.ts
+++ b/src/benchmarks/benchmarks/index.ts
@@ -1,3 +1,4 @@
+import { measureConfiguration } from "../measureConfiguration/index.js";
 import { measurePath } from "../measurePath/index.js";
 import { measureReads } from "../measureReads/index.js";
 import { measureSiteFailover } from "../measureSiteFailover/index.js";
@@ -11,6 +12,7 @@
  * const report = await benchmarks[BenchmarkName.Path]?.(7);
  */
 export const benchmarks: Readonly<Partial<Record<BenchmarkName, Benchmark>>> = {
+    [BenchmarkName.Configuration]: measureConfiguration,
     [BenchmarkName.Failover]: measureSiteFailover,
     [BenchmarkName.Path]: measurePath,
     [BenchmarkName.Reads]: measureReads,
--- a/src/benchmarks/measureConfiguration/index.ts
+++ b/src/benchmarks/measureConfiguration/index.ts
@@ -1,7 +1,7 @@
+import { summarizeSamples } from "../../statistics/summarizeSamples/index.js";
 import { createConfigurationFleet } from "../../testing/createConfigurationFleet/index.js";
 import type { ConfigurationFleet } from "../../testing/types/ConfigurationFleet.js";
 import { measureVersionApplication } from "../measureVersionApplication/index.js";
-import { summarizeSamples } from "../summarizeSamples/index.js";
 import type { BenchmarkReport } from "../types/BenchmarkReport.js";
 import type { BenchmarkRow } from "../types/BenchmarkRow.js";
 
--- a/src/benchmarks/measureVersionApplication/index.ts
+++ b/src/benchmarks/measureVersionApplication/index.ts
@@ -6,7 +6,7 @@
 import type { ConfigurationDocument } from "../../configuration/types/ConfigurationDocument.js";
 import { updateDigest } from "../../configuration/updateDigest/index.js";
 import { createEventRecorder } from "../../events/createEventRecorder/index.js";
-import { summarizeSamples } from "../summarizeSamples/index.js";
+import { summarizeSamples } from "../../statistics/summarizeSamples/index.js";
 import type { BenchmarkRow } from "../types/BenchmarkRow.js";
 
 const versionCount = 50;
