--- a/src/configuration/createConfigurationService/index.ts
+++ b/src/configuration/createConfigurationService/index.ts
@@ -1,5 +1,4 @@
 import { RecordKind } from "../../dissemination/types/RecordKind.js";
-import { EventKind } from "../../events/types/EventKind.js";
 import type { PlatformClient } from "../../platform/types/PlatformClient.js";
 import { announceVersion } from "../announceVersion/index.js";
 import { configurationConstants } from "../constants.js";
@@ -97,11 +96,6 @@
 
     async function submit(request: PatchRequest): Promise<PatchAnswer> {
         const answer = await submitPatch(request, parts);
-        const { version } = answer;
-        const text = answer.isRepeated
-            ? `Patch ${request.patchId} of ${request.author} had become version ${version} already.`
-            : `Patch ${request.patchId} of ${request.author} became version ${version}.`;
-        events.record({ kind: EventKind.ConfigurationPatched, version, text });
         track(
             writeDueSnapshot(parts, writtenSnapshotVersion).then(written => {
                 writtenSnapshotVersion = written;
--- a/src/configuration/submitPatch/index.ts
+++ b/src/configuration/submitPatch/index.ts
@@ -2,6 +2,7 @@
 import { isTypedError } from "../../errors/isTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { TypedError } from "../../errors/types/TypedError.js";
+import { EventKind } from "../../events/types/EventKind.js";
 import { catchUpFromStore } from "../catchUpFromStore/index.js";
 import { checkPatch } from "../checkPatch/index.js";
 import { configurationConstants } from "../constants.js";
@@ -36,7 +37,9 @@
     }
     const knownVersion = state.versionOfPatch(request.patchId);
     if (knownVersion !== undefined) {
-        return { version: knownVersion, isRepeated: true };
+        const answer = { version: knownVersion, isRepeated: true };
+        recordAcceptance(request, answer, parts);
+        return answer;
     }
     const base = state.snapshot();
     if (request.against !== base.version) {
@@ -52,11 +55,24 @@
         wallMilliseconds: parts.clock.wallTime(),
     };
     const { winner, isRepeated } = await settleVersion(record, parts);
+    const answer = { version: winner.version, isRepeated };
+    const isOurs = winner.patchId === record.patchId;
+    if (isOurs) {
+        recordAcceptance(request, answer, parts);
+    }
     state.takeIn(winner);
-    if (winner.patchId !== record.patchId) {
+    if (!isOurs) {
         throw createConflict(request.against, Math.max(winner.version, state.highestHeard()));
     }
-    return { version: winner.version, isRepeated };
+    return answer;
+}
+
+/** Puts the acceptance on the time line, before the version comes into force here. */
+function recordAcceptance(request: PatchRequest, answer: PatchAnswer, parts: ConfigurationParts): void {
+    const { version } = answer;
+    const verb = answer.isRepeated ? "had become" : "became";
+    const text = `Patch ${request.patchId} of ${request.author} ${verb} version ${version}.`;
+    parts.events.record({ kind: EventKind.ConfigurationPatched, version, text });
 }
 
 /** Creates the version or finds who did, however many answers are lost on the way. */
