--- a/src/configuration/findEndpoint/index.ts
+++ b/src/configuration/findEndpoint/index.ts
@@ -6,6 +6,9 @@
     readonly database: string;
 }
 
+/** Endpoints by name, made once for each configuration. */
+const indexes = new WeakMap<SystemConfiguration, ReadonlyMap<string, FoundEndpoint>>();
+
 /**
  * Finds an endpoint by its name, which is unique over all databases.
  *
@@ -17,11 +20,18 @@
  * const endpoint = findEndpoint(configuration.current().content, "stock-2");
  */
 export function findEndpoint(content: SystemConfiguration, name: string): FoundEndpoint | undefined {
+    let index = indexes.get(content);
+    if (index === undefined) {
+        index = new Map(listEndpoints(content));
+        indexes.set(content, index);
+    }
+    return index.get(name);
+}
+
+function* listEndpoints(content: SystemConfiguration): Generator<[string, FoundEndpoint]> {
     for (const [database, definition] of Object.entries(content.databases)) {
-        const endpoint = definition.endpoints[name];
-        if (endpoint !== undefined) {
-            return { ...endpoint, name, database };
+        for (const [name, endpoint] of Object.entries(definition.endpoints)) {
+            yield [name, { ...endpoint, name, database }];
         }
     }
-    return undefined;
 }
--- a/src/execution/executeRead/index.ts
+++ b/src/execution/executeRead/index.ts
@@ -75,7 +75,9 @@
                 refusal = reply;
                 leastTerm = Math.max(leastTerm, reply.newerTerm ?? 0);
             }
-            if (leastTerm > group.term || deadline.isOver() || isFinalRefusal(refusal.reason)) {
+            // Another endpoint may have room where one is overloaded; no other refusal depends on the endpoint.
+            const isFinal = isFinalRefusal(refusal.reason) && refusal.reason !== NotRunReason.Overloaded;
+            if (leastTerm > group.term || deadline.isOver() || isFinal) {
                 break;
             }
         }
