--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -12,12 +12,14 @@
     bridgesPerZone: 3,
     /** Further members asked before a whole zone counts as lost. */
     zoneLossProbes: 3,
-    /** Times that an update is passed on, for each doubling of the fleet. */
-    transmissionsPerDoubling: 3,
+    /** Times that an update is passed on, for each tenfold of the fleet. */
+    transmissionsPerTenfold: 4,
     updateBytesPerMessage: 700,
     /** Share of rounds in which a dead gateway is probed, to find those that are back. */
     deadProbeShare: 0.1,
     deadRetentionMilliseconds: 600_000,
+    /** First interval of synchronization; it doubles up to the longest one. */
+    firstSynchronizationMilliseconds: 1_000,
     synchronizationIntervalMilliseconds: 10_000,
     synchronizationBuckets: 64,
     recordsPerAnswer: 2_000,
--- a/src/membership/createIntroductions/index.ts
+++ b/src/membership/createIntroductions/index.ts
@@ -143,8 +143,12 @@
     }
 
     async function synchronizeRepeatedly(): Promise<void> {
-        while (!signal.aborted) {
-            await clock.sleep(constants.synchronizationIntervalMilliseconds * (0.5 + random.next()), signal);
+        for (let round = 0; !signal.aborted; round += 1) {
+            const interval = Math.min(
+                constants.firstSynchronizationMilliseconds * 2 ** round,
+                constants.synchronizationIntervalMilliseconds,
+            );
+            await clock.sleep(interval * (0.5 + random.next()), signal);
             if (!signal.aborted) {
                 await synchronizeOnce();
             }
--- a/src/membership/createUpdateQueue/index.ts
+++ b/src/membership/createUpdateQueue/index.ts
@@ -38,7 +38,7 @@
     }
 
     function take(fleetSize: number, isSameZone: boolean): MembershipUpdates {
-        const limit = membershipConstants.transmissionsPerDoubling * Math.ceil(Math.log2(fleetSize + 1));
+        const limit = membershipConstants.transmissionsPerTenfold * Math.ceil(Math.log10(fleetSize + 1));
         const sorted = [...queued].sort(([, left], [, right]) => left.transmissions - right.transmissions);
         const peers: PeerRecord[] = [];
         const zones: ZoneRecord[] = [];
--- a/src/transport/createHeartbeat/index.ts
+++ b/src/transport/createHeartbeat/index.ts
@@ -16,7 +16,7 @@
 }
 
 /**
- * Creates the heartbeat of one connection: pings when nothing was heard, reports after three silent intervals.
+ * Creates the heartbeat of one connection: pings when nothing was heard for an interval, reports after three silent intervals.
  *
  * @param options What to send and what to call on silence.
  * @returns The heartbeat, already running.
@@ -33,7 +33,10 @@
             options.onSilence();
             return;
         }
-        options.ping();
+        // What was heard within the last interval shows as well as an answer that the other side lives.
+        if (silentIntervals > 1) {
+            options.ping();
+        }
     }, transportConstants.heartbeatMilliseconds);
     return {
         beat: () => {
--- a/src/transport/openPeerConnection/index.ts
+++ b/src/transport/openPeerConnection/index.ts
@@ -53,6 +53,7 @@
     const pending = new Map<number, PendingCall>();
     let lastId = 0;
     let isClosed = false;
+    let lastCallAt = performance.now();
 
     function send(frame: Frame): void {
         socket.send(encode(frame, { ignoreUndefined: true }));
@@ -98,7 +99,7 @@
     };
 
     await shakeHands(socket, identity, address);
-    const heartbeat = createHeartbeat({ ping: () => send([FrameKind.Ping]), onSilence: socket.close });
+    const heartbeat = createHeartbeat({ ping, onSilence: socket.close });
     socket.onFrame(bytes => {
         heartbeat.beat();
         const frame = decodeFrame(bytes);
@@ -114,6 +115,16 @@
         }
     });
 
+    /** An idle connection is closed: a large fleet's heartbeats on unused connections would cost more than its calls. */
+    function ping(): void {
+        if (pending.size === 0 && performance.now() - lastCallAt > transportConstants.idleMilliseconds) {
+            isClosed = true;
+            socket.close();
+            return;
+        }
+        send([FrameKind.Ping]);
+    }
+
     function start(
         type: "query" | "mutation" | "subscription",
         path: string,
@@ -129,6 +140,7 @@
             return 0;
         }
         lastId += 1;
+        lastCallAt = performance.now();
         pending.set(lastId, call);
         send([FrameKind.Call, lastId, type, path, input, events.stamp()]);
         return lastId;
