--- a/src/benchmarks/startMembershipFleet/index.ts
+++ b/src/benchmarks/startMembershipFleet/index.ts
@@ -1,4 +1,6 @@
 import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { createEventRecorder } from "../../events/createEventRecorder/index.js";
 import { createLogger } from "../../logging/createLogger/index.js";
 import { createMembershipRouter } from "../../membership/createMembershipRouter/index.js";
@@ -9,6 +11,7 @@
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createPeers } from "../../transport/createPeers/index.js";
 import { createTransportServer } from "../../transport/createTransportServer/index.js";
+import type { Peers } from "../../transport/types/Peers.js";
 
 /** Options of `startMembershipFleet`. */
 interface MembershipFleetOptions {
@@ -40,7 +43,7 @@
     const clock = createSystemClock();
     const counts = { bytes: 0, frames: 0, listReads: 0 };
     const members: MembershipService[] = [];
-    const stops: (() => Promise<void>)[] = [];
+    const crashes: (() => Promise<void>)[] = [];
     const seeds: { host: string; port: number; availabilityZone: string; }[] = [];
 
     function createCountingNetwork(localZone: string): NetworkConditions {
@@ -61,6 +64,13 @@
         const logger = createLogger(name, clock);
         const network = createCountingNetwork(availabilityZone);
         const peers = createPeers({ name, availabilityZone, peerSecret }, network, events);
+        const state = { isCrashed: false };
+        const clientOf: Peers["clientOf"] = address => {
+            if (state.isCrashed) {
+                throw createError(ErrorKind.Unreachable, `${name} has crashed.`, { remedy: "Start it again." });
+            }
+            return peers.clientOf(address);
+        };
         const created: { service?: ReturnType<typeof createMembershipService>; } = {};
         const required = (): ReturnType<typeof createMembershipService> =>
             created.service as ReturnType<typeof createMembershipService>;
@@ -78,7 +88,7 @@
             self: { ...address, name, region: "measured" },
             seeds: [...seeds],
         }, {
-            peers,
+            peers: { ...peers, clientOf },
             clock,
             events,
             logger,
@@ -92,10 +102,9 @@
         });
         created.service = service;
         members.push(service);
-        stops.push(async () => {
-            await server.stop();
-            await service.stop();
-            await peers.stop();
+        crashes.push(async () => {
+            state.isCrashed = true;
+            await Promise.all([server.stop(), service.stop(), peers.stop()]);
         });
         if (seeds.length < options.zones) {
             seeds.push(address);
@@ -108,13 +117,13 @@
     }
 
     async function crash(index: number): Promise<void> {
-        const [stop] = stops.splice(index, 1);
+        const [crashOne] = crashes.splice(index, 1);
         members.splice(index, 1);
-        await stop?.();
+        await crashOne?.();
     }
 
     async function stop(): Promise<void> {
-        await Promise.all(stops.splice(0).map(stopOne => stopOne()));
+        await Promise.all(crashes.splice(0).map(crashOne => crashOne()));
     }
 
     return { members, counts, crash, stop };
