--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -14,6 +14,10 @@
     zoneLossProbes: 3,
     /** Times that an update is passed on, for each tenfold of the fleet. */
     transmissionsPerTenfold: 4,
+    /** Times that an update is passed on to other zones, for each zone. */
+    transmissionsPerZone: 4,
+    /** Updates kept for passing on; synchronization repairs what is dropped. */
+    queuedUpdates: 1_000,
     updateBytesPerMessage: 700,
     /** Share of rounds in which a dead gateway is probed, to find those that are back. */
     deadProbeShare: 0.1,
--- a/src/membership/createMembershipService/index.ts
+++ b/src/membership/createMembershipService/index.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { EventKind } from "../../events/types/EventKind.js";
@@ -19,6 +20,7 @@
 import type { MembershipUpdates } from "../types/MembershipUpdates.js";
 import type { PeerRecord } from "../types/PeerRecord.js";
 import { PeerState } from "../types/PeerState.js";
+import type { PeerTable } from "../types/PeerTable.js";
 import type { ProbeMessage } from "../types/ProbeMessage.js";
 
 /** Who this process is and whom it asks first. */
@@ -44,8 +46,13 @@
     const { clock, random, peers, events } = dependencies;
     const stopped = new AbortController();
     const { signal } = stopped;
-    const queue = createUpdateQueue();
-    const table = createPeerTable({ ...options.self, state: PeerState.Live, incarnation: 0 }, {
+    // Every suspicion and pause waits on this signal.
+    setMaxListeners(0, signal);
+    const queue = createUpdateQueue({
+        fleetSize: () => table.reachable().length,
+        zoneCount: () => new Set(table.reachable().map(record => record.availabilityZone)).size,
+    });
+    const table: PeerTable = createPeerTable({ ...options.self, state: PeerState.Live, incarnation: 0 }, {
         clock,
         queue,
         onTransition: record =>
@@ -76,7 +83,7 @@
         table.learn(isSameZone ? message.updates : { ...message.updates, zones: [] });
         const known = table.find(from.peerName);
         const told = known === undefined || known.state === PeerState.Live ? [] : [known];
-        const updates = queue.take(table.reachable().length, isSameZone);
+        const updates = queue.take(isSameZone);
         return { ...updates, peers: [...updates.peers, ...told] };
     }
 
--- a/src/membership/createProbeCaller/index.ts
+++ b/src/membership/createProbeCaller/index.ts
@@ -65,7 +65,7 @@
 
     async function probeDirectly(target: IndirectProbe): Promise<boolean> {
         const isSameZone = target.availabilityZone === table.self().availabilityZone;
-        const updates = queue.take(table.reachable().length, isSameZone);
+        const updates = queue.take(isSameZone);
         const known = table.find(target.target);
         const told = known === undefined || known.state === PeerState.Live ? [] : [known];
         const message = { target: target.target, updates: { ...updates, peers: [...updates.peers, ...told] } };
--- a/src/membership/createUpdateQueue/index.ts
+++ b/src/membership/createUpdateQueue/index.ts
@@ -7,8 +7,14 @@
 interface UpdateQueue {
     addPeer(record: PeerRecord): void;
     addZone(record: ZoneRecord): void;
-    /** Takes what fits into one message, the least sent first. */
-    take(fleetSize: number, isSameZone: boolean): MembershipUpdates;
+    /** Takes what fits into one message, the least sent first; zones are left out of messages between zones. */
+    take(isSameZone: boolean): MembershipUpdates;
+}
+
+/** Options of `createUpdateQueue`. */
+interface UpdateQueueOptions {
+    readonly fleetSize: () => number;
+    readonly zoneCount: () => number;
 }
 
 /** One update with the number of messages that carried it. */
@@ -16,47 +22,54 @@
     readonly peer?: PeerRecord;
     readonly zone?: ZoneRecord;
     readonly bytes: number;
-    transmissions: number;
+    /** Messages that carried it within the zone, and to other zones. */
+    localTransmissions: number;
+    remoteTransmissions: number;
 }
 
 /**
- * Creates the queue of updates to pass on.
+ * Creates the queue of updates to pass on. Messages within the zone and to other zones are counted apart, so that the
+ * many of the one kind do not use up the few of the other.
  *
+ * @param options How far updates have to travel.
  * @returns The queue, empty.
  *
  * @example
  * queue.addPeer({ ...record, state: PeerState.Suspected });
- * const updates = queue.take(8, true);
+ * const updates = queue.take(true);
  */
-export function createUpdateQueue(): UpdateQueue {
+export function createUpdateQueue(options: UpdateQueueOptions): UpdateQueue {
     const queued = new Map<string, QueuedUpdate>();
 
     function add(key: string, update: Pick<QueuedUpdate, "peer" | "zone">): void {
         const bytes = JSON.stringify(update).length;
         queued.delete(key);
-        queued.set(key, { ...update, bytes, transmissions: 0 });
+        queued.set(key, { ...update, bytes, localTransmissions: 0, remoteTransmissions: 0 });
+        const [oldest] = queued.keys();
+        if (queued.size > membershipConstants.queuedUpdates && oldest !== undefined) {
+            queued.delete(oldest);
+        }
     }
 
-    function take(fleetSize: number, isSameZone: boolean): MembershipUpdates {
-        const limit = membershipConstants.transmissionsPerTenfold * Math.ceil(Math.log10(fleetSize + 1));
-        const sorted = [...queued].sort(([, left], [, right]) => left.transmissions - right.transmissions);
+    function take(isSameZone: boolean): MembershipUpdates {
+        const counter = isSameZone ? "localTransmissions" : "remoteTransmissions";
+        const limit = isSameZone
+            ? membershipConstants.transmissionsPerTenfold * Math.ceil(Math.log10(options.fleetSize() + 1))
+            : membershipConstants.transmissionsPerZone * options.zoneCount();
+        const candidates = [...queued.values()]
+            .filter(update => update[counter] < limit && (isSameZone || update.zone === undefined))
+            .sort((left, right) => left[counter] - right[counter]);
         const peers: PeerRecord[] = [];
         const zones: ZoneRecord[] = [];
         let bytesLeft: number = membershipConstants.updateBytesPerMessage;
-        for (const [key, update] of sorted) {
-            if (update.bytes > bytesLeft) {
+        for (const update of candidates) {
+            bytesLeft -= update.bytes;
+            if (bytesLeft < 0) {
                 break;
             }
-            if (update.zone !== undefined && !isSameZone) {
-                continue;
-            }
-            bytesLeft -= update.bytes;
-            update.transmissions += 1;
+            update[counter] += 1;
             peers.push(...update.peer === undefined ? [] : [update.peer]);
             zones.push(...update.zone === undefined ? [] : [update.zone]);
-            if (update.transmissions >= limit) {
-                queued.delete(key);
-            }
         }
         return { peers, zones };
     }
