Wait for terms ahead in the failover tests; let the test writer confirm without the slowest endpoint

Cause: the test of a coordinator lost with the primary hung when those who stand by held lower terms than the one just used and the platform went down within milliseconds; it now waits until they hold terms above it, which is what the test is about. The writer waited for a frozen endpoint's time limit at each confirmation and added up to 500 ms to measured gaps.

--- a/src/failover/createFailoverService/test.ts
+++ b/src/failover/createFailoverService/test.ts
@@ -33,6 +33,14 @@
     });
 }
 
+/** Waits until the coordinator and those who stand by hold terms above the recorded one. */
+async function waitForTermsAhead(fleet: Fleet): Promise<void> {
+    await fleet.waitUntil(() => {
+        const { term } = fleet.record()!;
+        return fleet.gateways.filter(({ terms }) => terms.count("stock", term) > 0).length === 3;
+    });
+}
+
 function startWriter(fleet: Fleet) {
     const abort = new AbortController();
     const report = runConfirmedWriter({
@@ -146,7 +154,7 @@
 
 test("several failovers pass while the platform is down", async context => {
     const fleet = await startFleet(context);
-    await fleet.waitUntil(() => fleet.eventsOf(EventKind.TermReserved).length >= 2);
+    await waitForTermsAhead(fleet);
     fleet.platform.setDown(true);
     const terms = new Set<number>();
     for (let round = 0; round < 4; round += 1) {
@@ -161,7 +169,7 @@
 
 test("a failover passes when the coordinator is lost with the primary", async context => {
     const fleet = await startFleet(context);
-    await fleet.waitUntil(() => fleet.eventsOf(EventKind.TermReserved).length >= 3);
+    await waitForTermsAhead(fleet);
     fleet.platform.setDown(true);
     const { term } = fleet.record()!;
     const [lost] = fleet.coordinators();
@@ -174,7 +182,7 @@
 
 test("who stands by acts on a report when the coordinator does nothing, though it counts as living", async context => {
     const fleet = await startFleet(context);
-    await fleet.waitUntil(() => fleet.eventsOf(EventKind.TermReserved).length >= 2);
+    await waitForTermsAhead(fleet);
     const { term } = fleet.record()!;
     const [lost] = fleet.coordinators();
     await lost!.stop();
--- a/src/testing/runConfirmedWriter/index.ts
+++ b/src/testing/runConfirmedWriter/index.ts
@@ -44,11 +44,18 @@
         return opened;
     }
 
-    async function readStatuses(): Promise<EndpointStatus[]> {
-        const statuses = await Promise.allSettled(
-            options.endpoints.map(async endpoint => (await connectionTo(endpoint)).readStatus(100)),
-        );
-        return statuses.flatMap(status => status.status === "fulfilled" ? [status.value] : []);
+    /** Reads all statuses side by side; resolves as soon as they confirm the entry, at the latest when all have come. */
+    async function seeConfirmed(entry: { readonly term: number; readonly position: number; }): Promise<boolean> {
+        const statuses: EndpointStatus[] = [];
+        return await new Promise(resolve => {
+            const reads = options.endpoints.map(async endpoint => {
+                statuses.push(await (await connectionTo(endpoint)).readStatus(100));
+                if (isConfirmed(statuses, entry, 2)) {
+                    resolve(true);
+                }
+            });
+            void Promise.allSettled(reads).then(() => resolve(false));
+        });
     }
 
     async function write(value: number, record: GroupRecord): Promise<boolean> {
@@ -62,7 +69,7 @@
             timeoutMilliseconds: 200,
         });
         for (let attempt = 0; attempt < 20 && !signal.aborted; attempt += 1) {
-            if (isConfirmed(await readStatuses(), { term: record.term, position }, 2)) {
+            if (await seeConfirmed({ term: record.term, position })) {
                 return true;
             }
             await pause(2);
