--- a/src/failover/createFailoverService/test.ts
+++ b/src/failover/createFailoverService/test.ts
@@ -73,10 +73,10 @@
     return (answer.result as { values: number[]; }).values;
 }
 
-function assertHolds(log: readonly number[], acknowledged: readonly number[]): void {
+function assertHolds(log: readonly number[], written: readonly number[]): void {
     const held = new Set(log);
     assert.equal(held.size, log.length, "an entry is there twice");
-    assert.deepEqual(acknowledged.filter(value => !held.has(value)), [], "acknowledged writes were lost");
+    assert.deepEqual(written.filter(value => !held.has(value)), [], "writes were lost");
 }
 
 test("at a first start the configured endpoint becomes primary and the others follow", async context => {
@@ -226,15 +226,35 @@
     assert.ok(adopted.markerPosition > before.markerPosition);
 });
 
-test("a leaving primary is succeeded in order and no write that it took is lost", async context => {
+/** Writes to the primary without waiting for confirmations until it refuses; returns the values that it accepted. */
+async function writeUntilRefused(fleet: Fleet): Promise<number[]> {
+    const { primary, term } = fleet.record()!;
+    const connection = await driver.connect(primary, fleet.group.addressOf(primary), 300);
+    const accepted: number[] = [];
+    const call = { isWrite: true, term, leastPosition: 0, waitMilliseconds: 0, timeoutMilliseconds: 500 };
+    for (let value = 1, isAccepted = true; isAccepted; value += 1) {
+        const statement = { operation: "Append", list: "log", value };
+        isAccepted = await connection.execute({ ...call, statement }).then(() => true, () => false);
+        accepted.push(...isAccepted ? [value] : []);
+        await sleep(1);
+    }
+    connection.close();
+    return accepted;
+}
+
+test("a leaving primary is succeeded in order and nothing that it accepted is lost", async context => {
     const fleet = await startFleet(context);
-    const writer = startWriter(fleet);
+    for (const replica of ["stock-2", "stock-3"]) {
+        fleet.switchesOf(replica).set({ replicationLagMilliseconds: 30 });
+    }
+    const writing = writeUntilRefused(fleet);
     await sleep(100);
     fleet.switchesOf("stock-1").set({ isLeaving: true });
     await fleet.waitUntil(() => fleet.record()?.primary !== "stock-1");
+    const accepted = await writing;
+    assert.ok(accepted.length > 10);
+    assertHolds(await readLog(fleet), accepted);
     await waitForFollowers(fleet);
-    const { acknowledged } = await writer.finish();
-    assertHolds(await readLog(fleet), acknowledged);
     await sleep(1_200);
     assert.notEqual(fleet.record()?.primary, "stock-1", "the leaving endpoint became primary again");
 });
--- a/src/testing/createFailoverFleet/index.ts
+++ b/src/testing/createFailoverFleet/index.ts
@@ -135,13 +135,19 @@
         return newest?.value as GroupRecord | undefined;
     }
 
+    /** Fails after a minute, naming the condition. */
     function waitUntil(condition: () => boolean): Promise<void> {
-        return new Promise(resolve => {
+        const deadline = clock.now() + 60_000;
+        return new Promise((resolve, reject) => {
             const look = (): void => {
                 if (condition()) {
                     clearInterval(timer);
                     resolve();
                 }
+                else if (clock.now() > deadline) {
+                    clearInterval(timer);
+                    reject(new Error(`This did not come about: ${String(condition)}`));
+                }
             };
             const timer = setInterval(look, 2);
         });
