--- a/src/benchmarks/benchmarks/index.ts
+++ b/src/benchmarks/benchmarks/index.ts
@@ -1,4 +1,5 @@
 import { measureConfiguration } from "../measureConfiguration/index.js";
+import { measureControl } from "../measureControl/index.js";
 import { measurePath } from "../measurePath/index.js";
 import { measureReads } from "../measureReads/index.js";
 import { measureSiteFailover } from "../measureSiteFailover/index.js";
@@ -12,8 +13,9 @@
  * @example
  * const report = await benchmarks[BenchmarkName.Path]?.(7);
  */
-export const benchmarks: Readonly<Partial<Record<BenchmarkName, Benchmark>>> = {
+export const benchmarks: Readonly<Record<BenchmarkName, Benchmark>> = {
     [BenchmarkName.Configuration]: measureConfiguration,
+    [BenchmarkName.Control]: measureControl,
     [BenchmarkName.Failover]: measureSiteFailover,
     [BenchmarkName.Overload]: reportOverload,
     [BenchmarkName.Path]: measurePath,
--- a/src/benchmarks/constants.ts
+++ b/src/benchmarks/constants.ts
@@ -12,4 +12,12 @@
     heldReads: 1_000,
     replicationLagsMilliseconds: [0, 10],
     writePauseMilliseconds: 5,
+    controlSites: [
+        { vmsPerZone: 1, databases: 3 },
+        { vmsPerZone: 3, databases: 3 },
+        { vmsPerZone: 3, databases: 12 },
+    ],
+    controlFleets: [8, 16, 32, 64],
+    controlSettleMilliseconds: 3_000,
+    controlObservedMilliseconds: 5_000,
 } as const;
--- /dev/null
+++ b/src/benchmarks/measureIdleGateways/index.ts
@@ -0,0 +1,91 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { describeSmallSite } from "../../site/describeSmallSite/index.js";
+import { sendAdminCall } from "../../site/sendAdminCall/index.js";
+import { startSite } from "../../site/startSite/index.js";
+import type { Site } from "../../site/types/Site.js";
+import { readProcessUse } from "../readProcessUse/index.js";
+
+/** Options of `measureIdleGateways`. */
+interface IdleGatewaysOptions {
+    readonly seed: number;
+    readonly vmsPerZone: number;
+    readonly databases: number;
+    /** Pause after the site is ready. */
+    readonly settleMilliseconds: number;
+    readonly observedMilliseconds: number;
+}
+
+/** Means over the gateways of a site without load. */
+interface IdleGateways {
+    readonly gateways: number;
+    readonly databases: number;
+    readonly coreShare: number;
+    readonly residentMegabytes: number;
+    readonly bytesPerSecond: number;
+    /** Calls of all processes to the platform. */
+    readonly platformCallsPerSecond: number;
+}
+
+interface CallCount {
+    readonly count: number;
+}
+
+/**
+ * Measures what whole gateway processes use while no caller sends anything: the cost of control.
+ *
+ * @param options Seed, sizes and times.
+ * @returns Means over the gateways.
+ *
+ * @example
+ * const figures = await measureIdleGateways({ seed: 1, vmsPerZone: 2, databases: 3, settleMilliseconds, observedMilliseconds });
+ */
+export async function measureIdleGateways(options: IdleGatewaysOptions): Promise<IdleGateways> {
+    const { seed, vmsPerZone, databases, observedMilliseconds } = options;
+    const small = describeSmallSite(seed);
+    const site = await startSite({
+        ...small,
+        regions: small.regions.map(region => ({
+            ...region,
+            availabilityZones: region.availabilityZones.map(({ name }) => ({ name, vmCount: vmsPerZone })),
+        })),
+        databases: Array.from({ length: databases }, (_, index) => `catalog-${index + 1}`),
+    });
+    try {
+        await sleep(options.settleMilliseconds);
+        const before = await readUse(site);
+        const callsBefore = await countPlatformCalls(site);
+        await sleep(observedMilliseconds);
+        const after = await readUse(site);
+        const calls = await countPlatformCalls(site) - callsBefore;
+        const seconds = observedMilliseconds / 1_000;
+        const gateways = site.plan.vms.length;
+        return {
+            gateways,
+            databases,
+            coreShare: (after.processorSeconds - before.processorSeconds) / seconds / gateways,
+            residentMegabytes: after.residentMegabytes / gateways,
+            bytesPerSecond: (after.bytes - before.bytes) / seconds / gateways,
+            platformCallsPerSecond: calls / seconds,
+        };
+    }
+    finally {
+        await site.stop();
+    }
+}
+
+async function readUse(site: Site) {
+    const uses = await Promise.all(
+        site.plan.vms.map(vm => readProcessUse(site.process(`${vm.name}-gateway`).processId)),
+    );
+    const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+    return {
+        processorSeconds: sum(uses.map(use => use.processorSeconds)),
+        bytes: sum(uses.map(use => use.bytes)),
+        residentMegabytes: sum(uses.map(use => use.residentMegabytes)),
+    };
+}
+
+async function countPlatformCalls(site: Site): Promise<number> {
+    const counts = await sendAdminCall(site.plan.platformAdmin, "/admin/counts") as readonly CallCount[];
+    return counts.reduce((total, { count }) => total + count, 0);
+}
