--- a/src/kernel/createKernel/index.ts
+++ b/src/kernel/createKernel/index.ts
@@ -8,7 +8,7 @@
  * Creates a kernel from a list of service definitions.
  *
  * Services are singletons in one inversify container, bound by name. They are started in order of dependence
- * and stopped in the reverse order; a failed start stops what had been started.
+ * and stopped in the reverse order; a failed start stops what had been started, and a failed stop lets the others stop.
  *
  * @param definitions The services of one binary.
  * @returns The kernel, not yet started.
@@ -43,8 +43,17 @@
     }
 
     async function stop(): Promise<void> {
+        let failure: unknown;
         for (let service = started.pop(); service !== undefined; service = started.pop()) {
-            await service.stop?.();
+            try {
+                await service.stop?.();
+            }
+            catch (error) {
+                failure ??= error;
+            }
+        }
+        if (failure !== undefined) {
+            throw failure;
         }
     }
 
--- a/src/transport/openPeerConnection/index.ts
+++ b/src/transport/openPeerConnection/index.ts
@@ -4,13 +4,12 @@
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
 import { openFrameSocket } from "../../network/openFrameSocket/index.js";
 import type { Address } from "../../network/types/Address.js";
-import type { FrameSocket } from "../../network/types/FrameSocket.js";
 import type { NetworkConditions } from "../../network/types/NetworkConditions.js";
 import { transportConstants } from "../constants.js";
 import { createHeartbeat } from "../createHeartbeat/index.js";
-import { createPeerProof } from "../createPeerProof/index.js";
 import { decodeFrame } from "../decodeFrame/index.js";
 import { deserializeError } from "../deserializeError/index.js";
+import { shakeHands } from "../shakeHands/index.js";
 import type { Frame } from "../types/Frame.js";
 import { FrameKind } from "../types/FrameKind.js";
 import type { PeerConnection } from "../types/PeerConnection.js";
@@ -102,8 +101,14 @@
     const heartbeat = createHeartbeat({ ping, onSilence: socket.close });
     socket.onFrame(bytes => {
         heartbeat.beat();
-        const frame = decodeFrame(bytes);
-        handlers[frame[0]]?.(frame);
+        try {
+            const frame = decodeFrame(bytes);
+            handlers[frame[0]]?.(frame);
+        }
+        catch {
+            // A peer that sends what is not of the protocol is not listened to any longer.
+            socket.close();
+        }
     });
     const closed = socket.closed.then(() => {
         isClosed = true;
@@ -154,13 +159,22 @@
 
     function call(type: "query" | "mutation", path: string, input: unknown, signal?: AbortSignal): Promise<unknown> {
         return new Promise((resolve, reject) => {
-            const id = start(type, path, input, { next: resolve, error: reject, complete: () => {} });
-            signal?.addEventListener("abort", () => {
+            const abandon = (): void => {
                 cancel(id);
                 reject(createError(ErrorKind.DeadlineExceeded, `The call to ${path} was abandoned.`, {
                     remedy: "Allow more time, or look up the outcome under the request key.",
                 }));
-            }, { once: true });
+            };
+            const finish = (settle: () => void): void => {
+                signal?.removeEventListener("abort", abandon);
+                settle();
+            };
+            const id = start(type, path, input, {
+                next: data => finish(() => resolve(data)),
+                error: error => finish(() => reject(error)),
+                complete: () => {},
+            });
+            signal?.addEventListener("abort", abandon, { once: true });
         });
     }
 
@@ -171,59 +185,3 @@
 
     return { call, subscribe, close: socket.close, closed };
 }
-
-async function shakeHands(socket: FrameSocket, identity: PeerIdentity, address: Address): Promise<void> {
-    const { protocolVersion, connectTimeoutMilliseconds } = transportConstants;
-    const label = `${address.host}:${address.port}`;
-    await new Promise<void>((resolve, reject) => {
-        const fail = (error: Error): void => {
-            clearTimeout(timer);
-            socket.close();
-            reject(error);
-        };
-        const timer = setTimeout(() => {
-            fail(createError(ErrorKind.Unreachable, `${label} did not finish the handshake.`, {
-                remedy: "Check which program listens there.",
-            }));
-        }, connectTimeoutMilliseconds);
-        let isDone = false;
-        socket.closed.then(() => {
-            fail(createError(ErrorKind.Unreachable, `${label} closed the connection during the handshake.`, {
-                remedy: "Check which program listens there.",
-            }));
-        }, () => {});
-        socket.onFrame(bytes => {
-            if (isDone) {
-                return;
-            }
-            const frame = decodeFrame(bytes);
-            if (frame[0] === FrameKind.Challenge) {
-                if (frame[1] !== protocolVersion) {
-                    fail(createError(
-                        ErrorKind.ProtocolMismatch,
-                        `${label} speaks version ${frame[1]} of the peer protocol, this process ${protocolVersion}.`,
-                        { remedy: "Run versions of the product that speak the same protocol." },
-                    ));
-                    return;
-                }
-                const proof = createPeerProof(identity.peerSecret, frame[2], identity.name);
-                const hello: Frame = [
-                    FrameKind.Hello,
-                    protocolVersion,
-                    identity.name,
-                    identity.availabilityZone,
-                    proof,
-                ];
-                socket.send(encode(hello));
-            }
-            else if (frame[0] === FrameKind.Reject) {
-                fail(deserializeError(frame[1]));
-            }
-            else if (frame[0] === FrameKind.Welcome) {
-                isDone = true;
-                clearTimeout(timer);
-                resolve();
-            }
-        });
-    });
-}
