--- a/src/failover/constants.ts
+++ b/src/failover/constants.ts
@@ -26,6 +26,7 @@
     shortestStandBackMilliseconds: 150,
     longestStandBackMilliseconds: 500,
     groupTickMilliseconds: 250,
+    shortestPauseMilliseconds: 10,
     /** How long a first start waits for endpoints beyond a majority. */
     firstStartGraceMilliseconds: 1_000,
     repairIntervalMilliseconds: 500,
--- a/src/failover/createFailoverService/test.ts
+++ b/src/failover/createFailoverService/test.ts
@@ -43,13 +43,22 @@
 
 function startWriter(fleet: Fleet) {
     const abort = new AbortController();
+    let acknowledgedCount = 0;
     const report = runConfirmedWriter({
+        onAcknowledged: () => acknowledgedCount += 1,
         record: fleet.record,
         connect: endpoint => driver.connect(endpoint, fleet.group.addressOf(endpoint), 300),
         endpoints: Object.keys(fleet.group.endpoints),
         signal: abort.signal,
     });
     return {
+        /** Waits until that many further writes are acknowledged. */
+        waitForWrites: async (count: number) => {
+            const target = acknowledgedCount + count;
+            while (acknowledgedCount < target) {
+                await sleep(5);
+            }
+        },
         finish: async () => {
             abort.abort();
             return await report;
@@ -90,11 +99,11 @@
     const fleet = await startFleet(context);
     const writer = startWriter(fleet);
     const { term } = fleet.record()!;
-    await sleep(100);
+    await writer.waitForWrites(6);
     fleet.switchesOf("stock-1").set({ isKilled: true });
     const changed = await fleet.waitForTermAbove(term);
     assert.notEqual(changed.primary, "stock-1");
-    await sleep(100);
+    await writer.waitForWrites(6);
     fleet.switchesOf("stock-1").set({ isKilled: false });
     await waitForFollowers(fleet);
     const { acknowledged } = await writer.finish();
--- a/src/failover/createGroupCoordinator/index.ts
+++ b/src/failover/createGroupCoordinator/index.ts
@@ -120,7 +120,11 @@
                 pause = new AbortController();
             }
             await act(decideGroupAction(look()));
-            if (!hasChanged && !isStopped) {
+            if (hasChanged) {
+                // An action that changes what it looks at must not repeat itself without a pause.
+                await clock.sleep(failoverConstants.shortestPauseMilliseconds);
+            }
+            else if (!isStopped) {
                 await clock.sleep(failoverConstants.groupTickMilliseconds, pause.signal);
             }
         }
