--- a/features/endpoint-failures.feature
+++ b/features/endpoint-failures.feature
@@ -37,3 +37,10 @@
         Then writes are acknowledged again under a higher term
         And the leaving endpoint takes no new work
         And every promise to callers was kept
+
+    Scenario: A replica falls far behind and the primary is killed
+        When one replica lags by 3000 ms
+        And callers make 300 more operations
+        And the primary is killed
+        Then writes are acknowledged again under a higher term
+        And every promise to callers was kept
