--- a/features/steps/load.ts
+++ b/features/steps/load.ts
@@ -48,4 +48,5 @@
     const { verdict } = await this.load.end();
     assert.deepEqual(verdict.violations, []);
     assert.ok(verdict.acknowledgedWriteCount > 0 && verdict.answeredReadCount > 0);
+    assert.deepEqual(this.site.unexpectedEnds, []);
 });
--- a/src/demo/index.ts
+++ b/src/demo/index.ts
@@ -36,7 +36,8 @@
     const plan = { ...defaultPlan, seed, sessionCount, durationMilliseconds };
     const { summary, verdict } = await offerSiteLoad(site, plan, causeFaults);
     print(formatLoadSummary(summary, verdict));
-    process.exitCode = verdict.isSound ? 0 : 1;
+    site.unexpectedEnds.forEach(print);
+    process.exitCode = verdict.isSound && site.unexpectedEnds.length === 0 ? 0 : 1;
 }
 finally {
     await site.stop();
--- a/src/site/startSite/index.ts
+++ b/src/site/startSite/index.ts
@@ -40,13 +40,14 @@
     const folder = await mkdtemp(join(tmpdir(), "tarragonpost-site-"));
     const programs = listProgramSettings(plan);
     const processes = new Map<string, SiteProcess>();
+    const unexpectedEnds: string[] = [];
 
     async function start(program: SiteProgram): Promise<void> {
         const settingsFile = join(folder, `${program.name}.jsonc`);
         await writeFile(settingsFile, JSON.stringify(program.settings, undefined, 4));
         const started = startProcess(program.name, program.binary, { settingsFile });
         processes.set(program.name, started);
-        void started.exited.then(outcome => reportEnd(started, outcome));
+        void started.exited.then(outcome => unexpectedEnds.push(...describeFailure(started, outcome)));
         await waitForReadiness(started, (program.settings as { listen: Address; }).listen);
     }
 
@@ -82,15 +83,14 @@
         await stop();
         throw error;
     }
-    return { plan, target, folder, process: findProcess, restart, stop };
+    return { plan, target, folder, unexpectedEnds, process: findProcess, restart, stop };
 }
 
-/** Tells of a program that ended by itself with a failure; signals and graceful stops are wanted ends. */
-function reportEnd(ended: SiteProcess, outcome: string): void {
-    if (/^[1-9]/.test(outcome)) {
-        const output = ended.output().slice(-siteConstants.reportedOutputCharacters);
-        process.stderr.write(`${ended.name} ended with ${outcome}: ${output}\n`);
-    }
+/** One line for a program that ended by itself with a failure; none for a signal or a graceful stop. */
+function describeFailure(ended: SiteProcess, outcome: string): string[] {
+    const hasFailed = /^[1-9]/.test(outcome);
+    const output = ended.output().slice(-siteConstants.reportedOutputCharacters);
+    return hasFailed ? [`${ended.name} ended with ${outcome}: ${output}`] : [];
 }
 
 async function writeOperatorSettings(plan: SitePlan, folder: string): Promise<void> {
--- a/src/site/types/Site.ts
+++ b/src/site/types/Site.ts
@@ -7,6 +7,8 @@
     readonly plan: SitePlan;
     readonly target: LoadTarget;
     readonly folder: string;
+    /** Programs that ended by themselves with a failure, with the last of their output. */
+    readonly unexpectedEnds: readonly string[];
     /** By name: `platform`, an endpoint's name, `vm-1-gateway`, `vm-1-entry`. */
     process(name: string): SiteProcess;
     /** Starts a program of the site again, with the same settings. */
