--- a/src/failover/confirmMarker/index.ts
+++ b/src/failover/confirmMarker/index.ts
@@ -1,7 +1,7 @@
 import { EndpointRole } from "../../endpoints/types/EndpointRole.js";
 import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
 import { failoverConstants } from "../constants.js";
-import { isConfirmed } from "../isConfirmed/index.js";
+import { isHeldByMajority } from "../isHeldByMajority/index.js";
 import type { CoordinatedGroup } from "../types/CoordinatedGroup.js";
 import type { EndpointProbe } from "../types/EndpointProbe.js";
 
@@ -37,8 +37,8 @@
         statuses.set(status.endpoint, status);
         const { requiredHolder } = marker;
         const required = requiredHolder === undefined ? primaryStatus : statuses.get(requiredHolder);
-        const hasRequired = required !== undefined && isConfirmed([required], marker, 1);
-        if (hasRequired && isConfirmed([...statuses.values()], marker, group.majority)) {
+        const hasRequired = required !== undefined && isHeldByMajority([required], marker, 1);
+        if (hasRequired && isHeldByMajority([...statuses.values()], marker, group.majority)) {
             isHeld = true;
             done.abort();
         }
--- a/src/failover/isConfirmed/index.ts
+++ b/src/failover/isHeldByMajority/index.ts
@@ -16,9 +16,9 @@
  * @returns True when the entry is confirmed.
  *
  * @example
- * isConfirmed(statuses, { term: 4, position: 120 }, majorityOf(3));
+ * isHeldByMajority(statuses, { term: 4, position: 120 }, majorityOf(3));
  */
-export function isConfirmed(
+export function isHeldByMajority(
     statuses: readonly ConfirmingStatus[],
     entry: { readonly term: number; readonly position: number; },
     majority: number,
--- a/src/model/listAcknowledgeable/index.ts
+++ b/src/model/listAcknowledgeable/index.ts
@@ -31,6 +31,6 @@
     return primary.log.filter((entry, index) => {
         const position = Math.max(index + 1, markerPosition);
         return entry > 0 && !state.acknowledged.includes(entry)
-            && rules.isConfirmed(statuses, { term, position }, rules.majority);
+            && rules.isHeldByMajority(statuses, { term, position }, rules.majority);
     });
 }
--- a/src/model/searchModel/test.ts
+++ b/src/model/searchModel/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { choosePromotionCandidate } from "../../failover/choosePromotionCandidate/index.js";
-import { isConfirmed } from "../../failover/isConfirmed/index.js";
+import { isHeldByMajority } from "../../failover/isHeldByMajority/index.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createModelState } from "../createModelState/index.js";
 import { findLostEntry } from "../findLostEntry/index.js";
@@ -12,7 +12,7 @@
 
 const rules: ModelRules = {
     choosePromotionCandidate,
-    isConfirmed,
+    isHeldByMajority,
     majority: 2,
     hasMarker: true,
     servesOnceWhole: true,
@@ -45,7 +45,7 @@
 
 const traps: Record<string, { readonly fault: Partial<ModelRules>; readonly schedule: string; }> = {
     "acknowledging at the primary alone": {
-        fault: { isConfirmed: (statuses, entry) => isConfirmed(statuses, entry, 1) },
+        fault: { isHeldByMajority: (statuses, entry) => isHeldByMajority(statuses, entry, 1) },
         schedule: "fence 1 0, fence 1 1, promote 1, mark 1, write 1, acknowledge 1 1, fence 2 1, fence 2 2, promote 2",
     },
     "fencing one endpoint only": {
--- a/src/model/types/ModelRules.ts
+++ b/src/model/types/ModelRules.ts
@@ -1,12 +1,12 @@
 import type { FenceAnswer } from "../../endpoints/types/FenceAnswer.js";
 import type { choosePromotionCandidate } from "../../failover/choosePromotionCandidate/index.js";
-import type { isConfirmed } from "../../failover/isConfirmed/index.js";
+import type { isHeldByMajority } from "../../failover/isHeldByMajority/index.js";
 import type { ModelEndpoint } from "./ModelEndpoint.js";
 
 /** The rules whose safety is searched; the product's, or a test's with one fault. */
 export interface ModelRules {
     readonly choosePromotionCandidate: typeof choosePromotionCandidate;
-    readonly isConfirmed: typeof isConfirmed;
+    readonly isHeldByMajority: typeof isHeldByMajority;
     /** Endpoints that have to be fenced, and that have to hold an entry. */
     readonly majority: number;
     /** Whether a term's first entry is a marker, and nothing is acknowledged before its confirmation. */
--- a/src/testing/runConfirmedWriter/index.ts
+++ b/src/testing/runConfirmedWriter/index.ts
@@ -1,6 +1,6 @@
 import type { EndpointConnection } from "../../endpoints/types/EndpointConnection.js";
 import type { EndpointStatus } from "../../endpoints/types/EndpointStatus.js";
-import { isConfirmed } from "../../failover/isConfirmed/index.js";
+import { isHeldByMajority } from "../../failover/isHeldByMajority/index.js";
 import type { GroupRecord } from "../../topology/types/GroupRecord.js";
 
 /** Options of `runConfirmedWriter`. */
@@ -50,7 +50,7 @@
         return await new Promise(resolve => {
             const reads = options.endpoints.map(async endpoint => {
                 statuses.push(await (await connectionTo(endpoint)).readStatus(100));
-                if (isConfirmed(statuses, entry, 2)) {
+                if (isHeldByMajority(statuses, entry, 2)) {
                     resolve(true);
                 }
             });
