--- a/src/execution/beginTransaction/index.ts
+++ b/src/execution/beginTransaction/index.ts
@@ -1,9 +1,9 @@
 import type { PeerRecord } from "../../membership/types/PeerRecord.js";
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import type { TransactionBeginReply } from "../../messages/types/TransactionBeginReply.js";
 import { executionConstants } from "../constants.js";
-import { createNotRun } from "../createNotRun/index.js";
 import { encodeTransactionHandle } from "../encodeTransactionHandle/index.js";
 import { isFinalRefusal } from "../isFinalRefusal/index.js";
 import { listAttempts } from "../listAttempts/index.js";
--- a/src/execution/createLimitedGatewayClient/index.ts
+++ b/src/execution/createLimitedGatewayClient/index.ts
@@ -4,12 +4,12 @@
 import { isTypedError } from "../../errors/isTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { PeerRecord } from "../../membership/types/PeerRecord.js";
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import type { EndpointRequest } from "../../messages/types/EndpointRequest.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import { RequestKind } from "../../messages/types/RequestKind.js";
-import { createNotRun } from "../createNotRun/index.js";
 import { estimateBytes } from "../estimateBytes/index.js";
 import type { GatewayClient } from "../types/GatewayClient.js";
 
--- a/src/execution/createRequestExecution/test.ts
+++ b/src/execution/createRequestExecution/test.ts
@@ -2,13 +2,13 @@
 import { test } from "node:test";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import type { EndpointRequest } from "../../messages/types/EndpointRequest.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import { RequestKind } from "../../messages/types/RequestKind.js";
 import { createExecution } from "../../testing/createExecution/index.js";
-import { createNotRun } from "../createNotRun/index.js";
 import type { CallerReply } from "../types/CallerReply.js";
 import type { CallerRequest } from "../types/CallerRequest.js";
 
--- a/src/execution/endTransaction/index.ts
+++ b/src/execution/endTransaction/index.ts
@@ -1,13 +1,13 @@
 import { isTypedError } from "../../errors/isTypedError/index.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import { TransactionEndKind } from "../../messages/types/TransactionEndKind.js";
 import { executionConstants } from "../constants.js";
 import { createAnswer } from "../createAnswer/index.js";
-import { createNotRun } from "../createNotRun/index.js";
 import { decodeTransactionHandle } from "../decodeTransactionHandle/index.js";
 import { lookUpRequestKey } from "../lookUpRequestKey/index.js";
 import { readSessionFloor } from "../readSessionFloor/index.js";
--- a/src/execution/executeWrite/index.ts
+++ b/src/execution/executeWrite/index.ts
@@ -1,10 +1,10 @@
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import type { GroupRecord } from "../../topology/types/GroupRecord.js";
 import { executionConstants } from "../constants.js";
 import { createAnswer } from "../createAnswer/index.js";
-import { createNotRun } from "../createNotRun/index.js";
 import { isFinalRefusal } from "../isFinalRefusal/index.js";
 import { listAttempts } from "../listAttempts/index.js";
 import { readSessionFloor } from "../readSessionFloor/index.js";
--- a/src/execution/resolveReadFloor/index.ts
+++ b/src/execution/resolveReadFloor/index.ts
@@ -1,7 +1,7 @@
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
-import { createNotRun } from "../createNotRun/index.js";
 import type { CallerRequest } from "../types/CallerRequest.js";
 import type { Deadline } from "../types/Deadline.js";
 import type { ExecutionContext } from "../types/ExecutionContext.js";
--- a/src/execution/sendToOwner/index.ts
+++ b/src/execution/sendToOwner/index.ts
@@ -2,11 +2,11 @@
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { PeerRecord } from "../../membership/types/PeerRecord.js";
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import { executionConstants } from "../constants.js";
-import { createNotRun } from "../createNotRun/index.js";
 import type { ExecutionContext } from "../types/ExecutionContext.js";
 
 /** Errors after which the request certainly was not sent. */
--- a/src/requests/createNotRun/index.ts
+++ b/src/messages/createNotRun/index.ts
@@ -1,6 +1,6 @@
-import type { NotRunReason } from "../../messages/types/NotRunReason.js";
-import type { NotRunReply } from "../../messages/types/NotRunReply.js";
-import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
+import type { NotRunReason } from "../types/NotRunReason.js";
+import type { NotRunReply } from "../types/NotRunReply.js";
+import { OutcomeKind } from "../types/OutcomeKind.js";
 
 /** Further facts of a reply. */
 interface NotRunFacts {
--- a/src/requests/checkEndpoint/index.ts
+++ b/src/requests/checkEndpoint/index.ts
@@ -1,7 +1,7 @@
 import { findDatabaseEndpoint } from "../../configuration/findDatabaseEndpoint/index.js";
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import type { NotRunReply } from "../../messages/types/NotRunReply.js";
-import { createNotRun } from "../createNotRun/index.js";
 import type { EndpointCheck } from "../types/EndpointCheck.js";
 import type { RequestServices } from "../types/RequestServices.js";
 
--- a/src/requests/settleRequestKey/index.ts
+++ b/src/requests/settleRequestKey/index.ts
@@ -1,10 +1,10 @@
 import type { StatementAnswer } from "../../endpoints/types/StatementAnswer.js";
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import { attemptTimeouts } from "../attemptTimeouts/index.js";
 import { confirmAnswer } from "../confirmAnswer/index.js";
-import { createNotRun } from "../createNotRun/index.js";
 import { createUnknownOutcome } from "../createUnknownOutcome/index.js";
 import { runStatement } from "../runStatement/index.js";
 import type { EndpointWork } from "../types/EndpointWork.js";
--- a/src/requests/toNotRun/index.ts
+++ b/src/requests/toNotRun/index.ts
@@ -1,9 +1,9 @@
 import { EndpointRefusal } from "../../endpoints/types/EndpointRefusal.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { TypedError } from "../../errors/types/TypedError.js";
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import type { NotRunReply } from "../../messages/types/NotRunReply.js";
-import { createNotRun } from "../createNotRun/index.js";
 
 const reasonsByRefusal: Record<EndpointRefusal, NotRunReason> = {
     [EndpointRefusal.Behind]: NotRunReason.Behind,
--- a/src/transactions/createEndedTransactions/index.ts
+++ b/src/transactions/createEndedTransactions/index.ts
@@ -1,9 +1,9 @@
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import type { TransactionEnd } from "../../messages/types/TransactionEnd.js";
 import { TransactionEndKind } from "../../messages/types/TransactionEndKind.js";
 import type { TransactionStatement } from "../../messages/types/TransactionStatement.js";
-import { createNotRun } from "../../requests/createNotRun/index.js";
 import { createUnknownOutcome } from "../../requests/createUnknownOutcome/index.js";
 import { transactionConstants } from "../constants.js";
 import type { EndedTransactions } from "../types/EndedTransactions.js";
--- a/src/transactions/runTransactionStatement/index.ts
+++ b/src/transactions/runTransactionStatement/index.ts
@@ -1,12 +1,12 @@
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { createNotRun } from "../../messages/createNotRun/index.js";
 import type { EndpointReply } from "../../messages/types/EndpointReply.js";
 import { NotRunReason } from "../../messages/types/NotRunReason.js";
 import { OutcomeKind } from "../../messages/types/OutcomeKind.js";
 import { RequestKind } from "../../messages/types/RequestKind.js";
 import type { TransactionStatement } from "../../messages/types/TransactionStatement.js";
 import { confirmAnswer } from "../../requests/confirmAnswer/index.js";
-import { createNotRun } from "../../requests/createNotRun/index.js";
 import { toNotRun } from "../../requests/toNotRun/index.js";
 import type { RequestServices } from "../../requests/types/RequestServices.js";
 import type { OpenTransaction } from "../types/OpenTransaction.js";
