--- a/src/benchmarks/createLeaseCoordinator/index.ts
+++ b/src/benchmarks/createLeaseCoordinator/index.ts
@@ -5,7 +5,7 @@
 import { tellToFollow } from "../../failover/tellToFollow/index.js";
 import type { FailoverDependencies } from "../../failover/types/FailoverDependencies.js";
 import { ProbeVerdict } from "../../failover/types/ProbeVerdict.js";
-import type { PlatformClient } from "../../platform/types/PlatformClient.js";
+import type { PlatformClient } from "../../objectStore/types/PlatformClient.js";
 import type { GroupRecord } from "../../topology/types/GroupRecord.js";
 
 /** Options of `createLeaseCoordinator`. */
--- a/src/configuration/createConfigurationService/index.ts
+++ b/src/configuration/createConfigurationService/index.ts
@@ -1,5 +1,5 @@
 import { RecordKind } from "../../dissemination/types/RecordKind.js";
-import type { PlatformClient } from "../../platform/types/PlatformClient.js";
+import type { PlatformClient } from "../../objectStore/types/PlatformClient.js";
 import { announceVersion } from "../announceVersion/index.js";
 import { configurationConstants } from "../constants.js";
 import { createAttachedEntries } from "../createAttachedEntries/index.js";
--- a/src/configuration/createConfigurationStore/index.ts
+++ b/src/configuration/createConfigurationStore/index.ts
@@ -1,8 +1,8 @@
 import { z } from "zod";
 import { isTypedError } from "../../errors/isTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
-import type { PlatformClient } from "../../platform/types/PlatformClient.js";
-import type { StoredObject } from "../../platform/types/StoredObject.js";
+import type { PlatformClient } from "../../objectStore/types/PlatformClient.js";
+import type { StoredObject } from "../../objectStore/types/StoredObject.js";
 import { canonicalizeValue } from "../canonicalizeValue/index.js";
 import { configurationConstants } from "../constants.js";
 import { snapshotSchema } from "../snapshotSchema/index.js";
--- a/src/gateway/listControlServices/index.ts
+++ b/src/gateway/listControlServices/index.ts
@@ -13,7 +13,7 @@
 import { createMembershipService } from "../../membership/createMembershipService/index.js";
 import type { MembershipService } from "../../membership/types/MembershipService.js";
 import type { NetworkConditions } from "../../network/types/NetworkConditions.js";
-import type { PlatformClient } from "../../platform/types/PlatformClient.js";
+import type { PlatformClient } from "../../objectStore/types/PlatformClient.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import type { GatewaySettings } from "../../settings/types/GatewaySettings.js";
 import { createTermReservation } from "../../terms/createTermReservation/index.js";
--- a/src/membership/createIntroductions/index.ts
+++ b/src/membership/createIntroductions/index.ts
@@ -1,6 +1,6 @@
 import { checkPeerValue } from "../../dissemination/checkPeerValue/index.js";
 import type { Address } from "../../network/types/Address.js";
-import type { VmRecord } from "../../platform/types/VmRecord.js";
+import type { VmRecord } from "../../objectStore/types/VmRecord.js";
 import { membershipConstants } from "../constants.js";
 import type { createProbePlan } from "../createProbePlan/index.js";
 import { digestRecords } from "../digestRecords/index.js";
--- a/src/processServices/listProcessServices/index.ts
+++ b/src/processServices/listProcessServices/index.ts
@@ -8,7 +8,7 @@
 import { createEmulatedNetwork } from "../../network/createEmulatedNetwork/index.js";
 import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
 import type { NetworkConditions } from "../../network/types/NetworkConditions.js";
-import { createPlatformClient } from "../../platform/createPlatformClient/index.js";
+import { createPlatformClient } from "../../objectStore/createPlatformClient/index.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { ProcessSettings } from "../../settings/types/ProcessSettings.js";
 import { createPeers } from "../../transport/createPeers/index.js";
--- a/src/standIns/platform/createObjectStore/index.ts
+++ b/src/standIns/platform/createObjectStore/index.ts
@@ -1,6 +1,6 @@
 import { createError } from "../../../errors/createError/index.js";
 import { ErrorKind } from "../../../errors/types/ErrorKind.js";
-import type { StoredObject } from "../../../platform/types/StoredObject.js";
+import type { StoredObject } from "../../../objectStore/types/StoredObject.js";
 import { standInConstants } from "../../constants.js";
 import type { ObjectStore } from "../types/ObjectStore.js";
 
--- a/src/standIns/platform/createVmList/index.ts
+++ b/src/standIns/platform/createVmList/index.ts
@@ -1,4 +1,4 @@
-import type { VmRecord } from "../../../platform/types/VmRecord.js";
+import type { VmRecord } from "../../../objectStore/types/VmRecord.js";
 
 /** A list of VMs that shows what was true some time ago. */
 interface VmList {
--- a/src/standIns/platform/mountObjects/index.ts
+++ b/src/standIns/platform/mountObjects/index.ts
@@ -2,7 +2,7 @@
 import { createError } from "../../../errors/createError/index.js";
 import { isTypedError } from "../../../errors/isTypedError/index.js";
 import { ErrorKind } from "../../../errors/types/ErrorKind.js";
-import type { StoredObject } from "../../../platform/types/StoredObject.js";
+import type { StoredObject } from "../../../objectStore/types/StoredObject.js";
 import { standInConstants } from "../../constants.js";
 import { CallKind } from "../types/CallKind.js";
 import type { PlatformCore } from "../types/PlatformCore.js";
--- a/src/standIns/platform/mountWatch/index.ts
+++ b/src/standIns/platform/mountWatch/index.ts
@@ -1,5 +1,5 @@
 import type { FastifyInstance } from "fastify";
-import type { StoredObject } from "../../../platform/types/StoredObject.js";
+import type { StoredObject } from "../../../objectStore/types/StoredObject.js";
 import { standInConstants } from "../../constants.js";
 import { CallKind } from "../types/CallKind.js";
 import { OutageKind } from "../types/OutageKind.js";
--- a/src/standIns/platform/types/ObjectStore.ts
+++ b/src/standIns/platform/types/ObjectStore.ts
@@ -1,4 +1,4 @@
-import type { StoredObject } from "../../../platform/types/StoredObject.js";
+import type { StoredObject } from "../../../objectStore/types/StoredObject.js";
 
 /** Versioned objects with conditional updates. */
 export interface ObjectStore {
--- a/src/standIns/platform/types/PlatformStandInSettings.ts
+++ b/src/standIns/platform/types/PlatformStandInSettings.ts
@@ -1,4 +1,4 @@
-import type { VmRecord } from "../../../platform/types/VmRecord.js";
+import type { VmRecord } from "../../../objectStore/types/VmRecord.js";
 import type { LinkChange } from "./LinkChange.js";
 
 /** Settings of the platform stand-in. */
--- a/src/standIns/platform/vmRecordSchema/index.ts
+++ b/src/standIns/platform/vmRecordSchema/index.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { VmState } from "../../../platform/types/VmState.js";
+import { VmState } from "../../../objectStore/types/VmState.js";
 
 /**
  * One row of the platform's list of VMs, in settings and for the administrator.
--- a/src/terms/createTermReservation/index.ts
+++ b/src/terms/createTermReservation/index.ts
@@ -4,7 +4,7 @@
 import { EventKind } from "../../events/types/EventKind.js";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
 import { hashText } from "../../hashing/hashText/index.js";
-import type { PlatformClient } from "../../platform/types/PlatformClient.js";
+import type { PlatformClient } from "../../objectStore/types/PlatformClient.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { termConstants } from "../constants.js";
 import { listRetryDelays } from "../listRetryDelays/index.js";
--- a/src/terms/updateTermBucket/index.ts
+++ b/src/terms/updateTermBucket/index.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
-import type { PlatformClient } from "../../platform/types/PlatformClient.js";
+import type { PlatformClient } from "../../objectStore/types/PlatformClient.js";
 import { termConstants } from "../constants.js";
 import type { TermBlock } from "../types/TermBlock.js";
 
--- a/src/testing/createCountingPlatform/index.ts
+++ b/src/testing/createCountingPlatform/index.ts
@@ -1,7 +1,7 @@
 import { EventEmitter, on } from "node:events";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
-import type { StoredObject } from "../../platform/types/StoredObject.js";
+import type { StoredObject } from "../../objectStore/types/StoredObject.js";
 import type { CountingPlatform } from "../types/CountingPlatform.js";
 
 /**
--- a/src/testing/createMemoryPlatform/index.ts
+++ b/src/testing/createMemoryPlatform/index.ts
@@ -1,7 +1,7 @@
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
-import type { PlatformClient } from "../../platform/types/PlatformClient.js";
-import type { StoredObject } from "../../platform/types/StoredObject.js";
+import type { PlatformClient } from "../../objectStore/types/PlatformClient.js";
+import type { StoredObject } from "../../objectStore/types/StoredObject.js";
 
 /** A platform in memory whose failures a test commands. */
 interface MemoryPlatform extends PlatformClient {
--- a/src/testing/types/CountingPlatform.ts
+++ b/src/testing/types/CountingPlatform.ts
@@ -1,5 +1,5 @@
 import type { ErrorKind } from "../../errors/types/ErrorKind.js";
-import type { PlatformClient } from "../../platform/types/PlatformClient.js";
+import type { PlatformClient } from "../../objectStore/types/PlatformClient.js";
 
 /** A platform in memory that counts calls by kind and fails on command. */
 export interface CountingPlatform extends PlatformClient {
