--- /dev/null
+++ b/src/binaries/node/index.ts
@@ -0,0 +1,18 @@
+#!/usr/bin/env node
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import { runBinary } from "../../commandLine/runBinary/index.js";
+import { createBoundedWriter } from "../../logging/createBoundedWriter/index.js";
+import { findSettingsFile } from "../../platform/findSettingsFile/index.js";
+import { readVmSettings } from "../../platform/readVmSettings/index.js";
+import { listVmServices } from "../../vm/listVmServices/index.js";
+
+const writeLog = createBoundedWriter(process.stdout, createSystemClock());
+
+await runBinary({
+    name: "tarragonpost-node",
+    description: "Serves callers on a VM of the users' platform.",
+    findSettingsFile,
+    writeLog,
+    readSettings: file => ({ ...readVmSettings(file), logTopics: "tarragonpost:*" }),
+    createServices: settings => listVmServices(settings, { writeLog }),
+});
--- /dev/null
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -0,0 +1,236 @@
+import type { Route } from "../../directory/types/Route.js";
+import { AccessMode } from "../../statements/types/AccessMode.js";
+import { FailureCode } from "../../statements/types/FailureCode.js";
+import type { PreparedStatement } from "../../statements/types/PreparedStatement.js";
+import { SessionState } from "../../statements/types/SessionState.js";
+import type { Statement } from "../../statements/types/Statement.js";
+import { StatementKind } from "../../statements/types/StatementKind.js";
+import { callerSessionConstants } from "../constants.js";
+import { createCallerTransaction } from "../createCallerTransaction/index.js";
+import { createFailure } from "../createFailure/index.js";
+import { runSingleStatement } from "../runSingleStatement/index.js";
+import type { CallerConnection } from "../types/CallerConnection.js";
+import type { CallerStatement } from "../types/CallerStatement.js";
+import type { CallerTransaction } from "../types/CallerTransaction.js";
+import type { SessionContext } from "../types/SessionContext.js";
+import type { SessionServices } from "../types/SessionServices.js";
+import type { StatementOutcome } from "../types/StatementOutcome.js";
+
+/** A statement with its id and time. */
+interface ReceivedStatement {
+    readonly id: string;
+    readonly statement: Statement;
+    readonly receivedAt: number;
+}
+
+/** Handles one kind of statement. */
+type StatementHandler<Kind extends StatementKind> = (
+    statement: Extract<Statement, { readonly kind: Kind; }>,
+    received: ReceivedStatement,
+) => Promise<void> | void;
+
+/** The statements of one caller's session. */
+interface CallerSession {
+    /** Whether a transaction is open, failed ones included. */
+    isInTransaction(): boolean;
+    /** Runs a statement and sends its answer. */
+    handle(received: ReceivedStatement): Promise<void>;
+    /** Rolls back an open transaction; the caller learns of it with its next statement. */
+    abandonTransaction(reason: string): void;
+}
+
+/**
+ * Creates the session of one caller: its values, prepared statements and transaction.
+ *
+ * @param connection The caller's connection.
+ * @param database The database that the session was opened for.
+ * @param services What runs statements.
+ * @returns The session, idle.
+ *
+ * @example
+ * const session = createCallerSession(connection, "shop", services);
+ */
+export function createCallerSession(
+    connection: CallerConnection,
+    database: string,
+    services: SessionServices,
+): CallerSession {
+    const { clock, directory, log } = services;
+    const context: SessionContext = { database, values: new Map(), prepared: new Map(), commits: new Map() };
+    let transaction: CallerTransaction | undefined;
+    let transactionRoute: Route | undefined;
+    /** Why the transaction was rolled back without the caller's asking. */
+    let abandonReason: string | undefined;
+
+    const handlers: { readonly [Kind in StatementKind]: StatementHandler<Kind>; } = {
+        [StatementKind.Begin]: begin,
+        [StatementKind.Commit]: (_statement, received) => commit(received),
+        [StatementKind.Rollback]: rollBack,
+        [StatementKind.Read]: (_statement, received) => run(received, AccessMode.Read, undefined),
+        [StatementKind.Write]: (_statement, received) => run(received, AccessMode.Write, undefined),
+        [StatementKind.SetValue]: ({ name, value }) => {
+            context.values.set(name, value);
+            sendDone();
+        },
+        [StatementKind.Prepare]: ({ name, mode, shape }) => {
+            context.prepared.set(name, { mode, shape });
+            sendDone();
+        },
+        [StatementKind.Execute]: execute,
+        [StatementKind.ClosePrepared]: ({ name }) => {
+            context.prepared.delete(name);
+            sendDone();
+        },
+        [StatementKind.Unreadable]: () => fail(createFailure(FailureCode.Malformed, "the statement cannot be read")),
+    };
+
+    async function handle(received: ReceivedStatement): Promise<void> {
+        const { statement } = received;
+        const isEnd = statement.kind === StatementKind.Commit || statement.kind === StatementKind.Rollback;
+        if (hasFailedTransaction() && !isEnd) {
+            const reason = abandonReason;
+            abandonReason = undefined;
+            fail(
+                reason === undefined
+                    ? createFailure(FailureCode.Malformed, "the transaction has failed; roll it back")
+                    : createFailure(FailureCode.Aborted, reason),
+            );
+            return;
+        }
+        const handler = handlers[statement.kind] as StatementHandler<StatementKind>;
+        await handler(statement, received);
+    }
+
+    function hasFailedTransaction(): boolean {
+        return transaction !== undefined && (transaction.hasFailed || abandonReason !== undefined);
+    }
+
+    function state(): SessionState {
+        if (transaction === undefined) {
+            return SessionState.Idle;
+        }
+        return transaction.hasFailed ? SessionState.FailedTransaction : SessionState.InTransaction;
+    }
+
+    function sendDone(): void {
+        connection.sendSuccess({ rows: [], state: state() });
+    }
+
+    function fail(outcome: StatementOutcome): void {
+        connection.sendFailure(
+            outcome.failure!,
+            hasFailedTransaction() ? SessionState.FailedTransaction : state(),
+        );
+    }
+
+    function sendOutcome(id: string, outcome: StatementOutcome): void {
+        const { rows, signature, position, failure } = outcome;
+        if (failure === undefined) {
+            connection.sendSuccess({ rows, signature, state: state(), position });
+            return;
+        }
+        log("statement failed", { id, database, code: failure.code, reason: failure.description, state: state() });
+        fail(outcome);
+    }
+
+    function createUnrouted(): StatementOutcome {
+        return createFailure(FailureCode.UnknownDatabase, `no route leads to a database of this name`);
+    }
+
+    function begin({ isReadOnly }: { readonly isReadOnly: boolean; }, { id, receivedAt }: ReceivedStatement): void {
+        if (transaction !== undefined) {
+            sendOutcome(id, createFailure(FailureCode.Malformed, "a transaction is open already"));
+            return;
+        }
+        const route = directory.routeOf(database);
+        if (route === undefined) {
+            sendOutcome(id, createUnrouted());
+            return;
+        }
+        transactionRoute = route;
+        transaction = createCallerTransaction({ route, session: context, isReadOnly, receivedAt }, services);
+        sendDone();
+    }
+
+    async function run(
+        received: ReceivedStatement,
+        mode: AccessMode,
+        prepared: PreparedStatement | undefined,
+    ): Promise<void> {
+        const route = transaction === undefined ? directory.routeOf(database) : transactionRoute;
+        if (route === undefined) {
+            sendOutcome(received.id, createUnrouted());
+            return;
+        }
+        const callerStatement = toCallerStatement(received, { route, mode, prepared });
+        const outcome = transaction === undefined
+            ? await runSingleStatement(callerStatement, services)
+            : await transaction.run(callerStatement);
+        const isOwnCommit = transaction === undefined && mode === AccessMode.Write && outcome.failure === undefined;
+        if (isOwnCommit && outcome.position !== undefined) {
+            context.commits.set(route.group, outcome.position);
+        }
+        sendOutcome(received.id, outcome);
+    }
+
+    function toCallerStatement(
+        { id, statement, receivedAt }: ReceivedStatement,
+        kind: Pick<CallerStatement, "route" | "mode" | "prepared">,
+    ): CallerStatement {
+        const limit = kind.route.statementTimeoutMilliseconds - callerSessionConstants.answerMilliseconds;
+        return { id, statement, ...kind, session: context, receivedAt, expiresAt: receivedAt + limit };
+    }
+
+    async function execute({ name }: { readonly name: string; }, received: ReceivedStatement): Promise<void> {
+        const prepared = context.prepared.get(name);
+        if (prepared === undefined) {
+            sendOutcome(received.id, createFailure(FailureCode.UnknownPreparedStatement, "nothing is prepared as this"));
+            return;
+        }
+        await run(received, prepared.mode, prepared);
+    }
+
+    async function commit(received: ReceivedStatement): Promise<void> {
+        const ending = transaction;
+        if (ending === undefined || transactionRoute === undefined) {
+            sendOutcome(received.id, createFailure(FailureCode.Malformed, "no transaction is open"));
+            return;
+        }
+        if (hasFailedTransaction()) {
+            const reason = abandonReason ?? "the transaction had failed and was rolled back";
+            forgetTransaction();
+            sendOutcome(received.id, createFailure(FailureCode.Aborted, reason));
+            return;
+        }
+        const statement = toCallerStatement(received, { route: transactionRoute, mode: AccessMode.Read });
+        const outcome = await ending.commit(statement);
+        forgetTransaction();
+        sendOutcome(received.id, outcome);
+    }
+
+    function rollBack(_statement: Statement, { id }: ReceivedStatement): void {
+        if (transaction === undefined) {
+            sendOutcome(id, createFailure(FailureCode.Malformed, "no transaction is open"));
+            return;
+        }
+        forgetTransaction();
+        sendDone();
+    }
+
+    function forgetTransaction(): void {
+        transaction?.abandon();
+        transaction = undefined;
+        transactionRoute = undefined;
+        abandonReason = undefined;
+    }
+
+    function abandonTransaction(reason: string): void {
+        if (transaction !== undefined && !hasFailedTransaction()) {
+            log("transaction was rolled back", { database, reason, at: Math.round(clock.now()) });
+            transaction.abandon();
+            abandonReason = reason;
+        }
+    }
+
+    return { isInTransaction: () => transaction !== undefined, handle, abandonTransaction };
+}
--- /dev/null
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -0,0 +1,207 @@
+import type { Route } from "../../directory/types/Route.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { alignSession } from "../../placement/alignSession/index.js";
+import type { EndpointLease } from "../../placement/types/EndpointLease.js";
+import { AccessMode } from "../../statements/types/AccessMode.js";
+import { FailureCode } from "../../statements/types/FailureCode.js";
+import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
+import { acquireLease } from "../acquireLease/index.js";
+import { attemptStatement } from "../attemptStatement/index.js";
+import { createFailure } from "../createFailure/index.js";
+import { createRetryPauses } from "../createRetryPauses/index.js";
+import { endTransaction } from "../endTransaction/index.js";
+import { noteAnswer } from "../noteAnswer/index.js";
+import { noteRefusal } from "../noteRefusal/index.js";
+import { AttemptKind } from "../types/AttemptKind.js";
+import type { CallerStatement } from "../types/CallerStatement.js";
+import type { CallerTransaction } from "../types/CallerTransaction.js";
+import type { PlacedLease } from "../types/PlacedLease.js";
+import type { SessionContext } from "../types/SessionContext.js";
+import type { SessionServices } from "../types/SessionServices.js";
+import type { StatementOutcome } from "../types/StatementOutcome.js";
+
+/** What a transaction was begun with. */
+interface TransactionOptions {
+    readonly route: Route;
+    readonly session: SessionContext;
+    readonly isReadOnly: boolean;
+    /** When the statement that began it was received. */
+    readonly receivedAt: number;
+}
+
+/**
+ * Creates a caller's transaction. It is begun at an endpoint with its first statement, so that a caller who has begun
+ * and pauses holds no connection, and the first statement can be tried elsewhere.
+ *
+ * @param options The route and session, and whether it only reads.
+ * @param services Placement and what learns from answers.
+ * @returns The transaction, not yet begun at an endpoint.
+ *
+ * @example
+ * const transaction = createCallerTransaction({ route, session, isReadOnly: true, receivedAt }, services);
+ */
+export function createCallerTransaction(options: TransactionOptions, services: SessionServices): CallerTransaction {
+    const { route, session, isReadOnly, receivedAt } = options;
+    const { clock, random, log } = services;
+    let lease: EndpointLease | undefined;
+    let hasWritten = false;
+    let hasFailed = false;
+
+    /** Begins the transaction on a connection; undefined when the endpoint refused. */
+    async function begin(placed: PlacedLease, expiresAt: number): Promise<StatementOutcome | undefined> {
+        const candidate = placed.lease;
+        const sentAt = clock.now();
+        try {
+            const answers = await candidate.exchange([
+                ...alignSession(candidate.pooled, { values: session.values }),
+                { kind: OutgoingKind.Begin, isReadOnly, leastPosition: placed.leastPosition },
+            ], Math.max(expiresAt - sentAt, 1));
+            const answer = answers.at(-1)!;
+            noteAnswer(candidate, sentAt, answer, services);
+            if (answer.failure === undefined) {
+                return undefined;
+            }
+            noteRefusal(candidate, answer.failure.code, services);
+            candidate.release();
+            return { rows: [], failure: answer.failure };
+        }
+        catch (error) {
+            candidate.discard();
+            return createFailure(FailureCode.Aborted, toTypedError(error).message);
+        }
+    }
+
+    /** Runs the first statement, with as many attempts as the time allows: nothing of them is kept. */
+    async function runFirst(statement: CallerStatement): Promise<StatementOutcome> {
+        const excluded = new Set<string>();
+        let last = createFailure(FailureCode.Busy, "no endpoint can begin the transaction now");
+        for (const pause of createRetryPauses(random)) {
+            const attempt = await attemptFirst(statement, excluded);
+            if (attempt.kind === AttemptKind.Final) {
+                return attempt.outcome;
+            }
+            last = attempt.outcome;
+            log("transaction is begun again", {
+                id: statement.id,
+                group: route.group,
+                code: last.failure?.code,
+                reason: last.failure?.description,
+                waitedMilliseconds: Math.round(clock.now() - statement.receivedAt),
+            });
+            if (clock.now() + pause >= statement.expiresAt) {
+                break;
+            }
+            await clock.sleep(pause);
+        }
+        return last;
+    }
+
+    async function attemptFirst(statement: CallerStatement, excluded: Set<string>) {
+        let placed: PlacedLease;
+        try {
+            const { expiresAt } = statement;
+            placed = await acquireLease({ route, session, isReadOnly, receivedAt, expiresAt, excluded }, services);
+        }
+        catch (error) {
+            const outcome = createFailure(FailureCode.Busy, toTypedError(error).message);
+            log("transaction was not placed", { id: statement.id, group: route.group, reason: outcome.failure });
+            return { kind: AttemptKind.Final, outcome };
+        }
+        const refusal = await begin(placed, statement.expiresAt);
+        if (refusal !== undefined) {
+            return { kind: AttemptKind.Repeatable, outcome: refusal };
+        }
+        const attempt = await send(statement, placed.lease);
+        if (attempt.outcome.failure === undefined) {
+            lease = placed.lease;
+            return attempt;
+        }
+        if (attempt.outcome.failure.code === FailureCode.Timeout) {
+            excluded.add(placed.lease.endpoint.id);
+        }
+        void endTransaction(placed.lease, log);
+        return attempt;
+    }
+
+    /** Sends a statement on the transaction's connection; a loss keeps nothing, since it is not committed. */
+    async function send(statement: CallerStatement, connection: EndpointLease) {
+        const timeLeft = Math.max(statement.expiresAt - clock.now(), 1);
+        const placed = { lease: connection, leastPosition: undefined };
+        const attempt = await attemptStatement(statement, placed, timeLeft, services);
+        if (attempt.outcome.failure?.code === FailureCode.OutcomeUnknown) {
+            const outcome = createFailure(FailureCode.Aborted, attempt.outcome.failure.description);
+            return { kind: AttemptKind.Repeatable, outcome };
+        }
+        return attempt;
+    }
+
+    async function run(statement: CallerStatement): Promise<StatementOutcome> {
+        const outcome = lease === undefined
+            ? await runFirst(statement)
+            : (await send(statement, lease)).outcome;
+        if (outcome.failure === undefined) {
+            hasWritten ||= statement.mode === AccessMode.Write;
+            return outcome;
+        }
+        fail();
+        return toAborted(outcome);
+    }
+
+    /** Nothing of a transaction that was not committed is kept, whatever became of its statement. */
+    function toAborted(outcome: StatementOutcome): StatementOutcome {
+        return outcome.failure?.code === FailureCode.Timeout
+            ? createFailure(FailureCode.Aborted, outcome.failure.description)
+            : outcome;
+    }
+
+    async function commit(statement: CallerStatement): Promise<StatementOutcome> {
+        const outcome = lease === undefined
+            ? await runFirst(statement)
+            : await commitOn(lease, statement);
+        lease?.release();
+        lease = undefined;
+        if (outcome.failure === undefined && hasWritten && outcome.position !== undefined) {
+            session.commits.set(route.group, outcome.position);
+        }
+        return hasWritten ? outcome : toAborted(outcome);
+    }
+
+    async function commitOn(connection: EndpointLease, statement: CallerStatement): Promise<StatementOutcome> {
+        const timeLeft = Math.max(statement.expiresAt - clock.now(), 1);
+        const mode = hasWritten ? AccessMode.Write : AccessMode.Read;
+        const placed = { lease: connection, leastPosition: undefined };
+        const { outcome } = await attemptStatement({ ...statement, mode }, placed, timeLeft, services);
+        if (outcome.failure !== undefined) {
+            log("transaction was not committed", {
+                id: statement.id,
+                endpoint: connection.endpoint.id,
+                hasWritten,
+                code: outcome.failure.code,
+                reason: outcome.failure.description,
+            });
+            connection.discard();
+        }
+        return outcome;
+    }
+
+    function fail(): void {
+        hasFailed = true;
+        abandon();
+    }
+
+    function abandon(): void {
+        if (lease !== undefined) {
+            void endTransaction(lease, log);
+            lease = undefined;
+        }
+    }
+
+    return {
+        get hasFailed() {
+            return hasFailed;
+        },
+        run,
+        commit,
+        abandon,
+    };
+}
--- /dev/null
+++ b/src/callerSessions/createRetryPauses/index.ts
@@ -0,0 +1,20 @@
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createBackoff } from "../../retries/createBackoff/index.js";
+import { callerSessionConstants } from "../constants.js";
+
+/**
+ * Yields the pauses between the attempts of one statement.
+ *
+ * @param random Source of the jitter.
+ * @returns A generator of pauses in milliseconds.
+ *
+ * @example
+ * for (const pause of createRetryPauses(random)) { ... }
+ */
+export function createRetryPauses(random: RandomSource): Generator<number, void, undefined> {
+    return createBackoff(random, {
+        firstMilliseconds: callerSessionConstants.firstRetryMilliseconds,
+        greatestMilliseconds: callerSessionConstants.greatestRetryMilliseconds,
+        attempts: callerSessionConstants.greatestAttempts,
+    });
+}
--- /dev/null
+++ b/src/callerSessions/readFloor/index.ts
@@ -0,0 +1,37 @@
+import { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
+import type { Route } from "../../directory/types/Route.js";
+import { comparePositions } from "../../statements/comparePositions/index.js";
+import type { LogPosition } from "../../statements/types/LogPosition.js";
+import type { SessionContext } from "../types/SessionContext.js";
+import type { SessionServices } from "../types/SessionServices.js";
+
+/**
+ * Finds the position that a replica has to hold to serve a read.
+ *
+ * It covers every commit that was acknowledged before the oldest moment that the read may see, and the session's own
+ * commits where they are promised. A commit of an older term is covered by any position of the present term, since a
+ * promotion decided what of it was kept.
+ *
+ * @param route What the read is promised.
+ * @param session The session's own commits.
+ * @param receivedAt When the read was received.
+ * @param services Evidence of the primaries' positions.
+ * @returns The position; undefined when no evidence is new enough, so that only the primary can serve the read.
+ *
+ * @example
+ * const floor = readFloor(route, session, receivedAt, services);
+ */
+export function readFloor(
+    route: Route,
+    session: SessionContext,
+    receivedAt: number,
+    services: Pick<SessionServices, "evidence">,
+): LogPosition | undefined {
+    const { evidence } = services;
+    const covering = evidence.coveringPosition(route.group, receivedAt - route.maximumStalenessMilliseconds);
+    const own = route.guarantee === ReadGuarantee.ReadYourWrites ? session.commits.get(route.group) : undefined;
+    if (covering === undefined || own === undefined || comparePositions(covering, own) >= 0) {
+        return covering;
+    }
+    return own;
+}
--- /dev/null
+++ b/src/callerSessions/readFloor/test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
+import type { Route } from "../../directory/types/Route.js";
+import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
+import type { LogPosition } from "../../statements/types/LogPosition.js";
+import type { SessionContext } from "../types/SessionContext.js";
+import { readFloor } from "./index.js";
+
+const route: Route = {
+    database: "shop",
+    group: "orders",
+    guarantee: ReadGuarantee.ReadYourWrites,
+    statementTimeoutMilliseconds: 1_000,
+    targetLatencyMilliseconds: 1_000,
+    priority: 1,
+    maximumStalenessMilliseconds: 500,
+};
+
+function createSession(commit?: LogPosition): SessionContext {
+    const commits = new Map(commit === undefined ? [] : [["orders", commit] as const]);
+    return { database: "shop", values: new Map(), prepared: new Map(), commits };
+}
+
+describe("readFloor", () => {
+    const evidence = createPositionEvidence();
+    evidence.note("orders", 1_000, { term: 3, entry: 10 });
+    evidence.note("orders", 1_400, { term: 3, entry: 20 });
+
+    it("asks for the oldest position that is new enough", () => {
+        assert.deepEqual(readFloor(route, createSession(), 1_450, { evidence }), { term: 3, entry: 10 });
+        assert.deepEqual(readFloor(route, createSession(), 1_600, { evidence }), { term: 3, entry: 20 });
+        assert.equal(readFloor(route, createSession(), 2_000, { evidence }), undefined);
+    });
+
+    it("covers the session's own commits where they are promised", () => {
+        const session = createSession({ term: 3, entry: 15 });
+        assert.deepEqual(readFloor(route, session, 1_450, { evidence }), { term: 3, entry: 15 });
+        const bounded = { ...route, guarantee: ReadGuarantee.BoundedStaleness };
+        assert.deepEqual(readFloor(bounded, session, 1_450, { evidence }), { term: 3, entry: 10 });
+    });
+
+    it("does not wait for commits that a promotion may have cut", () => {
+        const session = createSession({ term: 2, entry: 900 });
+        assert.deepEqual(readFloor(route, session, 1_450, { evidence }), { term: 3, entry: 10 });
+    });
+});
--- /dev/null
+++ b/src/callerSessions/toOutgoing/index.ts
@@ -0,0 +1,28 @@
+import type { LogPosition } from "../../statements/types/LogPosition.js";
+import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
+import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
+import { StatementKind } from "../../statements/types/StatementKind.js";
+import type { CallerStatement } from "../types/CallerStatement.js";
+
+/**
+ * Turns a caller's statement into the one that is sent to an endpoint.
+ *
+ * @param callerStatement The caller's statement.
+ * @param endpointName Name of its prepared statement on the connection, if it executes one.
+ * @param leastPosition The position that the endpoint has to hold.
+ * @returns The statement to send.
+ *
+ * @example
+ * toOutgoing(callerStatement, undefined, { term: 3, entry: 1207 });
+ */
+export function toOutgoing(
+    { id, statement }: CallerStatement,
+    endpointName: string | undefined,
+    leastPosition: LogPosition | undefined,
+): OutgoingStatement {
+    if (statement.kind === StatementKind.Execute && endpointName !== undefined) {
+        const { remainder } = statement;
+        return { kind: OutgoingKind.ForwardedExecution, id, name: endpointName, remainder, leastPosition };
+    }
+    return { kind: OutgoingKind.Forwarded, id, text: statement.text, leastPosition };
+}
--- /dev/null
+++ b/src/callerSessions/types/AttemptKind.ts
@@ -0,0 +1,5 @@
+/** Whether an attempt of a statement settles it. */
+export enum AttemptKind {
+    Final = "Final",
+    Repeatable = "Repeatable",
+}
--- /dev/null
+++ b/src/callerSessions/types/CallerConnection.ts
@@ -0,0 +1,31 @@
+import type { LogPosition } from "../../statements/types/LogPosition.js";
+import type { SessionState } from "../../statements/types/SessionState.js";
+import type { StatementFailure } from "../../statements/types/StatementFailure.js";
+import type { CallerCommand } from "./CallerCommand.js";
+
+/** One connection of a caller. */
+export interface CallerConnection {
+    /** Receives the caller's commands in order; set once. */
+    onCommand(listener: (command: CallerCommand) => void): void;
+    /** Calls the listener once, when the connection is closed from either side. */
+    onClose(listener: () => void): void;
+    /** Says that the session stands ready. */
+    sendReady(state: SessionState, position: LogPosition | undefined): void;
+    /** Sends a complete answer with a success. */
+    sendSuccess(answer: CallerAnswer): void;
+    /** Sends a complete answer with a failure. */
+    sendFailure(failure: StatementFailure, state: SessionState): void;
+    /** Refuses to open the session, and closes. */
+    refuse(failure: StatementFailure): void;
+    /** Closes once everything was sent. */
+    close(): void;
+}
+
+/** A success. */
+interface CallerAnswer {
+    readonly rows: readonly string[];
+    /** The endpoint's signature; undefined when no endpoint was needed. */
+    readonly signature?: string;
+    readonly state: SessionState;
+    readonly position?: LogPosition;
+}
--- /dev/null
+++ b/src/callerSessions/types/CallerStatement.ts
@@ -0,0 +1,20 @@
+import type { Route } from "../../directory/types/Route.js";
+import type { AccessMode } from "../../statements/types/AccessMode.js";
+import type { PreparedStatement } from "../../statements/types/PreparedStatement.js";
+import type { Statement } from "../../statements/types/Statement.js";
+import type { SessionContext } from "./SessionContext.js";
+
+/** A read, write or commit of a caller, ready to be forwarded. */
+export interface CallerStatement {
+    readonly id: string;
+    readonly statement: Statement;
+    readonly mode: AccessMode;
+    /** The prepared statement that it executes. */
+    readonly prepared?: PreparedStatement;
+    readonly route: Route;
+    readonly session: SessionContext;
+    /** When it was received. */
+    readonly receivedAt: number;
+    /** When the time limit of the statement ends. */
+    readonly expiresAt: number;
+}
--- /dev/null
+++ b/src/callerSessions/types/CallerTransaction.ts
@@ -0,0 +1,14 @@
+import type { CallerStatement } from "./CallerStatement.js";
+import type { StatementOutcome } from "./StatementOutcome.js";
+
+/** A transaction of a caller. */
+export interface CallerTransaction {
+    /** Whether it failed; only ending it is possible then. */
+    readonly hasFailed: boolean;
+    /** Runs a read or write in it. */
+    run(statement: CallerStatement): Promise<StatementOutcome>;
+    /** Commits it. */
+    commit(statement: CallerStatement): Promise<StatementOutcome>;
+    /** Rolls it back, unless it is over. */
+    abandon(): void;
+}
--- /dev/null
+++ b/src/callerSessions/types/SessionServices.ts
@@ -0,0 +1,22 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Directory } from "../../directory/types/Directory.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Placement } from "../../placement/types/Placement.js";
+import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
+import type { Primaries } from "../../primaries/types/Primaries.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import type { EvidenceRenewal } from "./EvidenceRenewal.js";
+import type { PreparedNames } from "./PreparedNames.js";
+
+/** The services that callers' sessions need. */
+export interface SessionServices {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly directory: Directory;
+    readonly primaries: Primaries;
+    readonly evidence: PositionEvidence;
+    readonly placement: Placement;
+    readonly renewal: EvidenceRenewal;
+    readonly preparedNames: PreparedNames;
+    readonly log: LogTopic;
+}
--- /dev/null
+++ b/src/callerSessions/types/StatementOutcome.ts
@@ -0,0 +1,11 @@
+import type { LogPosition } from "../../statements/types/LogPosition.js";
+import type { StatementFailure } from "../../statements/types/StatementFailure.js";
+
+/** What a caller is told of a statement. */
+export interface StatementOutcome {
+    readonly rows: readonly string[];
+    /** The endpoint's signature; undefined after a failure. */
+    readonly signature?: string;
+    readonly position?: LogPosition;
+    readonly failure?: StatementFailure;
+}
--- a/src/commandLine/runBinary/index.ts
+++ b/src/commandLine/runBinary/index.ts
@@ -55,7 +55,7 @@
     }
     const settings = definition.readSettings(file);
     debug.enable([commandLineConstants.defaultLogTopics, settings.logTopics ?? ""].join(","));
-    const log = createLogger(settings.name, createSystemClock()).topic("process");
+    const log = createLogger(settings.name, createSystemClock(), definition.writeLog).topic("process");
     const definitions = definition.createServices(settings);
     const kernel = createKernel(definitions);
     const serviceNames = definitions.map(service => service.name);
@@ -71,7 +71,7 @@
 }
 
 function parseCommandLine(
-    definition: { readonly name: string; readonly description: string; },
+    definition: Pick<BinaryDefinition<never>, "name" | "description" | "findSettingsFile">,
     control: ProcessControl,
 ): string | undefined {
     const commandLine = cac(definition.name);
@@ -86,7 +86,7 @@
         return undefined;
     }
     command.checkUnknownOptions();
-    const file: unknown = parsed.options["settings"];
+    const file: unknown = parsed.options["settings"] ?? definition.findSettingsFile?.();
     if (file === undefined) {
         throw createError(ErrorKind.InvalidSettings, "No settings file is given.", {
             remedy: `Start it as \`${definition.name} --settings FILE\`.`,
--- a/src/commandLine/types/BinaryDefinition.ts
+++ b/src/commandLine/types/BinaryDefinition.ts
@@ -6,6 +6,10 @@
     readonly name: string;
     /** One sentence for `--help`. */
     readonly description: string;
+    /** Names the settings file when the command line names none. */
+    readonly findSettingsFile?: () => string | undefined;
+    /** Writes log lines; to standard error when left out. */
+    readonly writeLog?: (line: string) => void;
     /** Reads and checks the settings file. */
     readSettings(file: string): Settings;
     createServices(settings: Settings): readonly ServiceDefinition[];
--- /dev/null
+++ b/src/directory/constants.ts
@@ -0,0 +1,12 @@
+/** Constants of the directory. */
+export const directoryConstants = {
+    /** How long one watch of the store waits; short, so that a connection gone silent is noticed. */
+    watchMilliseconds: 5_000,
+    /** Pauses between failed calls to the store. */
+    firstRetryMilliseconds: 200,
+    greatestRetryMilliseconds: 1_000,
+    /** Time limit of a call to the store. */
+    callTimeoutMilliseconds: 1_500,
+    /** An endpoint whose record vanished is kept this long: the store drops records while it is in trouble. */
+    vanishedMilliseconds: 2_500,
+} as const;
--- /dev/null
+++ b/src/directory/createDirectory/index.ts
@@ -0,0 +1,134 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { directoryConstants } from "../constants.js";
+import type { Directory } from "../types/Directory.js";
+import type { EndpointRecord } from "../types/EndpointRecord.js";
+import type { FeedUpdate } from "../types/FeedUpdate.js";
+import type { GroupSettings } from "../types/GroupSettings.js";
+import type { Route } from "../types/Route.js";
+import type { RoutingTable } from "../types/RoutingTable.js";
+
+/**
+ * Creates a VM's knowledge of endpoints and routes.
+ *
+ * Versions of the routing table only grow, and so do the revisions of an endpoint's record, whoever tells them. An
+ * endpoint whose record vanished is forgotten after a while only, unless it was leaving.
+ *
+ * @param clock Source of time.
+ * @param log Writes a line for each change.
+ * @returns The directory, empty.
+ *
+ * @example
+ * const directory = createDirectory(clock, logger.topic("directory"));
+ * directory.applyRoutingTable(table);
+ */
+export function createDirectory(clock: Clock, log: LogTopic): Directory {
+    const endpoints = new Map<string, EndpointRecord>();
+    /** When records vanished, by id. */
+    const vanishedAt = new Map<string, number>();
+    const listeners: ((groups: ReadonlySet<string>) => void)[] = [];
+    let table: RoutingTable | undefined;
+    let routes = new Map<string, Route>();
+    let groupsByName = new Map<string, GroupSettings>();
+
+    function applyEndpoints(update: FeedUpdate<EndpointRecord>): void {
+        const changed = new Set<string>();
+        for (const { name, revision, item, problem } of update.changes) {
+            if (problem !== undefined) {
+                log("record of an endpoint cannot be read", { endpoint: name, revision, problem });
+            }
+            if (item !== undefined) {
+                store(item, changed);
+            }
+            else if (problem === undefined || endpoints.has(name)) {
+                noteVanished(name, revision, changed);
+            }
+        }
+        if (update.isWhole) {
+            const listed = new Set(update.changes.map(change => change.name));
+            for (const id of [...endpoints.keys()].filter(known => !listed.has(known))) {
+                noteVanished(id, undefined, changed);
+            }
+        }
+        notify(changed);
+    }
+
+    function store(record: EndpointRecord, changed: Set<string>): void {
+        const known = endpoints.get(record.id);
+        if (known !== undefined && known.revision >= record.revision) {
+            if (known.revision === record.revision) {
+                vanishedAt.delete(record.id);
+            }
+            return;
+        }
+        vanishedAt.delete(record.id);
+        endpoints.set(record.id, record);
+        changed.add(record.group);
+        const { id, group, isLeaving, isPrimary, startedAt, revision, address: { availabilityZone } } = record;
+        log("endpoint", { endpoint: id, group, availabilityZone, isLeaving, isPrimary, startedAt, revision });
+    }
+
+    function noteVanished(id: string, revision: number | undefined, changed: Set<string>): void {
+        const known = endpoints.get(id);
+        if (known === undefined || (revision !== undefined && known.revision > revision) || vanishedAt.has(id)) {
+            return;
+        }
+        log("record of an endpoint vanished", { endpoint: id, group: known.group, wasLeaving: known.isLeaving });
+        if (known.isLeaving) {
+            forget(known, changed);
+            return;
+        }
+        const noticedAt = clock.now();
+        vanishedAt.set(id, noticedAt);
+        void clock.sleep(directoryConstants.vanishedMilliseconds).then(() => {
+            if (vanishedAt.get(id) === noticedAt) {
+                const late = new Set<string>();
+                forget(known, late);
+                notify(late);
+            }
+        });
+    }
+
+    function forget(record: EndpointRecord, changed: Set<string>): void {
+        vanishedAt.delete(record.id);
+        endpoints.delete(record.id);
+        changed.add(record.group);
+        log("endpoint is gone", { endpoint: record.id, group: record.group });
+    }
+
+    function applyRoutingTable(next: RoutingTable): boolean {
+        if (table !== undefined && next.version <= table.version) {
+            return false;
+        }
+        log("routing table in force", {
+            version: next.version,
+            previousVersion: table?.version,
+            routes: next.routes.length,
+        });
+        table = next;
+        routes = new Map(next.routes.map(route => [route.database, route]));
+        groupsByName = new Map(next.groups.map(settings => [settings.group, settings]));
+        notify(new Set(groupsByName.keys()));
+        return true;
+    }
+
+    function notify(changed: ReadonlySet<string>): void {
+        if (changed.size > 0) {
+            listeners.forEach(listener => listener(changed));
+        }
+    }
+
+    return {
+        applyEndpoints,
+        applyRoutingTable,
+        version: () => table?.version ?? 0,
+        routingTable: () => table,
+        routeOf: database => routes.get(database),
+        groupSettings: group => groupsByName.get(group),
+        endpoint: id => endpoints.get(id),
+        endpointsOf: group => [...endpoints.values()].filter(endpoint => endpoint.group === group),
+        groups: () => [...new Set([...endpoints.values()].map(endpoint => endpoint.group))],
+        records: () => [...endpoints.values()],
+        onChange: listener => listeners.push(listener),
+    };
+}
--- /dev/null
+++ b/src/directory/createDirectoryFollower/index.ts
@@ -0,0 +1,85 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import { followFeed } from "../followFeed/index.js";
+import type { Directory } from "../types/Directory.js";
+import type { Feed } from "../types/Feed.js";
+import type { FeedUpdate } from "../types/FeedUpdate.js";
+import type { PlatformStore } from "../types/PlatformStore.js";
+
+/** Options of `createDirectoryFollower`. */
+interface DirectoryFollowerOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly store: Pick<PlatformStore, "endpoints" | "routingTables">;
+    readonly directory: Directory;
+    readonly log: LogTopic;
+}
+
+/** Keeps the directory in step with the platform's store. */
+interface DirectoryFollower {
+    start(): Promise<void>;
+    stop(): Promise<void>;
+}
+
+/**
+ * Creates the tasks that keep the directory in step with the platform's store.
+ *
+ * @param options Clock, randomness, the store, the directory and the log.
+ * @returns The tasks, not yet started.
+ *
+ * @example
+ * await createDirectoryFollower({ clock, random, store, directory, log }).start();
+ */
+export function createDirectoryFollower(options: DirectoryFollowerOptions): DirectoryFollower {
+    const { clock, random, store, directory, log } = options;
+    const end = new AbortController();
+
+    async function follow<Item>(
+        name: string,
+        feed: Feed<Item>,
+        apply: (update: FeedUpdate<Item>) => void,
+    ): Promise<void> {
+        let isReached = true;
+        const updates = followFeed(feed, {
+            clock,
+            random,
+            signal: end.signal,
+            onFailure: error => {
+                if (isReached) {
+                    log("store is not reached", { feed: name, reason: error.message });
+                }
+                isReached = false;
+            },
+            onAnswer: () => {
+                if (!isReached) {
+                    log("store is reached again", { feed: name });
+                }
+                isReached = true;
+            },
+        });
+        for await (const update of updates) {
+            apply(update);
+        }
+    }
+
+    async function start(): Promise<void> {
+        void follow("endpoints", store.endpoints, directory.applyEndpoints);
+        void follow("routing tables", store.routingTables, update => {
+            for (const { name, item, problem } of update.changes) {
+                if (problem !== undefined) {
+                    log("routing table cannot be read", { name, problem });
+                }
+                if (item !== undefined) {
+                    directory.applyRoutingTable(item);
+                }
+            }
+        });
+    }
+
+    async function stop(): Promise<void> {
+        end.abort();
+    }
+
+    return { start, stop };
+}
--- /dev/null
+++ b/src/directory/types/RoutingTable.ts
@@ -0,0 +1,11 @@
+import type { GroupSettings } from "./GroupSettings.js";
+import type { Route } from "./Route.js";
+
+/** One version of the operator's configuration. */
+export interface RoutingTable {
+    readonly version: number;
+    readonly routes: readonly Route[];
+    readonly groups: readonly GroupSettings[];
+    /** A transaction that stays idle for longer may be rolled back. */
+    readonly idleTransactionMilliseconds: number;
+}
--- /dev/null
+++ b/src/logging/createBoundedWriter/test.ts
@@ -0,0 +1,31 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { loggingConstants } from "../constants.js";
+import { createBoundedWriter } from "./index.js";
+
+describe("createBoundedWriter", () => {
+    it("leaves out what exceeds the rate, and counts it", async () => {
+        const clock = createManualClock();
+        const lines: string[] = [];
+        const write = createBoundedWriter({ writableLength: 0, write: line => lines.push(line) }, clock, 10);
+        for (let count = 0; count < loggingConstants.burstLines + 5; count += 1) {
+            write("x\n");
+        }
+        assert.equal(lines.length, loggingConstants.burstLines);
+        await clock.advance(1_000);
+        write("y\n");
+        assert.deepEqual(lines.slice(-2), [
+            "{\"topic\":\"logging\",\"message\":\"lines were left out\",\"leftOut\":5}\n",
+            "y\n",
+        ]);
+    });
+
+    it("does not pile up lines for a reader that stopped", () => {
+        const lines: string[] = [];
+        const sink = { writableLength: loggingConstants.waitingBytes + 1, write: (line: string) => lines.push(line) };
+        const write = createBoundedWriter(sink, createManualClock());
+        write("x\n");
+        assert.deepEqual(lines, []);
+    });
+});
--- a/src/logging/createLogger/index.ts
+++ b/src/logging/createLogger/index.ts
@@ -3,25 +3,30 @@
 import type { Logger } from "../types/Logger.js";
 
 /**
- * Creates the logger of one process: JSON lines on standard error, selected by `debug` namespaces.
+ * Creates the logger of one process: JSON lines, selected by `debug` namespaces.
  *
  * @param processName Name of the process, on each line.
  * @param clock Source of wall time.
+ * @param write Writes one line with its end; to standard error when left out.
  * @returns The logger.
  *
  * @example
  * const log = createLogger("vm-1-gateway", clock).topic("failover");
  * log("fence answered", { database: "stock", term: 4 });
  */
-export function createLogger(processName: string, clock: Clock): Logger {
+export function createLogger(
+    processName: string,
+    clock: Clock,
+    write: (line: string) => void = line => process.stderr.write(line),
+): Logger {
     function topic(name: string): ReturnType<Logger["topic"]> {
         const namespace = `tarragonpost:${name}`;
         const selector = debug(namespace);
-        selector.log = (line: string) => process.stderr.write(`${line}\n`);
+        selector.log = (line: string) => write(`${line}\n`);
         return (message, fields = {}) => {
             if (selector.enabled) {
                 const time = new Date(clock.wallTime()).toISOString();
-                process.stderr.write(
+                write(
                     `${JSON.stringify({ time, process: processName, topic: name, message, ...fields })}\n`,
                 );
             }
--- a/src/logging/types/Logger.ts
+++ b/src/logging/types/Logger.ts
@@ -1,5 +1,7 @@
+import type { LogTopic } from "./LogTopic.js";
+
 /** Writes log lines as JSON; `debug` namespaces select what is written. */
 export interface Logger {
     /** Returns a function that writes lines under the namespace `tarragonpost:<topic>`. */
-    topic(name: string): (message: string, fields?: Readonly<Record<string, unknown>>) => void;
+    topic(name: string): LogTopic;
 }
--- /dev/null
+++ b/src/placement/types/EndpointLease.ts
@@ -0,0 +1,17 @@
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
+import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
+import type { PooledSession } from "./PooledSession.js";
+
+/** A connection to an endpoint, held by one caller's statement or transaction. */
+export interface EndpointLease {
+    readonly endpoint: EndpointRecord;
+    readonly isPrimary: boolean;
+    readonly pooled: PooledSession;
+    /** Sends statements and waits for the answers; fails as `EndpointSession.exchange`. */
+    exchange(statements: readonly OutgoingStatement[], timeoutMilliseconds: number): Promise<readonly StatementAnswer[]>;
+    /** Gives the connection back; it must be idle and outside a transaction. */
+    release(): void;
+    /** Closes the connection. */
+    discard(): void;
+}
--- /dev/null
+++ b/src/placement/types/PlacementRequest.ts
@@ -0,0 +1,13 @@
+/** What a statement or transaction needs of an endpoint. */
+export interface PlacementRequest {
+    readonly group: string;
+    readonly needsPrimary: boolean;
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    /** Latest time at which it is worth being placed. */
+    readonly expiresAt: number;
+    /** Endpoints that are of no use, because they were tried. */
+    readonly excluded: ReadonlySet<string>;
+    /** Values that the connection will need; one that has them is preferred. */
+    readonly values: ReadonlyMap<string, string>;
+}
--- /dev/null
+++ b/src/platform/constants.ts
@@ -0,0 +1,14 @@
+/** Constants of the users' platform. */
+export const platformConstants = {
+    /** Longest message on the wire, in bytes. */
+    maximumMessageBytes: 1_048_576,
+    /** Id of the statements that the proxy issues itself. */
+    ownStatementId: "-",
+    /** Who we are, to endpoints. */
+    connectionUser: "tarragonpost",
+    settingsVariable: "TARRAGONPOST_SETTINGS",
+    /** Connections to the store that are kept open. */
+    storeConnections: 8,
+    /** Time limit for opening a connection to the store. */
+    storeConnectMilliseconds: 1_000,
+} as const;
--- /dev/null
+++ b/src/platform/createLineSplitter/index.ts
@@ -0,0 +1,38 @@
+/** Cuts a stream of bytes into lines. */
+interface LineSplitter {
+    /** Takes bytes; returns the lines that they complete, or undefined when a line is too long. */
+    push(chunk: Buffer): string[] | undefined;
+}
+
+/**
+ * Creates a splitter of lines that end with CR LF. Each byte becomes one character, so that nothing is changed.
+ *
+ * @param maximumBytes Longest line, in bytes.
+ * @returns The splitter, empty.
+ *
+ * @example
+ * createLineSplitter(1_024).push(Buffer.from("TERM\r\nQUE")); // => ["TERM"]
+ */
+export function createLineSplitter(maximumBytes: number): LineSplitter {
+    let pieces: string[] = [];
+    let pendingBytes = 0;
+
+    function push(chunk: Buffer): string[] | undefined {
+        const text = chunk.toString("latin1");
+        if (!text.includes("\n")) {
+            pieces.push(text);
+            pendingBytes += text.length;
+            return pendingBytes > maximumBytes ? undefined : [];
+        }
+        const lines = (pieces.join("") + text).split("\n");
+        const remainder = lines.pop() ?? "";
+        pieces = remainder === "" ? [] : [remainder];
+        pendingBytes = remainder.length;
+        if (pendingBytes > maximumBytes || lines.some(line => line.length > maximumBytes)) {
+            return undefined;
+        }
+        return lines.map(line => line.endsWith("\r") ? line.slice(0, -1) : line);
+    }
+
+    return { push };
+}
--- /dev/null
+++ b/src/platform/createStoreClient/index.ts
@@ -0,0 +1,167 @@
+import { z } from "zod";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { Feed } from "../../directory/types/Feed.js";
+import type { FeedChange } from "../../directory/types/FeedChange.js";
+import type { PlatformStore } from "../../directory/types/PlatformStore.js";
+import type { RecordStore } from "../../directory/types/RecordStore.js";
+import type { RoutingTable } from "../../directory/types/RoutingTable.js";
+import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { Address } from "../../network/types/Address.js";
+import { createStoreCaller } from "../createStoreCaller/index.js";
+import { decodeEndpointRecord } from "../decodeEndpointRecord/index.js";
+import { decodeRoutingTable } from "../decodeRoutingTable/index.js";
+import { storedObjectSchema } from "../storedObjectSchema.js";
+
+/** Options of `createStoreClient`. */
+interface StoreClientOptions {
+    /** Time limit of a call, beyond the time that a watch waits. */
+    readonly timeoutMilliseconds: number;
+}
+
+/** Decodes an object's content. */
+type Decoder<Item> = (name: string, revision: number, content: unknown) => Item;
+
+const pageSchema = z.object({ items: z.array(z.unknown()), hasMore: z.boolean(), asOf: z.number() });
+const changesSchema = z.object({
+    events: z.array(z.object({ deleted: z.boolean(), object: z.unknown() })),
+    asOf: z.number(),
+});
+
+const kinds = { endpoints: "servers", configuration: "config", records: "tarragonpost" } as const;
+/** Answer to a watch whose history is gone. */
+const historyGoneStatus = 410;
+
+/**
+ * Creates the client of the platform's store.
+ *
+ * @param address Where the store listens.
+ * @param options Time limit of a call in milliseconds.
+ * @returns The client, which also has a `stop` for the kernel.
+ *
+ * @example
+ * const store = createStoreClient(settings.storeAddress, { timeoutMilliseconds: 1_500 });
+ */
+export function createStoreClient(address: Address, options: StoreClientOptions): PlatformStore {
+    const { timeoutMilliseconds } = options;
+    const caller = createStoreCaller(address);
+
+    function pathOf(kind: string, name?: string): string {
+        return `/-/objects/${kind}${name === undefined ? "" : `/${encodeURIComponent(name)}`}`;
+    }
+
+    function createUnexpected(path: string, status: number): Error {
+        return createError(ErrorKind.PlatformUnavailable, `The store answered ${path} with status ${status}.`, {
+            remedy: "Try again later.",
+        });
+    }
+
+    function createFeed<Item>(kind: string, decode: Decoder<Item>): Feed<Item> {
+        async function list() {
+            const changes: FeedChange<Item>[] = [];
+            let revision: number | undefined;
+            for (let after: string | undefined = ""; after !== undefined;) {
+                const path: string = `${pathOf(kind)}${after === "" ? "" : `?after=${encodeURIComponent(after)}`}`;
+                const answer = await caller.call({ method: "GET", path, timeoutMilliseconds });
+                if (answer.status !== 200) {
+                    throw createUnexpected(path, answer.status);
+                }
+                const page = pageSchema.parse(answer.content);
+                changes.push(...page.items.flatMap(item => decodeChange(item, false, decode)));
+                // Changes between two pages are told by a watch from the first page's revision.
+                revision ??= page.asOf;
+                after = page.hasMore ? changes.at(-1)?.name : undefined;
+            }
+            return { changes, revision: revision ?? 0 };
+        }
+
+        async function waitForChanges(revision: number, waitMilliseconds: number) {
+            const path = `${pathOf(kind)}?watch=${revision}&waitMs=${waitMilliseconds}`;
+            const answer = await caller.call({
+                method: "GET",
+                path,
+                timeoutMilliseconds: waitMilliseconds + timeoutMilliseconds,
+            });
+            if (answer.status === historyGoneStatus) {
+                return undefined;
+            }
+            if (answer.status !== 200) {
+                throw createUnexpected(path, answer.status);
+            }
+            const { events, asOf } = changesSchema.parse(answer.content);
+            return {
+                changes: events.flatMap(event => decodeChange(event.object, event.deleted, decode)),
+                revision: asOf,
+            };
+        }
+
+        return { list, waitForChanges };
+    }
+
+    async function read(name: string): Promise<VersionedRecord | undefined> {
+        const path = pathOf(kinds.records, name);
+        const answer = await caller.call({ method: "GET", path, timeoutMilliseconds });
+        if (answer.status === 404) {
+            return undefined;
+        }
+        return toRecord(path, answer);
+    }
+
+    async function create(name: string, content: unknown): Promise<VersionedRecord> {
+        const path = pathOf(kinds.records);
+        const body = { meta: { name }, spec: content };
+        return toRecord(path, await caller.call({ method: "POST", path, body, timeoutMilliseconds }));
+    }
+
+    async function replace(name: string, content: unknown, revision: number): Promise<VersionedRecord> {
+        const path = pathOf(kinds.records, name);
+        const body = { meta: { name, revision }, spec: content };
+        return toRecord(path, await caller.call({ method: "PUT", path, body, timeoutMilliseconds }));
+    }
+
+    function toRecord(path: string, answer: { readonly status: number; readonly content: unknown; }): VersionedRecord {
+        if (answer.status === 409 || answer.status === 404) {
+            throw createError(ErrorKind.Conflict, `${path} has changed.`, { remedy: "Read the object again." });
+        }
+        if (answer.status < 200 || answer.status > 299) {
+            throw createUnexpected(path, answer.status);
+        }
+        const { meta, spec } = storedObjectSchema.parse(answer.content);
+        return { revision: meta.revision, content: spec };
+    }
+
+    const records: RecordStore = {
+        read,
+        create,
+        replace,
+        feed: createFeed(kinds.records, (_name, revision, content) => ({ revision, content })),
+    };
+    return {
+        endpoints: createFeed<EndpointRecord>(kinds.endpoints, decodeEndpointRecord),
+        routingTables: createFeed<RoutingTable>(
+            kinds.configuration,
+            (_name, _revision, content) => decodeRoutingTable(content),
+        ),
+        records,
+        stop: caller.stop,
+    };
+}
+
+/** Decodes one object; none when not even its name can be read. */
+function decodeChange<Item>(object: unknown, isDeleted: boolean, decode: Decoder<Item>): FeedChange<Item>[] {
+    const outcome = storedObjectSchema.safeParse(object);
+    if (!outcome.success) {
+        return [];
+    }
+    const { meta: { name, revision }, spec } = outcome.data;
+    if (isDeleted) {
+        return [{ name, revision, item: undefined }];
+    }
+    try {
+        return [{ name, revision, item: decode(name, revision, spec) }];
+    }
+    catch (error) {
+        return [{ name, revision, item: undefined, problem: (error as Error).message }];
+    }
+}
--- /dev/null
+++ b/src/platform/decodeEndpointRecord/index.ts
@@ -0,0 +1,42 @@
+import { z } from "zod";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { parseAddress } from "../parseAddress/index.js";
+
+/** An entry of the kind `servers`. */
+const entrySchema = z.object({
+    service: z.string().min(1),
+    addr: z.string(),
+    zone: z.string(),
+    slots: z.number(),
+    state: z.enum(["ready", "draining"]),
+    coldLeftMs: z.number().optional(),
+    dbRole: z.enum(["primary", "replica"]),
+    born: z.number().optional(),
+});
+
+/**
+ * Decodes the registration of an endpoint.
+ *
+ * @param id Name of the object, which is the endpoint's id.
+ * @param revision Revision of the object.
+ * @param content What the endpoint wrote, or another writer.
+ * @returns The endpoint.
+ * @throws Error that tells what is wrong with it.
+ *
+ * @example
+ * const endpoint = decodeEndpointRecord("i-7f3a", 530, content);
+ */
+export function decodeEndpointRecord(id: string, revision: number, content: unknown): EndpointRecord {
+    const entry = entrySchema.parse(content);
+    return {
+        id,
+        group: entry.service,
+        address: parseAddress(entry.addr, entry.zone),
+        slots: entry.slots,
+        isLeaving: entry.state === "draining",
+        isPrimary: entry.dbRole === "primary",
+        warmingMilliseconds: entry.coldLeftMs ?? 0,
+        startedAt: entry.born ?? 0,
+        revision,
+    };
+}
--- /dev/null
+++ b/src/platform/findSettingsFile/index.ts
@@ -0,0 +1,13 @@
+import { platformConstants } from "../constants.js";
+
+/**
+ * Finds the settings file that the platform wrote for this process.
+ *
+ * @returns Its path; undefined when the platform names none.
+ *
+ * @example
+ * const file = findSettingsFile() ?? "vm.toml";
+ */
+export function findSettingsFile(): string | undefined {
+    return process.env[platformConstants.settingsVariable];
+}
--- /dev/null
+++ b/src/platform/listenForCallers/index.ts
@@ -0,0 +1,110 @@
+import { once } from "node:events";
+import { createServer, type Socket } from "node:net";
+import type { CallerCommand } from "../../callerSessions/types/CallerCommand.js";
+import { CallerCommandKind } from "../../callerSessions/types/CallerCommandKind.js";
+import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
+import type { Address } from "../../network/types/Address.js";
+import type { LogPosition } from "../../statements/types/LogPosition.js";
+import type { SessionState } from "../../statements/types/SessionState.js";
+import type { StatementFailure } from "../../statements/types/StatementFailure.js";
+import { platformConstants } from "../constants.js";
+import { createLineSplitter } from "../createLineSplitter/index.js";
+import { decodeMessage } from "../decodeMessage/index.js";
+import { decodeStatement } from "../decodeStatement/index.js";
+import { failureWords } from "../failureWords.js";
+import { formatPosition } from "../formatPosition/index.js";
+import { stateWords } from "../stateWords.js";
+import type { WireMessage } from "../types/WireMessage.js";
+import { WireMessageKind } from "../types/WireMessageKind.js";
+
+/** A listener for callers. */
+interface CallerListener {
+    /** The port it listens on. */
+    readonly port: number;
+    /** Takes no new connections; those that are open go on. */
+    stop(): void;
+}
+
+/**
+ * Listens for callers and speaks the wire protocol with them.
+ *
+ * @param address Where to listen; port 0 takes any free port.
+ * @param onConnection Receives each new connection.
+ * @returns The listener, once it listens.
+ * @throws Error when the address cannot be used.
+ *
+ * @example
+ * const listener = await listenForCallers(settings.callerAddress, connection => serveSession(connection));
+ */
+export async function listenForCallers(
+    address: Address,
+    onConnection: (connection: CallerConnection) => void,
+): Promise<CallerListener> {
+    const server = createServer({ noDelay: true }, socket => onConnection(wrapCallerSocket(socket)));
+    server.listen(address.port, address.host);
+    await once(server, "listening");
+    return { port: (server.address() as { port: number; }).port, stop: () => server.close() };
+}
+
+function wrapCallerSocket(socket: Socket): CallerConnection {
+    const splitter = createLineSplitter(platformConstants.maximumMessageBytes);
+    let deliver: (command: CallerCommand) => void = () => {};
+
+    socket.on("data", chunk => {
+        const lines = splitter.push(chunk);
+        if (lines === undefined) {
+            deliver({ kind: CallerCommandKind.Unreadable, reason: "The message is too long." });
+            return;
+        }
+        for (const line of lines) {
+            deliver(toCommand(decodeMessage(line)));
+        }
+    });
+    // What follows an error is the event "close", which ends the session.
+    socket.on("error", () => socket.destroy());
+
+    function write(text: string): void {
+        if (socket.writable) {
+            socket.write(text, "latin1");
+        }
+    }
+
+    function encodeFailure({ code, description }: StatementFailure): string {
+        return `ERROR ${failureWords[code]} ${description}\r\n`;
+    }
+
+    function encodeReady(state: SessionState, position: LogPosition | undefined): string {
+        return `READY ${stateWords[state]} ${position === undefined ? "-" : formatPosition(position)}\r\n`;
+    }
+
+    return {
+        onCommand: listener => {
+            deliver = listener;
+        },
+        onClose: listener => socket.once("close", listener),
+        sendReady: (state, position) => write(encodeReady(state, position)),
+        sendSuccess: ({ rows, signature, state, position }) => {
+            const rowLines = rows.map(row => `ROW ${row}\r\n`).join("");
+            write(`${rowLines}COMPLETE ${signature ?? "-"}\r\n${encodeReady(state, position)}`);
+        },
+        sendFailure: (failure, state) => write(encodeFailure(failure) + encodeReady(state, undefined)),
+        refuse: failure => {
+            write(encodeFailure(failure));
+            socket.end();
+        },
+        close: () => socket.end(),
+    };
+}
+
+function toCommand(message: WireMessage): CallerCommand {
+    switch (message.kind) {
+        case WireMessageKind.Startup:
+            return { kind: CallerCommandKind.Open, database: message.database };
+        case WireMessageKind.Query:
+            return { kind: CallerCommandKind.Run, id: message.id, statement: decodeStatement(message.text) };
+        case WireMessageKind.Terminate:
+            return { kind: CallerCommandKind.Leave };
+        default:
+            return { kind: CallerCommandKind.Unreadable, reason: "The line is no message of a caller." };
+    }
+}
--- /dev/null
+++ b/src/platform/openEndpointSession/index.ts
@@ -0,0 +1,225 @@
+import { connect, type Socket } from "node:net";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { Address } from "../../network/types/Address.js";
+import type { EndpointSession } from "../../statements/types/EndpointSession.js";
+import { FailureCode } from "../../statements/types/FailureCode.js";
+import type { LogPosition } from "../../statements/types/LogPosition.js";
+import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
+import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
+import type { StatementFailure } from "../../statements/types/StatementFailure.js";
+import { platformConstants } from "../constants.js";
+import { createLineSplitter } from "../createLineSplitter/index.js";
+import { decodeMessage } from "../decodeMessage/index.js";
+import { encodeOutgoing } from "../encodeOutgoing/index.js";
+import type { WireMessage } from "../types/WireMessage.js";
+import { WireMessageKind } from "../types/WireMessageKind.js";
+
+/** Options of `openEndpointSession`. */
+interface OpenEndpointSessionOptions {
+    /** Where to connect: the endpoint, or a VM that passes the bytes on. */
+    readonly address: Address;
+    /** Sent before everything else, for a VM that passes the bytes on. */
+    readonly preface?: string;
+    readonly group: string;
+    /** The endpoint that is expected at the address. */
+    readonly endpointId: string;
+    readonly timeoutMilliseconds: number;
+}
+
+/** Statements that were sent together and wait for their answers. */
+interface PendingExchange {
+    readonly answers: StatementAnswer[];
+    readonly expected: number;
+    readonly timer: NodeJS.Timeout;
+    resolve(answers: readonly StatementAnswer[]): void;
+    reject(error: Error): void;
+}
+
+const openingErrorKinds: Partial<Record<FailureCode, ErrorKind>> = {
+    [FailureCode.ConnectionLimit]: ErrorKind.ConnectionLimitReached,
+    [FailureCode.Misrouted]: ErrorKind.NotFound,
+    [FailureCode.Busy]: ErrorKind.Overloaded,
+};
+
+/**
+ * Opens a session on an endpoint.
+ *
+ * @param options The endpoint and the time limit in milliseconds.
+ * @returns The session, ready for statements.
+ * @throws TarragonpostError of kind `Unreachable`, `ConnectionLimitReached`, `NotFound` when another endpoint listens
+ * at the address, `Overloaded`, or `DeadlineExceeded`.
+ *
+ * @example
+ * const session = await openEndpointSession({ address, group: "orders", endpointId: "i-7", timeoutMilliseconds: 1_500 });
+ */
+export function openEndpointSession(options: OpenEndpointSessionOptions): Promise<EndpointSession> {
+    const { address, group, endpointId } = options;
+    const socket = connect({ host: address.host, port: address.port, noDelay: true });
+    socket.write(`${options.preface ?? ""}STARTUP ${group} ${platformConstants.connectionUser} ${endpointId}\r\n`);
+
+    return new Promise((resolve, reject) => {
+        let refusal: StatementFailure | undefined;
+        const session = wrapEndpointSocket(socket, endpointId, {
+            onReady: () => {
+                clearTimeout(timer);
+                resolve(session);
+            },
+            onRefusal: failure => {
+                refusal = failure;
+            },
+        });
+        const timer = setTimeout(() => {
+            socket.destroy();
+            reject(createOpeningError(ErrorKind.DeadlineExceeded, endpointId, "it did not answer in time"));
+        }, options.timeoutMilliseconds);
+        session.onClose(() => {
+            clearTimeout(timer);
+            const kind = refusal === undefined ? undefined : openingErrorKinds[refusal.code];
+            reject(createOpeningError(kind ?? ErrorKind.Unreachable, endpointId, refusal?.description ?? "it is closed"));
+        });
+    });
+}
+
+function createOpeningError(kind: ErrorKind, endpointId: string, reason: string): Error {
+    return createError(kind, `No connection to endpoint ${endpointId}: ${reason}.`, {
+        remedy: "Try another endpoint, or try again later.",
+        details: { endpoint: endpointId },
+    });
+}
+
+/** What is told while a session is being opened. */
+interface OpeningListener {
+    onReady(): void;
+    onRefusal(failure: StatementFailure): void;
+}
+
+function wrapEndpointSocket(socket: Socket, endpointId: string, opening: OpeningListener): EndpointSession {
+    const splitter = createLineSplitter(platformConstants.maximumMessageBytes);
+    const closeListeners: (() => void)[] = [];
+    let pending: PendingExchange | undefined;
+    let rows: string[] = [];
+    let signature: string | undefined;
+    let failure: StatementFailure | undefined;
+    let position: LogPosition | undefined;
+    let isOpen = false;
+    let isClosed = false;
+
+    socket.on("data", chunk => {
+        const lines = splitter.push(chunk);
+        if (lines === undefined) {
+            socket.destroy();
+            return;
+        }
+        for (const line of lines) {
+            receive(decodeMessage(line));
+        }
+    });
+    // What follows an error is the event "close", which fails the exchange.
+    socket.on("error", () => socket.destroy());
+    socket.on("end", () => socket.destroy());
+    socket.once("close", () => {
+        isClosed = true;
+        const broken = pending;
+        pending = undefined;
+        if (broken !== undefined) {
+            clearTimeout(broken.timer);
+            broken.reject(createBreak("closed the connection"));
+        }
+        closeListeners.splice(0).forEach(listener => listener());
+    });
+
+    function createBreak(reason: string): Error {
+        return createError(ErrorKind.ConnectionClosed, `Endpoint ${endpointId} ${reason}.`, {
+            remedy: "What was sent may have run.",
+            details: { endpoint: endpointId },
+        });
+    }
+
+    function receive(message: WireMessage): void {
+        switch (message.kind) {
+            case WireMessageKind.Row:
+                rows.push(message.text);
+                break;
+            case WireMessageKind.Complete:
+                signature = message.signature;
+                break;
+            case WireMessageKind.Error:
+                failure = message.failure;
+                if (!isOpen) {
+                    opening.onRefusal(message.failure);
+                }
+                break;
+            case WireMessageKind.Ready:
+                finishAnswer(message);
+                break;
+            default:
+                socket.destroy();
+        }
+    }
+
+    function finishAnswer(ready: WireMessage & { readonly kind: WireMessageKind.Ready; }): void {
+        position = ready.position ?? position;
+        if (!isOpen) {
+            isOpen = true;
+            opening.onReady();
+            return;
+        }
+        if (pending === undefined) {
+            socket.destroy();
+            return;
+        }
+        pending.answers.push({ rows, signature, failure, state: ready.state, position: ready.position });
+        rows = [];
+        signature = undefined;
+        failure = undefined;
+        if (pending.answers.length === pending.expected) {
+            const { timer, resolve, answers } = pending;
+            pending = undefined;
+            clearTimeout(timer);
+            resolve(answers);
+        }
+    }
+
+    function exchange(
+        statements: readonly OutgoingStatement[],
+        timeoutMilliseconds: number,
+    ): Promise<readonly StatementAnswer[]> {
+        if (isClosed || pending !== undefined) {
+            return Promise.reject(createBreak(isClosed ? "had closed the connection" : "still owes an answer"));
+        }
+        return new Promise((resolve, reject) => {
+            const timer = setTimeout(() => {
+                pending = undefined;
+                socket.destroy();
+                reject(createError(ErrorKind.DeadlineExceeded, `Endpoint ${endpointId} did not answer in time.`, {
+                    remedy: "What was sent may have run.",
+                    details: { endpoint: endpointId, timeoutMilliseconds },
+                }));
+            }, timeoutMilliseconds);
+            pending = { answers: [], expected: statements.length, timer, resolve, reject };
+            socket.write(statements.map(encodeOutgoing).join(""), "latin1");
+        });
+    }
+
+    function onClose(listener: () => void): void {
+        if (isClosed) {
+            listener();
+        }
+        else {
+            closeListeners.push(listener);
+        }
+    }
+
+    return {
+        get position() {
+            return position;
+        },
+        get isClosed() {
+            return isClosed || socket.destroyed;
+        },
+        exchange,
+        close: () => socket.destroy(),
+        onClose,
+    };
+}
--- /dev/null
+++ b/src/platform/parsePosition/index.ts
@@ -0,0 +1,15 @@
+import type { LogPosition } from "../../statements/types/LogPosition.js";
+
+/**
+ * Parses a log position, written as `TERM.NUMBER`.
+ *
+ * @param text The position, or `-`.
+ * @returns The position; undefined when the text holds none.
+ *
+ * @example
+ * parsePosition("3.1207"); // => { term: 3, entry: 1207 }
+ */
+export function parsePosition(text: string): LogPosition | undefined {
+    const match = /^(\d+)\.(\d+)$/.exec(text);
+    return !match ? undefined : { term: Number(match[1]), entry: Number(match[2]) };
+}
--- /dev/null
+++ b/src/platform/readVmSettings/index.ts
@@ -0,0 +1,71 @@
+import { readFileSync } from "node:fs";
+import { parse } from "smol-toml";
+import { z } from "zod";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { VmSettings } from "../../vm/types/VmSettings.js";
+import { parseAddress } from "../parseAddress/index.js";
+
+/** The platform's settings file; fields that are not listed are ignored. */
+const fileSchema = z.object({
+    nodeName: z.string().min(1),
+    zone: z.string(),
+    region: z.string(),
+    seeds: z.array(z.string()).default([]),
+    zones: z.record(z.string(), z.string()).default({}),
+    listen: z.object({ front: z.string(), ready: z.string(), control: z.string() }),
+    limits: z.object({ memoryMb: z.number() }),
+    bounds: z.object({ graceS: z.number() }),
+    platform: z.object({ addr: z.string() }),
+    cloudApi: z.object({ addr: z.string() }),
+});
+const millisecondsPerSecond = 1_000;
+
+/**
+ * Reads the platform's settings file.
+ *
+ * @param file Path of the file.
+ * @returns The settings.
+ * @throws TarragonpostError of kind `InvalidSettings` that lists what is wrong.
+ *
+ * @example
+ * const settings = readVmSettings("/etc/tarragonpost/node.toml");
+ */
+export function readVmSettings(file: string): VmSettings {
+    try {
+        return decodeSettings(parse(readFileSync(file, "utf8")));
+    }
+    catch (cause) {
+        throw createError(ErrorKind.InvalidSettings, `${file}: ${describeCause(cause)}`, {
+            remedy: "Correct the file; a running process keeps the settings that it has.",
+            cause,
+            details: { file },
+        });
+    }
+}
+
+function decodeSettings(content: unknown): VmSettings {
+    const fields = fileSchema.parse(content);
+    const addressOf = (text: string) => parseAddress(text, fields.zone);
+    return {
+        name: fields.nodeName,
+        availabilityZone: fields.zone,
+        region: fields.region,
+        regionsByZone: fields.zones,
+        callerAddress: addressOf(fields.listen.front),
+        readinessAddress: addressOf(fields.listen.ready),
+        peerAddress: addressOf(fields.listen.control),
+        seedAddresses: fields.seeds.map(addressOf),
+        storeAddress: addressOf(fields.platform.addr),
+        promotionAddress: addressOf(fields.cloudApi.addr),
+        graceMilliseconds: fields.bounds.graceS * millisecondsPerSecond,
+        memoryMegabytes: fields.limits.memoryMb,
+    };
+}
+
+function describeCause(cause: unknown): string {
+    if (cause instanceof z.ZodError) {
+        return cause.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`).join("; ");
+    }
+    return (cause as Error).message;
+}
--- /dev/null
+++ b/src/primaries/createPositionEvidence/test.ts
@@ -0,0 +1,24 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createPositionEvidence } from "./index.js";
+
+describe("createPositionEvidence", () => {
+    it("gives the oldest position that is new enough", () => {
+        const evidence = createPositionEvidence();
+        evidence.note("orders", 100, { term: 3, entry: 10 });
+        evidence.note("orders", 200, { term: 3, entry: 20 });
+        assert.deepEqual(evidence.coveringPosition("orders", 100), { term: 3, entry: 10 });
+        assert.deepEqual(evidence.coveringPosition("orders", 101), { term: 3, entry: 20 });
+        assert.equal(evidence.coveringPosition("orders", 201), undefined);
+        assert.equal(evidence.coveringPosition("stock", 0), undefined);
+    });
+
+    it("drops what a superseded primary told", () => {
+        const evidence = createPositionEvidence();
+        evidence.note("orders", 100, { term: 3, entry: 10 });
+        evidence.note("orders", 200, { term: 4, entry: 8 });
+        evidence.note("orders", 300, { term: 3, entry: 12 });
+        assert.deepEqual(evidence.coveringPosition("orders", 0), { term: 4, entry: 8 });
+        assert.equal(evidence.coveringPosition("orders", 250), undefined);
+    });
+});
--- /dev/null
+++ b/src/vm/listVmServices/index.ts
@@ -0,0 +1,154 @@
+import { createCallerSessions } from "../../callerSessions/createCallerSessions/index.js";
+import { createEvidenceRenewal } from "../../callerSessions/createEvidenceRenewal/index.js";
+import { createPreparedNames } from "../../callerSessions/createPreparedNames/index.js";
+import type { CallerSessions } from "../../callerSessions/types/CallerSessions.js";
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import type { Clock } from "../../clock/types/Clock.js";
+import { directoryConstants } from "../../directory/constants.js";
+import { createDirectory } from "../../directory/createDirectory/index.js";
+import { createDirectoryFollower } from "../../directory/createDirectoryFollower/index.js";
+import type { Directory } from "../../directory/types/Directory.js";
+import type { PlatformStore } from "../../directory/types/PlatformStore.js";
+import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
+import { ServiceName } from "../../kernel/types/ServiceName.js";
+import { createLogger } from "../../logging/createLogger/index.js";
+import type { Logger } from "../../logging/types/Logger.js";
+import { createPlacement } from "../../placement/createPlacement/index.js";
+import type { Placement } from "../../placement/types/Placement.js";
+import { createStoreClient } from "../../platform/createStoreClient/index.js";
+import { openEndpointSession } from "../../platform/openEndpointSession/index.js";
+import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
+import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
+import type { Primaries } from "../../primaries/types/Primaries.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createVmFront } from "../createVmFront/index.js";
+import type { VmSettings } from "../types/VmSettings.js";
+
+/** Options of `listVmServices`. */
+interface VmServicesOptions {
+    /** Writes one log line. */
+    readonly writeLog: (line: string) => void;
+}
+
+/** VMs that are assumed to share the endpoints' connections. */
+const assumedVmCount = 8;
+
+/**
+ * Lists the services of the program that runs on every VM of the platform.
+ *
+ * @param settings Settings of the VM.
+ * @param options Where log lines go.
+ * @returns Their definitions, for a kernel.
+ *
+ * @example
+ * const kernel = createKernel(listVmServices(settings, { writeLog }));
+ */
+export function listVmServices(settings: VmSettings, options: VmServicesOptions): ServiceDefinition[] {
+    return [
+        { name: ServiceName.Clock, dependencies: [], create: createSystemClock },
+        {
+            name: ServiceName.Random,
+            dependencies: [],
+            create: () => createRandomSource(Math.floor(Math.random() * 2 ** 32)),
+        },
+        {
+            name: ServiceName.Logger,
+            dependencies: [ServiceName.Clock],
+            create: (clock: Clock) => createLogger(settings.name, clock, options.writeLog),
+        },
+        {
+            name: ServiceName.PlatformStore,
+            dependencies: [],
+            create: () =>
+                createStoreClient(settings.storeAddress, {
+                    timeoutMilliseconds: directoryConstants.callTimeoutMilliseconds,
+                }),
+        },
+        {
+            name: ServiceName.Directory,
+            dependencies: [ServiceName.Clock, ServiceName.Logger],
+            create: (clock: Clock, logger: Logger) => createDirectory(clock, logger.topic("directory")),
+        },
+        {
+            name: ServiceName.DirectoryFollower,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Random,
+                ServiceName.PlatformStore,
+                ServiceName.Directory,
+                ServiceName.Logger,
+            ],
+            create: (
+                clock: Clock,
+                random: RandomSource,
+                store: PlatformStore,
+                directory: Directory,
+                logger: Logger,
+            ) => createDirectoryFollower({ clock, random, store, directory, log: logger.topic("directory") }),
+        },
+        {
+            name: ServiceName.Primaries,
+            dependencies: [ServiceName.Clock, ServiceName.Directory, ServiceName.Logger],
+            create: (clock: Clock, directory: Directory, logger: Logger) =>
+                createPrimaries(clock, directory, logger.topic("primaries")),
+        },
+        { name: ServiceName.PositionEvidence, dependencies: [], create: createPositionEvidence },
+        {
+            name: ServiceName.Placement,
+            dependencies: [ServiceName.Clock, ServiceName.Directory, ServiceName.Primaries, ServiceName.Logger],
+            create: (clock: Clock, directory: Directory, primaries: Primaries, logger: Logger) =>
+                createPlacement({
+                    clock,
+                    directory,
+                    primaries,
+                    open: (endpoint, timeoutMilliseconds) =>
+                        openEndpointSession({
+                            address: endpoint.address,
+                            group: endpoint.group,
+                            endpointId: endpoint.id,
+                            timeoutMilliseconds,
+                        }),
+                    place: settings,
+                    vmCount: () => assumedVmCount,
+                    log: logger.topic("placement"),
+                }),
+        },
+        {
+            name: ServiceName.CallerSessions,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Random,
+                ServiceName.Directory,
+                ServiceName.Primaries,
+                ServiceName.PositionEvidence,
+                ServiceName.Placement,
+                ServiceName.Logger,
+            ],
+            create: (
+                clock: Clock,
+                random: RandomSource,
+                directory: Directory,
+                primaries: Primaries,
+                evidence: PositionEvidence,
+                placement: Placement,
+                logger: Logger,
+            ) => {
+                const log = logger.topic("sessions");
+                const preparedNames = createPreparedNames();
+                const shared = { clock, random, directory, primaries, evidence, placement, preparedNames, log };
+                return createCallerSessions(
+                    { ...shared, renewal: createEvidenceRenewal(shared) },
+                    { graceMilliseconds: settings.graceMilliseconds },
+                );
+            },
+        },
+        {
+            name: ServiceName.VmFront,
+            dependencies: [ServiceName.CallerSessions, ServiceName.Directory, ServiceName.Logger],
+            create: (sessions: CallerSessions, directory: Directory, logger: Logger) =>
+                createVmFront({ settings, sessions, directory, log: logger.topic("front") }),
+        },
+    ];
+}
