--- a/src/binaries/node/index.ts
+++ b/src/binaries/node/index.ts
@@ -6,6 +6,7 @@
 import { readVmSettings } from "../../platform/readVmSettings/index.js";
 import { listVmServices } from "../../vm/listVmServices/index.js";
 
+let settingsFile = "";
 const writeLog = createBoundedWriter(process.stdout, createSystemClock());
 
 await runBinary({
@@ -13,6 +14,17 @@
     description: "Serves callers on a VM of the users' platform.",
     findSettingsFile,
     writeLog,
-    readSettings: file => ({ ...readVmSettings(file), logTopics: "tarragonpost:*" }),
-    createServices: settings => listVmServices(settings, { writeLog }),
+    readSettings: file => {
+        settingsFile = file;
+        return { ...readVmSettings(file), logTopics: "tarragonpost:*" };
+    },
+    createServices: settings =>
+        listVmServices(settings, {
+            writeLog,
+            readSettings: () => readVmSettings(settingsFile),
+            onSettingsSignal: listener => {
+                process.on("SIGHUP", listener);
+                return () => process.off("SIGHUP", listener);
+            },
+        }),
 });
--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -26,6 +26,9 @@
     const endpoints = new Map<string, EndpointRecord>();
     /** When records vanished, by id. */
     const vanishedAt = new Map<string, number>();
+    /** Revisions of the records of endpoints that are gone, so that a VM that knows less cannot bring them back. */
+    const goneRevisions = new Map<string, number>();
+    let highestRevision = 0;
     const listeners: ((groups: ReadonlySet<string>) => void)[] = [];
     let table: RoutingTable | undefined;
     let routes = new Map<string, Route>();
@@ -55,10 +58,11 @@
 
     function store(record: EndpointRecord, changed: Set<string>): void {
         const known = endpoints.get(record.id);
+        if (record.revision <= (goneRevisions.get(record.id) ?? 0)) {
+            return;
+        }
+        highestRevision = Math.max(highestRevision, record.revision);
         if (known !== undefined && known.revision >= record.revision) {
-            if (known.revision === record.revision) {
-                vanishedAt.delete(record.id);
-            }
             return;
         }
         vanishedAt.delete(record.id);
@@ -92,6 +96,7 @@
     function forget(record: EndpointRecord, changed: Set<string>): void {
         vanishedAt.delete(record.id);
         endpoints.delete(record.id);
+        goneRevisions.set(record.id, record.revision);
         changed.add(record.group);
         log("endpoint is gone", { endpoint: record.id, group: record.group });
     }
@@ -121,6 +126,7 @@
     return {
         applyEndpoints,
         applyRoutingTable,
+        revision: () => highestRevision,
         version: () => table?.version ?? 0,
         routingTable: () => table,
         routeOf: database => routes.get(database),
--- a/src/directory/followFeed/index.ts
+++ b/src/directory/followFeed/index.ts
@@ -39,13 +39,15 @@
         });
     let pauses = createPauses();
     let revision: number | undefined;
+    let hasFailed = false;
     while (!signal.aborted) {
         try {
             const isWhole = revision === undefined;
             const batch = revision === undefined
                 ? await feed.list()
-                : await feed.waitForChanges(revision, directoryConstants.watchMilliseconds);
+                : await feed.waitForChanges(revision, waitMilliseconds(hasFailed));
             options.onAnswer();
+            hasFailed = false;
             pauses = createPauses();
             revision = batch?.revision;
             if (batch !== undefined && (isWhole || batch.changes.length > 0)) {
@@ -54,8 +56,14 @@
         }
         catch (error) {
             options.onFailure(error as Error);
+            hasFailed = true;
             const pause = pauses.next().value ?? directoryConstants.greatestRetryMilliseconds;
             await clock.sleep(directoryConstants.firstRetryMilliseconds / 2 + pause, signal);
         }
     }
 }
+
+/** After a failure the next call asks for a prompt answer: a long watch of a silent store would be noticed late. */
+function waitMilliseconds(hasFailed: boolean): number {
+    return hasFailed ? directoryConstants.cautiousWatchMilliseconds : directoryConstants.watchMilliseconds;
+}
--- a/src/directory/types/Directory.ts
+++ b/src/directory/types/Directory.ts
@@ -12,6 +12,8 @@
     applyRoutingTable(table: RoutingTable): boolean;
     /** The version in force; 0 before the first. */
     version(): number;
+    /** Highest revision of an endpoint's record that was seen. */
+    revision(): number;
     routingTable(): RoutingTable | undefined;
     routeOf(database: string): Route | undefined;
     groupSettings(group: string): GroupSettings | undefined;
--- /dev/null
+++ b/src/duty/createDuty/index.ts
@@ -0,0 +1,290 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Directory } from "../../directory/types/Directory.js";
+import type { RecordStore } from "../../directory/types/RecordStore.js";
+import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createAnnouncements } from "../createAnnouncements/index.js";
+import { createVmList } from "../createVmList/index.js";
+import { dutyConstants } from "../constants.js";
+import { exchangeKnowledge } from "../exchangeKnowledge/index.js";
+import type { Announcement } from "../types/Announcement.js";
+import type { Duty } from "../types/Duty.js";
+import type { DutyHolder } from "../types/DutyHolder.js";
+import type { Renewal } from "../types/Renewal.js";
+import type { RenewalAnswer } from "../types/RenewalAnswer.js";
+import type { VmIdentity } from "../types/VmIdentity.js";
+import type { VmPeer } from "../types/VmPeer.js";
+
+/** Options of `createDuty`. */
+interface DutyOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly records: RecordStore;
+    readonly directory: Directory;
+    /** This VM. */
+    readonly self: VmIdentity;
+    /** Calls another VM. */
+    readonly peerOf: (vm: VmIdentity) => VmPeer;
+    /** Told of each new announcement. */
+    readonly onAnnouncement: (announcement: Announcement) => void;
+    readonly log: LogTopic;
+}
+
+/** The holder as the store names it. */
+interface KnownHolder {
+    readonly holder: DutyHolder;
+    /** Revision of the object; undefined when another VM told. */
+    readonly revision: number | undefined;
+}
+
+/**
+ * Creates a VM's part in deciding which VM may change primaries.
+ *
+ * One object of the store names the holder; whoever replaces it at its revision becomes the holder with a higher token.
+ * Every VM speaks with the holder several times a second. One that is not answered any more, and finds no other VM
+ * that is, takes over. The holder needs no renewal in the store; it verifies itself before each order.
+ *
+ * @param options Clock, the store, this VM and how to call others.
+ * @returns The duty, not yet started.
+ *
+ * @example
+ * if (duty.heldToken() !== undefined) { await changePrimary(group); }
+ */
+export function createDuty(options: DutyOptions): Duty {
+    const { clock, random, records, directory, self, log } = options;
+    const vms = createVmList(clock);
+    const announcements = createAnnouncements(options.onAnnouncement);
+    const end = new AbortController();
+    let known: KnownHolder | undefined;
+    let heardAt: number | undefined;
+    let failedRenewals = 0;
+    let holderRoutingVersion = Number.POSITIVE_INFINITY;
+    let holderEndpointRevision = Number.POSITIVE_INFINITY;
+    let isStopping = false;
+
+    function heldToken(): number | undefined {
+        const isHeld = known !== undefined && known.holder.incarnation === self.incarnation && !isStopping;
+        return isHeld ? known!.holder.token : undefined;
+    }
+
+    function adopt(holder: DutyHolder, revision: number | undefined): void {
+        if (known !== undefined && holder.token < known.holder.token) {
+            return;
+        }
+        const isSame = known?.holder.token === holder.token;
+        known = { holder, revision: revision ?? (isSame ? known?.revision : undefined) };
+        if (!isSame) {
+            log("holder of the failover duty", { holder: holder.name, token: holder.token, isSelf: heldToken() !== undefined });
+            failedRenewals = 0;
+            announcements.startToken(holder.token);
+        }
+    }
+
+    function adoptRecord(record: VersionedRecord): void {
+        adopt(record.content as DutyHolder, record.revision);
+    }
+
+    async function runRenewals(): Promise<void> {
+        await clock.sleep(random.next() * dutyConstants.startSpreadMilliseconds, end.signal);
+        while (!end.signal.aborted) {
+            const pause = await takeStep().catch((error: unknown) => {
+                log("store does not tell the holder", { reason: (error as Error).message });
+                return dutyConstants.retryMilliseconds;
+            });
+            await clock.sleep(pause, end.signal);
+        }
+    }
+
+    /** Returns the pause before the next step. */
+    async function takeStep(): Promise<number> {
+        if (known === undefined) {
+            await findHolder();
+            return 0;
+        }
+        if (heldToken() !== undefined) {
+            heardAt = clock.now();
+            await verify();
+            return dutyConstants.verificationMilliseconds;
+        }
+        if (known.holder.name === self.name || failedRenewals >= dutyConstants.failedRenewals) {
+            await contend();
+            return dutyConstants.retryMilliseconds * random.next();
+        }
+        await renew(known.holder);
+        return dutyConstants.renewalMilliseconds;
+    }
+
+    async function findHolder(): Promise<void> {
+        const record = await records.read(dutyConstants.recordName);
+        adoptRecord(record ?? await records.create(dutyConstants.recordName, { ...self, token: 1 }));
+    }
+
+    async function renew(holder: DutyHolder): Promise<void> {
+        const sentAt = clock.now();
+        try {
+            const answer = await options.peerOf(holder).renew(createRenewal());
+            if (!answer.isHolder || answer.token < holder.token) {
+                throw new Error("that VM is no longer the holder");
+            }
+            heardAt = sentAt;
+            failedRenewals = 0;
+            learn(answer);
+        }
+        catch (error) {
+            failedRenewals += 1;
+            log("holder was not heard", { holder: holder.name, failedRenewals, reason: (error as Error).message });
+        }
+    }
+
+    function createRenewal(): Renewal {
+        const routingVersion = directory.version();
+        const endpointRevision = directory.revision();
+        return {
+            vm: self,
+            routingVersion,
+            endpointRevision,
+            vmListVersion: vms.version(),
+            announcementSequence: announcements.latest(),
+            ...routingVersion > holderRoutingVersion ? { routingTable: directory.routingTable() } : {},
+            ...endpointRevision > holderEndpointRevision ? { endpoints: directory.records() } : {},
+        };
+    }
+
+    function learn(answer: RenewalAnswer): void {
+        holderRoutingVersion = answer.routingVersion;
+        holderEndpointRevision = answer.endpointRevision;
+        exchangeKnowledge(directory, answer);
+        if (answer.vms !== undefined) {
+            vms.adopt(answer.vms, answer.vmListVersion);
+        }
+        answer.announcements.forEach(announcements.learn);
+    }
+
+    /** Tries to become the holder, unless another VM hears the present one. */
+    async function contend(): Promise<void> {
+        const { holder } = known!;
+        await clock.sleep(rank() * dutyConstants.rankMilliseconds, end.signal);
+        const record = await records.read(dutyConstants.recordName);
+        if (record === undefined) {
+            await findHolder();
+            return;
+        }
+        if ((record.content as DutyHolder).token > holder.token) {
+            adoptRecord(record);
+            return;
+        }
+        const heardBy = holder.name === self.name ? undefined : await findWitness(holder);
+        if (heardBy !== undefined) {
+            log("another VM hears the holder", { holder: holder.name, vm: heardBy });
+            failedRenewals = 0;
+            return;
+        }
+        log("takes over the failover duty", { from: holder.name, token: holder.token + 1, failedRenewals });
+        const next = await records.replace(
+            dutyConstants.recordName,
+            { ...self, token: holder.token + 1 },
+            record.revision,
+        );
+        adoptRecord(next);
+        introduce();
+    }
+
+    function rank(): number {
+        const names = otherVms().map(vm => vm.name).filter(name => name !== known?.holder.name);
+        return names.filter(name => name < self.name).length;
+    }
+
+    async function findWitness(holder: DutyHolder): Promise<string | undefined> {
+        const others = otherVms().filter(vm => vm.name !== holder.name);
+        const heard = await Promise.all(others.map(async vm => {
+            const age = await options.peerOf(vm).askHeard(holder.token).catch(() => undefined);
+            return age !== undefined && age < dutyConstants.hearsayMilliseconds ? vm.name : undefined;
+        }));
+        return heard.find(name => name !== undefined);
+    }
+
+    function introduce(): void {
+        for (const vm of otherVms()) {
+            options.peerOf(vm).introduceHolder(known!.holder).catch((error: unknown) => {
+                log("VM was not told of the new holder", { vm: vm.name, reason: (error as Error).message });
+            });
+        }
+    }
+
+    async function verify(): Promise<number | undefined> {
+        try {
+            const record = await records.read(dutyConstants.recordName);
+            if (record !== undefined) {
+                adoptRecord(record);
+            }
+            return heldToken();
+        }
+        catch (error) {
+            log("store does not confirm the holder", { reason: (error as Error).message });
+            return undefined;
+        }
+    }
+
+    function otherVms(): readonly VmIdentity[] {
+        return vms.list().filter(vm => vm.name !== self.name);
+    }
+
+    async function announce(announcement: Omit<Announcement, "sequence">): Promise<readonly VmIdentity[]> {
+        const numbered = announcements.create(announcement);
+        const others = otherVms();
+        const confirmed = await Promise.all(others.map(async vm => {
+            try {
+                await options.peerOf(vm).announce(numbered);
+                return true;
+            }
+            catch (error) {
+                log("announcement was not confirmed", { vm: vm.name, reason: (error as Error).message });
+                return false;
+            }
+        }));
+        return others.filter((_vm, index) => !confirmed[index]);
+    }
+
+    function answerRenewal(renewal: Renewal): RenewalAnswer {
+        vms.note(self);
+        vms.note(renewal.vm);
+        exchangeKnowledge(directory, renewal);
+        const list = vms.list();
+        const isBehind = directory.version() > renewal.routingVersion;
+        return {
+            isHolder: heldToken() !== undefined,
+            token: known?.holder.token ?? 0,
+            routingVersion: directory.version(),
+            endpointRevision: directory.revision(),
+            vmListVersion: vms.version(),
+            ...renewal.vmListVersion === vms.version() ? {} : { vms: list },
+            ...isBehind ? { routingTable: directory.routingTable() } : {},
+            ...directory.revision() > renewal.endpointRevision ? { endpoints: directory.records() } : {},
+            announcements: announcements.after(renewal.announcementSequence),
+        };
+    }
+
+    function answerHeard(token: number): number | undefined {
+        return known?.holder.token === token && heardAt !== undefined && failedRenewals === 0
+            ? clock.now() - heardAt
+            : undefined;
+    }
+
+    return {
+        heldToken,
+        verify,
+        otherVms,
+        heardAt: () => heldToken() === undefined ? heardAt : clock.now(),
+        announce,
+        answerRenewal,
+        answerHeard,
+        learnHolder: holder => adopt(holder, undefined),
+        learnAnnouncement: announcements.learn,
+        start: async () => void runRenewals(),
+        stop: async () => {
+            isStopping = true;
+            end.abort();
+        },
+    };
+}
--- /dev/null
+++ b/src/duty/dutySchemas.ts
@@ -0,0 +1,69 @@
+import { z } from "zod";
+import { ReadGuarantee } from "../directory/types/ReadGuarantee.js";
+import { AccessMode } from "../statements/types/AccessMode.js";
+import { OutgoingKind } from "../statements/types/OutgoingKind.js";
+import { AnnouncementPhase } from "./types/AnnouncementPhase.js";
+
+const address = z.object({ host: z.string(), port: z.number(), availabilityZone: z.string() });
+const vm = z.object({ name: z.string(), address, incarnation: z.string() });
+const position = z.object({ term: z.number(), entry: z.number() });
+const routingTable = z.object({
+    version: z.number(),
+    routes: z.array(z.object({
+        database: z.string(),
+        group: z.string(),
+        guarantee: z.enum(ReadGuarantee),
+        statementTimeoutMilliseconds: z.number(),
+        targetLatencyMilliseconds: z.number(),
+        priority: z.number(),
+        maximumStalenessMilliseconds: z.number(),
+    })),
+    groups: z.array(z.object({
+        group: z.string(),
+        connectionLimit: z.number(),
+        synchronousReplicas: z.number(),
+    })),
+    idleTransactionMilliseconds: z.number(),
+});
+const endpoint = z.object({
+    id: z.string(),
+    group: z.string(),
+    address,
+    slots: z.number(),
+    isLeaving: z.boolean(),
+    isPrimary: z.boolean(),
+    warmingMilliseconds: z.number(),
+    startedAt: z.number(),
+    revision: z.number(),
+});
+const announcement = z.object({
+    sequence: z.number(),
+    group: z.string(),
+    phase: z.enum(AnnouncementPhase),
+    term: z.number(),
+    endpointId: z.string().optional(),
+});
+const statement = z.object({
+    kind: z.enum(OutgoingKind),
+    term: z.number().optional(),
+    isReadOnly: z.boolean().optional(),
+    leastPosition: position.optional(),
+    mode: z.enum(AccessMode).optional(),
+});
+
+/** Schemas of the messages between VMs. */
+export const dutySchemas = {
+    renewal: z.object({
+        vm,
+        routingVersion: z.number(),
+        endpointRevision: z.number(),
+        vmListVersion: z.number(),
+        announcementSequence: z.number(),
+        routingTable: routingTable.optional(),
+        endpoints: z.array(endpoint).optional(),
+    }),
+    token: z.number(),
+    holder: vm.extend({ token: z.number() }),
+    announcement,
+    command: z.object({ endpointId: z.string(), statements: z.array(statement), timeoutMilliseconds: z.number() }),
+} as const;
--- /dev/null
+++ b/src/duty/types/Duty.ts
@@ -0,0 +1,33 @@
+import type { Announcement } from "./Announcement.js";
+import type { DutyHolder } from "./DutyHolder.js";
+import type { Renewal } from "./Renewal.js";
+import type { RenewalAnswer } from "./RenewalAnswer.js";
+import type { VmIdentity } from "./VmIdentity.js";
+
+/** Who may change primaries, and what that VM and the others tell each other. */
+export interface Duty {
+    /** This VM's token while it is the holder; undefined while it is not. */
+    heldToken(): number | undefined;
+    /**
+     * Makes sure in the platform's store that this VM is still the holder.
+     *
+     * Returns the token, or undefined when it is not the holder or the store cannot tell.
+     */
+    verify(): Promise<number | undefined>;
+    /** The other VMs that live, as far as is known. */
+    otherVms(): readonly VmIdentity[];
+    /** When this VM last asked the holder and was answered; undefined before. The holder hears itself always. */
+    heardAt(): number | undefined;
+    /** Tells all VMs; resolves with those that did not confirm. */
+    announce(announcement: Omit<Announcement, "sequence">): Promise<readonly VmIdentity[]>;
+    /** Answers another VM's renewal. */
+    answerRenewal(renewal: Renewal): RenewalAnswer;
+    /** Answers how long ago the holder with that token was heard. */
+    answerHeard(token: number): number | undefined;
+    /** Takes in who the holder is. */
+    learnHolder(holder: DutyHolder): void;
+    /** Takes in an announcement. */
+    learnAnnouncement(announcement: Announcement): void;
+    start(): Promise<void>;
+    stop(): Promise<void>;
+}
--- /dev/null
+++ b/src/duty/types/Renewal.ts
@@ -0,0 +1,20 @@
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { RoutingTable } from "../../directory/types/RoutingTable.js";
+import type { VmIdentity } from "./VmIdentity.js";
+
+/** What a VM tells the holder. */
+export interface Renewal {
+    readonly vm: VmIdentity;
+    /** Version of the routing table in force there. */
+    readonly routingVersion: number;
+    /** Highest revision of an endpoint's record known there. */
+    readonly endpointRevision: number;
+    /** Version of the list of VMs known there. */
+    readonly vmListVersion: number;
+    /** Highest announcement known there. */
+    readonly announcementSequence: number;
+    /** Sent when the holder's is older. */
+    readonly routingTable?: RoutingTable;
+    /** Sent when the holder's are older. */
+    readonly endpoints?: readonly EndpointRecord[];
+}
--- /dev/null
+++ b/src/duty/types/VmPeer.ts
@@ -0,0 +1,18 @@
+import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
+import type { Announcement } from "./Announcement.js";
+import type { DutyHolder } from "./DutyHolder.js";
+import type { EndpointCommand } from "./EndpointCommand.js";
+import type { Renewal } from "./Renewal.js";
+import type { RenewalAnswer } from "./RenewalAnswer.js";
+
+/** Another VM. Each call fails when it is not answered in time. */
+export interface VmPeer {
+    renew(renewal: Renewal): Promise<RenewalAnswer>;
+    /** How long ago that VM heard the holder with that token, in milliseconds; undefined when it did not. */
+    askHeard(token: number): Promise<number | undefined>;
+    /** Tells who the holder is. */
+    introduceHolder(holder: DutyHolder): Promise<void>;
+    announce(announcement: Announcement): Promise<void>;
+    /** Has that VM send statements to an endpoint. */
+    command(command: EndpointCommand): Promise<readonly StatementAnswer[]>;
+}
--- a/src/platform/constants.ts
+++ b/src/platform/constants.ts
@@ -7,6 +7,8 @@
     /** Who we are, to endpoints. */
     connectionUser: "tarragonpost",
     settingsVariable: "TARRAGONPOST_SETTINGS",
+    /** After the last byte was sent, a connection is kept this long for the other side to take it. */
+    lingerMilliseconds: 150,
     /** Connections to the store that are kept open. */
     storeConnections: 8,
     /** Time limit for opening a connection to the store. */
--- a/src/platform/createStoreCaller/index.ts
+++ b/src/platform/createHttpCaller/index.ts
@@ -44,7 +44,7 @@
  * @example
  * const { status, content } = await caller.call({ method: "GET", path: "/-/objects/config", timeoutMilliseconds: 1_000 });
  */
-export function createStoreCaller(address: Address): HttpCaller {
+export function createHttpCaller(address: Address): HttpCaller {
     const origin = `http://${address.host}:${address.port}`;
     const agent = new Agent({
         connections: platformConstants.storeConnections,
--- /dev/null
+++ b/src/platform/createPromotionClient/index.ts
@@ -0,0 +1,43 @@
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { Address } from "../../network/types/Address.js";
+import type { PromotionOrders } from "../../promotions/types/PromotionOrders.js";
+import { createHttpCaller } from "../createHttpCaller/index.js";
+
+/** Options of `createPromotionClient`. */
+interface PromotionClientOptions {
+    /** Time limit of an order. */
+    readonly timeoutMilliseconds: number;
+}
+
+/**
+ * Creates the client by which promotions are ordered.
+ *
+ * @param address Where the platform takes orders.
+ * @param options Time limit in milliseconds.
+ * @returns The client.
+ *
+ * @example
+ * await orders.promote({ group: "orders", endpointId: "i-7", holderName: "vm-1", fencingToken: 4 });
+ */
+export function createPromotionClient(address: Address, options: PromotionClientOptions): PromotionOrders {
+    const caller = createHttpCaller(address);
+    return {
+        promote: async ({ group, endpointId, holderName, fencingToken }) => {
+            const { status, content } = await caller.call({
+                method: "POST",
+                path: "/promotion",
+                headers: { "X-Duty-Holder": holderName, "X-Fencing-Token": String(fencingToken) },
+                body: { service: group, id: endpointId },
+                timeoutMilliseconds: options.timeoutMilliseconds,
+            });
+            if (status < 200 || status > 299) {
+                throw createError(ErrorKind.Conflict, `The promotion was refused: ${JSON.stringify(content)}.`, {
+                    remedy: "Choose another endpoint, or let the VM with the newer token decide.",
+                    details: { status },
+                });
+            }
+        },
+        stop: caller.stop,
+    };
+}
--- a/src/platform/createStoreClient/index.ts
+++ b/src/platform/createStoreClient/index.ts
@@ -9,7 +9,7 @@
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { Address } from "../../network/types/Address.js";
-import { createStoreCaller } from "../createStoreCaller/index.js";
+import { createHttpCaller } from "../createHttpCaller/index.js";
 import { decodeEndpointRecord } from "../decodeEndpointRecord/index.js";
 import { decodeRoutingTable } from "../decodeRoutingTable/index.js";
 import { storedObjectSchema } from "../storedObjectSchema.js";
@@ -45,7 +45,7 @@
  */
 export function createStoreClient(address: Address, options: StoreClientOptions): PlatformStore {
     const { timeoutMilliseconds } = options;
-    const caller = createStoreCaller(address);
+    const caller = createHttpCaller(address);
 
     function pathOf(kind: string, name?: string): string {
         return `/-/objects/${kind}${name === undefined ? "" : `/${encodeURIComponent(name)}`}`;
--- /dev/null
+++ b/src/platform/decodeReplicaStatus/index.ts
@@ -0,0 +1,32 @@
+import type { ReplicaStatus } from "../../statements/types/ReplicaStatus.js";
+import { parsePosition } from "../parsePosition/index.js";
+import { splitWords } from "../splitWords/index.js";
+
+const fieldCount = 7;
+
+/**
+ * Decodes the row in which an endpoint tells its place in its group: role, term, position received, term held, lag in
+ * milliseconds, busy slots and connections.
+ *
+ * @param row The row.
+ * @returns The status; undefined when the row cannot be read.
+ *
+ * @example
+ * decodeReplicaStatus("replica 3 3.1209 0 12 2 17")?.lagMilliseconds; // => 12
+ */
+export function decodeReplicaStatus(row: string): ReplicaStatus | undefined {
+    const [role, term, position = "", heldTerm, lag, busy, connections] = splitWords(row, fieldCount);
+    const received = parsePosition(position);
+    if (received === undefined || connections === undefined) {
+        return undefined;
+    }
+    return {
+        isPrimary: role === "primary",
+        term: Number(term),
+        received,
+        heldTerm: Number(heldTerm),
+        lagMilliseconds: Number(lag),
+        busySlots: Number(busy),
+        connections: Number(connections),
+    };
+}
--- a/src/platform/listenForCallers/index.ts
+++ b/src/platform/listenForCallers/index.ts
@@ -69,6 +69,13 @@
         }
     }
 
+    /** What the caller sends from now on is not read: it could not be answered any more. */
+    function close(): void {
+        socket.pause();
+        socket.end();
+        setTimeout(() => socket.destroy(), platformConstants.lingerMilliseconds).unref();
+    }
+
     function encodeFailure({ code, description }: StatementFailure): string {
         return `ERROR ${failureWords[code]} ${description}\r\n`;
     }
@@ -90,9 +97,9 @@
         sendFailure: (failure, state) => write(encodeFailure(failure) + encodeReady(state, undefined)),
         refuse: failure => {
             write(encodeFailure(failure));
-            socket.end();
+            close();
         },
-        close: () => socket.end(),
+        close,
     };
 }
 
--- a/src/platform/openEndpointSession/index.ts
+++ b/src/platform/openEndpointSession/index.ts
@@ -5,12 +5,14 @@
 import type { EndpointSession } from "../../statements/types/EndpointSession.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import type { LogPosition } from "../../statements/types/LogPosition.js";
+import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
 import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import type { StatementFailure } from "../../statements/types/StatementFailure.js";
 import { platformConstants } from "../constants.js";
 import { createLineSplitter } from "../createLineSplitter/index.js";
 import { decodeMessage } from "../decodeMessage/index.js";
+import { decodeReplicaStatus } from "../decodeReplicaStatus/index.js";
 import { encodeOutgoing } from "../encodeOutgoing/index.js";
 import type { WireMessage } from "../types/WireMessage.js";
 import { WireMessageKind } from "../types/WireMessageKind.js";
@@ -30,12 +32,20 @@
 /** Statements that were sent together and wait for their answers. */
 interface PendingExchange {
     readonly answers: StatementAnswer[];
-    readonly expected: number;
+    readonly statements: readonly OutgoingStatement[];
     readonly timer: NodeJS.Timeout;
     resolve(answers: readonly StatementAnswer[]): void;
     reject(error: Error): void;
 }
 
+/** Statements that are answered with the endpoint's place in its group. */
+const statusKinds: Partial<Record<OutgoingKind, true>> = {
+    [OutgoingKind.ReadStatus]: true,
+    [OutgoingKind.PauseReplication]: true,
+    [OutgoingKind.ResumeReplication]: true,
+    [OutgoingKind.StepDown]: true,
+};
+
 const openingErrorKinds: Partial<Record<FailureCode, ErrorKind>> = {
     [FailureCode.ConnectionLimit]: ErrorKind.ConnectionLimitReached,
     [FailureCode.Misrouted]: ErrorKind.NotFound,
@@ -169,11 +179,21 @@
             socket.destroy();
             return;
         }
-        pending.answers.push({ rows, signature, failure, state: ready.state, position: ready.position });
+        const replicaStatus = pending.statements[pending.answers.length]!.kind in statusKinds
+            ? decodeReplicaStatus(rows[0] ?? "")
+            : undefined;
+        pending.answers.push({
+            rows,
+            signature,
+            failure,
+            state: ready.state,
+            position: ready.position,
+            replicaStatus,
+        });
         rows = [];
         signature = undefined;
         failure = undefined;
-        if (pending.answers.length === pending.expected) {
+        if (pending.answers.length === pending.statements.length) {
             const { timer, resolve, answers } = pending;
             pending = undefined;
             clearTimeout(timer);
@@ -197,7 +217,7 @@
                     details: { endpoint: endpointId, timeoutMilliseconds },
                 }));
             }, timeoutMilliseconds);
-            pending = { answers: [], expected: statements.length, timer, resolve, reject };
+            pending = { answers: [], statements, timer, resolve, reject };
             socket.write(statements.map(encodeOutgoing).join(""), "latin1");
         });
     }
--- /dev/null
+++ b/src/promotions/chooseSuccessor/test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { CandidateStatus } from "../types/CandidateStatus.js";
+import { chooseSuccessor } from "./index.js";
+
+const regionsByZone = { a: "north", b: "north", c: "south" };
+
+function createCandidate(id: string, availabilityZone: string, entry: number): CandidateStatus {
+    return {
+        endpoint: {
+            id,
+            group: "orders",
+            address: { host: "127.0.0.1", port: 1, availabilityZone },
+            slots: 3,
+            isLeaving: false,
+            isPrimary: false,
+            warmingMilliseconds: 0,
+            startedAt: 1,
+            revision: 1,
+        },
+        status: {
+            isPrimary: false,
+            term: 3,
+            received: { term: 3, entry },
+            heldTerm: 0,
+            lagMilliseconds: 0,
+            busySlots: 0,
+            connections: 0,
+        },
+    };
+}
+
+describe("chooseSuccessor", () => {
+    const options = { replicas: 2, synchronousReplicas: 0, preferredRegion: "north", regionsByZone };
+
+    it("takes the one that holds most, whatever its region", () => {
+        const chosen = chooseSuccessor([createCandidate("x", "a", 10), createCandidate("y", "c", 11)], options);
+        assert.equal(chosen?.endpoint.id, "y");
+    });
+
+    it("prefers the region among equals", () => {
+        const chosen = chooseSuccessor([createCandidate("y", "c", 10), createCandidate("x", "a", 10)], options);
+        assert.equal(chosen?.endpoint.id, "x");
+    });
+
+    it("needs an answer of each replica that may hold the only copy of an acknowledged commit", () => {
+        const candidates = [createCandidate("x", "a", 10)];
+        assert.equal(chooseSuccessor(candidates, { ...options, synchronousReplicas: 1 }), undefined);
+        assert.equal(chooseSuccessor([], options), undefined);
+        assert.equal(chooseSuccessor(candidates, options)?.endpoint.id, "x");
+    });
+});
--- /dev/null
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -0,0 +1,158 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Directory } from "../../directory/types/Directory.js";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { Duty } from "../../duty/types/Duty.js";
+import type { VmIdentity } from "../../duty/types/VmIdentity.js";
+import type { VmPeer } from "../../duty/types/VmPeer.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
+import type { Primaries } from "../../primaries/types/Primaries.js";
+import { promotionConstants } from "../constants.js";
+import type { createPrimaryChange } from "../createPrimaryChange/index.js";
+import { isPrimaryAnswering } from "../isPrimaryAnswering/index.js";
+import { ChangeReason } from "../types/ChangeReason.js";
+import type { EndpointControl } from "../types/EndpointControl.js";
+
+/** Options of `createPromotionCoordinator`. */
+interface PromotionCoordinatorOptions {
+    readonly clock: Clock;
+    readonly directory: Directory;
+    readonly primaries: Primaries;
+    readonly evidence: PositionEvidence;
+    readonly duty: Duty;
+    readonly control: EndpointControl;
+    readonly peerOf: (vm: VmIdentity) => VmPeer;
+    readonly changePrimary: ReturnType<typeof createPrimaryChange>;
+    readonly log: LogTopic;
+}
+
+/** What the holder has seen of one group. */
+interface GroupWatch {
+    isBusy: boolean;
+    unanswered: number;
+    missingSince?: number;
+}
+
+/**
+ * Creates the holder's watch over the primaries: it decides when one has to be replaced.
+ *
+ * A primary that leaves is replaced at once. One that does not answer is replaced when no other VM reaches it either.
+ *
+ * @param options Clock, what is known, and how to ask endpoints and VMs.
+ * @returns The watch, not yet started.
+ *
+ * @example
+ * await createPromotionCoordinator(options).start();
+ */
+export function createPromotionCoordinator(options: PromotionCoordinatorOptions) {
+    const { clock, directory, primaries, evidence, duty, control, log } = options;
+    const watches = new Map<string, GroupWatch>();
+    const end = new AbortController();
+
+    async function run(): Promise<void> {
+        while (!end.signal.aborted) {
+            await clock.sleep(promotionConstants.lookMilliseconds, end.signal);
+            if (duty.heldToken() === undefined) {
+                watches.clear();
+                continue;
+            }
+            directory.groups().forEach(group => void look(group));
+        }
+    }
+
+    async function look(group: string): Promise<void> {
+        const watch = watchOf(group);
+        if (watch.isBusy) {
+            return;
+        }
+        watch.isBusy = true;
+        try {
+            const primary = primaries.primaryOf(group);
+            const reason = await judge(group, watch, primary);
+            if (reason !== undefined) {
+                await options.changePrimary(group, primary, reason);
+                watch.unanswered = 0;
+                watch.missingSince = undefined;
+            }
+        }
+        catch (error) {
+            log("primary was not changed", { group, reason: (error as Error).message });
+            await clock.sleep(promotionConstants.retryMilliseconds, end.signal);
+        }
+        finally {
+            watch.isBusy = false;
+        }
+    }
+
+    function watchOf(group: string): GroupWatch {
+        let watch = watches.get(group);
+        if (watch === undefined) {
+            watch = { isBusy: false, unanswered: 0 };
+            watches.set(group, watch);
+        }
+        return watch;
+    }
+
+    async function judge(
+        group: string,
+        watch: GroupWatch,
+        primary: EndpointRecord | undefined,
+    ): Promise<ChangeReason | undefined> {
+        if (primary === undefined) {
+            watch.missingSince ??= clock.now();
+            const isLasting = clock.now() - watch.missingSince >= promotionConstants.missingMilliseconds;
+            return isLasting ? ChangeReason.Missing : undefined;
+        }
+        watch.missingSince = undefined;
+        if (primary.isLeaving) {
+            const hasSuccessor = directory.endpointsOf(group).some(other => other.id !== primary.id && !other.isLeaving);
+            return hasSuccessor ? ChangeReason.Leaving : undefined;
+        }
+        return await isReached(group, watch, primary) ? undefined : ChangeReason.Unreachable;
+    }
+
+    async function isReached(group: string, watch: GroupWatch, primary: EndpointRecord): Promise<boolean> {
+        const age = clock.now() - (evidence.newestAskedAt(group) ?? -Infinity);
+        if (age < promotionConstants.freshAnswerMilliseconds) {
+            watch.unanswered = 0;
+            return true;
+        }
+        try {
+            const isLeading = await isPrimaryAnswering(control.run, primary.id);
+            watch.unanswered = 0;
+            if (!isLeading) {
+                primaries.noteNotPrimary(primary);
+            }
+            return true;
+        }
+        catch (error) {
+            watch.unanswered += 1;
+            log("primary does not answer", {
+                group,
+                endpoint: primary.id,
+                unanswered: watch.unanswered,
+                reason: (error as Error).message,
+            });
+        }
+        return watch.unanswered < promotionConstants.unansweredQuestions || await isReachedByOthers(group, primary);
+    }
+
+    async function isReachedByOthers(group: string, primary: EndpointRecord): Promise<boolean> {
+        const answers = await Promise.all(duty.otherVms().map(async vm => {
+            try {
+                return await isPrimaryAnswering(options.peerOf(vm).command, primary.id) ? vm.name : undefined;
+            }
+            catch {
+                return undefined;
+            }
+        }));
+        const reachedBy = answers.filter(name => name !== undefined);
+        log("other VMs were asked for the primary", { group, endpoint: primary.id, asked: answers.length, reachedBy });
+        return reachedBy.length > 0;
+    }
+
+    return {
+        start: async (): Promise<void> => void run(),
+        stop: async (): Promise<void> => end.abort(),
+    };
+}
--- a/src/statements/types/StatementAnswer.ts
+++ b/src/statements/types/StatementAnswer.ts
@@ -1,4 +1,5 @@
 import type { LogPosition } from "./LogPosition.js";
+import type { ReplicaStatus } from "./ReplicaStatus.js";
 import type { SessionState } from "./SessionState.js";
 import type { StatementFailure } from "./StatementFailure.js";
 
@@ -13,4 +14,6 @@
     readonly state: SessionState;
     /** Position of the endpoint's log after the statement; undefined when it tells none. */
     readonly position?: LogPosition;
+    /** What the endpoint says of its place in its group, when it was asked. */
+    readonly replicaStatus?: ReplicaStatus;
 }
--- /dev/null
+++ b/src/vm/listDutyServices/index.ts
@@ -0,0 +1,172 @@
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Directory } from "../../directory/types/Directory.js";
+import type { PlatformStore } from "../../directory/types/PlatformStore.js";
+import { applyAnnouncement } from "../../duty/applyAnnouncement/index.js";
+import { dutyConstants } from "../../duty/constants.js";
+import { createDuty } from "../../duty/createDuty/index.js";
+import { createDutyRouter } from "../../duty/createDutyRouter/index.js";
+import { createVmPeers } from "../../duty/createVmPeers/index.js";
+import type { Duty } from "../../duty/types/Duty.js";
+import { createEventRecorder } from "../../events/createEventRecorder/index.js";
+import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
+import { ServiceName } from "../../kernel/types/ServiceName.js";
+import type { Logger } from "../../logging/types/Logger.js";
+import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
+import { createPromotionClient } from "../../platform/createPromotionClient/index.js";
+import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
+import type { Primaries } from "../../primaries/types/Primaries.js";
+import { promotionConstants } from "../../promotions/constants.js";
+import { createEndpointControl } from "../../promotions/createEndpointControl/index.js";
+import { createPrimaryChange } from "../../promotions/createPrimaryChange/index.js";
+import { createPromotionCoordinator } from "../../promotions/createPromotionCoordinator/index.js";
+import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
+import type { PromotionOrders } from "../../promotions/types/PromotionOrders.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createPeers } from "../../transport/createPeers/index.js";
+import { createTransportServer } from "../../transport/createTransportServer/index.js";
+import type { Peers } from "../../transport/types/Peers.js";
+import { openEndpoint } from "../openEndpoint/index.js";
+import type { VmSettings } from "../types/VmSettings.js";
+
+/**
+ * Lists the services by which VMs agree on who changes primaries, and by which that VM does it.
+ *
+ * @param settings Settings of the VM.
+ * @returns Their definitions, for a kernel.
+ *
+ * @example
+ * const definitions = listDutyServices(settings);
+ */
+export function listDutyServices(settings: VmSettings): ServiceDefinition[] {
+    const { name, availabilityZone, peerAddress, regionsByZone } = settings;
+    const { peerSecret } = dutyConstants;
+    return [
+        {
+            name: ServiceName.Events,
+            dependencies: [ServiceName.Clock],
+            create: (clock: Clock) => createEventRecorder(name, clock),
+        },
+        {
+            name: ServiceName.Peers,
+            dependencies: [ServiceName.Events],
+            create: (events: EventRecorder) =>
+                createPeers({ name, availabilityZone, peerSecret }, createNeutralNetwork(availabilityZone), events),
+        },
+        {
+            name: ServiceName.Duty,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Random,
+                ServiceName.PlatformStore,
+                ServiceName.Directory,
+                ServiceName.Primaries,
+                ServiceName.Peers,
+                ServiceName.Logger,
+            ],
+            create: (
+                clock: Clock,
+                random: RandomSource,
+                store: PlatformStore,
+                directory: Directory,
+                primaries: Primaries,
+                peers: Peers,
+                logger: Logger,
+            ) =>
+                createDuty({
+                    clock,
+                    random,
+                    records: store.records,
+                    directory,
+                    self: { name, address: peerAddress, incarnation: `${random.nextInteger(2 ** 32)}` },
+                    peerOf: createVmPeers(peers, clock),
+                    onAnnouncement: announcement => applyAnnouncement(primaries, announcement),
+                    log: logger.topic("duty"),
+                }),
+        },
+        {
+            name: ServiceName.EndpointControl,
+            dependencies: [ServiceName.Directory, ServiceName.Duty, ServiceName.Peers],
+            create: (directory: Directory, duty: Duty, peers: Peers) =>
+                createEndpointControl({
+                    directory,
+                    open: openEndpoint,
+                    otherVms: duty.otherVms,
+                    peerOf: createVmPeers(peers, createSystemClock()),
+                }),
+        },
+        {
+            name: ServiceName.TransportServer,
+            dependencies: [ServiceName.Duty, ServiceName.EndpointControl, ServiceName.Events, ServiceName.Logger],
+            create: (duty: Duty, control: EndpointControl, events: EventRecorder, logger: Logger) =>
+                createTransportServer({
+                    host: peerAddress.host,
+                    port: peerAddress.port,
+                    peerSecret,
+                    router: createDutyRouter(duty, control.run),
+                    events,
+                    logger,
+                }),
+        },
+        {
+            name: ServiceName.PromotionOrders,
+            dependencies: [],
+            create: () =>
+                createPromotionClient(settings.promotionAddress, {
+                    timeoutMilliseconds: promotionConstants.orderMilliseconds,
+                }),
+        },
+        {
+            name: ServiceName.PromotionCoordinator,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Directory,
+                ServiceName.Primaries,
+                ServiceName.PositionEvidence,
+                ServiceName.Duty,
+                ServiceName.EndpointControl,
+                ServiceName.PromotionOrders,
+                ServiceName.Peers,
+                ServiceName.Logger,
+                ServiceName.TransportServer,
+            ],
+            create: (
+                clock: Clock,
+                directory: Directory,
+                primaries: Primaries,
+                evidence: PositionEvidence,
+                duty: Duty,
+                control: EndpointControl,
+                orders: PromotionOrders,
+                peers: Peers,
+                logger: Logger,
+            ) => {
+                const log = logger.topic("promotions");
+                const changePrimary = createPrimaryChange({
+                    clock,
+                    directory,
+                    duty,
+                    control,
+                    orders,
+                    vmName: name,
+                    regionsByZone,
+                    termOf: primaries.termOf,
+                    log,
+                });
+                const peerOf = createVmPeers(peers, clock);
+                return createPromotionCoordinator({
+                    clock,
+                    directory,
+                    primaries,
+                    evidence,
+                    duty,
+                    control,
+                    peerOf,
+                    changePrimary,
+                    log,
+                });
+            },
+        },
+    ];
+}
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -9,6 +9,7 @@
 import { createDirectoryFollower } from "../../directory/createDirectoryFollower/index.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { PlatformStore } from "../../directory/types/PlatformStore.js";
+import type { Duty } from "../../duty/types/Duty.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import { createLogger } from "../../logging/createLogger/index.js";
@@ -16,25 +17,29 @@
 import { createPlacement } from "../../placement/createPlacement/index.js";
 import type { Placement } from "../../placement/types/Placement.js";
 import { createStoreClient } from "../../platform/createStoreClient/index.js";
-import { openEndpointSession } from "../../platform/openEndpointSession/index.js";
 import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
+import { vmConstants } from "../constants.js";
+import { createSettingsReload } from "../createSettingsReload/index.js";
 import { createVmFront } from "../createVmFront/index.js";
+import { listDutyServices } from "../listDutyServices/index.js";
+import { openEndpoint } from "../openEndpoint/index.js";
 import type { VmSettings } from "../types/VmSettings.js";
 
 /** Options of `listVmServices`. */
 interface VmServicesOptions {
     /** Writes one log line. */
     readonly writeLog: (line: string) => void;
+    /** Reads the settings file anew. */
+    readonly readSettings: () => VmSettings;
+    /** Calls the listener when the settings file has changed; returns the function that ends this. */
+    readonly onSettingsSignal: (listener: () => void) => () => void;
 }
 
-/** VMs that are assumed to share the endpoints' connections. */
-const assumedVmCount = 8;
-
 /**
  * Lists the services of the program that runs on every VM of the platform.
  *
@@ -97,21 +102,21 @@
         { name: ServiceName.PositionEvidence, dependencies: [], create: createPositionEvidence },
         {
             name: ServiceName.Placement,
-            dependencies: [ServiceName.Clock, ServiceName.Directory, ServiceName.Primaries, ServiceName.Logger],
-            create: (clock: Clock, directory: Directory, primaries: Primaries, logger: Logger) =>
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Directory,
+                ServiceName.Primaries,
+                ServiceName.Duty,
+                ServiceName.Logger,
+            ],
+            create: (clock: Clock, directory: Directory, primaries: Primaries, duty: Duty, logger: Logger) =>
                 createPlacement({
                     clock,
                     directory,
                     primaries,
-                    open: (endpoint, timeoutMilliseconds) =>
-                        openEndpointSession({
-                            address: endpoint.address,
-                            group: endpoint.group,
-                            endpointId: endpoint.id,
-                            timeoutMilliseconds,
-                        }),
+                    open: openEndpoint,
                     place: settings,
-                    vmCount: () => assumedVmCount,
+                    vmCount: () => Math.max(duty.otherVms().length + 1, vmConstants.assumedVms),
                     log: logger.topic("placement"),
                 }),
         },
@@ -144,6 +149,19 @@
                 );
             },
         },
+        ...listDutyServices(settings),
+        {
+            name: ServiceName.SettingsReload,
+            dependencies: [ServiceName.Clock, ServiceName.Logger],
+            create: (clock: Clock, logger: Logger) =>
+                createSettingsReload({
+                    clock,
+                    settings,
+                    read: options.readSettings,
+                    onSignal: options.onSettingsSignal,
+                    log: logger.topic("settings"),
+                }),
+        },
         {
             name: ServiceName.VmFront,
             dependencies: [ServiceName.CallerSessions, ServiceName.Directory, ServiceName.Logger],
--- /dev/null
+++ b/src/vm/openEndpoint/index.ts
@@ -0,0 +1,19 @@
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { openEndpointSession } from "../../platform/openEndpointSession/index.js";
+import type { EndpointSession } from "../../statements/types/EndpointSession.js";
+
+/**
+ * Opens a connection to an endpoint.
+ *
+ * @param endpoint The endpoint.
+ * @param timeoutMilliseconds Time limit.
+ * @returns The connection.
+ * @throws TarragonpostError as `openEndpointSession`.
+ *
+ * @example
+ * const session = await openEndpoint(endpoint, 1_500);
+ */
+export function openEndpoint(endpoint: EndpointRecord, timeoutMilliseconds: number): Promise<EndpointSession> {
+    const { address, group, id: endpointId } = endpoint;
+    return openEndpointSession({ address, group, endpointId, timeoutMilliseconds });
+}
