--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -33,6 +33,10 @@
     timeoutMilliseconds: number,
     services: SessionServices,
 ): Promise<Attempt> {
+    if (!await mayWrite(callerStatement, lease, services)) {
+        const outcome = createFailure(FailureCode.Busy, "it is not sure that the endpoint is still the primary");
+        return { kind: AttemptKind.Repeatable, outcome };
+    }
     const { prepared, session } = callerStatement;
     const endpointName = prepared && services.preparedNames.nameOf(prepared);
     const expectedPrepared = prepared && endpointName !== undefined ? { ...prepared, endpointName } : undefined;
@@ -50,7 +54,10 @@
             lease.discard();
             return judgeLoss(callerStatement, "the endpoint refused a session value");
         }
-        return judgeAnswer(callerStatement, lease, answer, services);
+        const attempt = judgeAnswer(callerStatement, lease, answer, services);
+        return attempt.outcome.failure === undefined && !await isFromPrimary(lease, services)
+            ? judgeLoss(callerStatement, "it is not sure that the endpoint was still the primary")
+            : attempt;
     }
     catch (error) {
         lease.discard();
@@ -62,6 +69,20 @@
     }
 }
 
+/** A write is not sent to an endpoint of which it is not sure that it leads: its outcome could not be told. */
+async function mayWrite(
+    { mode }: CallerStatement,
+    lease: PlacedLease["lease"],
+    services: SessionServices,
+): Promise<boolean> {
+    return mode === AccessMode.Read || await isFromPrimary(lease, services);
+}
+
+/** Whether what a supposed primary answers may be relied on; whatever another endpoint answers is checked elsewhere. */
+async function isFromPrimary({ isPrimary, endpoint }: PlacedLease["lease"], services: SessionServices): Promise<boolean> {
+    return !isPrimary || services.certainty.isSure(endpoint) || await services.certainty.confirm(endpoint);
+}
+
 /** The answer is missing: a read may be repeated, a write may have run. */
 function judgeLoss({ mode }: CallerStatement, description: string): Attempt {
     return mode === AccessMode.Read
--- a/src/callerSessions/createEvidenceRenewal/index.ts
+++ b/src/callerSessions/createEvidenceRenewal/index.ts
@@ -25,7 +25,7 @@
  * await renewal.renew("orders");
  */
 export function createEvidenceRenewal(options: EvidenceRenewalOptions): EvidenceRenewal {
-    const { clock, placement, primaries, evidence, log } = options;
+    const { clock, placement, primaries, evidence, certainty, log } = options;
     const underWay = new Map<string, Promise<void>>();
 
     async function ask(group: string): Promise<void> {
@@ -47,10 +47,13 @@
             if (begin?.failure?.code === FailureCode.ReadOnly) {
                 primaries.noteNotPrimary(lease.endpoint);
             }
-            else if (rollback !== undefined && begin?.failure === undefined) {
-                noteAnswer(lease, sentAt, rollback, { primaries, evidence });
-            }
             lease.release();
+            if (rollback?.position !== undefined && begin?.failure === undefined) {
+                noteAnswer(lease, sentAt, rollback, { primaries, evidence, certainty });
+                if (!certainty.isSure(lease.endpoint) && await certainty.confirm(lease.endpoint)) {
+                    evidence.note(group, sentAt, rollback.position);
+                }
+            }
         }
         catch (error) {
             lease.discard();
--- a/src/callerSessions/noteAnswer/index.ts
+++ b/src/callerSessions/noteAnswer/index.ts
@@ -17,16 +17,15 @@
     lease: EndpointLease,
     sentAt: number,
     answer: StatementAnswer,
-    services: Pick<SessionServices, "primaries" | "evidence">,
+    services: Pick<SessionServices, "primaries" | "evidence" | "certainty">,
 ): void {
-    const { primaries, evidence } = services;
+    const { primaries, evidence, certainty } = services;
     const { endpoint } = lease;
     if (answer.position === undefined) {
         return;
     }
     primaries.notePosition(endpoint, answer.position);
-    const isStillPrimary = lease.isPrimary && primaries.primaryOf(endpoint.group)?.id === endpoint.id;
-    if (isStillPrimary && answer.position.term >= primaries.termOf(endpoint.group)) {
+    if (lease.isPrimary && certainty.isSure(endpoint) && answer.position.term >= primaries.termOf(endpoint.group)) {
         evidence.note(endpoint.group, sentAt, answer.position);
     }
 }
--- a/src/callerSessions/types/SessionServices.ts
+++ b/src/callerSessions/types/SessionServices.ts
@@ -4,6 +4,7 @@
 import type { Placement } from "../../placement/types/Placement.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
+import type { PrimaryCertainty } from "../../primaries/types/PrimaryCertainty.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import type { EvidenceRenewal } from "./EvidenceRenewal.js";
 import type { PreparedNames } from "./PreparedNames.js";
@@ -15,6 +16,7 @@
     readonly directory: Directory;
     readonly primaries: Primaries;
     readonly evidence: PositionEvidence;
+    readonly certainty: PrimaryCertainty;
     readonly placement: Placement;
     readonly renewal: EvidenceRenewal;
     readonly preparedNames: PreparedNames;
--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -9,6 +9,8 @@
     greatestRetryMilliseconds: 1_000,
     /** Time limit of a call to the store. */
     callTimeoutMilliseconds: 1_200,
-    /** An endpoint whose record vanished is kept this long: the store drops records while it is in trouble. */
+    /** An endpoint whose record vanished takes new work for this long: the store drops records while in trouble. */
     vanishedMilliseconds: 2_500,
+    /** After that it is treated as leaving for this long, so that a primary can be replaced in order. */
+    departureMilliseconds: 3_500,
 } as const;
--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -82,15 +82,26 @@
             forget(known, changed);
             return;
         }
-        const noticedAt = clock.now();
-        vanishedAt.set(id, noticedAt);
-        void clock.sleep(directoryConstants.vanishedMilliseconds).then(() => {
-            if (vanishedAt.get(id) === noticedAt) {
-                const late = new Set<string>();
-                forget(known, late);
-                notify(late);
-            }
-        });
+        vanishedAt.set(id, clock.now());
+        void retire(known, vanishedAt.get(id)!);
+    }
+
+    /** Lets an endpoint whose record vanished go, unless it registers again in between. */
+    async function retire(record: EndpointRecord, noticedAt: number): Promise<void> {
+        const changed = new Set([record.group]);
+        const hasReturned = (): boolean => vanishedAt.get(record.id) !== noticedAt;
+        await clock.sleep(directoryConstants.vanishedMilliseconds);
+        if (hasReturned()) {
+            return;
+        }
+        endpoints.set(record.id, { ...record, isLeaving: true });
+        log("endpoint is taken as leaving", { endpoint: record.id, group: record.group });
+        notify(changed);
+        await clock.sleep(directoryConstants.departureMilliseconds);
+        if (!hasReturned()) {
+            forget(record, changed);
+            notify(changed);
+        }
     }
 
     function forget(record: EndpointRecord, changed: Set<string>): void {
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -4,6 +4,7 @@
 import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createLease } from "../createLease/index.js";
 import { createAnnouncements } from "../createAnnouncements/index.js";
 import { createVmList } from "../createVmList/index.js";
 import { dutyConstants } from "../constants.js";
@@ -57,7 +58,10 @@
     const announcements = createAnnouncements(options.onAnnouncement);
     const end = new AbortController();
     let known: KnownHolder | undefined;
-    let heardAt: number | undefined;
+    let heardAt = -Infinity;
+    const lease = createLease(clock);
+    let tookOverAt = -Infinity;
+    let verifiedAt = -Infinity;
     let failedRenewals = 0;
     let holderRoutingVersion = Number.POSITIVE_INFINITY;
     let holderEndpointRevision = Number.POSITIVE_INFINITY;
@@ -77,6 +81,7 @@
         if (!isSame) {
             log("holder of the failover duty", { holder: holder.name, token: holder.token, isSelf: heldToken() !== undefined });
             failedRenewals = 0;
+            tookOverAt = clock.now();
             announcements.startToken(holder.token);
         }
     }
@@ -103,7 +108,6 @@
             return 0;
         }
         if (heldToken() !== undefined) {
-            heardAt = clock.now();
             await verify();
             return dutyConstants.verificationMilliseconds;
         }
@@ -112,7 +116,7 @@
             return dutyConstants.retryMilliseconds * random.next();
         }
         await renew(known.holder);
-        return dutyConstants.renewalMilliseconds;
+        return failedRenewals === 0 ? dutyConstants.renewalMilliseconds : dutyConstants.renewalRetryMilliseconds;
     }
 
     async function findHolder(): Promise<void> {
@@ -123,13 +127,18 @@
     async function renew(holder: DutyHolder): Promise<void> {
         const sentAt = clock.now();
         try {
+            lease.prepare();
             const answer = await options.peerOf(holder).renew(createRenewal());
             if (!answer.isHolder || answer.token < holder.token) {
+                failedRenewals = dutyConstants.failedRenewals;
                 throw new Error("that VM is no longer the holder");
             }
             heardAt = sentAt;
             failedRenewals = 0;
             learn(answer);
+            if (answer.isCertain) {
+                lease.grant();
+            }
         }
         catch (error) {
             failedRenewals += 1;
@@ -155,6 +164,7 @@
         holderRoutingVersion = answer.routingVersion;
         holderEndpointRevision = answer.endpointRevision;
         exchangeKnowledge(directory, answer);
+        vms.refresh();
         if (answer.vms !== undefined) {
             vms.adopt(answer.vms, answer.vmListVersion);
         }
@@ -198,8 +208,8 @@
     async function findWitness(holder: DutyHolder): Promise<string | undefined> {
         const others = otherVms().filter(vm => vm.name !== holder.name);
         const heard = await Promise.all(others.map(async vm => {
-            const age = await options.peerOf(vm).askHeard(holder.token).catch(() => undefined);
-            return age !== undefined && age < dutyConstants.hearsayMilliseconds ? vm.name : undefined;
+            const hasHeard = await options.peerOf(vm).askHeard(holder.token).catch(() => false);
+            return hasHeard ? vm.name : undefined;
         }));
         return heard.find(name => name !== undefined);
     }
@@ -213,11 +223,15 @@
     }
 
     async function verify(): Promise<number | undefined> {
+        const askedAt = clock.now();
         try {
             const record = await records.read(dutyConstants.recordName);
             if (record !== undefined) {
                 adoptRecord(record);
             }
+            if (heldToken() !== undefined) {
+                verifiedAt = askedAt;
+            }
             return heldToken();
         }
         catch (error) {
@@ -246,6 +260,32 @@
         return others.filter((_vm, index) => !confirmed[index]);
     }
 
+    /** Whether no other VM can have become the holder and changed a primary. */
+    function isCertain(): boolean {
+        if (heldToken() === undefined) {
+            return false;
+        }
+        const { certaintyMilliseconds, attendanceMilliseconds } = dutyConstants;
+        const now = clock.now();
+        return now - verifiedAt < certaintyMilliseconds || vms.areAllHeard(attendanceMilliseconds);
+    }
+
+    async function waitForLeases(unconfirmed: readonly VmIdentity[]): Promise<void> {
+        if (unconfirmed.length === 0) {
+            return;
+        }
+        const { leaseMilliseconds, certaintyMilliseconds } = dutyConstants;
+        const endOfLease = ({ name }: VmIdentity): number => {
+            const spokeAt = vms.heardAt(name) ?? -Infinity;
+            // A VM that has not spoken with this holder may hold a lease of the one before.
+            const grantedAt = spokeAt > tookOverAt ? spokeAt : tookOverAt + certaintyMilliseconds;
+            return grantedAt + leaseMilliseconds;
+        };
+        const until = Math.max(...unconfirmed.map(endOfLease));
+        log("waits for leases to end", { vms: unconfirmed.map(({ name }) => name), milliseconds: until - clock.now() });
+        await clock.sleep(Math.max(until - clock.now(), 0));
+    }
+
     function answerRenewal(renewal: Renewal): RenewalAnswer {
         vms.note(self);
         vms.note(renewal.vm);
@@ -254,6 +294,7 @@
         const isBehind = directory.version() > renewal.routingVersion;
         return {
             isHolder: heldToken() !== undefined,
+            isCertain: isCertain(),
             token: known?.holder.token ?? 0,
             routingVersion: directory.version(),
             endpointRevision: directory.revision(),
@@ -265,17 +306,18 @@
         };
     }
 
-    function answerHeard(token: number): number | undefined {
-        return known?.holder.token === token && heardAt !== undefined && failedRenewals === 0
-            ? clock.now() - heardAt
-            : undefined;
+    function answerHeard(token: number): boolean {
+        return known?.holder.token === token
+            && failedRenewals === 0
+            && clock.now() - heardAt < dutyConstants.hearsayMilliseconds;
     }
 
     return {
         heldToken,
         verify,
         otherVms,
-        heardAt: () => heldToken() === undefined ? heardAt : clock.now(),
+        hasLease: () => heldToken() === undefined ? lease.isHeld() : isCertain(),
+        waitForLeases,
         announce,
         answerRenewal,
         answerHeard,
--- a/src/duty/createVmList/index.ts
+++ b/src/duty/createVmList/index.ts
@@ -12,6 +12,10 @@
     version(): number;
     /** Replaces the list by another VM's. */
     adopt(vms: readonly VmIdentity[], version: number): void;
+    /** Notes that the holder still lists them all. */
+    refresh(): void;
+    /** Whether every VM that may still live, and at least one, spoke within the last milliseconds. */
+    areAllHeard(milliseconds: number): boolean;
     /** When a VM spoke last. */
     heardAt(name: string): number | undefined;
 }
@@ -34,6 +38,8 @@
 export function createVmList(clock: Clock): VmList {
     const listed = new Map<string, ListedVm>();
     let version = 0;
+    /** VMs in the list that was given out last. */
+    let liveCount = 0;
 
     function note(vm: VmIdentity): void {
         if (listed.get(vm.name)?.vm.incarnation !== vm.incarnation) {
@@ -43,21 +49,38 @@
     }
 
     function list(): readonly VmIdentity[] {
-        const oldest = clock.now() - dutyConstants.forgetMilliseconds;
+        const now = clock.now();
         for (const [name, { heardAt }] of listed) {
-            if (heardAt < oldest) {
+            if (now - heardAt > dutyConstants.departureMilliseconds) {
                 listed.delete(name);
-                version += 1;
             }
         }
-        return [...listed.values()].map(({ vm }) => vm);
+        const live = [...listed.values()].filter(({ heardAt }) => now - heardAt <= dutyConstants.forgetMilliseconds);
+        if (live.length !== liveCount) {
+            liveCount = live.length;
+            version += 1;
+        }
+        return live.map(({ vm }) => vm);
     }
 
     function adopt(vms: readonly VmIdentity[], nextVersion: number): void {
         listed.clear();
         vms.forEach(vm => listed.set(vm.name, { vm, heardAt: clock.now() }));
         version = nextVersion;
+        liveCount = vms.length;
+    }
+
+    function refresh(): void {
+        for (const [name, { vm }] of listed) {
+            listed.set(name, { vm, heardAt: clock.now() });
+        }
+    }
+
+    function areAllHeard(milliseconds: number): boolean {
+        const now = clock.now();
+        const heard = [...listed.values()].map(({ heardAt }) => heardAt);
+        return heard.length > 1 && heard.every(heardAt => now - heardAt < milliseconds);
     }
 
-    return { note, list, version: () => version, adopt, heardAt: name => listed.get(name)?.heardAt };
+    return { areAllHeard, refresh, note, list, version: () => version, adopt, heardAt: (name: string) => listed.get(name)?.heardAt };
 }
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -16,14 +16,16 @@
     verify(): Promise<number | undefined>;
     /** The other VMs that live, as far as is known. */
     otherVms(): readonly VmIdentity[];
-    /** When this VM last asked the holder and was answered; undefined before. The holder hears itself always. */
-    heardAt(): number | undefined;
+    /** Whether this VM may rely on the primaries that it knows: none was replaced without its being told. */
+    hasLease(): boolean;
+    /** Waits until VMs that did not confirm an announcement rely on nothing older. */
+    waitForLeases(vms: readonly VmIdentity[]): Promise<void>;
     /** Tells all VMs; resolves with those that did not confirm. */
     announce(announcement: Omit<Announcement, "sequence">): Promise<readonly VmIdentity[]>;
     /** Answers another VM's renewal. */
     answerRenewal(renewal: Renewal): RenewalAnswer;
-    /** Answers how long ago the holder with that token was heard. */
-    answerHeard(token: number): number | undefined;
+    /** Answers whether the holder with that token was just heard. */
+    answerHeard(token: number): boolean;
     /** Takes in who the holder is. */
     learnHolder(holder: DutyHolder): void;
     /** Takes in an announcement. */
--- a/src/duty/types/RenewalAnswer.ts
+++ b/src/duty/types/RenewalAnswer.ts
@@ -7,6 +7,8 @@
 export interface RenewalAnswer {
     /** Whether the VM that was asked is the holder, as far as it knows. */
     readonly isHolder: boolean;
+    /** Whether it is sure that no other VM is; only then may the asker rely on its primaries. */
+    readonly isCertain: boolean;
     readonly token: number;
     readonly routingVersion: number;
     readonly endpointRevision: number;
--- a/src/duty/types/VmPeer.ts
+++ b/src/duty/types/VmPeer.ts
@@ -8,8 +8,8 @@
 /** Another VM. Each call fails when it is not answered in time. */
 export interface VmPeer {
     renew(renewal: Renewal): Promise<RenewalAnswer>;
-    /** How long ago that VM heard the holder with that token, in milliseconds; undefined when it did not. */
-    askHeard(token: number): Promise<number | undefined>;
+    /** Whether that VM has just heard the holder with that token. */
+    askHeard(token: number): Promise<boolean>;
     /** Tells who the holder is. */
     introduceHolder(holder: DutyHolder): Promise<void>;
     announce(announcement: Announcement): Promise<void>;
--- a/src/kernel/types/ServiceName.ts
+++ b/src/kernel/types/ServiceName.ts
@@ -30,6 +30,7 @@
     PositionEvidence = "PositionEvidence",
     PositionReader = "PositionReader",
     Primaries = "Primaries",
+    PrimaryCertainty = "PrimaryCertainty",
     PromotionCoordinator = "PromotionCoordinator",
     PromotionOrders = "PromotionOrders",
     Random = "Random",
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -167,6 +167,10 @@
     }
 
     function listCandidates(request: PlacementRequest): readonly EndpointRecord[] {
+        if (request.endpointId !== undefined) {
+            const endpoint = directory.endpoint(request.endpointId);
+            return endpoint === undefined ? [] : [endpoint];
+        }
         const primary = primaries.primaryOf(request.group);
         if (request.needsPrimary) {
             return primary === undefined ? [] : [primary];
--- a/src/placement/types/PlacementRequest.ts
+++ b/src/placement/types/PlacementRequest.ts
@@ -2,6 +2,8 @@
 export interface PlacementRequest {
     readonly group: string;
     readonly needsPrimary: boolean;
+    /** The one endpoint that is meant, whatever its role and state; any of the group when left out. */
+    readonly endpointId?: string;
     /** 0 is the most urgent. */
     readonly priority: number;
     /** Latest time at which it is worth being placed. */
--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -40,6 +40,8 @@
  */
 export function createPrimaries(clock: Clock, directory: Directory, log: LogTopic): Primaries {
     const beliefs = new Map<string, GroupBelief>();
+    /** Highest term that each endpoint told as the primary. */
+    const termsAsPrimary = new Map<string, number>();
     const refutations = new Map<string, Refutation>();
     const listeners: ((group: string) => void)[] = [];
 
@@ -85,31 +87,34 @@
         return refutation !== undefined && refutation.revision >= endpoint.revision && clock.now() < refutation.until;
     }
 
-    function refute(endpoint: EndpointRecord, milliseconds: number): void {
-        refutations.set(endpoint.id, { revision: endpoint.revision, until: clock.now() + milliseconds });
+    function refuteForNow({ id, group, revision }: EndpointRecord): void {
+        refutations.set(id, { revision, until: clock.now() + primaryConstants.refutedMilliseconds });
+        // The refutation ends by itself; whoever waits has to be told then.
+        void clock.sleep(primaryConstants.refutedMilliseconds + 1).then(() => notify(group));
     }
 
     function notePosition(endpoint: EndpointRecord, position: LogPosition): void {
         const belief = beliefOf(endpoint.group);
+        const present = primaryOf(endpoint.group);
+        if (present?.id === endpoint.id) {
+            termsAsPrimary.set(endpoint.id, position.term);
+        }
         if (position.term <= belief.term) {
             return;
         }
-        const isFirst = belief.term === 0;
         belief.term = position.term;
         log("higher term seen", { group: endpoint.group, term: position.term, endpoint: endpoint.id });
-        const present = primaryOf(endpoint.group);
-        if (!isFirst && present !== undefined && present.id !== endpoint.id) {
-            log("primary is superseded", { group: endpoint.group, endpoint: present.id, term: position.term });
-            refute(present, Number.POSITIVE_INFINITY);
+        const presentTerm = present && termsAsPrimary.get(present.id);
+        if (present !== undefined && presentTerm !== undefined && presentTerm < position.term) {
+            log("primary may be superseded", { group: endpoint.group, endpoint: present.id, presentTerm });
+            refuteForNow(present);
         }
         notify(endpoint.group);
     }
 
     function noteNotPrimary(endpoint: EndpointRecord): void {
         log("endpoint is not the primary", { group: endpoint.group, endpoint: endpoint.id });
-        refute(endpoint, primaryConstants.refutedMilliseconds);
-        // The refutation ends by itself; whoever waits has to be told then.
-        void clock.sleep(primaryConstants.refutedMilliseconds + 1).then(() => notify(endpoint.group));
+        refuteForNow(endpoint);
         notify(endpoint.group);
     }
 
--- a/src/promotions/constants.ts
+++ b/src/promotions/constants.ts
@@ -22,8 +22,6 @@
     verifiedMilliseconds: 500,
     /** The promoted endpoint has this long to lead, in milliseconds. */
     takeoverMilliseconds: 3_500,
-    /** VMs that did not confirm a change rely on what they know for this long, in milliseconds. */
-    unconfirmedMilliseconds: 1_000,
     /** Pause before a failed change is tried again, in milliseconds. */
     retryMilliseconds: 400,
     /** How long a superseded primary that was out of reach is told to step down, in milliseconds. */
--- a/src/promotions/createEndpointControl/index.ts
+++ b/src/promotions/createEndpointControl/index.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { Duty } from "../../duty/types/Duty.js";
 import type { EndpointCommand } from "../../duty/types/EndpointCommand.js";
@@ -5,67 +6,68 @@
 import type { VmPeer } from "../../duty/types/VmPeer.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
-import type { EndpointOpener } from "../../placement/types/EndpointOpener.js";
-import type { EndpointSession } from "../../statements/types/EndpointSession.js";
+import type { Placement } from "../../placement/types/Placement.js";
+import { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
 
 /** Options of `createEndpointControl`. */
 interface EndpointControlOptions {
+    readonly clock: Clock;
     readonly directory: Directory;
-    readonly open: EndpointOpener;
+    readonly placement: Placement;
     readonly otherVms: Duty["otherVms"];
     readonly peerOf: (vm: VmIdentity) => VmPeer;
 }
 
-/** A connection of control, with the life of the endpoint that it leads to. */
-interface ControlSession {
-    readonly session: EndpointSession;
-    readonly endpointStartedAt: number;
-}
+/** Control goes before every caller's statement. */
+const controlPriority = -1;
 
 /**
- * Creates the connections by which endpoints are watched and told to change roles: one an endpoint, opened when needed.
+ * Creates the way by which endpoints are watched and told to change roles. It borrows callers' connections, since an
+ * endpoint accepts only few.
  *
- * @param options The directory, how to open connections, and how to have other VMs do it.
- * @returns The control, with nothing open.
+ * @param options The directory, the connections, and how to have other VMs send.
+ * @returns The control.
  *
  * @example
  * const [answer] = await control.run({ endpointId, statements: [{ kind: OutgoingKind.ReadStatus }], timeoutMilliseconds });
  */
 export function createEndpointControl(options: EndpointControlOptions): EndpointControl {
-    const { directory } = options;
-    const sessions = new Map<string, ControlSession>();
-    /** The end of the last exchange with each endpoint: one exchange at a time. */
-    const tails = new Map<string, Promise<unknown>>();
-
-    function run(command: EndpointCommand): Promise<readonly StatementAnswer[]> {
-        const before = tails.get(command.endpointId) ?? Promise.resolve();
-        const exchange = before.then(() => runNow(command));
-        tails.set(command.endpointId, exchange.catch(() => undefined));
-        return exchange;
-    }
-
-    async function runNow(command: EndpointCommand): Promise<readonly StatementAnswer[]> {
-        const session = await sessionOf(command);
-        return await session.exchange(command.statements, command.timeoutMilliseconds);
-    }
+    const { clock, directory, placement } = options;
 
-    async function sessionOf({ endpointId, timeoutMilliseconds }: EndpointCommand): Promise<EndpointSession> {
-        const endpoint = directory.endpoint(endpointId);
-        if (endpoint === undefined) {
+    async function run(command: EndpointCommand): Promise<readonly StatementAnswer[]> {
+        const { endpointId, statements, timeoutMilliseconds } = command;
+        const group = directory.endpoint(endpointId)?.group;
+        if (group === undefined) {
             throw createError(ErrorKind.NotFound, `Endpoint ${endpointId} is not known.`, {
                 remedy: "Wait until it registers itself.",
             });
         }
-        const present = sessions.get(endpointId);
-        if (present?.session.isClosed === false && present.endpointStartedAt === endpoint.startedAt) {
-            return present.session;
+        const expiresAt = clock.now() + timeoutMilliseconds;
+        const lease = await placement.acquire({
+            group,
+            endpointId,
+            needsPrimary: false,
+            priority: controlPriority,
+            expiresAt,
+            excluded: new Set(),
+            values: new Map(),
+        });
+        try {
+            const answers = await lease.exchange(statements, Math.max(expiresAt - clock.now(), 1));
+            if (answers.at(-1)?.state === SessionState.Idle) {
+                lease.release();
+            }
+            else {
+                lease.discard();
+            }
+            return answers;
+        }
+        catch (error) {
+            lease.discard();
+            throw error;
         }
-        present?.session.close();
-        const session = await options.open(endpoint, timeoutMilliseconds);
-        sessions.set(endpointId, { session, endpointStartedAt: endpoint.startedAt });
-        return session;
     }
 
     async function runFromAnywhere(command: EndpointCommand): Promise<readonly StatementAnswer[]> {
@@ -73,11 +75,5 @@
         return await run(command).catch(() => Promise.any(fromOthers()));
     }
 
-    async function stop(): Promise<void> {
-        for (const { session } of sessions.values()) {
-            session.close();
-        }
-    }
-
-    return { run, runFromAnywhere, stop };
+    return { run, runFromAnywhere };
 }
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -3,6 +3,7 @@
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
 import type { Duty } from "../../duty/types/Duty.js";
+import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
@@ -56,9 +57,9 @@
         const term = options.termOf(group) + 1;
         const startedAt = clock.now();
         log("changes the primary", { group, from: present?.id, reason, term });
-        const unconfirmed = await duty.announce({ group, phase: AnnouncementPhase.Begun, term });
+        const unconfirmedVms = await duty.announce({ group, phase: AnnouncementPhase.Begun, term });
         try {
-            const successor = await change({ group, present, reason, term, unconfirmedVms: unconfirmed.length });
+            const successor = await change({ group, present, reason, term, unconfirmedVms });
             await duty.announce({ group, phase: AnnouncementPhase.Finished, term, endpointId: successor.id });
             const tookMilliseconds = Math.round(clock.now() - startedAt);
             log("changed the primary", { group, from: present?.id, to: successor.id, term, tookMilliseconds });
@@ -76,16 +77,13 @@
         readonly reason: ChangeReason;
         readonly term: number;
         /** VMs that may still send to the present primary. */
-        readonly unconfirmedVms: number;
+        readonly unconfirmedVms: readonly VmIdentity[];
     }
 
     async function change(ordered: Change): Promise<EndpointRecord> {
         const { group, present, term } = ordered;
         const end = await stepDown(ordered);
-        if (end === undefined && ordered.unconfirmedVms > 0) {
-            // Their leases run out before the successor can lead.
-            await clock.sleep(promotionConstants.unconfirmedMilliseconds);
-        }
+        await duty.waitForLeases(ordered.unconfirmedVms);
         const successor = await findSuccessor(ordered, end);
         log("successor", { group, endpoint: successor.endpoint.id, received: successor.status.received, end });
         await promote(group, successor.endpoint);
--- a/src/promotions/types/EndpointControl.ts
+++ b/src/promotions/types/EndpointControl.ts
@@ -7,5 +7,4 @@
     run(command: EndpointCommand): Promise<readonly StatementAnswer[]>;
     /** Sends from this VM, and from others when that fails. Fails when none is answered. */
     runFromAnywhere(command: EndpointCommand): Promise<readonly StatementAnswer[]>;
-    stop(): Promise<void>;
 }
--- a/src/transport/shakeHands/index.ts
+++ b/src/transport/shakeHands/index.ts
@@ -68,7 +68,7 @@
                     identity.availabilityZone,
                     proof,
                 ];
-                socket.send(encode(hello));
+                socket.send(encode(hello, { ignoreUndefined: true }));
             }
             else if (frame[0] === FrameKind.Reject) {
                 fail(deserializeError(frame[1]));
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -1,4 +1,3 @@
-import { createSystemClock } from "../../clock/createSystemClock/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { PlatformStore } from "../../directory/types/PlatformStore.js";
@@ -14,6 +13,7 @@
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
 import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
+import type { Placement } from "../../placement/types/Placement.js";
 import { createPromotionClient } from "../../platform/createPromotionClient/index.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
@@ -27,7 +27,6 @@
 import { createPeers } from "../../transport/createPeers/index.js";
 import { createTransportServer } from "../../transport/createTransportServer/index.js";
 import type { Peers } from "../../transport/types/Peers.js";
-import { openEndpoint } from "../openEndpoint/index.js";
 import type { VmSettings } from "../types/VmSettings.js";
 
 /**
@@ -87,13 +86,20 @@
         },
         {
             name: ServiceName.EndpointControl,
-            dependencies: [ServiceName.Directory, ServiceName.Duty, ServiceName.Peers],
-            create: (directory: Directory, duty: Duty, peers: Peers) =>
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Directory,
+                ServiceName.Placement,
+                ServiceName.Duty,
+                ServiceName.Peers,
+            ],
+            create: (clock: Clock, directory: Directory, placement: Placement, duty: Duty, peers: Peers) =>
                 createEndpointControl({
+                    clock,
                     directory,
-                    open: openEndpoint,
+                    placement,
                     otherVms: duty.otherVms,
-                    peerOf: createVmPeers(peers, createSystemClock()),
+                    peerOf: createVmPeers(peers, clock),
                 }),
         },
         {
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -19,9 +19,13 @@
 import { createStoreClient } from "../../platform/createStoreClient/index.js";
 import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import { createPrimaryCertainty } from "../../primaries/createPrimaryCertainty/index.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
+import type { PrimaryCertainty } from "../../primaries/types/PrimaryCertainty.js";
+import { isPrimaryAnswering } from "../../promotions/isPrimaryAnswering/index.js";
+import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { vmConstants } from "../constants.js";
 import { createSettingsReload } from "../createSettingsReload/index.js";
@@ -120,6 +124,30 @@
                     log: logger.topic("placement"),
                 }),
         },
+        {
+            name: ServiceName.PrimaryCertainty,
+            dependencies: [
+                ServiceName.Directory,
+                ServiceName.Primaries,
+                ServiceName.Duty,
+                ServiceName.EndpointControl,
+                ServiceName.Logger,
+            ],
+            create: (
+                directory: Directory,
+                primaries: Primaries,
+                duty: Duty,
+                control: EndpointControl,
+                logger: Logger,
+            ) =>
+                createPrimaryCertainty({
+                    directory,
+                    primaries,
+                    hasLease: duty.hasLease,
+                    askLeading: endpointId => isPrimaryAnswering(control.run, endpointId),
+                    log: logger.topic("primaries"),
+                }),
+        },
         {
             name: ServiceName.CallerSessions,
             dependencies: [
@@ -128,6 +156,7 @@
                 ServiceName.Directory,
                 ServiceName.Primaries,
                 ServiceName.PositionEvidence,
+                ServiceName.PrimaryCertainty,
                 ServiceName.Placement,
                 ServiceName.Logger,
             ],
@@ -137,12 +166,13 @@
                 directory: Directory,
                 primaries: Primaries,
                 evidence: PositionEvidence,
+                certainty: PrimaryCertainty,
                 placement: Placement,
                 logger: Logger,
             ) => {
                 const log = logger.topic("sessions");
                 const preparedNames = createPreparedNames();
-                const shared = { clock, random, directory, primaries, evidence, placement, preparedNames, log };
+                const shared = { clock, random, directory, primaries, evidence, certainty, placement, preparedNames, log };
                 return createCallerSessions(
                     { ...shared, renewal: createEvidenceRenewal(shared) },
                     { graceMilliseconds: settings.graceMilliseconds },
