--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -14,8 +14,8 @@
     lastPrimary?: string;
     /** Until when a change under way holds the present primary back. */
     changingUntil?: number;
-    /** Told by the VM that changed the primary; holds until a record is newer. */
-    announced?: { readonly endpointId: string; readonly afterRevision: number; };
+    /** Told by the VM that changed the primary; holds until a higher term is seen. */
+    announced?: { readonly endpointId: string; readonly term: number; };
 }
 
 /** Why an endpoint is not taken for the primary although its record says so. */
@@ -61,25 +61,23 @@
         if (belief.changingUntil !== undefined && clock.now() < belief.changingUntil) {
             return undefined;
         }
-        return announcedPrimary(group, belief) ?? registeredPrimary(group);
+        return announcedPrimary(belief) ?? registeredPrimary(group);
     }
 
-    function announcedPrimary(group: string, belief: GroupBelief): EndpointRecord | undefined {
+    function announcedPrimary(belief: GroupBelief): EndpointRecord | undefined {
         const { announced } = belief;
         const endpoint = announced && directory.endpoint(announced.endpointId);
         if (announced === undefined || endpoint === undefined) {
             return undefined;
         }
-        const isOutdated = directory.endpointsOf(group).some(other =>
-            other.id !== endpoint.id && other.isPrimary && other.revision > announced.afterRevision
-        );
-        return isOutdated || isRefuted(endpoint) ? undefined : endpoint;
+        return belief.term > announced.term || isRefuted(endpoint) ? undefined : endpoint;
     }
 
     function registeredPrimary(group: string): EndpointRecord | undefined {
+        const termOf = ({ id }: EndpointRecord): number => termsAsPrimary.get(id) ?? 0;
         return directory.endpointsOf(group)
             .filter(endpoint => endpoint.isPrimary && !isRefuted(endpoint))
-            .sort((left, right) => right.revision - left.revision)[0];
+            .sort((left, right) => termOf(right) - termOf(left) || right.revision - left.revision)[0];
     }
 
     function isRefuted(endpoint: EndpointRecord): boolean {
@@ -129,8 +127,7 @@
         const belief = beliefOf(group);
         belief.changingUntil = undefined;
         belief.term = Math.max(belief.term, term);
-        const revisions = directory.endpointsOf(group).map(endpoint => endpoint.revision);
-        belief.announced = { endpointId, afterRevision: Math.max(0, ...revisions) };
+        belief.announced = { endpointId, term };
         refutations.delete(endpointId);
         log("change of primary is over", { group, term, endpoint: endpointId });
         notify(group);
@@ -152,8 +149,15 @@
         listeners.forEach(listener => listener(group));
     }
 
+    function isDisputed(group: string): boolean {
+        const { announced, term } = beliefOf(group);
+        const claimants = directory.endpointsOf(group).filter(endpoint => endpoint.isPrimary);
+        return claimants.length > 1 && (announced === undefined || announced.term < term);
+    }
+
     return {
         primaryOf,
+        isDisputed,
         termOf: group => beliefOf(group).term,
         notePosition,
         noteNotPrimary,
--- a/src/primaries/createPrimaryCertainty/index.ts
+++ b/src/primaries/createPrimaryCertainty/index.ts
@@ -38,7 +38,9 @@
     const questionsByEndpoint = new Map<string, Questions>();
 
     function isSure(endpoint: EndpointRecord): boolean {
-        return options.hasLease() && primaries.primaryOf(endpoint.group)?.id === endpoint.id;
+        return options.hasLease()
+            && !primaries.isDisputed(endpoint.group)
+            && primaries.primaryOf(endpoint.group)?.id === endpoint.id;
     }
 
     function confirm(endpoint: EndpointRecord): Promise<boolean> {
--- a/src/primaries/types/Primaries.ts
+++ b/src/primaries/types/Primaries.ts
@@ -5,6 +5,8 @@
 export interface Primaries {
     /** The endpoint that takes a group's writes; undefined while none is known or it is being changed. */
     primaryOf(group: string): EndpointRecord | undefined;
+    /** Whether several endpoints hold themselves for the primary and nobody has told which one is. */
+    isDisputed(group: string): boolean;
     /** Highest term that was seen in a group. */
     termOf(group: string): number;
     /** Takes in the position that an endpoint told with an answer. */
--- /dev/null
+++ b/src/promotions/createDisputeSettlement/index.ts
@@ -0,0 +1,84 @@
+import type { Directory } from "../../directory/types/Directory.js";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
+import type { Duty } from "../../duty/types/Duty.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
+import { promotionConstants } from "../constants.js";
+import type { EndpointControl } from "../types/EndpointControl.js";
+
+/** Options of `createDisputeSettlement`. */
+interface DisputeSettlementOptions {
+    readonly directory: Directory;
+    readonly duty: Duty;
+    readonly control: EndpointControl;
+    readonly log: LogTopic;
+}
+
+/** An endpoint that holds itself for the primary, and its term. */
+interface Claim {
+    readonly endpoint: EndpointRecord;
+    readonly term: number;
+}
+
+/**
+ * Creates the settlement of a dispute: several endpoints hold themselves for a group's primary, and the VM that changed
+ * it last has told nobody who is left. The highest term decides; the others step down.
+ *
+ * @param options The directory, the duty, control and log.
+ * @returns Settles the dispute in one group; fails when no claimant answers.
+ *
+ * @example
+ * await settleDispute("orders");
+ */
+export function createDisputeSettlement(options: DisputeSettlementOptions): (group: string) => Promise<void> {
+    const { directory, duty, control, log } = options;
+
+    async function readClaim(endpoint: EndpointRecord): Promise<Claim | undefined> {
+        try {
+            const [answer] = await control.runFromAnywhere({
+                endpointId: endpoint.id,
+                statements: [{ kind: OutgoingKind.ReadStatus }],
+                timeoutMilliseconds: promotionConstants.questionMilliseconds,
+            });
+            const status = answer?.replicaStatus;
+            return status?.isPrimary === true ? { endpoint, term: status.term } : undefined;
+        }
+        catch (error) {
+            log("claimant did not answer", { endpoint: endpoint.id, reason: (error as Error).message });
+            return undefined;
+        }
+    }
+
+    async function stepDown(endpoint: EndpointRecord, term: number): Promise<void> {
+        try {
+            await control.runFromAnywhere({
+                endpointId: endpoint.id,
+                statements: [{ kind: OutgoingKind.StepDown, term }],
+                timeoutMilliseconds: promotionConstants.questionMilliseconds,
+            });
+        }
+        catch (error) {
+            log("claimant did not step down", { endpoint: endpoint.id, term, reason: (error as Error).message });
+        }
+    }
+
+    return async group => {
+        const claimants = directory.endpointsOf(group).filter(endpoint => endpoint.isPrimary);
+        const claims = (await Promise.all(claimants.map(readClaim))).filter(claim => claim !== undefined);
+        const winner = claims.sort((left, right) => right.term - left.term)[0];
+        if (winner === undefined) {
+            throw createError(ErrorKind.Unreachable, `No endpoint of ${group} says that it is the primary.`, {
+                remedy: "The question is asked again.",
+            });
+        }
+        const { endpoint: { id }, term } = winner;
+        log("dispute is settled", { group, endpoint: id, term, claimants: claimants.map(claimant => claimant.id) });
+        await Promise.all(
+            claimants.filter(claimant => claimant.id !== id).map(claimant => stepDown(claimant, term)),
+        );
+        await duty.announce({ group, phase: AnnouncementPhase.Finished, term, endpointId: id });
+    };
+}
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -23,6 +23,8 @@
     readonly control: EndpointControl;
     readonly peerOf: (vm: VmIdentity) => VmPeer;
     readonly changePrimary: ReturnType<typeof createPrimaryChange>;
+    /** Finds out which of several endpoints that hold themselves for the primary is it. */
+    readonly settleDispute: (group: string) => Promise<void>;
     readonly log: LogTopic;
 }
 
@@ -67,6 +69,10 @@
         }
         watch.isBusy = true;
         try {
+            if (primaries.isDisputed(group)) {
+                await options.settleDispute(group);
+                return;
+            }
             const primary = primaries.primaryOf(group);
             const reason = await judge(group, watch, primary);
             if (reason !== undefined) {
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -18,6 +18,7 @@
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { promotionConstants } from "../../promotions/constants.js";
+import { createDisputeSettlement } from "../../promotions/createDisputeSettlement/index.js";
 import { createEndpointControl } from "../../promotions/createEndpointControl/index.js";
 import { createPrimaryChange } from "../../promotions/createPrimaryChange/index.js";
 import { createPromotionCoordinator } from "../../promotions/createPromotionCoordinator/index.js";
@@ -170,6 +171,7 @@
                     control,
                     peerOf,
                     changePrimary,
+                    settleDispute: createDisputeSettlement({ directory, duty, control, log }),
                     log,
                 });
             },
