--- a/src/binaries/node/index.ts
+++ b/src/binaries/node/index.ts
@@ -2,6 +2,7 @@
 import { createSystemClock } from "../../clock/createSystemClock/index.js";
 import { runBinary } from "../../commandLine/runBinary/index.js";
 import { createBoundedWriter } from "../../logging/createBoundedWriter/index.js";
+import { metricsConstants } from "../../metrics/constants.js";
 import { findSettingsFile } from "../../platform/findSettingsFile/index.js";
 import { readVmSettings } from "../../platform/readVmSettings/index.js";
 import { listVmServices } from "../../vm/listVmServices/index.js";
@@ -21,6 +22,7 @@
     createServices: settings =>
         listVmServices(settings, {
             writeLog,
+            metricsPort: metricsConstants.port,
             readSettings: () => readVmSettings(settingsFile),
             onSettingsSignal: listener => {
                 process.on("SIGHUP", listener);
--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -79,7 +79,10 @@
 }
 
 /** Whether what a supposed primary answers may be relied on; whatever another endpoint answers is checked elsewhere. */
-async function isFromPrimary({ isPrimary, endpoint }: PlacedLease["lease"], services: SessionServices): Promise<boolean> {
+async function isFromPrimary(
+    { isPrimary, endpoint }: PlacedLease["lease"],
+    services: SessionServices,
+): Promise<boolean> {
     return !isPrimary || services.certainty.isSure(endpoint) || await services.certainty.confirm(endpoint);
 }
 
--- a/src/callerSessions/createCallerSession/index.ts
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -163,9 +163,11 @@
             return;
         }
         const callerStatement = toCallerStatement(received, { route, mode, prepared });
+        const startedAt = clock.now();
         const outcome = transaction === undefined
             ? await runSingleStatement(callerStatement, services)
             : await transaction.run(callerStatement);
+        services.metrics.countStatement(route.guarantee, clock.now() - startedAt, outcome.failure?.code);
         const isOwnCommit = transaction === undefined && mode === AccessMode.Write && outcome.failure === undefined;
         if (isOwnCommit && outcome.position !== undefined) {
             context.commits.set(route.group, outcome.position);
@@ -184,7 +186,10 @@
     async function execute({ name }: { readonly name: string; }, received: ReceivedStatement): Promise<void> {
         const prepared = context.prepared.get(name);
         if (prepared === undefined) {
-            sendOutcome(received.id, createFailure(FailureCode.UnknownPreparedStatement, "nothing is prepared as this"));
+            sendOutcome(
+                received.id,
+                createFailure(FailureCode.UnknownPreparedStatement, "nothing is prepared as this"),
+            );
             return;
         }
         await run(received, prepared.mode, prepared);
@@ -203,7 +208,9 @@
             return;
         }
         const statement = toCallerStatement(received, { route: transactionRoute, mode: AccessMode.Read });
+        const startedAt = clock.now();
         const outcome = await ending.commit(statement);
+        services.metrics.countStatement(statement.route.guarantee, clock.now() - startedAt, outcome.failure?.code);
         forgetTransaction();
         sendOutcome(received.id, outcome);
     }
--- a/src/callerSessions/createCallerTransaction/index.ts
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -42,7 +42,7 @@
  */
 export function createCallerTransaction(options: TransactionOptions, services: SessionServices): CallerTransaction {
     const { route, session, isReadOnly, receivedAt } = options;
-    const { clock, random, log } = services;
+    const { clock, random, log, metrics } = services;
     let lease: EndpointLease | undefined;
     let hasWritten = false;
     let hasFailed = false;
@@ -81,6 +81,7 @@
                 return attempt.outcome;
             }
             last = attempt.outcome;
+            metrics.countRetry(last.failure?.code);
             log("transaction is begun again", {
                 id: statement.id,
                 group: route.group,
@@ -104,6 +105,7 @@
         }
         catch (error) {
             const outcome = createFailure(FailureCode.Busy, toTypedError(error).message);
+            metrics.countUnplaced();
             log("transaction was not placed", { id: statement.id, group: route.group, reason: outcome.failure });
             return { kind: AttemptKind.Final, outcome };
         }
--- a/src/callerSessions/runSingleStatement/index.ts
+++ b/src/callerSessions/runSingleStatement/index.ts
@@ -26,7 +26,7 @@
     services: SessionServices,
 ): Promise<StatementOutcome> {
     const { id, route, session, mode, receivedAt, expiresAt } = callerStatement;
-    const { clock, log } = services;
+    const { clock, log, metrics } = services;
     const isReadOnly = mode === AccessMode.Read;
     const excluded = new Set<string>();
     let last = createFailure(FailureCode.Busy, "no endpoint can serve the statement now");
@@ -37,16 +37,23 @@
         }
         catch (error) {
             const { message } = toTypedError(error);
+            metrics.countUnplaced();
             log("statement was not placed", { id, group: route.group, isReadOnly, reason: message });
             return last.failure?.code === FailureCode.Timeout ? last : createFailure(FailureCode.Busy, message);
         }
         const { lease } = placed;
-        const attempt = await attemptStatement(callerStatement, placed, attemptMilliseconds(callerStatement, clock.now()), services);
+        const attempt = await attemptStatement(
+            callerStatement,
+            placed,
+            attemptMilliseconds(callerStatement, clock.now()),
+            services,
+        );
         lease.release();
         if (attempt.kind === AttemptKind.Final) {
             return attempt.outcome;
         }
         last = attempt.outcome;
+        metrics.countRetry(last.failure?.code);
         log("statement is tried again", {
             id,
             endpoint: lease.endpoint.id,
--- a/src/callerSessions/types/SessionServices.ts
+++ b/src/callerSessions/types/SessionServices.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
 import type { Placement } from "../../placement/types/Placement.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
@@ -20,5 +21,6 @@
     readonly placement: Placement;
     readonly renewal: EvidenceRenewal;
     readonly preparedNames: PreparedNames;
+    readonly metrics: Metrics;
     readonly log: LogTopic;
 }
--- a/src/directory/createDirectoryFollower/index.ts
+++ b/src/directory/createDirectoryFollower/index.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { followFeed } from "../followFeed/index.js";
 import type { Directory } from "../types/Directory.js";
@@ -13,6 +14,7 @@
     readonly random: RandomSource;
     readonly store: Pick<PlatformStore, "endpoints" | "routingTables">;
     readonly directory: Directory;
+    readonly metrics: Pick<Metrics, "countStoreFailure">;
     readonly log: LogTopic;
 }
 
@@ -46,6 +48,7 @@
             random,
             signal: end.signal,
             onFailure: error => {
+                options.metrics.countStoreFailure();
                 if (isReached) {
                     log("store is not reached", { feed: name, reason: error.message });
                 }
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -4,11 +4,11 @@
 import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
-import { createLease } from "../createLease/index.js";
+import { dutyConstants } from "../constants.js";
 import { createAnnouncements } from "../createAnnouncements/index.js";
+import { createLease } from "../createLease/index.js";
+import { createRenewalExchange } from "../createRenewalExchange/index.js";
 import { createVmList } from "../createVmList/index.js";
-import { dutyConstants } from "../constants.js";
-import { exchangeKnowledge } from "../exchangeKnowledge/index.js";
 import type { Announcement } from "../types/Announcement.js";
 import type { Duty } from "../types/Duty.js";
 import type { DutyHolder } from "../types/DutyHolder.js";
@@ -53,9 +53,10 @@
  * if (duty.heldToken() !== undefined) { await changePrimary(group); }
  */
 export function createDuty(options: DutyOptions): Duty {
-    const { clock, random, records, directory, self, log } = options;
+    const { clock, random, records, self, log } = options;
     const vms = createVmList(clock);
     const announcements = createAnnouncements(options.onAnnouncement);
+    const exchange = createRenewalExchange({ self, directory: options.directory, vms, announcements });
     const end = new AbortController();
     let known: KnownHolder | undefined;
     let heardAt = -Infinity;
@@ -63,8 +64,6 @@
     let tookOverAt = -Infinity;
     let verifiedAt = -Infinity;
     let failedRenewals = 0;
-    let holderRoutingVersion = Number.POSITIVE_INFINITY;
-    let holderEndpointRevision = Number.POSITIVE_INFINITY;
     let isStopping = false;
 
     function heldToken(): number | undefined {
@@ -79,7 +78,11 @@
         const isSame = known?.holder.token === holder.token;
         known = { holder, revision: revision ?? (isSame ? known?.revision : undefined) };
         if (!isSame) {
-            log("holder of the failover duty", { holder: holder.name, token: holder.token, isSelf: heldToken() !== undefined });
+            log("holder of the failover duty", {
+                holder: holder.name,
+                token: holder.token,
+                isSelf: heldToken() !== undefined,
+            });
             failedRenewals = 0;
             tookOverAt = clock.now();
             announcements.startToken(holder.token);
@@ -128,14 +131,14 @@
         const sentAt = clock.now();
         try {
             lease.prepare();
-            const answer = await options.peerOf(holder).renew(createRenewal());
+            const answer = await options.peerOf(holder).renew(exchange.createRenewal());
             if (!answer.isHolder || answer.token < holder.token) {
                 failedRenewals = dutyConstants.failedRenewals;
                 throw new Error("that VM is no longer the holder");
             }
             heardAt = sentAt;
             failedRenewals = 0;
-            learn(answer);
+            exchange.learn(answer);
             if (answer.isCertain) {
                 lease.grant();
             }
@@ -146,31 +149,6 @@
         }
     }
 
-    function createRenewal(): Renewal {
-        const routingVersion = directory.version();
-        const endpointRevision = directory.revision();
-        return {
-            vm: self,
-            routingVersion,
-            endpointRevision,
-            vmListVersion: vms.version(),
-            announcementSequence: announcements.latest(),
-            ...routingVersion > holderRoutingVersion ? { routingTable: directory.routingTable() } : {},
-            ...endpointRevision > holderEndpointRevision ? { endpoints: directory.records() } : {},
-        };
-    }
-
-    function learn(answer: RenewalAnswer): void {
-        holderRoutingVersion = answer.routingVersion;
-        holderEndpointRevision = answer.endpointRevision;
-        exchangeKnowledge(directory, answer);
-        vms.refresh();
-        if (answer.vms !== undefined) {
-            vms.adopt(answer.vms, answer.vmListVersion);
-        }
-        answer.announcements.forEach(announcements.learn);
-    }
-
     /** Tries to become the holder, unless another VM hears the present one. */
     async function contend(): Promise<void> {
         const { holder } = known!;
@@ -289,21 +267,11 @@
     function answerRenewal(renewal: Renewal): RenewalAnswer {
         vms.note(self);
         vms.note(renewal.vm);
-        exchangeKnowledge(directory, renewal);
-        const list = vms.list();
-        const isBehind = directory.version() > renewal.routingVersion;
-        return {
+        return exchange.answer(renewal, {
             isHolder: heldToken() !== undefined,
             isCertain: isCertain(),
             token: known?.holder.token ?? 0,
-            routingVersion: directory.version(),
-            endpointRevision: directory.revision(),
-            vmListVersion: vms.version(),
-            ...renewal.vmListVersion === vms.version() ? {} : { vms: list },
-            ...isBehind ? { routingTable: directory.routingTable() } : {},
-            ...directory.revision() > renewal.endpointRevision ? { endpoints: directory.records() } : {},
-            announcements: announcements.after(renewal.announcementSequence),
-        };
+        });
     }
 
     function answerHeard(token: number): boolean {
--- a/src/duty/createVmList/index.ts
+++ b/src/duty/createVmList/index.ts
@@ -82,5 +82,13 @@
         return heard.length > 1 && heard.every(heardAt => now - heardAt < milliseconds);
     }
 
-    return { areAllHeard, refresh, note, list, version: () => version, adopt, heardAt: (name: string) => listed.get(name)?.heardAt };
+    return {
+        areAllHeard,
+        refresh,
+        note,
+        list,
+        version: () => version,
+        adopt,
+        heardAt: (name: string) => listed.get(name)?.heardAt,
+    };
 }
--- a/src/duty/createVmPeers/index.ts
+++ b/src/duty/createVmPeers/index.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../../clock/types/Clock.js";
 import { limitSignal } from "../../clock/limitSignal/index.js";
+import type { Clock } from "../../clock/types/Clock.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import type { Peers } from "../../transport/types/Peers.js";
 import { dutyConstants } from "../constants.js";
--- a/src/kernel/types/ServiceName.ts
+++ b/src/kernel/types/ServiceName.ts
@@ -21,6 +21,8 @@
     LeavingWatch = "LeavingWatch",
     Logger = "Logger",
     Membership = "Membership",
+    Metrics = "Metrics",
+    MetricsServer = "MetricsServer",
     NetworkConditions = "NetworkConditions",
     Peers = "Peers",
     Placement = "Placement",
--- /dev/null
+++ b/src/metrics/createMetrics/index.ts
@@ -0,0 +1,89 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { metricsConstants } from "../constants.js";
+import type { Metrics } from "../types/Metrics.js";
+
+const success = "Success";
+
+/**
+ * Creates the metrics of one process.
+ *
+ * @returns The metrics, all zero.
+ *
+ * @example
+ * metrics.countStatement(route.guarantee, 28, FailureCode.Busy);
+ */
+export function createMetrics(): Metrics {
+    const registry = new Registry();
+    const registers = [registry];
+    const statements = new Counter({
+        name: "tarragonpost_statements_total",
+        help: "Statements answered, by guarantee and outcome.",
+        labelNames: ["guarantee", "outcome"],
+        registers,
+    });
+    const latency = new Histogram({
+        name: "tarragonpost_statement_seconds",
+        help: "Time from a statement's arrival to its answer.",
+        labelNames: ["guarantee"],
+        buckets: [...metricsConstants.latencyBuckets],
+        registers,
+    });
+    const retries = new Counter({
+        name: "tarragonpost_retries_total",
+        help: "Attempts that did not settle a statement, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
+    const unplaced = new Counter({
+        name: "tarragonpost_unplaced_total",
+        help: "Statements that found no connection in time.",
+        registers,
+    });
+    const connections = new Counter({
+        name: "tarragonpost_connections_total",
+        help: "Connections to endpoints that were opened or failed to be, by outcome.",
+        labelNames: ["outcome"],
+        registers,
+    });
+    const storeFailures = new Counter({
+        name: "tarragonpost_store_failures_total",
+        help: "Calls to the platform's store that failed.",
+        registers,
+    });
+    const primaryChanges = new Counter({
+        name: "tarragonpost_primary_changes_total",
+        help: "Changes of a primary made by this VM, by outcome.",
+        labelNames: ["outcome"],
+        registers,
+    });
+    const confirmations = new Counter({
+        name: "tarragonpost_confirmations_total",
+        help: "Primaries asked for at the other endpoints for want of a lease, by outcome.",
+        labelNames: ["outcome"],
+        registers,
+    });
+
+    return {
+        countStatement: (guarantee, milliseconds, code) => {
+            statements.inc({ guarantee, outcome: code ?? success });
+            latency.observe({ guarantee }, milliseconds / metricsConstants.millisecondsPerSecond);
+        },
+        countRetry: code => retries.inc({ reason: code ?? "Unknown" }),
+        countUnplaced: () => unplaced.inc(),
+        countConnection: failure => connections.inc({ outcome: failure ?? success }),
+        countStoreFailure: () => storeFailures.inc(),
+        countPrimaryChange: isSuccessful => primaryChanges.inc({ outcome: isSuccessful ? success : "Failure" }),
+        countConfirmation: isConfirmed => confirmations.inc({ outcome: isConfirmed ? "Confirmed" : "Unconfirmed" }),
+        observe: (name, description, read) => {
+            const gauge: Gauge = new Gauge({
+                name,
+                help: description,
+                registers,
+                collect: () => {
+                    gauge.set(read());
+                },
+            });
+        },
+        render: () => registry.metrics(),
+    };
+}
--- a/src/placement/createEndpointSessions/index.ts
+++ b/src/placement/createEndpointSessions/index.ts
@@ -3,6 +3,7 @@
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
 import { placementConstants } from "../constants.js";
 import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { EndpointSessions } from "../types/EndpointSessions.js";
@@ -18,6 +19,7 @@
     readonly limit: () => number;
     /** Told when a connection came free or an attempt to open one failed. */
     readonly onChange: () => void;
+    readonly metrics: Pick<Metrics, "countConnection">;
     readonly log: LogTopic;
 }
 
@@ -33,7 +35,7 @@
  * const pooled = sessions.take(values) ?? (sessions.tryOpen(), undefined);
  */
 export function createEndpointSessions(options: EndpointSessionsOptions): EndpointSessions {
-    const { clock, log } = options;
+    const { clock, log, metrics } = options;
     const idle: PooledSession[] = [];
     let opening = 0;
     let open = 0;
@@ -86,6 +88,7 @@
             opening -= 1;
             open += 1;
             failures = 0;
+            metrics.countConnection();
             const pooled: PooledSession = {
                 session,
                 endpointStartedAt: record.startedAt,
@@ -111,6 +114,7 @@
     function pauseAfter(record: EndpointRecord, error: unknown, tookMilliseconds: number): void {
         const { kind, message } = toTypedError(error);
         failures += 1;
+        metrics.countConnection(kind);
         const { firstReopenMilliseconds, greatestReopenMilliseconds, connectionLimitMilliseconds } = placementConstants;
         const pause = kind === ErrorKind.ConnectionLimitReached
             ? connectionLimitMilliseconds
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -4,6 +4,7 @@
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import type { Waiter } from "../../waiting/types/Waiter.js";
@@ -27,6 +28,7 @@
     readonly place: Parameters<typeof createEndpointScore>[1];
     /** VMs that share the endpoints' connections. */
     readonly vmCount: () => number;
+    readonly metrics: Pick<Metrics, "countConnection" | "observe">;
     readonly log: LogTopic;
 }
 
@@ -68,6 +70,12 @@
         groups.forEach(dispatch);
     });
     primaries.onChange(dispatch);
+    options.metrics.observe("tarragonpost_waiting_statements", "Statements that wait for a connection.", () => {
+        return [...waitingByGroup.values()].reduce((sum, waiting) => sum + waiting.length, 0);
+    });
+    options.metrics.observe("tarragonpost_open_connections", "Connections to endpoints that are open.", () => {
+        return [...targets.values()].reduce((sum, { sessions }) => sum + sessions.open(), 0);
+    });
 
     function connectionLimit(group: string): number {
         const { connectionShare, leastConnections, greatestConnections } = placementConstants;
@@ -87,6 +95,7 @@
                     record: () => directory.endpoint(id),
                     limit: () => connectionLimit(group),
                     onChange: () => dispatch(group),
+                    metrics: options.metrics,
                     log,
                 }),
                 score: createEndpointScore(clock, options.place),
@@ -121,9 +130,13 @@
                 waiting.splice(waiting.indexOf(entry), 1);
             },
             createTimeoutError: () =>
-                createError(ErrorKind.Overloaded, `No connection to an endpoint of ${request.group} came free in time.`, {
-                    remedy: "Send the request again after a pause.",
-                }),
+                createError(
+                    ErrorKind.Overloaded,
+                    `No connection to an endpoint of ${request.group} came free in time.`,
+                    {
+                        remedy: "Send the request again after a pause.",
+                    },
+                ),
         });
         const entry: WaitingRequest = { request, waiter };
         const index = waiting.findIndex(other => other.request.priority > request.priority);
--- a/src/placement/types/EndpointLease.ts
+++ b/src/placement/types/EndpointLease.ts
@@ -9,7 +9,10 @@
     readonly isPrimary: boolean;
     readonly pooled: PooledSession;
     /** Sends statements and waits for the answers; fails as `EndpointSession.exchange`. */
-    exchange(statements: readonly OutgoingStatement[], timeoutMilliseconds: number): Promise<readonly StatementAnswer[]>;
+    exchange(
+        statements: readonly OutgoingStatement[],
+        timeoutMilliseconds: number,
+    ): Promise<readonly StatementAnswer[]>;
     /** Gives the connection back; it must be idle and outside a transaction. */
     release(): void;
     /** Closes the connection. */
--- a/src/platform/openEndpointSession/index.ts
+++ b/src/platform/openEndpointSession/index.ts
@@ -86,7 +86,9 @@
         session.onClose(() => {
             clearTimeout(timer);
             const kind = refusal === undefined ? undefined : openingErrorKinds[refusal.code];
-            reject(createOpeningError(kind ?? ErrorKind.Unreachable, endpointId, refusal?.description ?? "it is closed"));
+            reject(
+                createOpeningError(kind ?? ErrorKind.Unreachable, endpointId, refusal?.description ?? "it is closed"),
+            );
         });
     });
 }
--- a/src/primaries/createPrimaryCertainty/index.ts
+++ b/src/primaries/createPrimaryCertainty/index.ts
@@ -1,6 +1,7 @@
 import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
 import type { Primaries } from "../types/Primaries.js";
 import type { PrimaryCertainty } from "../types/PrimaryCertainty.js";
 
@@ -12,6 +13,7 @@
     readonly hasLease: () => boolean;
     /** Asks an endpoint whether it leads; fails when it does not answer. */
     readonly askLeading: (endpointId: string) => Promise<boolean>;
+    readonly metrics: Pick<Metrics, "countConfirmation">;
     readonly log: LogTopic;
 }
 
@@ -63,6 +65,7 @@
         const others = directory.endpointsOf(endpoint.group).filter(other => other.id !== endpoint.id);
         const leading = await Promise.all(others.map(({ id }) => options.askLeading(id).catch(() => undefined)));
         const isConfirmed = others.length > 0 && leading.every(isLeading => isLeading === false);
+        options.metrics.countConfirmation(isConfirmed);
         if (!isConfirmed) {
             log("primary is not confirmed", {
                 group: endpoint.group,
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -108,7 +108,12 @@
                 statements: [{ kind: OutgoingKind.StepDown, term }],
                 timeoutMilliseconds: promotionConstants.questionMilliseconds,
             });
-            log("present primary stepped down", { group, endpoint: present.id, status: answer?.replicaStatus, failure: answer?.failure });
+            log("present primary stepped down", {
+                group,
+                endpoint: present.id,
+                status: answer?.replicaStatus,
+                failure: answer?.failure,
+            });
             return answer?.replicaStatus?.received ?? answer?.position;
         }
         catch (error) {
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -5,6 +5,7 @@
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import type { VmPeer } from "../../duty/types/VmPeer.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { promotionConstants } from "../constants.js";
@@ -25,6 +26,7 @@
     readonly changePrimary: ReturnType<typeof createPrimaryChange>;
     /** Finds out which of several endpoints that hold themselves for the primary is it. */
     readonly settleDispute: (group: string) => Promise<void>;
+    readonly metrics: Pick<Metrics, "countPrimaryChange">;
     readonly log: LogTopic;
 }
 
@@ -76,7 +78,7 @@
             const primary = primaries.primaryOf(group);
             const reason = await judge(group, watch, primary);
             if (reason !== undefined) {
-                await options.changePrimary(group, primary, reason);
+                await changePrimary(group, primary, reason);
                 watch.unanswered = 0;
                 watch.missingSince = undefined;
             }
@@ -90,6 +92,17 @@
         }
     }
 
+    async function changePrimary(group: string, primary: EndpointRecord | undefined, reason: ChangeReason) {
+        try {
+            await options.changePrimary(group, primary, reason);
+            options.metrics.countPrimaryChange(true);
+        }
+        catch (error) {
+            options.metrics.countPrimaryChange(false);
+            throw error;
+        }
+    }
+
     function watchOf(group: string): GroupWatch {
         let watch = watches.get(group);
         if (watch === undefined) {
@@ -111,7 +124,9 @@
         }
         watch.missingSince = undefined;
         if (primary.isLeaving) {
-            const hasSuccessor = directory.endpointsOf(group).some(other => other.id !== primary.id && !other.isLeaving);
+            const hasSuccessor = directory.endpointsOf(group).some(other =>
+                other.id !== primary.id && !other.isLeaving
+            );
             return hasSuccessor ? ChangeReason.Leaving : undefined;
         }
         return await isReached(group, watch, primary) ? undefined : ChangeReason.Unreachable;
@@ -144,14 +159,16 @@
     }
 
     async function isReachedByOthers(group: string, primary: EndpointRecord): Promise<boolean> {
-        const answers = await Promise.all(duty.otherVms().map(async vm => {
-            try {
-                return await isPrimaryAnswering(options.peerOf(vm).command, primary.id) ? vm.name : undefined;
-            }
-            catch {
-                return undefined;
-            }
-        }));
+        const answers = await Promise.all(
+            duty.otherVms().map(async vm => {
+                try {
+                    return await isPrimaryAnswering(options.peerOf(vm).command, primary.id) ? vm.name : undefined;
+                }
+                catch {
+                    return undefined;
+                }
+            }),
+        );
         const reachedBy = answers.filter(name => name !== undefined);
         log("other VMs were asked for the primary", { group, endpoint: primary.id, asked: answers.length, reachedBy });
         return reachedBy.length > 0;
--- a/src/statements/types/EndpointSession.ts
+++ b/src/statements/types/EndpointSession.ts
@@ -13,7 +13,10 @@
      * Fails with `DeadlineExceeded` at the time limit and with `ConnectionClosed` when the connection breaks; the
      * connection is closed in both cases.
      */
-    exchange(statements: readonly OutgoingStatement[], timeoutMilliseconds: number): Promise<readonly StatementAnswer[]>;
+    exchange(
+        statements: readonly OutgoingStatement[],
+        timeoutMilliseconds: number,
+    ): Promise<readonly StatementAnswer[]>;
     close(): void;
     /** Calls the listener once, when the connection is closed. */
     onClose(listener: () => void): void;
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -12,6 +12,7 @@
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
 import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
 import type { Placement } from "../../placement/types/Placement.js";
 import { createPromotionClient } from "../../platform/createPromotionClient/index.js";
@@ -73,17 +74,16 @@
                 primaries: Primaries,
                 peers: Peers,
                 logger: Logger,
-            ) =>
-                createDuty({
-                    clock,
-                    random,
-                    records: store.records,
-                    directory,
-                    self: { name, address: peerAddress, incarnation: `${random.nextInteger(2 ** 32)}` },
-                    peerOf: createVmPeers(peers, clock),
-                    onAnnouncement: announcement => applyAnnouncement(primaries, announcement),
-                    log: logger.topic("duty"),
-                }),
+            ) => createDuty({
+                clock,
+                random,
+                records: store.records,
+                directory,
+                self: { name, address: peerAddress, incarnation: `${random.nextInteger(2 ** 32)}` },
+                peerOf: createVmPeers(peers, clock),
+                onAnnouncement: announcement => applyAnnouncement(primaries, announcement),
+                log: logger.topic("duty"),
+            }),
         },
         {
             name: ServiceName.EndpointControl,
@@ -135,6 +135,7 @@
                 ServiceName.EndpointControl,
                 ServiceName.PromotionOrders,
                 ServiceName.Peers,
+                ServiceName.Metrics,
                 ServiceName.Logger,
                 ServiceName.TransportServer,
             ],
@@ -147,6 +148,7 @@
                 control: EndpointControl,
                 orders: PromotionOrders,
                 peers: Peers,
+                metrics: Metrics,
                 logger: Logger,
             ) => {
                 const log = logger.topic("promotions");
@@ -172,6 +174,7 @@
                     peerOf,
                     changePrimary,
                     settleDispute: createDisputeSettlement({ directory, duty, control, log }),
+                    metrics,
                     log,
                 });
             },
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -14,6 +14,9 @@
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import { createLogger } from "../../logging/createLogger/index.js";
 import type { Logger } from "../../logging/types/Logger.js";
+import { createMetrics } from "../../metrics/createMetrics/index.js";
+import { createMetricsServer } from "../../metrics/createMetricsServer/index.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
 import { createPlacement } from "../../placement/createPlacement/index.js";
 import type { Placement } from "../../placement/types/Placement.js";
 import { createStoreClient } from "../../platform/createStoreClient/index.js";
@@ -22,10 +25,10 @@
 import { createPrimaryCertainty } from "../../primaries/createPrimaryCertainty/index.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
-import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { PrimaryCertainty } from "../../primaries/types/PrimaryCertainty.js";
 import { isPrimaryAnswering } from "../../promotions/isPrimaryAnswering/index.js";
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { vmConstants } from "../constants.js";
 import { createSettingsReload } from "../createSettingsReload/index.js";
@@ -38,6 +41,8 @@
 interface VmServicesOptions {
     /** Writes one log line. */
     readonly writeLog: (line: string) => void;
+    /** Where metrics are served; 0 takes any free port. */
+    readonly metricsPort: number;
     /** Reads the settings file anew. */
     readonly readSettings: () => VmSettings;
     /** Calls the listener when the settings file has changed; returns the function that ends this. */
@@ -87,6 +92,7 @@
                 ServiceName.Random,
                 ServiceName.PlatformStore,
                 ServiceName.Directory,
+                ServiceName.Metrics,
                 ServiceName.Logger,
             ],
             create: (
@@ -94,8 +100,9 @@
                 random: RandomSource,
                 store: PlatformStore,
                 directory: Directory,
+                metrics: Metrics,
                 logger: Logger,
-            ) => createDirectoryFollower({ clock, random, store, directory, log: logger.topic("directory") }),
+            ) => createDirectoryFollower({ clock, random, store, directory, metrics, log: logger.topic("directory") }),
         },
         {
             name: ServiceName.Primaries,
@@ -111,18 +118,26 @@
                 ServiceName.Directory,
                 ServiceName.Primaries,
                 ServiceName.Duty,
+                ServiceName.Metrics,
                 ServiceName.Logger,
             ],
-            create: (clock: Clock, directory: Directory, primaries: Primaries, duty: Duty, logger: Logger) =>
-                createPlacement({
-                    clock,
-                    directory,
-                    primaries,
-                    open: openEndpoint,
-                    place: settings,
-                    vmCount: () => Math.max(duty.otherVms().length + 1, vmConstants.assumedVms),
-                    log: logger.topic("placement"),
-                }),
+            create: (
+                clock: Clock,
+                directory: Directory,
+                primaries: Primaries,
+                duty: Duty,
+                metrics: Metrics,
+                logger: Logger,
+            ) => createPlacement({
+                clock,
+                directory,
+                primaries,
+                open: openEndpoint,
+                place: settings,
+                vmCount: () => Math.max(duty.otherVms().length + 1, vmConstants.assumedVms),
+                metrics,
+                log: logger.topic("placement"),
+            }),
         },
         {
             name: ServiceName.PrimaryCertainty,
@@ -131,6 +146,7 @@
                 ServiceName.Primaries,
                 ServiceName.Duty,
                 ServiceName.EndpointControl,
+                ServiceName.Metrics,
                 ServiceName.Logger,
             ],
             create: (
@@ -138,15 +154,16 @@
                 primaries: Primaries,
                 duty: Duty,
                 control: EndpointControl,
+                metrics: Metrics,
                 logger: Logger,
-            ) =>
-                createPrimaryCertainty({
-                    directory,
-                    primaries,
-                    hasLease: duty.hasLease,
-                    askLeading: endpointId => isPrimaryAnswering(control.run, endpointId),
-                    log: logger.topic("primaries"),
-                }),
+            ) => createPrimaryCertainty({
+                directory,
+                primaries,
+                hasLease: duty.hasLease,
+                askLeading: endpointId => isPrimaryAnswering(control.run, endpointId),
+                metrics,
+                log: logger.topic("primaries"),
+            }),
         },
         {
             name: ServiceName.CallerSessions,
@@ -158,6 +175,7 @@
                 ServiceName.PositionEvidence,
                 ServiceName.PrimaryCertainty,
                 ServiceName.Placement,
+                ServiceName.Metrics,
                 ServiceName.Logger,
             ],
             create: (
@@ -168,11 +186,23 @@
                 evidence: PositionEvidence,
                 certainty: PrimaryCertainty,
                 placement: Placement,
+                metrics: Metrics,
                 logger: Logger,
             ) => {
                 const log = logger.topic("sessions");
                 const preparedNames = createPreparedNames();
-                const shared = { clock, random, directory, primaries, evidence, certainty, placement, preparedNames, log };
+                const shared = {
+                    clock,
+                    random,
+                    directory,
+                    primaries,
+                    evidence,
+                    certainty,
+                    placement,
+                    preparedNames,
+                    metrics,
+                    log,
+                };
                 return createCallerSessions(
                     { ...shared, renewal: createEvidenceRenewal(shared) },
                     { graceMilliseconds: settings.graceMilliseconds },
@@ -180,6 +210,21 @@
             },
         },
         ...listDutyServices(settings),
+        { name: ServiceName.Metrics, dependencies: [], create: createMetrics },
+        {
+            name: ServiceName.MetricsServer,
+            dependencies: [ServiceName.Metrics, ServiceName.CallerSessions, ServiceName.Duty, ServiceName.Logger],
+            create: (metrics: Metrics, sessions: CallerSessions, duty: Duty, logger: Logger) => {
+                metrics.observe("tarragonpost_sessions", "Open sessions.", sessions.count);
+                metrics.observe(
+                    "tarragonpost_lease_held",
+                    "1 with a lease on the primaries.",
+                    () => duty.hasLease() ? 1 : 0,
+                );
+                const { host } = settings.callerAddress;
+                return createMetricsServer({ host, port: options.metricsPort, metrics, log: logger.topic("metrics") });
+            },
+        },
         {
             name: ServiceName.SettingsReload,
             dependencies: [ServiceName.Clock, ServiceName.Logger],
