--- a/src/platform/listenForCallers/index.ts
+++ b/src/platform/listenForCallers/index.ts
@@ -11,9 +11,7 @@
 import { createLineSplitter } from "../createLineSplitter/index.js";
 import { decodeMessage } from "../decodeMessage/index.js";
 import { decodeStatement } from "../decodeStatement/index.js";
-import { failureWords } from "../failureWords.js";
-import { formatPosition } from "../formatPosition/index.js";
-import { stateWords } from "../stateWords.js";
+import { encodeMessage } from "../encodeMessage/index.js";
 import type { WireMessage } from "../types/WireMessage.js";
 import { WireMessageKind } from "../types/WireMessageKind.js";
 
@@ -76,12 +74,12 @@
         setTimeout(() => socket.destroy(), platformConstants.lingerMilliseconds).unref();
     }
 
-    function encodeFailure({ code, description }: StatementFailure): string {
-        return `ERROR ${failureWords[code]} ${description}\r\n`;
+    function encodeReady(state: SessionState, position: LogPosition | undefined): string {
+        return encodeMessage({ kind: WireMessageKind.Ready, state, position });
     }
 
-    function encodeReady(state: SessionState, position: LogPosition | undefined): string {
-        return `READY ${stateWords[state]} ${position === undefined ? "-" : formatPosition(position)}\r\n`;
+    function encodeFailure(failure: StatementFailure): string {
+        return encodeMessage({ kind: WireMessageKind.Error, failure });
     }
 
     return {
@@ -91,8 +89,9 @@
         onClose: listener => socket.once("close", listener),
         sendReady: (state, position) => write(encodeReady(state, position)),
         sendSuccess: ({ rows, signature, state, position }) => {
-            const rowLines = rows.map(row => `ROW ${row}\r\n`).join("");
-            write(`${rowLines}COMPLETE ${signature ?? "-"}\r\n${encodeReady(state, position)}`);
+            const rowLines = rows.map(text => encodeMessage({ kind: WireMessageKind.Row, text })).join("");
+            const completion = encodeMessage({ kind: WireMessageKind.Complete, signature: signature ?? "-" });
+            write(rowLines + completion + encodeReady(state, position));
         },
         sendFailure: (failure, state) => write(encodeFailure(failure) + encodeReady(state, undefined)),
         refuse: failure => {
