--- a/src/binaries/node/index.ts
+++ b/src/binaries/node/index.ts
@@ -10,7 +10,7 @@
 let settingsFile = "";
 const writeLog = createBoundedWriter(process.stdout, createSystemClock());
 
-await runBinary({
+void runBinary({
     name: "tarragonpost-node",
     description: "Serves callers on a VM of the users' platform.",
     findSettingsFile,
--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -2,6 +2,9 @@
 export const callerSessionConstants = {
     /** A caller that opened a connection has this long to open its session, in milliseconds. */
     openMilliseconds: 10_000,
+    /** A session that is opened before the first routing table is known waits for it, at most this long. */
+    directoryMilliseconds: 1_800,
+    directoryCheckMilliseconds: 20,
     /** An idle session is looked at again after this time, in milliseconds. */
     idleMilliseconds: 3_600_000,
     /** Commands that may wait for their turn in one session. */
--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -120,6 +120,11 @@
                 reportUnreadable(command);
                 return undefined;
             }
+            if (!await isDirectoryKnown()) {
+                log("session refused", { database: command.database, reason: "no routing table is known yet" });
+                connection.refuse({ code: FailureCode.Busy, description: "this process has just started" });
+                return undefined;
+            }
             if (directory.routeOf(command.database) === undefined) {
                 log("session refused", { database: command.database, version: directory.version() });
                 connection.refuse({ code: FailureCode.UnknownDatabase, description: "no route leads to it" });
@@ -130,6 +135,16 @@
             return command.database;
         }
 
+        /** A process that has just started knows no routes: that a database is unknown would not be true. */
+        async function isDirectoryKnown(): Promise<boolean> {
+            const { directoryMilliseconds, directoryCheckMilliseconds } = callerSessionConstants;
+            const until = clock.now() + directoryMilliseconds;
+            while (directory.version() === 0 && clock.now() < until) {
+                await clock.sleep(directoryCheckMilliseconds);
+            }
+            return directory.version() > 0;
+        }
+
         function reportUnreadable(command: CallerCommand | undefined): void {
             if (command?.kind === CallerCommandKind.Unreadable) {
                 log("caller sent what cannot be read", { reason: command.reason });
--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -6,7 +6,7 @@
     firstReopenMilliseconds: 100,
     greatestReopenMilliseconds: 1_000,
     /** Pause after the endpoint accepted no further connection, in milliseconds. */
-    connectionLimitMilliseconds: 1_000,
+    connectionLimitMilliseconds: 400,
     /** Share of an endpoint's connection limit that all VMs together use. */
     connectionShare: 0.95,
     /** Connections that a VM may use although its share is smaller. */
