--- /dev/null
+++ b/src/platform/standIns/createCallerStandIn/index.ts
@@ -0,0 +1,94 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import type { SessionState } from "../../../statements/types/SessionState.js";
+import type { StatementFailure } from "../../../statements/types/StatementFailure.js";
+import { createLineSplitter } from "../../createLineSplitter/index.js";
+import { decodeMessage } from "../../decodeMessage/index.js";
+import { encodeMessage } from "../../encodeMessage/index.js";
+import { WireMessageKind } from "../../types/WireMessageKind.js";
+import type { CallerAnswer } from "../types/CallerAnswer.js";
+import type { CallerStandIn } from "../types/CallerStandIn.js";
+
+const maximumMessageBytes = 2_097_152;
+let openedSessions = 0;
+
+/**
+ * Opens a session as the users' callers do.
+ *
+ * @param port Where the VM listens on the loopback address.
+ * @param database The database to open.
+ * @returns The session and the answer to its opening.
+ *
+ * @example
+ * const { caller } = await createCallerStandIn(port, "shop");
+ * const { rows } = await caller.run("READ 1a4");
+ */
+export async function createCallerStandIn(
+    port: number,
+    database: string,
+): Promise<{ readonly caller: CallerStandIn; readonly opening: CallerAnswer; }> {
+    const socket = connect({ host: "127.0.0.1", port, noDelay: true });
+    const splitter = createLineSplitter(maximumMessageBytes);
+    const answers: CallerAnswer[] = [];
+    const takers: ((answer: CallerAnswer) => void)[] = [];
+    openedSessions += 1;
+    const session = openedSessions;
+    let statements = 0;
+    let rows: string[] = [];
+    let signature: string | undefined;
+    let failure: StatementFailure | undefined;
+
+    function deliver(state: SessionState | undefined): void {
+        const answer = { rows, signature, failure, state };
+        rows = [];
+        signature = undefined;
+        failure = undefined;
+        const take = takers.shift();
+        if (take === undefined) {
+            answers.push(answer);
+        }
+        else {
+            take(answer);
+        }
+    }
+
+    socket.on("error", () => socket.destroy());
+    const closed = once(socket, "close").then(() => deliver(undefined));
+    socket.on("data", chunk => {
+        for (const line of splitter.push(chunk) ?? []) {
+            const message = decodeMessage(line);
+            if (message.kind === WireMessageKind.Row) {
+                rows.push(message.text);
+            }
+            else if (message.kind === WireMessageKind.Complete) {
+                signature = message.signature;
+            }
+            else if (message.kind === WireMessageKind.Error) {
+                failure = message.failure;
+            }
+            else if (message.kind === WireMessageKind.Ready) {
+                deliver(message.state);
+            }
+        }
+    });
+
+    function nextAnswer(): Promise<CallerAnswer> {
+        const answer = answers.shift();
+        return answer === undefined ? new Promise(resolve => takers.push(resolve)) : Promise.resolve(answer);
+    }
+
+    const caller: CallerStandIn = {
+        run: text => {
+            statements += 1;
+            socket.write(encodeMessage({ kind: WireMessageKind.Query, id: caller.lastId(), text }), "latin1");
+            return nextAnswer();
+        },
+        sendRaw: bytes => void socket.write(bytes, "latin1"),
+        nextAnswer,
+        lastId: () => `s${session}q${statements}`,
+        closed,
+        close: () => socket.destroy(),
+    };
+    socket.write(encodeMessage({ kind: WireMessageKind.Startup, database, user: "u1" }), "latin1");
+    return { caller, opening: await nextAnswer() };
+}
--- /dev/null
+++ b/src/platform/standIns/types/CallerAnswer.ts
@@ -0,0 +1,11 @@
+import type { SessionState } from "../../../statements/types/SessionState.js";
+import type { StatementFailure } from "../../../statements/types/StatementFailure.js";
+
+/** What a caller was answered. */
+export interface CallerAnswer {
+    readonly rows: readonly string[];
+    readonly signature?: string;
+    readonly failure?: StatementFailure;
+    /** Undefined when the connection was closed before the answer was complete. */
+    readonly state?: SessionState;
+}
--- /dev/null
+++ b/src/testing/startVm/index.ts
@@ -0,0 +1,68 @@
+import { createKernel } from "../../kernel/createKernel/index.js";
+import type { Kernel } from "../../kernel/types/Kernel.js";
+import { askReadiness } from "../../platform/standIns/askReadiness/index.js";
+import type { PlatformStandIn } from "../../platform/standIns/types/PlatformStandIn.js";
+import { reservePorts } from "../../site/reservePorts/index.js";
+import { listVmServices } from "../../vm/listVmServices/index.js";
+import type { VmSettings } from "../../vm/types/VmSettings.js";
+
+/** The program of a VM, running in the test's process. */
+interface StartedVm {
+    readonly settings: VmSettings;
+    readonly kernel: Kernel;
+    /** The log lines that it wrote, decoded. */
+    readonly logLines: readonly Readonly<Record<string, unknown>>[];
+    /** Whether it takes new connections. */
+    isReady(): Promise<boolean>;
+    /** Stops it in order. */
+    stop(): Promise<void>;
+}
+
+/** Settings that a test may change. */
+type VmOptions = Partial<Pick<VmSettings, "graceMilliseconds" | "availabilityZone">>;
+
+/**
+ * Starts the program of a VM against the platform's stand-in.
+ *
+ * @param name Name of the VM.
+ * @param platform The platform.
+ * @param options Settings that differ.
+ * @returns The running program.
+ *
+ * @example
+ * const vm = await startVm("vm-1", platform);
+ */
+export async function startVm(name: string, platform: PlatformStandIn, options: VmOptions = {}): Promise<StartedVm> {
+    const [callerPort, readinessPort, peerPort] = await reservePorts(3);
+    const addressOf = (port: number) => ({ host: "127.0.0.1", port, availabilityZone: "a" });
+    const settings: VmSettings = {
+        name,
+        availabilityZone: "a",
+        region: "north",
+        regionsByZone: { a: "north", b: "north", c: "south" },
+        callerAddress: addressOf(callerPort!),
+        readinessAddress: addressOf(readinessPort!),
+        peerAddress: addressOf(peerPort!),
+        seedAddresses: [],
+        storeAddress: addressOf(platform.store.port),
+        promotionAddress: addressOf(platform.promotionPort),
+        graceMilliseconds: 1_000,
+        memoryMegabytes: 350,
+        ...options,
+    };
+    const logLines: Record<string, unknown>[] = [];
+    const kernel = createKernel(listVmServices(settings, {
+        writeLog: line => logLines.push(JSON.parse(line) as Record<string, unknown>),
+        metricsPort: 0,
+        readSettings: () => settings,
+        onSettingsSignal: () => () => {},
+    }));
+    await kernel.start();
+    return {
+        settings,
+        kernel,
+        logLines,
+        isReady: () => askReadiness(readinessPort!),
+        stop: kernel.stop,
+    };
+}
