--- /dev/null
+++ b/src/directory/createDirectory/test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
+import { createKnownDirectory } from "../../testing/createKnownDirectory/index.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { createRoute } from "../../testing/createRoute/index.js";
+import { directoryConstants } from "../constants.js";
+
+describe("createDirectory", () => {
+    it("takes only newer routing tables, whoever tells them", () => {
+        const directory = createKnownDirectory(createManualClock(), []);
+        const table = {
+            version: 5,
+            routes: [createRoute({ database: "new" })],
+            groups: [],
+            idleTransactionMilliseconds: 1,
+        };
+        assert.ok(directory.applyRoutingTable(table));
+        assert.equal(directory.applyRoutingTable({ ...table, version: 4, routes: [] }), false);
+        assert.equal(directory.version(), 5);
+        assert.equal(directory.routeOf("new")?.database, "new");
+        assert.equal(directory.routeOf("shop"), undefined);
+    });
+
+    it("keeps an endpoint whose record vanished for a moment, then lets it leave, then forgets it", async () => {
+        const clock = createManualClock();
+        const directory = createKnownDirectory(clock, [createEndpointRecord()]);
+        directory.applyEndpoints({ isWhole: true, changes: [] });
+        assert.equal(directory.endpoint("i-1")?.isLeaving, false);
+        await clock.advance(directoryConstants.vanishedMilliseconds);
+        assert.equal(directory.endpoint("i-1")?.isLeaving, true);
+        await clock.advance(directoryConstants.departureMilliseconds);
+        assert.equal(directory.endpoint("i-1"), undefined);
+    });
+
+    it("takes an endpoint back that registers again in between", async () => {
+        const clock = createManualClock();
+        const directory = createKnownDirectory(clock, [createEndpointRecord()]);
+        directory.applyEndpoints({ isWhole: false, changes: [{ name: "i-1", revision: 2, item: undefined }] });
+        await clock.advance(directoryConstants.vanishedMilliseconds - 1);
+        const item = createEndpointRecord({ revision: 3 });
+        directory.applyEndpoints({ isWhole: false, changes: [{ name: "i-1", revision: 3, item }] });
+        await clock.advance(directoryConstants.vanishedMilliseconds + directoryConstants.departureMilliseconds);
+        assert.equal(directory.endpoint("i-1")?.isLeaving, false);
+    });
+
+    it("does not let a VM that knows less bring back an endpoint that is gone", () => {
+        const directory = createKnownDirectory(createManualClock(), [createEndpointRecord({ isLeaving: true })]);
+        directory.applyEndpoints({ isWhole: false, changes: [{ name: "i-1", revision: 2, item: undefined }] });
+        assert.equal(directory.endpoint("i-1"), undefined);
+        const item = createEndpointRecord();
+        directory.applyEndpoints({ isWhole: false, changes: [{ name: "i-1", revision: 1, item }] });
+        assert.equal(directory.endpoint("i-1"), undefined);
+    });
+
+    it("keeps the others when a record cannot be read", () => {
+        const directory = createKnownDirectory(createManualClock(), [createEndpointRecord()]);
+        directory.applyEndpoints({
+            isWhole: false,
+            changes: [{ name: "i-9", revision: 4, item: undefined, problem: "no address" }],
+        });
+        assert.deepEqual(directory.endpointsOf("orders").map(({ id }) => id), ["i-1"]);
+    });
+});
--- /dev/null
+++ b/src/directory/followFeed/test.ts
@@ -0,0 +1,50 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { directoryConstants } from "../constants.js";
+import type { Feed } from "../types/Feed.js";
+import { followFeed } from "./index.js";
+
+describe("followFeed", () => {
+    it("asks for a prompt answer after a failure, and lists anew when the history is gone", async () => {
+        const clock = createManualClock();
+        const end = new AbortController();
+        const calls: string[] = [];
+        let watches = 0;
+        const feed: Feed<string> = {
+            list: async () => {
+                calls.push("list");
+                return { changes: [{ name: "main", revision: 1, item: `list ${calls.length}` }], revision: 1 };
+            },
+            waitForChanges: async (_revision, waitMilliseconds) => {
+                calls.push(`watch ${waitMilliseconds}`);
+                watches += 1;
+                if (watches === 1) {
+                    throw new Error("no answer in time");
+                }
+                return watches === 2 ? { changes: [], revision: 1 } : undefined;
+            },
+        };
+        const updates = followFeed(feed, {
+            clock,
+            random: createRandomSource(1),
+            signal: end.signal,
+            onFailure: () => {},
+            onAnswer: () => {},
+        });
+        assert.equal((await updates.next()).value?.isWhole, true);
+        const second = updates.next();
+        await clock.advance(directoryConstants.greatestRetryMilliseconds);
+        assert.equal((await second).value?.isWhole, true);
+        end.abort();
+        const { watchMilliseconds, cautiousWatchMilliseconds } = directoryConstants;
+        assert.deepEqual(calls, [
+            "list",
+            `watch ${watchMilliseconds}`,
+            `watch ${cautiousWatchMilliseconds}`,
+            `watch ${watchMilliseconds}`,
+            "list",
+        ]);
+    });
+});
--- /dev/null
+++ b/src/duty/createLease/test.ts
@@ -0,0 +1,40 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { dutyConstants } from "../constants.js";
+import { createLease } from "./index.js";
+
+function createTwoClocks() {
+    const times = { now: 0, wall: 1_000_000 };
+    return {
+        times,
+        clock: { now: () => times.now, wallTime: () => times.wall, sleep: async () => {} },
+        pass: (milliseconds: number): void => {
+            times.now += milliseconds;
+            times.wall += milliseconds;
+        },
+    };
+}
+
+describe("createLease", () => {
+    it("counts from before the question", () => {
+        const { clock, pass } = createTwoClocks();
+        const lease = createLease(clock);
+        assert.equal(lease.isHeld(), false);
+        lease.prepare();
+        pass(400);
+        lease.grant();
+        pass(dutyConstants.leaseMilliseconds - 401);
+        assert.ok(lease.isHeld());
+        pass(1);
+        assert.equal(lease.isHeld(), false);
+    });
+
+    it("ends when the machine was suspended, although the monotonic clock stood still", () => {
+        const { clock, times } = createTwoClocks();
+        const lease = createLease(clock);
+        lease.prepare();
+        lease.grant();
+        times.wall += 3_500;
+        assert.equal(lease.isHeld(), false);
+    });
+});
--- /dev/null
+++ b/src/duty/createVmList/test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { dutyConstants } from "../constants.js";
+import { createVmList } from "./index.js";
+
+const address = { host: "127.0.0.1", port: 1, availabilityZone: "a" };
+
+describe("createVmList", () => {
+    it("is not attended while a VM that may live is silent, although it is listed no more", async () => {
+        const clock = createManualClock();
+        const vms = createVmList(clock);
+        vms.note({ name: "vm-1", address, incarnation: "1" });
+        vms.note({ name: "vm-2", address, incarnation: "1" });
+        assert.ok(vms.areAllHeard(900));
+        await clock.advance(dutyConstants.forgetMilliseconds + 1);
+        vms.note({ name: "vm-1", address, incarnation: "1" });
+        assert.deepEqual(vms.list().map(({ name }) => name), ["vm-1"]);
+        assert.equal(vms.areAllHeard(900), false);
+    });
+
+    it("changes its version with the VMs, not with what they say", () => {
+        const vms = createVmList(createManualClock());
+        vms.note({ name: "vm-1", address, incarnation: "1" });
+        vms.list();
+        const version = vms.version();
+        vms.note({ name: "vm-1", address, incarnation: "1" });
+        vms.list();
+        assert.equal(vms.version(), version);
+        vms.note({ name: "vm-1", address, incarnation: "2" });
+        assert.notEqual(vms.version(), version);
+    });
+});
--- /dev/null
+++ b/src/primaries/createPrimaries/test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
+import { createKnownDirectory } from "../../testing/createKnownDirectory/index.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { primaryConstants } from "../constants.js";
+import { createPrimaries } from "./index.js";
+
+function createSite() {
+    const clock = createManualClock();
+    const directory = createKnownDirectory(clock, [
+        createEndpointRecord({ id: "i-1", isPrimary: true, revision: 1 }),
+        createEndpointRecord({ id: "i-2", revision: 2 }),
+    ]);
+    const primaries = createPrimaries(clock, directory, () => {});
+    const register = (id: string, isPrimary: boolean, revision: number): void => {
+        const item = createEndpointRecord({ id, isPrimary, revision });
+        directory.applyEndpoints({ isWhole: false, changes: [{ name: id, revision, item }] });
+    };
+    return { clock, directory, primaries, register };
+}
+
+describe("createPrimaries", () => {
+    it("believes the record, and holds back while the primary is being changed", async () => {
+        const { clock, primaries } = createSite();
+        assert.equal(primaries.primaryOf("orders")?.id, "i-1");
+        primaries.beginChange("orders", 2);
+        assert.equal(primaries.primaryOf("orders"), undefined);
+        primaries.finishChange("orders", "i-2", 2);
+        assert.equal(primaries.primaryOf("orders")?.id, "i-2");
+        primaries.beginChange("orders", 3);
+        await clock.advance(primaryConstants.changeMilliseconds);
+        assert.equal(primaries.primaryOf("orders")?.id, "i-2");
+    });
+
+    it("does not fall back to a superseded primary that registers again", () => {
+        const { primaries, register } = createSite();
+        primaries.finishChange("orders", "i-2", 2);
+        register("i-1", true, 9);
+        assert.equal(primaries.primaryOf("orders")?.id, "i-2");
+        assert.equal(primaries.isDisputed("orders"), false);
+    });
+
+    it("calls a second claim a dispute while nobody has told who is the primary", () => {
+        const { primaries, register } = createSite();
+        register("i-2", true, 9);
+        assert.equal(primaries.isDisputed("orders"), true);
+    });
+
+    it("asks an endpoint again after it refused for a moment", async () => {
+        const { clock, directory, primaries } = createSite();
+        primaries.noteNotPrimary(directory.endpoint("i-1")!);
+        assert.equal(primaries.primaryOf("orders"), undefined);
+        await clock.advance(primaryConstants.refutedMilliseconds + 1);
+        assert.equal(primaries.primaryOf("orders")?.id, "i-1");
+    });
+
+    it("doubts a primary that answered with a lower term than was seen since, but not one that never answered", () => {
+        const { directory, primaries, register } = createSite();
+        primaries.notePosition(directory.endpoint("i-1")!, { term: 1, entry: 5 });
+        primaries.notePosition(directory.endpoint("i-2")!, { term: 2, entry: 6 });
+        assert.equal(primaries.primaryOf("orders"), undefined);
+        register("i-2", true, 9);
+        primaries.notePosition(createEndpointRecord({ id: "i-3" }), { term: 3, entry: 7 });
+        assert.equal(primaries.primaryOf("orders")?.id, "i-2");
+    });
+});
--- /dev/null
+++ b/src/testing/createKnownDirectory/index.ts
@@ -0,0 +1,33 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import { createDirectory } from "../../directory/createDirectory/index.js";
+import type { Directory } from "../../directory/types/Directory.js";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { createRoute } from "../createRoute/index.js";
+
+const connectionLimit = 21;
+const idleTransactionMilliseconds = 3_000;
+
+/**
+ * Creates a directory for tests that knows endpoints of the group `orders` and one route.
+ *
+ * @param clock Source of time.
+ * @param records The endpoints.
+ * @returns The directory.
+ *
+ * @example
+ * const directory = createKnownDirectory(clock, [createEndpointRecord({ isPrimary: true })]);
+ */
+export function createKnownDirectory(clock: Clock, records: readonly EndpointRecord[]): Directory {
+    const directory = createDirectory(clock, () => {});
+    directory.applyRoutingTable({
+        version: 1,
+        routes: [createRoute()],
+        groups: [{ group: "orders", connectionLimit, synchronousReplicas: 0 }],
+        idleTransactionMilliseconds,
+    });
+    directory.applyEndpoints({
+        isWhole: true,
+        changes: records.map(item => ({ name: item.id, revision: item.revision, item })),
+    });
+    return directory;
+}
