--- /dev/null
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -0,0 +1,107 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createMetrics } from "../../metrics/createMetrics/index.js";
+import type { EndpointLease } from "../../placement/types/EndpointLease.js";
+import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
+import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { AccessMode } from "../../statements/types/AccessMode.js";
+import { FailureCode } from "../../statements/types/FailureCode.js";
+import { SessionState } from "../../statements/types/SessionState.js";
+import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
+import { StatementKind } from "../../statements/types/StatementKind.js";
+import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
+import { createKnownDirectory } from "../../testing/createKnownDirectory/index.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { createRoute } from "../../testing/createRoute/index.js";
+import { createPreparedNames } from "../createPreparedNames/index.js";
+import { AttemptKind } from "../types/AttemptKind.js";
+import type { CallerStatement } from "../types/CallerStatement.js";
+import type { SessionServices } from "../types/SessionServices.js";
+import { attemptStatement } from "./index.js";
+
+const endpoint = createEndpointRecord({ isPrimary: true });
+
+function createAttempt(mode: AccessMode, isConfirmed: readonly boolean[], answer: Partial<StatementAnswer>) {
+    const clock = createManualClock();
+    const directory = createKnownDirectory(clock, [endpoint]);
+    const confirmations = [...isConfirmed];
+    const services: SessionServices = {
+        clock,
+        random: createRandomSource(1),
+        directory,
+        primaries: createPrimaries(clock, directory, () => {}),
+        evidence: createPositionEvidence(),
+        certainty: { isSure: () => false, confirm: async () => confirmations.shift() ?? false },
+        placement: {
+            acquire: () => Promise.reject(new Error("not needed")),
+            noteLagging: () => {},
+            noteBusy: () => {},
+            stop: async () => {},
+        },
+        renewal: { renew: async () => {}, renewIfOld: () => {} },
+        preparedNames: createPreparedNames(),
+        metrics: createMetrics(),
+        log: () => {},
+    };
+    const statement: CallerStatement = {
+        id: "q1",
+        statement: { kind: mode === AccessMode.Read ? StatementKind.Read : StatementKind.Write, text: "a 1" },
+        mode,
+        route: createRoute(),
+        session: { database: "shop", values: new Map([["unit", "kg"]]), prepared: new Map(), commits: new Map() },
+        receivedAt: 0,
+        expiresAt: 1_000,
+    };
+    let exchanges = 0;
+    const lease: EndpointLease = {
+        endpoint,
+        isPrimary: true,
+        pooled: { session: undefined as never, endpointStartedAt: 1, values: new Map(), prepared: new Set() },
+        exchange: async statements => {
+            exchanges += 1;
+            const done: StatementAnswer = { rows: [], signature: "ok", state: SessionState.Idle };
+            return statements.map((_statement, index) =>
+                index === statements.length - 1 ? { ...done, ...answer } : done
+            );
+        },
+        release: () => {},
+        discard: () => {},
+    };
+    const run = () => attemptStatement(statement, { lease, leastPosition: undefined }, 500, services);
+    return { run, lease, exchanges: () => exchanges };
+}
+
+describe("attemptStatement", () => {
+    it("does not send a write of which it could not tell the outcome, and sets nothing on the connection", async () => {
+        const { run, lease, exchanges } = createAttempt(AccessMode.Write, [false], {});
+        const attempt = await run();
+        assert.equal(attempt.kind, AttemptKind.Repeatable);
+        assert.equal(attempt.outcome.failure?.code, FailureCode.Busy);
+        assert.equal(exchanges(), 0);
+        assert.equal(lease.pooled.values.size, 0);
+    });
+
+    it("says that the outcome is unknown when the endpoint may have been superseded meanwhile", async () => {
+        const attempt = await createAttempt(AccessMode.Write, [true, false], {}).run();
+        assert.equal(attempt.kind, AttemptKind.Final);
+        assert.equal(attempt.outcome.failure?.code, FailureCode.OutcomeUnknown);
+    });
+
+    it("does not pass on what a read saw at an endpoint that may have been superseded", async () => {
+        const attempt = await createAttempt(AccessMode.Read, [false], {}).run();
+        assert.equal(attempt.kind, AttemptKind.Repeatable);
+    });
+
+    it("passes on what a confirmed primary answered", async () => {
+        const attempt = await createAttempt(AccessMode.Write, [true, true], {}).run();
+        assert.equal(attempt.kind, AttemptKind.Final);
+        assert.equal(attempt.outcome.signature, "ok");
+    });
+
+    it("takes a refusal for what it says: the statement did not run", async () => {
+        const failure = { code: FailureCode.Busy, description: "no slot" };
+        const attempt = await createAttempt(AccessMode.Write, [true], { signature: undefined, failure }).run();
+        assert.equal(attempt.kind, AttemptKind.Repeatable);
+    });
+});
--- /dev/null
+++ b/src/duty/createDuty/test.ts
@@ -0,0 +1,98 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createDutyFleet } from "../../testing/createDutyFleet/index.js";
+import { AnnouncementPhase } from "../types/AnnouncementPhase.js";
+
+const names = ["vm-1", "vm-2", "vm-3"];
+const settleMilliseconds = 3_000;
+
+async function startFleet() {
+    const fleet = createDutyFleet(names);
+    await fleet.start();
+    await fleet.clock.advance(settleMilliseconds);
+    const [holder] = fleet.holders();
+    const others = names.filter(name => name !== holder);
+    return { fleet, holder: holder!, others };
+}
+
+describe("createDuty", () => {
+    it("finds one holder, on which all others rely", async () => {
+        const { fleet } = await startFleet();
+        assert.equal(fleet.holders().length, 1);
+        assert.ok(names.every(name => fleet.dutyOf(name).hasLease()));
+        assert.deepEqual(fleet.dutyOf(names[0]!).otherVms().map(({ name }) => name).sort(), ["vm-2", "vm-3"]);
+    });
+
+    it("gives the duty to another VM with a higher token when the holder dies", async () => {
+        const { fleet, holder, others } = await startFleet();
+        const token = fleet.dutyOf(holder).heldToken()!;
+        await fleet.dutyOf(holder).stop();
+        fleet.isolate(holder);
+        await fleet.clock.advance(settleMilliseconds);
+        const next = others.filter(name => fleet.dutyOf(name).heldToken() !== undefined);
+        assert.equal(next.length, 1);
+        assert.ok(fleet.dutyOf(next[0]!).heldToken()! > token);
+        assert.ok(others.every(name => fleet.dutyOf(name).hasLease()));
+    });
+
+    it("leaves the duty where it is while another VM hears the holder", async () => {
+        const { fleet, holder, others } = await startFleet();
+        fleet.cuts.add(`${others[0]}>${holder}`);
+        fleet.cuts.add(`${holder}>${others[0]}`);
+        await fleet.clock.advance(settleMilliseconds);
+        assert.deepEqual(fleet.holders(), [holder]);
+        assert.equal(fleet.dutyOf(others[0]!).hasLease(), false);
+        assert.ok(fleet.dutyOf(others[1]!).hasLease());
+    });
+
+    it("grants no lease when it is cut off with some VMs, since another holder may act", async () => {
+        const { fleet, holder, others } = await startFleet();
+        const [companion, outsider] = others as [string, string];
+        for (const name of [holder, companion]) {
+            fleet.cuts.add(`${name}>${outsider}`);
+            fleet.cuts.add(`${outsider}>${name}`);
+        }
+        fleet.records.isServing = false;
+        await fleet.clock.advance(settleMilliseconds);
+        assert.equal(fleet.dutyOf(companion).hasLease(), false);
+        assert.equal(fleet.dutyOf(holder).hasLease(), false);
+        assert.equal(await fleet.dutyOf(holder).verify(), undefined);
+    });
+
+    it("goes on while the store is away and all VMs are in touch", async () => {
+        const { fleet, holder } = await startFleet();
+        fleet.records.isServing = false;
+        await fleet.clock.advance(2 * settleMilliseconds);
+        assert.deepEqual(fleet.holders(), [holder]);
+        assert.ok(names.every(name => fleet.dutyOf(name).hasLease()));
+    });
+
+    it("tells announcements to all, those too that did not hear them at once", async () => {
+        const { fleet, holder, others } = await startFleet();
+        fleet.cuts.add(`${holder}>${others[0]}`);
+        const change = { group: "orders", phase: AnnouncementPhase.Begun, term: 2 };
+        const unconfirmed = await fleet.dutyOf(holder).announce(change);
+        assert.deepEqual(unconfirmed.map(({ name }) => name), [others[0]]);
+        await fleet.clock.advance(settleMilliseconds);
+        assert.equal(fleet.announcementsOf(others[0]!).length, 1);
+        assert.equal(fleet.announcementsOf(others[1]!).length, 1);
+    });
+
+    it("waits until a VM that did not confirm relies on nothing older", async () => {
+        const { fleet, holder, others } = await startFleet();
+        const silent = others[0]!;
+        fleet.isolate(silent);
+        fleet.records.isServing = false;
+        const waiting = fleet.dutyOf(holder).waitForLeases([fleet.identityOf(silent)]);
+        let isOver = false;
+        void waiting.then(() => {
+            isOver = true;
+        });
+        while (fleet.dutyOf(silent).hasLease()) {
+            assert.equal(isOver, false);
+            await fleet.clock.advance(20);
+        }
+        await fleet.clock.advance(400);
+        assert.ok(isOver);
+    });
+});
--- /dev/null
+++ b/src/testing/createDutyFleet/index.ts
@@ -0,0 +1,93 @@
+import { createDuty } from "../../duty/createDuty/index.js";
+import type { Announcement } from "../../duty/types/Announcement.js";
+import type { Duty } from "../../duty/types/Duty.js";
+import type { VmIdentity } from "../../duty/types/VmIdentity.js";
+import type { VmPeer } from "../../duty/types/VmPeer.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { createKnownDirectory } from "../createKnownDirectory/index.js";
+import { createManualClock } from "../createManualClock/index.js";
+import { createMemoryRecords } from "../createMemoryRecords/index.js";
+
+/** One VM of the fleet. */
+interface FleetVm {
+    readonly identity: VmIdentity;
+    readonly duty: Duty;
+    readonly announcements: Announcement[];
+}
+
+/**
+ * Creates VMs that share a store and call each other in memory, with cuts between them.
+ *
+ * @param names Names of the VMs.
+ * @returns The fleet, not yet started.
+ *
+ * @example
+ * const fleet = createDutyFleet(["vm-1", "vm-2"]);
+ * await fleet.clock.advance(1_000);
+ */
+export function createDutyFleet(names: readonly string[]) {
+    const clock = createManualClock();
+    const records = createMemoryRecords();
+    /** Pairs of VMs that do not reach each other, written `from>to`; a VM that died reaches nobody. */
+    const cuts = new Set<string>();
+    const vms = new Map<string, FleetVm>();
+
+    function peerOf(from: string, { name: to }: VmIdentity): VmPeer {
+        const call = async <Result>(ask: (duty: Duty) => Result): Promise<Result> => {
+            if (cuts.has(`${from}>${to}`)) {
+                throw new Error("the VM did not answer in time");
+            }
+            return ask(vms.get(to)!.duty);
+        };
+        return {
+            renew: renewal => call(duty => duty.answerRenewal(renewal)),
+            askHeard: token => call(duty => duty.answerHeard(token)),
+            introduceHolder: holder => call(duty => duty.learnHolder(holder)),
+            announce: announcement => call(duty => duty.learnAnnouncement(announcement)),
+            command: () => Promise.reject(new Error("no endpoint is reached in this test")),
+        };
+    }
+
+    names.forEach((name, index) => {
+        const identity = {
+            name,
+            address: { host: "127.0.0.1", port: index + 1, availabilityZone: "a" },
+            incarnation: `${index}`,
+        };
+        const announcements: Announcement[] = [];
+        const duty = createDuty({
+            clock,
+            random: createRandomSource(index),
+            records,
+            directory: createKnownDirectory(clock, []),
+            self: identity,
+            peerOf: vm => peerOf(name, vm),
+            onAnnouncement: announcement => announcements.push(announcement),
+            log: () => {},
+        });
+        vms.set(name, { identity, duty, announcements });
+    });
+
+    function isolate(name: string): void {
+        for (const other of names.filter(candidate => candidate !== name)) {
+            cuts.add(`${name}>${other}`);
+            cuts.add(`${other}>${name}`);
+        }
+    }
+
+    return {
+        clock,
+        records,
+        cuts,
+        isolate,
+        dutyOf: (name: string) => vms.get(name)!.duty,
+        announcementsOf: (name: string) => vms.get(name)!.announcements,
+        identityOf: (name: string) => vms.get(name)!.identity,
+        holders: () => names.filter(name => vms.get(name)!.duty.heldToken() !== undefined),
+        start: async () => {
+            for (const { duty } of vms.values()) {
+                await duty.start();
+            }
+        },
+    };
+}
