--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -7,10 +7,14 @@
     greatestReopenMilliseconds: 1_000,
     /** Pause after the endpoint accepted no further connection, in milliseconds. */
     connectionLimitMilliseconds: 400,
-    /** Share of an endpoint's connection limit that all VMs together use. */
-    connectionShare: 0.95,
-    /** Connections that a VM may use although its share is smaller. */
-    leastConnections: 1,
+    /** Share of an endpoint's connection limit that all VMs together use; a restart finds the rest free. */
+    connectionShare: 0.6,
+    /** Share that they use when it is needed for the least number of connections each. */
+    greatestConnectionShare: 0.95,
+    /** Connections of a VM that let a statement pass while another one's transaction rests. */
+    leastConnections: 2,
+    /** Connections that a VM opens at once to one endpoint, so that many VMs that start together all get some. */
+    openingsAtOnce: 1,
     /** Most connections of one VM to one endpoint: more would only queue at the endpoint. */
     greatestConnections: 6,
     /** Pause of reads at an endpoint that lagged; doubles up to the greatest, in milliseconds. */
--- a/src/placement/createEndpointSessions/index.ts
+++ b/src/placement/createEndpointSessions/index.ts
@@ -73,7 +73,8 @@
 
     function tryOpen(): boolean {
         const record = options.record();
-        if (record === undefined || isClosed || clock.now() < pausedUntil || open + opening >= options.limit()) {
+        const isPaused = clock.now() < pausedUntil || opening >= placementConstants.openingsAtOnce;
+        if (record === undefined || isClosed || isPaused || open + opening >= options.limit()) {
             return false;
         }
         opening += 1;
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -11,6 +11,7 @@
 import { placementConstants } from "../constants.js";
 import { createEndpointScore } from "../createEndpointScore/index.js";
 import { createEndpointSessions } from "../createEndpointSessions/index.js";
+import { shareConnections } from "../shareConnections/index.js";
 import type { EndpointLease } from "../types/EndpointLease.js";
 import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { EndpointSessions } from "../types/EndpointSessions.js";
@@ -78,10 +79,7 @@
     });
 
     function connectionLimit(group: string): number {
-        const { connectionShare, leastConnections, greatestConnections } = placementConstants;
-        const limit = directory.groupSettings(group)?.connectionLimit ?? 0;
-        const share = Math.floor(limit * connectionShare / Math.max(options.vmCount(), 1));
-        return Math.min(Math.max(share, leastConnections), greatestConnections);
+        return shareConnections(directory.groupSettings(group)?.connectionLimit ?? 0, options.vmCount());
     }
 
     function targetOf(endpoint: EndpointRecord): Target {
