--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -37,6 +37,7 @@
             acquire: () => Promise.reject(new Error("not needed")),
             noteLagging: () => {},
             noteBusy: () => {},
+            answeredAt: () => 0,
             stop: async () => {},
         },
         renewal: { renew: async () => {}, renewIfOld: () => {} },
--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -178,7 +178,8 @@
                 forEachResting(session => !session.isInTransaction(), session => session.close());
             }
         }
-        log("sessions are closed", { left: sessions.size });
+        log("sessions are closed", { brokenOff: sessions.size });
+        sessions.forEach(session => session.close());
     }
 
     function endTransaction(session: OpenSession): void {
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -32,13 +32,6 @@
     readonly log: LogTopic;
 }
 
-/** The holder as the store names it. */
-interface KnownHolder {
-    readonly holder: DutyHolder;
-    /** Revision of the object; undefined when another VM told. */
-    readonly revision: number | undefined;
-}
-
 /**
  * Creates a VM's part in deciding which VM may change primaries.
  *
@@ -58,7 +51,7 @@
     const announcements = createAnnouncements(options.onAnnouncement);
     const exchange = createRenewalExchange({ self, directory: options.directory, vms, announcements });
     const end = new AbortController();
-    let known: KnownHolder | undefined;
+    let known: DutyHolder | undefined;
     let heardAt = -Infinity;
     const lease = createLease(clock);
     let tookOverAt = -Infinity;
@@ -67,16 +60,16 @@
     let isStopping = false;
 
     function heldToken(): number | undefined {
-        const isHeld = known !== undefined && known.holder.incarnation === self.incarnation && !isStopping;
-        return isHeld ? known!.holder.token : undefined;
+        const isHeld = known !== undefined && known.incarnation === self.incarnation && !isStopping;
+        return isHeld ? known!.token : undefined;
     }
 
-    function adopt(holder: DutyHolder, revision: number | undefined): void {
-        if (known !== undefined && holder.token < known.holder.token) {
+    function adopt(holder: DutyHolder): void {
+        if (known !== undefined && holder.token < known.token) {
             return;
         }
-        const isSame = known?.holder.token === holder.token;
-        known = { holder, revision: revision ?? (isSame ? known?.revision : undefined) };
+        const isSame = known?.token === holder.token;
+        known = holder;
         if (!isSame) {
             log("holder of the failover duty", {
                 holder: holder.name,
@@ -90,7 +83,7 @@
     }
 
     function adoptRecord(record: VersionedRecord): void {
-        adopt(record.content as DutyHolder, record.revision);
+        adopt(record.content as DutyHolder);
     }
 
     async function runRenewals(): Promise<void> {
@@ -114,11 +107,11 @@
             await verify();
             return dutyConstants.verificationMilliseconds;
         }
-        if (known.holder.name === self.name || failedRenewals >= dutyConstants.failedRenewals) {
+        if (known.name === self.name || failedRenewals >= dutyConstants.failedRenewals) {
             await contend();
             return dutyConstants.retryMilliseconds * random.next();
         }
-        await renew(known.holder);
+        await renew(known);
         return failedRenewals === 0 ? dutyConstants.renewalMilliseconds : dutyConstants.renewalRetryMilliseconds;
     }
 
@@ -131,7 +124,9 @@
         const sentAt = clock.now();
         try {
             lease.prepare();
-            const answer = await options.peerOf(holder).renew(exchange.createRenewal());
+            const answer = await options.peerOf(holder).renew(
+                exchange.createRenewal(failedRenewals === 0 && heardAt > -Infinity),
+            );
             if (!answer.isHolder || answer.token < holder.token) {
                 failedRenewals = dutyConstants.failedRenewals;
                 throw new Error("that VM is no longer the holder");
@@ -151,7 +146,7 @@
 
     /** Tries to become the holder, unless another VM hears the present one. */
     async function contend(): Promise<void> {
-        const { holder } = known!;
+        const holder = known!;
         await clock.sleep(rank() * dutyConstants.rankMilliseconds, end.signal);
         const record = await records.read(dutyConstants.recordName);
         if (record === undefined) {
@@ -179,7 +174,7 @@
     }
 
     function rank(): number {
-        const names = otherVms().map(vm => vm.name).filter(name => name !== known?.holder.name);
+        const names = otherVms().map(vm => vm.name).filter(name => name !== known?.name);
         return names.filter(name => name < self.name).length;
     }
 
@@ -194,7 +189,7 @@
 
     function introduce(): void {
         for (const vm of otherVms()) {
-            options.peerOf(vm).introduceHolder(known!.holder).catch((error: unknown) => {
+            options.peerOf(vm).introduceHolder(known!).catch((error: unknown) => {
                 log("VM was not told of the new holder", { vm: vm.name, reason: (error as Error).message });
             });
         }
@@ -213,8 +208,10 @@
             return heldToken();
         }
         catch (error) {
-            log("store does not confirm the holder", { reason: (error as Error).message });
-            return undefined;
+            // While all VMs hear this one, none has taken its place, and it may go on without the store.
+            const isAttended = vms.areAllAttending(dutyConstants.attendanceMilliseconds);
+            log("store does not confirm the holder", { isAttended, reason: (error as Error).message });
+            return isAttended ? heldToken() : undefined;
         }
     }
 
@@ -245,7 +242,7 @@
         }
         const { certaintyMilliseconds, attendanceMilliseconds } = dutyConstants;
         const now = clock.now();
-        return now - verifiedAt < certaintyMilliseconds || vms.areAllHeard(attendanceMilliseconds);
+        return now - verifiedAt < certaintyMilliseconds || vms.areAllAttending(attendanceMilliseconds);
     }
 
     async function waitForLeases(unconfirmed: readonly VmIdentity[]): Promise<void> {
@@ -265,17 +262,17 @@
     }
 
     function answerRenewal(renewal: Renewal): RenewalAnswer {
-        vms.note(self);
-        vms.note(renewal.vm);
+        vms.note(self, true);
+        vms.note(renewal.vm, renewal.hasHeardHolder);
         return exchange.answer(renewal, {
             isHolder: heldToken() !== undefined,
             isCertain: isCertain(),
-            token: known?.holder.token ?? 0,
+            token: known?.token ?? 0,
         });
     }
 
     function answerHeard(token: number): boolean {
-        return known?.holder.token === token
+        return known?.token === token
             && failedRenewals === 0
             && clock.now() - heardAt < dutyConstants.hearsayMilliseconds;
     }
@@ -289,7 +286,7 @@
         announce,
         answerRenewal,
         answerHeard,
-        learnHolder: holder => adopt(holder, undefined),
+        learnHolder: adopt,
         learnAnnouncement: announcements.learn,
         start: async () => void runRenewals(),
         stop: async () => {
--- a/src/duty/createDutyRouter/index.ts
+++ b/src/duty/createDutyRouter/index.ts
@@ -11,24 +11,31 @@
 /** Sends statements of the proxy itself to an endpoint. */
 type CommandRunner = (command: EndpointCommand) => Promise<readonly StatementAnswer[]>;
 
+/** Tells whether this VM reaches an endpoint. */
+type EndpointProbe = (endpointId: string) => Promise<boolean>;
+
 /**
  * Creates the router by which VMs speak with the holder of the failover duty and with each other, under `duty`.
  *
  * @param duty This VM's part.
  * @param runCommand Sends statements to an endpoint on behalf of another VM.
+ * @param probe Tells whether this VM reaches an endpoint.
  * @returns The router.
  * @throws TarragonpostError of kind `InvalidRequest`, to the peer, when it sends something malformed.
  *
  * @example
- * const server = createTransportServer({ router: createDutyRouter(duty, control.run), ...options });
+ * const server = createTransportServer({ router: createDutyRouter(duty, control.run, probe), ...options });
  */
-export function createDutyRouter(duty: Duty, runCommand: CommandRunner) {
+export function createDutyRouter(duty: Duty, runCommand: CommandRunner, probe: EndpointProbe) {
     const renew = trpc.procedure
         .input((input: unknown) => checkPeerValue(dutySchemas.renewal, input) as Renewal)
         .mutation(({ input }) => duty.answerRenewal(input));
     const askHeard = trpc.procedure
         .input((input: unknown) => checkPeerValue(dutySchemas.token, input))
         .query(({ input }) => duty.answerHeard(input));
+    const askReached = trpc.procedure
+        .input((input: unknown) => checkPeerValue(dutySchemas.endpointId, input))
+        .query(({ input }) => probe(input));
     const introduceHolder = trpc.procedure
         .input((input: unknown) => checkPeerValue(dutySchemas.holder, input) as DutyHolder)
         .mutation(({ input }) => duty.learnHolder(input));
@@ -38,5 +45,5 @@
     const command = trpc.procedure
         .input((input: unknown) => checkPeerValue(dutySchemas.command, input) as EndpointCommand)
         .mutation(({ input }) => runCommand(input));
-    return trpc.router({ duty: trpc.router({ renew, askHeard, introduceHolder, announce, command }) });
+    return trpc.router({ duty: trpc.router({ renew, askHeard, askReached, introduceHolder, announce, command }) });
 }
--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -21,7 +21,7 @@
 /** What VMs tell each other with each renewal; each side sends only what the other lacks. */
 interface RenewalExchange {
     /** What this VM tells the holder. */
-    createRenewal(): Renewal;
+    createRenewal(hasHeardHolder: boolean): Renewal;
     /** Takes the holder's answer in. */
     learn(answer: RenewalAnswer): void;
     /** Takes another VM's renewal in and answers it. */
@@ -36,7 +36,7 @@
  * @returns The exchange.
  *
  * @example
- * exchange.learn(await peer.renew(exchange.createRenewal()));
+ * exchange.learn(await peer.renew(exchange.createRenewal(true)));
  */
 export function createRenewalExchange(options: RenewalExchangeOptions): RenewalExchange {
     const { self, directory, vms, announcements } = options;
@@ -44,11 +44,12 @@
     let holderRoutingVersion = Number.POSITIVE_INFINITY;
     let holderEndpointRevision = Number.POSITIVE_INFINITY;
 
-    function createRenewal(): Renewal {
+    function createRenewal(hasHeardHolder: boolean): Renewal {
         const routingVersion = directory.version();
         const endpointRevision = directory.revision();
         return {
             vm: self,
+            hasHeardHolder,
             routingVersion,
             endpointRevision,
             vmListVersion: vms.version(),
--- a/src/duty/createVmList/index.ts
+++ b/src/duty/createVmList/index.ts
@@ -4,8 +4,8 @@
 
 /** The VMs that live, as the holder knows them. */
 interface VmList {
-    /** Notes that a VM spoke. */
-    note(vm: VmIdentity): void;
+    /** Notes that a VM spoke, and whether it hears the holder. */
+    note(vm: VmIdentity, isAttending: boolean): void;
     /** VMs heard lately. */
     list(): readonly VmIdentity[];
     /** Changes with the list. */
@@ -14,8 +14,8 @@
     adopt(vms: readonly VmIdentity[], version: number): void;
     /** Notes that the holder still lists them all. */
     refresh(): void;
-    /** Whether every VM that may still live, and at least one, spoke within the last milliseconds. */
-    areAllHeard(milliseconds: number): boolean;
+    /** Whether every VM that may still live, and at least two, heard the holder within the last milliseconds. */
+    areAllAttending(milliseconds: number): boolean;
     /** When a VM spoke last. */
     heardAt(name: string): number | undefined;
 }
@@ -24,6 +24,8 @@
 interface ListedVm {
     readonly vm: VmIdentity;
     readonly heardAt: number;
+    /** When it said last that it hears the holder. */
+    readonly attendedAt: number;
 }
 
 /**
@@ -33,7 +35,7 @@
  * @returns The list, empty.
  *
  * @example
- * vms.note(renewal.vm);
+ * vms.note(renewal.vm, true);
  */
 export function createVmList(clock: Clock): VmList {
     const listed = new Map<string, ListedVm>();
@@ -41,11 +43,13 @@
     /** VMs in the list that was given out last. */
     let liveCount = 0;
 
-    function note(vm: VmIdentity): void {
-        if (listed.get(vm.name)?.vm.incarnation !== vm.incarnation) {
+    function note(vm: VmIdentity, isAttending: boolean): void {
+        const known = listed.get(vm.name);
+        if (known?.vm.incarnation !== vm.incarnation) {
             version += 1;
         }
-        listed.set(vm.name, { vm, heardAt: clock.now() });
+        const now = clock.now();
+        listed.set(vm.name, { vm, heardAt: now, attendedAt: isAttending ? now : known?.attendedAt ?? -Infinity });
     }
 
     function list(): readonly VmIdentity[] {
@@ -65,25 +69,25 @@
 
     function adopt(vms: readonly VmIdentity[], nextVersion: number): void {
         listed.clear();
-        vms.forEach(vm => listed.set(vm.name, { vm, heardAt: clock.now() }));
+        vms.forEach(vm => listed.set(vm.name, { vm, heardAt: clock.now(), attendedAt: -Infinity }));
         version = nextVersion;
         liveCount = vms.length;
     }
 
     function refresh(): void {
-        for (const [name, { vm }] of listed) {
-            listed.set(name, { vm, heardAt: clock.now() });
+        for (const [name, entry] of listed) {
+            listed.set(name, { ...entry, heardAt: clock.now() });
         }
     }
 
-    function areAllHeard(milliseconds: number): boolean {
+    function areAllAttending(milliseconds: number): boolean {
         const now = clock.now();
-        const heard = [...listed.values()].map(({ heardAt }) => heardAt);
-        return heard.length > 1 && heard.every(heardAt => now - heardAt < milliseconds);
+        const attended = [...listed.values()].map(({ attendedAt }) => attendedAt);
+        return attended.length > 1 && attended.every(attendedAt => now - attendedAt < milliseconds);
     }
 
     return {
-        areAllHeard,
+        areAllAttending,
         refresh,
         note,
         list,
--- a/src/duty/createVmList/test.ts
+++ b/src/duty/createVmList/test.ts
@@ -10,24 +10,24 @@
     it("is not attended while a VM that may live is silent, although it is listed no more", async () => {
         const clock = createManualClock();
         const vms = createVmList(clock);
-        vms.note({ name: "vm-1", address, incarnation: "1" });
-        vms.note({ name: "vm-2", address, incarnation: "1" });
-        assert.ok(vms.areAllHeard(900));
+        vms.note({ name: "vm-1", address, incarnation: "1" }, true);
+        vms.note({ name: "vm-2", address, incarnation: "1" }, true);
+        assert.ok(vms.areAllAttending(900));
         await clock.advance(dutyConstants.forgetMilliseconds + 1);
-        vms.note({ name: "vm-1", address, incarnation: "1" });
+        vms.note({ name: "vm-1", address, incarnation: "1" }, true);
         assert.deepEqual(vms.list().map(({ name }) => name), ["vm-1"]);
-        assert.equal(vms.areAllHeard(900), false);
+        assert.equal(vms.areAllAttending(900), false);
     });
 
     it("changes its version with the VMs, not with what they say", () => {
         const vms = createVmList(createManualClock());
-        vms.note({ name: "vm-1", address, incarnation: "1" });
+        vms.note({ name: "vm-1", address, incarnation: "1" }, true);
         vms.list();
         const version = vms.version();
-        vms.note({ name: "vm-1", address, incarnation: "1" });
+        vms.note({ name: "vm-1", address, incarnation: "1" }, true);
         vms.list();
         assert.equal(vms.version(), version);
-        vms.note({ name: "vm-1", address, incarnation: "2" });
+        vms.note({ name: "vm-1", address, incarnation: "2" }, true);
         assert.notEqual(vms.version(), version);
     });
 });
--- a/src/duty/createVmPeers/index.ts
+++ b/src/duty/createVmPeers/index.ts
@@ -42,6 +42,8 @@
         return {
             renew: renewal => limit(options => duty.renew.mutate(renewal, options) as Promise<RenewalAnswer>),
             askHeard: token => limit(options => duty.askHeard.query(token, options)),
+            askReached: endpointId =>
+                limit(options => duty.askReached.query(endpointId, options), 2 * dutyConstants.callMilliseconds),
             introduceHolder: holder => limit(options => duty.introduceHolder.mutate(holder, options)),
             announce: announcement => limit(options => duty.announce.mutate(announcement, options)),
             command: command =>
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -55,6 +55,7 @@
 export const dutySchemas = {
     renewal: z.object({
         vm,
+        hasHeardHolder: z.boolean(),
         routingVersion: z.number(),
         endpointRevision: z.number(),
         vmListVersion: z.number(),
@@ -63,6 +64,7 @@
         endpoints: z.array(endpoint).optional(),
     }),
     token: z.number(),
+    endpointId: z.string(),
     holder: vm.extend({ token: z.number() }),
     announcement,
     command: z.object({ endpointId: z.string(), statements: z.array(statement), timeoutMilliseconds: z.number() }),
--- a/src/duty/types/Renewal.ts
+++ b/src/duty/types/Renewal.ts
@@ -5,6 +5,8 @@
 /** What a VM tells the holder. */
 export interface Renewal {
     readonly vm: VmIdentity;
+    /** Whether the holder has just answered that VM. */
+    readonly hasHeardHolder: boolean;
     /** Version of the routing table in force there. */
     readonly routingVersion: number;
     /** Highest revision of an endpoint's record known there. */
--- a/src/duty/types/VmPeer.ts
+++ b/src/duty/types/VmPeer.ts
@@ -13,6 +13,8 @@
     /** Tells who the holder is. */
     introduceHolder(holder: DutyHolder): Promise<void>;
     announce(announcement: Announcement): Promise<void>;
+    /** Whether that VM reaches an endpoint. */
+    askReached(endpointId: string): Promise<boolean>;
     /** Has that VM send statements to an endpoint. */
     command(command: EndpointCommand): Promise<readonly StatementAnswer[]>;
 }
--- a/src/kernel/types/ServiceName.ts
+++ b/src/kernel/types/ServiceName.ts
@@ -13,6 +13,7 @@
     EndpointConnections = "EndpointConnections",
     EndpointControl = "EndpointControl",
     EndpointDriver = "EndpointDriver",
+    EndpointProbe = "EndpointProbe",
     EndpointRequests = "EndpointRequests",
     EndpointStandIn = "EndpointStandIn",
     EntryReporter = "EntryReporter",
--- a/src/placement/createEndpointSessions/index.ts
+++ b/src/placement/createEndpointSessions/index.ts
@@ -139,6 +139,6 @@
         hasIdle: () => idle.length > 0,
         open: () => open,
         opening: () => opening,
-        isFailing: () => failures > 0 && open === 0,
+        isFailing: () => failures > 0 && open === 0 && opening === 0,
     };
 }
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -40,6 +40,8 @@
     /** Until when no read is sent because it lagged or had no slot. */
     pausedUntil: number;
     lagPause: number;
+    /** When it answered last. */
+    answeredAt: number;
 }
 
 /** A request that waits for a connection. */
@@ -99,6 +101,7 @@
                 score: createEndpointScore(clock, options.place),
                 pausedUntil: -Infinity,
                 lagPause: 0,
+                answeredAt: -Infinity,
             };
             targets.set(id, target);
         }
@@ -121,6 +124,9 @@
         if (lease !== undefined) {
             return Promise.resolve(lease);
         }
+        if (request.endpointId !== undefined && targets.get(request.endpointId)?.sessions.isFailing() === true) {
+            return Promise.reject(createUnreachable(request.endpointId));
+        }
         const waiter = createWaiter<EndpointLease>({
             clock,
             timeoutMilliseconds: request.expiresAt - clock.now(),
@@ -143,6 +149,12 @@
         return waiter.promise;
     }
 
+    function createUnreachable(endpointId: string): Error {
+        return createError(ErrorKind.Unreachable, `Endpoint ${endpointId} accepts no connection.`, {
+            remedy: "Try again after a pause.",
+        });
+    }
+
     function dispatch(group: string): void {
         const waiting = waitingByGroup.get(group);
         if (waiting === undefined || waiting.length === 0) {
@@ -215,7 +227,8 @@
             exchange: async (statements, timeoutMilliseconds) => {
                 const sentAt = clock.now();
                 const answers = await pooled.session.exchange(statements, timeoutMilliseconds);
-                target.score.noteLatency(clock.now() - sentAt);
+                target.answeredAt = clock.now();
+                target.score.noteLatency(target.answeredAt - sentAt);
                 target.lagPause = 0;
                 return answers;
             },
@@ -246,5 +259,11 @@
         }
     }
 
-    return { acquire, noteLagging, noteBusy, stop };
+    return {
+        acquire,
+        noteLagging,
+        noteBusy,
+        answeredAt: endpointId => targets.get(endpointId)?.answeredAt ?? -Infinity,
+        stop,
+    };
 }
--- a/src/placement/types/Placement.ts
+++ b/src/placement/types/Placement.ts
@@ -14,6 +14,8 @@
     noteLagging(endpoint: EndpointRecord): void;
     /** The endpoint had no slot. */
     noteBusy(endpoint: EndpointRecord): void;
+    /** When an endpoint answered this VM last; never: minus infinity. */
+    answeredAt(endpointId: string): number;
     /** Closes all idle connections. */
     stop(): Promise<void>;
 }
--- a/src/promotions/constants.ts
+++ b/src/promotions/constants.ts
@@ -3,11 +3,9 @@
     /** How often the holder looks at each group, in milliseconds. */
     lookMilliseconds: 100,
     /** A primary that answered this recently is not asked, in milliseconds. */
-    freshAnswerMilliseconds: 350,
+    freshAnswerMilliseconds: 300,
     /** Time limit of a question to an endpoint, in milliseconds. */
     questionMilliseconds: 400,
-    /** Unanswered questions in a row after which other VMs are asked. */
-    unansweredQuestions: 2,
     /** A group without a known primary is looked after when it stays so, in milliseconds. */
     missingMilliseconds: 1_000,
     /** Before a planned change, open transactions have this long to end, in milliseconds. */
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -83,20 +83,21 @@
     async function change(ordered: Change): Promise<EndpointRecord> {
         const { group, present, term } = ordered;
         const end = await stepDown(ordered);
+        if (end === undefined && present !== undefined) {
+            void stepDownLater(present, term);
+        }
         await duty.waitForLeases(ordered.unconfirmedVms);
         const successor = await findSuccessor(ordered, end);
         log("successor", { group, endpoint: successor.endpoint.id, received: successor.status.received, end });
         await promote(group, successor.endpoint);
         await waitUntilLeading(successor.endpoint);
-        if (end === undefined && present !== undefined) {
-            void stepDownLater(present, term);
-        }
         return successor.endpoint;
     }
 
     /** Has the present primary step down; returns the end of its log, or undefined when no VM reaches it. */
     async function stepDown({ group, present, reason, term }: Change): Promise<LogPosition | undefined> {
-        if (present === undefined) {
+        if (present === undefined || reason === ChangeReason.Unreachable) {
+            // Nobody reaches it at present; it is told as soon as somebody does.
             return undefined;
         }
         if (reason === ChangeReason.Leaving) {
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -6,22 +6,19 @@
 import type { VmPeer } from "../../duty/types/VmPeer.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
-import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { promotionConstants } from "../constants.js";
 import type { createPrimaryChange } from "../createPrimaryChange/index.js";
-import { isPrimaryAnswering } from "../isPrimaryAnswering/index.js";
 import { ChangeReason } from "../types/ChangeReason.js";
-import type { EndpointControl } from "../types/EndpointControl.js";
 
 /** Options of `createPromotionCoordinator`. */
 interface PromotionCoordinatorOptions {
     readonly clock: Clock;
     readonly directory: Directory;
     readonly primaries: Primaries;
-    readonly evidence: PositionEvidence;
     readonly duty: Duty;
-    readonly control: EndpointControl;
+    /** Whether this VM reaches an endpoint. */
+    readonly probe: (endpointId: string) => Promise<boolean>;
     readonly peerOf: (vm: VmIdentity) => VmPeer;
     readonly changePrimary: ReturnType<typeof createPrimaryChange>;
     /** Finds out which of several endpoints that hold themselves for the primary is it. */
@@ -33,7 +30,6 @@
 /** What the holder has seen of one group. */
 interface GroupWatch {
     isBusy: boolean;
-    unanswered: number;
     missingSince?: number;
 }
 
@@ -49,7 +45,7 @@
  * await createPromotionCoordinator(options).start();
  */
 export function createPromotionCoordinator(options: PromotionCoordinatorOptions) {
-    const { clock, directory, primaries, evidence, duty, control, log } = options;
+    const { clock, directory, primaries, duty, log } = options;
     const watches = new Map<string, GroupWatch>();
     const end = new AbortController();
 
@@ -79,7 +75,6 @@
             const reason = await judge(group, watch, primary);
             if (reason !== undefined) {
                 await changePrimary(group, primary, reason);
-                watch.unanswered = 0;
                 watch.missingSince = undefined;
             }
         }
@@ -106,7 +101,7 @@
     function watchOf(group: string): GroupWatch {
         let watch = watches.get(group);
         if (watch === undefined) {
-            watch = { isBusy: false, unanswered: 0 };
+            watch = { isBusy: false };
             watches.set(group, watch);
         }
         return watch;
@@ -129,40 +124,18 @@
             );
             return hasSuccessor ? ChangeReason.Leaving : undefined;
         }
-        return await isReached(group, watch, primary) ? undefined : ChangeReason.Unreachable;
+        return await isReached(group, primary) ? undefined : ChangeReason.Unreachable;
     }
 
-    async function isReached(group: string, watch: GroupWatch, primary: EndpointRecord): Promise<boolean> {
-        const age = clock.now() - (evidence.newestAskedAt(group) ?? -Infinity);
-        if (age < promotionConstants.freshAnswerMilliseconds) {
-            watch.unanswered = 0;
+    /** One VM that reaches the primary is enough: its callers are served. */
+    async function isReached(group: string, primary: EndpointRecord): Promise<boolean> {
+        if (await options.probe(primary.id)) {
             return true;
         }
-        try {
-            const isLeading = await isPrimaryAnswering(control.run, primary.id);
-            watch.unanswered = 0;
-            if (!isLeading) {
-                primaries.noteNotPrimary(primary);
-            }
-            return true;
-        }
-        catch (error) {
-            watch.unanswered += 1;
-            log("primary does not answer", {
-                group,
-                endpoint: primary.id,
-                unanswered: watch.unanswered,
-                reason: (error as Error).message,
-            });
-        }
-        return watch.unanswered < promotionConstants.unansweredQuestions || await isReachedByOthers(group, primary);
-    }
-
-    async function isReachedByOthers(group: string, primary: EndpointRecord): Promise<boolean> {
         const answers = await Promise.all(
             duty.otherVms().map(async vm => {
                 try {
-                    return await isPrimaryAnswering(options.peerOf(vm).command, primary.id) ? vm.name : undefined;
+                    return await options.peerOf(vm).askReached(primary.id) ? vm.name : undefined;
                 }
                 catch {
                     return undefined;
--- a/src/testing/createDutyFleet/index.ts
+++ b/src/testing/createDutyFleet/index.ts
@@ -44,6 +44,7 @@
             askHeard: token => call(duty => duty.answerHeard(token)),
             introduceHolder: holder => call(duty => duty.learnHolder(holder)),
             announce: announcement => call(duty => duty.learnAnnouncement(announcement)),
+            askReached: () => Promise.resolve(false),
             command: () => Promise.reject(new Error("no endpoint is reached in this test")),
         };
     }
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -16,11 +16,11 @@
 import { createNeutralNetwork } from "../../network/createNeutralNetwork/index.js";
 import type { Placement } from "../../placement/types/Placement.js";
 import { createPromotionClient } from "../../platform/createPromotionClient/index.js";
-import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { promotionConstants } from "../../promotions/constants.js";
 import { createDisputeSettlement } from "../../promotions/createDisputeSettlement/index.js";
 import { createEndpointControl } from "../../promotions/createEndpointControl/index.js";
+import { createEndpointProbe } from "../../promotions/createEndpointProbe/index.js";
 import { createPrimaryChange } from "../../promotions/createPrimaryChange/index.js";
 import { createPromotionCoordinator } from "../../promotions/createPromotionCoordinator/index.js";
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
@@ -31,6 +31,11 @@
 import type { Peers } from "../../transport/types/Peers.js";
 import type { VmSettings } from "../types/VmSettings.js";
 
+/** Tells whether this VM reaches an endpoint, as a service. */
+interface EndpointProbe {
+    readonly probe: ReturnType<typeof createEndpointProbe>;
+}
+
 /**
  * Lists the services by which VMs agree on who changes primaries, and by which that VM does it.
  *
@@ -103,18 +108,51 @@
                     peerOf: createVmPeers(peers, clock),
                 }),
         },
+        {
+            name: ServiceName.EndpointProbe,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Directory,
+                ServiceName.Placement,
+                ServiceName.Primaries,
+                ServiceName.EndpointControl,
+                ServiceName.Logger,
+            ],
+            create: (
+                clock: Clock,
+                directory: Directory,
+                placement: Placement,
+                primaries: Primaries,
+                control: EndpointControl,
+                logger: Logger,
+            ): EndpointProbe => {
+                const log = logger.topic("promotions");
+                return { probe: createEndpointProbe({ clock, directory, placement, primaries, control, log }) };
+            },
+        },
         {
             name: ServiceName.TransportServer,
-            dependencies: [ServiceName.Duty, ServiceName.EndpointControl, ServiceName.Events, ServiceName.Logger],
-            create: (duty: Duty, control: EndpointControl, events: EventRecorder, logger: Logger) =>
-                createTransportServer({
-                    host: peerAddress.host,
-                    port: peerAddress.port,
-                    peerSecret,
-                    router: createDutyRouter(duty, control.run),
-                    events,
-                    logger,
-                }),
+            dependencies: [
+                ServiceName.Duty,
+                ServiceName.EndpointControl,
+                ServiceName.EndpointProbe,
+                ServiceName.Events,
+                ServiceName.Logger,
+            ],
+            create: (
+                duty: Duty,
+                control: EndpointControl,
+                { probe }: EndpointProbe,
+                events: EventRecorder,
+                logger: Logger,
+            ) => createTransportServer({
+                host: peerAddress.host,
+                port: peerAddress.port,
+                peerSecret,
+                router: createDutyRouter(duty, control.run, probe),
+                events,
+                logger,
+            }),
         },
         {
             name: ServiceName.PromotionOrders,
@@ -130,9 +168,9 @@
                 ServiceName.Clock,
                 ServiceName.Directory,
                 ServiceName.Primaries,
-                ServiceName.PositionEvidence,
                 ServiceName.Duty,
                 ServiceName.EndpointControl,
+                ServiceName.EndpointProbe,
                 ServiceName.PromotionOrders,
                 ServiceName.Peers,
                 ServiceName.Metrics,
@@ -143,9 +181,9 @@
                 clock: Clock,
                 directory: Directory,
                 primaries: Primaries,
-                evidence: PositionEvidence,
                 duty: Duty,
                 control: EndpointControl,
+                { probe }: EndpointProbe,
                 orders: PromotionOrders,
                 peers: Peers,
                 metrics: Metrics,
@@ -168,9 +206,8 @@
                     clock,
                     directory,
                     primaries,
-                    evidence,
                     duty,
-                    control,
+                    probe,
                     peerOf,
                     changePrimary,
                     settleDispute: createDisputeSettlement({ directory, duty, control, log }),
