--- /dev/null
+++ b/src/model/listChangeSteps/index.ts
@@ -0,0 +1,90 @@
+import { ChangePhase } from "../types/ChangePhase.js";
+import type { ChangeRules } from "../types/ChangeRules.js";
+import type { ChangeState } from "../types/ChangeState.js";
+import { WritePhase } from "../types/WritePhase.js";
+
+/**
+ * Lists the states that can follow a state of the change of a primary. Messages may be lost or late, a lease may end at
+ * any moment but not last longer than the holder counts, and each process may rest between any two steps.
+ *
+ * @param state The state.
+ * @param rules The rules that are followed.
+ * @returns Yields the next states.
+ *
+ * @example
+ * for (const next of listChangeSteps(state, rules)) { ... }
+ */
+export function* listChangeSteps(state: ChangeState, rules: ChangeRules): Generator<ChangeState> {
+    yield* listHolderSteps(state, rules);
+    yield* listVmSteps(state);
+    yield* listWriteSteps(state, rules);
+}
+
+function* listHolderSteps(state: ChangeState, rules: ChangeRules): Generator<ChangeState> {
+    const { phase } = state;
+    if (phase === ChangePhase.Serving) {
+        yield { ...state, phase: ChangePhase.Announced };
+        // The holder dies, and another VM takes its place: what the former one granted goes on.
+        yield { ...state, phase: ChangePhase.Announced, isFormerLease: state.hasLease, isCut: true };
+    }
+    if (phase === ChangePhase.Announced && mayOrder(state, rules)) {
+        yield { ...state, phase: ChangePhase.Ordered };
+    }
+    if (phase === ChangePhase.Ordered) {
+        yield { ...state, phase: ChangePhase.Led };
+    }
+    if (phase !== ChangePhase.Serving && !state.hasSteppedDown) {
+        yield { ...state, hasSteppedDown: true };
+    }
+}
+
+function mayOrder(state: ChangeState, rules: ChangeRules): boolean {
+    const isCounted = state.hasLease && (!state.isFormerLease || rules.countsFormerLeases);
+    return state.hasConfirmed || !rules.waitsForLeases || !isCounted;
+}
+
+function* listVmSteps(state: ChangeState): Generator<ChangeState> {
+    if (!state.isCut) {
+        yield { ...state, isCut: true };
+        if (state.phase === ChangePhase.Serving) {
+            yield { ...state, hasLease: true };
+        }
+        else {
+            yield { ...state, hasHeard: true, hasConfirmed: true };
+            // The confirmation is lost.
+            yield { ...state, hasHeard: true };
+        }
+    }
+    if (state.hasLease) {
+        yield { ...state, hasLease: false };
+    }
+}
+
+function* listWriteSteps(state: ChangeState, rules: ChangeRules): Generator<ChangeState> {
+    const { write } = state;
+    const isSure = state.hasLease && !(state.hasHeard && rules.obeysAnnouncement);
+    const isSuccessorLeading = state.phase === ChangePhase.Led;
+    if (write === WritePhase.Waiting) {
+        if (isSure || !rules.confirmsWithoutLease) {
+            yield { ...state, write: WritePhase.Sent };
+        }
+        else if (!isSuccessorLeading) {
+            yield { ...state, write: WritePhase.Sent, isConfirmed: !rules.confirmsAfterAnswer };
+        }
+    }
+    if (write === WritePhase.Sent && !state.hasSteppedDown) {
+        yield { ...state, write: WritePhase.Committed, isLate: isSuccessorLeading };
+    }
+    if (write === WritePhase.Committed) {
+        const isRelied = isSure || !rules.checksAfterAnswer || state.isConfirmed || !rules.confirmsWithoutLease;
+        if (isRelied) {
+            yield { ...state, write: WritePhase.Acknowledged };
+        }
+        else if (rules.confirmsAfterAnswer) {
+            yield { ...state, write: isSuccessorLeading ? WritePhase.Refused : WritePhase.Acknowledged };
+        }
+        else {
+            yield { ...state, write: WritePhase.Refused };
+        }
+    }
+}
--- /dev/null
+++ b/src/model/searchPrimaryChange/test.ts
@@ -0,0 +1,27 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { ChangeRules } from "../types/ChangeRules.js";
+import { searchPrimaryChange } from "./index.js";
+
+const rules: ChangeRules = {
+    waitsForLeases: true,
+    obeysAnnouncement: true,
+    checksAfterAnswer: true,
+    confirmsWithoutLease: true,
+    confirmsAfterAnswer: true,
+    countsFormerLeases: true,
+};
+
+describe("searchPrimaryChange", () => {
+    it("finds no write that a superseded primary took and a caller was told of", () => {
+        const { states, violation } = searchPrimaryChange(rules);
+        assert.equal(violation, undefined);
+        assert.ok(states > 100, `${states} states`);
+    });
+
+    for (const rule of Object.keys(rules) as (keyof ChangeRules)[]) {
+        it(`finds one without the rule ${rule}`, () => {
+            assert.notEqual(searchPrimaryChange({ ...rules, [rule]: false }).violation, undefined);
+        });
+    }
+});
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -31,6 +31,8 @@
     readonly regionsByZone: Readonly<Record<string, string>>;
     /** Highest term that was seen in a group. */
     readonly termOf: (group: string) => number;
+    /** Ends what goes on in the background. */
+    readonly signal: AbortSignal;
     readonly log: LogTopic;
 }
 
@@ -125,8 +127,8 @@
 
     async function stepDownLater(present: EndpointRecord, term: number): Promise<void> {
         const until = clock.now() + promotionConstants.stepDownMilliseconds;
-        while (clock.now() < until) {
-            await clock.sleep(promotionConstants.stepDownPauseMilliseconds);
+        while (clock.now() < until && !options.signal.aborted) {
+            await clock.sleep(promotionConstants.stepDownPauseMilliseconds, options.signal);
             try {
                 await control.runFromAnywhere({
                     endpointId: present.id,
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -13,6 +13,8 @@
 
 /** Options of `createPromotionCoordinator`. */
 interface PromotionCoordinatorOptions {
+    /** Aborted by the stop. */
+    readonly end: AbortController;
     readonly clock: Clock;
     readonly directory: Directory;
     readonly primaries: Primaries;
@@ -45,9 +47,8 @@
  * await createPromotionCoordinator(options).start();
  */
 export function createPromotionCoordinator(options: PromotionCoordinatorOptions) {
-    const { clock, directory, primaries, duty, log } = options;
+    const { clock, directory, primaries, duty, end, log } = options;
     const watches = new Map<string, GroupWatch>();
-    const end = new AbortController();
 
     async function run(): Promise<void> {
         while (!end.signal.aborted) {
--- a/src/tools/constants.ts
+++ b/src/tools/constants.ts
@@ -9,18 +9,26 @@
     maximumTestShare: 1 / 3,
     /** Smallest share of code that decides: routing, limits, retries, membership, state, recovery. */
     minimumDecisionShare: 1 / 4,
+    /** Where the names of the users' platform are known, and the list of them that is searched for. */
+    platformFolders: ["src/platform/", "src/tools/findPlatformNames/"],
     /** Folders below `src` whose code decides. */
     decisionFolders: [
         "admission",
+        "callerSessions",
         "configuration",
         "confirmation",
         "connections",
+        "directory",
         "dissemination",
+        "duty",
         "execution",
         "failover",
         "freshness",
         "membership",
         "ownership",
+        "placement",
+        "primaries",
+        "promotions",
         "requests",
         "routing",
         "session",
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -190,7 +190,9 @@
                 logger: Logger,
             ) => {
                 const log = logger.topic("promotions");
+                const end = new AbortController();
                 const changePrimary = createPrimaryChange({
+                    signal: end.signal,
                     clock,
                     directory,
                     duty,
@@ -203,6 +205,7 @@
                 });
                 const peerOf = createVmPeers(peers, clock);
                 return createPromotionCoordinator({
+                    end,
                     clock,
                     directory,
                     primaries,
