--- a/src/platform/encodeMessage/test.ts
+++ b/src/platform/encodeMessage/test.ts
@@ -8,26 +8,28 @@
 import { WireMessageKind } from "../types/WireMessageKind.js";
 import { encodeMessage } from "./index.js";
 
+/** Records as the product makes them: with the prototype of every object. */
+const plain = { noNullPrototype: true };
 const word = fastCheck.stringMatching(/^[!-~]{1,12}$/);
 const text = fastCheck.stringMatching(/^[ -~]{1,30}$/);
-const position = fastCheck.record({ term: fastCheck.nat(), entry: fastCheck.nat() });
+const position = fastCheck.record({ term: fastCheck.nat(), entry: fastCheck.nat() }, plain);
 const message: fastCheck.Arbitrary<WireMessage> = fastCheck.oneof(
-    fastCheck.record({ kind: fastCheck.constant(WireMessageKind.Startup as const), database: word, user: text }),
-    fastCheck.record({ kind: fastCheck.constant(WireMessageKind.Query as const), id: word, text }),
-    fastCheck.record({ kind: fastCheck.constant(WireMessageKind.Row as const), text }),
-    fastCheck.record({ kind: fastCheck.constant(WireMessageKind.Complete as const), signature: text }),
+    fastCheck.record({ kind: fastCheck.constant(WireMessageKind.Startup as const), database: word, user: text }, plain),
+    fastCheck.record({ kind: fastCheck.constant(WireMessageKind.Query as const), id: word, text }, plain),
+    fastCheck.record({ kind: fastCheck.constant(WireMessageKind.Row as const), text }, plain),
+    fastCheck.record({ kind: fastCheck.constant(WireMessageKind.Complete as const), signature: text }, plain),
     fastCheck.record({
         kind: fastCheck.constant(WireMessageKind.Error as const),
         failure: fastCheck.record({
             code: fastCheck.constantFrom(...Object.values(FailureCode)),
             description: text,
-        }),
-    }),
+        }, plain),
+    }, plain),
     fastCheck.record({
         kind: fastCheck.constant(WireMessageKind.Ready as const),
         state: fastCheck.constantFrom(...Object.values(SessionState)),
         position: fastCheck.option(position, { nil: undefined }),
-    }),
+    }, plain),
 );
 
 describe("encodeMessage", () => {
