--- a/src/callerSessions/createCallerTransaction/index.ts
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -9,6 +9,7 @@
 import { attemptStatement } from "../attemptStatement/index.js";
 import { createFailure } from "../createFailure/index.js";
 import { createRetryPauses } from "../createRetryPauses/index.js";
+import { describeGroup } from "../describeGroup/index.js";
 import { endTransaction } from "../endTransaction/index.js";
 import { noteAnswer } from "../noteAnswer/index.js";
 import { noteRefusal } from "../noteRefusal/index.js";
@@ -106,7 +107,13 @@
         catch (error) {
             const outcome = createFailure(FailureCode.Busy, toTypedError(error).message);
             metrics.countUnplaced();
-            log("transaction was not placed", { id: statement.id, group: route.group, reason: outcome.failure });
+            log("transaction was not placed", {
+                id: statement.id,
+                isReadOnly,
+                ...describeGroup(route.group, services),
+                waitedMilliseconds: Math.round(clock.now() - statement.receivedAt),
+                reason: outcome.failure?.description,
+            });
             return { kind: AttemptKind.Final, outcome };
         }
         const refusal = await begin(placed, statement.expiresAt);
--- a/src/callerSessions/runSingleStatement/index.ts
+++ b/src/callerSessions/runSingleStatement/index.ts
@@ -6,6 +6,7 @@
 import { callerSessionConstants } from "../constants.js";
 import { createFailure } from "../createFailure/index.js";
 import { createRetryPauses } from "../createRetryPauses/index.js";
+import { describeGroup } from "../describeGroup/index.js";
 import { AttemptKind } from "../types/AttemptKind.js";
 import type { CallerStatement } from "../types/CallerStatement.js";
 import type { SessionServices } from "../types/SessionServices.js";
@@ -38,7 +39,13 @@
         catch (error) {
             const { message } = toTypedError(error);
             metrics.countUnplaced();
-            log("statement was not placed", { id, group: route.group, isReadOnly, reason: message });
+            log("statement was not placed", {
+                id,
+                isReadOnly,
+                ...describeGroup(route.group, services),
+                waitedMilliseconds: Math.round(clock.now() - receivedAt),
+                reason: message,
+            });
             return last.failure?.code === FailureCode.Timeout ? last : createFailure(FailureCode.Busy, message);
         }
         const { lease } = placed;
