--- a/src/confirmation/watchEndpointStatus/index.ts
+++ b/src/confirmation/keepWatchingEndpoint/index.ts
@@ -7,8 +7,8 @@
 import { createBackoff } from "../../retries/createBackoff/index.js";
 import { confirmationConstants } from "../constants.js";
 
-/** Options of `watchEndpointStatus`. */
-interface WatchEndpointStatusOptions {
+/** Options of `keepWatchingEndpoint`. */
+interface KeepWatchingOptions {
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly driver: EndpointDriver;
@@ -25,13 +25,13 @@
  * @returns The statuses, until the signal is aborted.
  *
  * @example
- * for await (const status of watchEndpointStatus(endpoint, { clock, random, driver, signal, onConnection })) {
+ * for await (const status of keepWatchingEndpoint(endpoint, { clock, random, driver, signal, onConnection })) {
  *     take(status);
  * }
  */
-export async function* watchEndpointStatus(
+export async function* keepWatchingEndpoint(
     endpoint: EndpointDefinition,
-    options: WatchEndpointStatusOptions,
+    options: KeepWatchingOptions,
 ): AsyncGenerator<EndpointStatus, void, undefined> {
     const { clock, random, driver, signal, onConnection } = options;
     const createPauses = (): Generator<number, void, undefined> =>
--- a/src/endpoints/watchEndpointStatus/index.ts
+++ b/src/endpoints/watchEndpointStatus/index.ts
@@ -1,4 +1,4 @@
-import { createMailbox } from "../../streams/createMailbox/index.js";
+import { createItemStream } from "../../streams/createItemStream/index.js";
 import type { CallChannel } from "../types/CallChannel.js";
 import { EndpointCallKind } from "../types/EndpointCallKind.js";
 import type { EndpointStatus } from "../types/EndpointStatus.js";
@@ -17,17 +17,17 @@
  * for await (const status of watchEndpointStatus(channel, signal)) { learn(status); }
  */
 export async function* watchEndpointStatus(channel: CallChannel, signal: AbortSignal): AsyncGenerator<EndpointStatus> {
-    const mailbox = createMailbox<EndpointStatus>({ keepsOnlyLatest: true });
+    const stream = createItemStream<EndpointStatus>({ keepsOnlyLatest: true });
     let latest: EndpointStatus | undefined;
 
     function offer(status: EndpointStatus): void {
         latest = status;
-        mailbox.put(status);
+        stream.put(status);
     }
 
     const end = channel.observe(EndpointCallKind.WatchStatus, undefined, {
         answer: content => offer(content as EndpointStatus),
-        fail: mailbox.fail,
+        fail: stream.fail,
     });
     const stopLeaving = channel.onLeavingChange(() => {
         if (latest !== undefined && latest.isLeaving !== channel.isLeaving()) {
@@ -35,7 +35,7 @@
         }
     });
     try {
-        yield* mailbox.items(signal);
+        yield* stream.items(signal);
     }
     finally {
         stopLeaving();
--- a/src/objectStore/watchPlatform/index.ts
+++ b/src/objectStore/watchPlatform/index.ts
@@ -4,7 +4,7 @@
 import { createDelayLine } from "../../network/createDelayLine/index.js";
 import type { Address } from "../../network/types/Address.js";
 import type { NetworkConditions } from "../../network/types/NetworkConditions.js";
-import { createMailbox } from "../../streams/createMailbox/index.js";
+import { createItemStream } from "../../streams/createItemStream/index.js";
 import { platformConstants } from "../constants.js";
 import type { StoredObject } from "../types/StoredObject.js";
 
@@ -38,7 +38,7 @@
     const { localZone } = conditions;
     const linkOut = () => conditions.linkBetween(localZone, address.availabilityZone);
     const linkIn = () => conditions.linkBetween(address.availabilityZone, localZone);
-    const mailbox = createMailbox<StoredObject>();
+    const stream = createItemStream<StoredObject>();
     const ending = new AbortController();
     const openedAt = Date.now();
     const agent = new Agent({ bodyTimeout: 0 });
@@ -47,7 +47,7 @@
     let established = (): void => {};
 
     function fail(cause: unknown): void {
-        mailbox.fail(createError(ErrorKind.PlatformUnavailable, `The watch of ${prefix} ended.`, {
+        stream.fail(createError(ErrorKind.PlatformUnavailable, `The watch of ${prefix} ended.`, {
             remedy: "Read the objects again and watch anew.",
             cause,
         }));
@@ -62,7 +62,7 @@
         lastHeard = performance.now();
         established();
         if (line !== "") {
-            mailbox.put(JSON.parse(line) as StoredObject);
+            stream.put(JSON.parse(line) as StoredObject);
         }
     }
 
@@ -110,7 +110,7 @@
         if (!signal.aborted && !ending.signal.aborted) {
             yield* options.listFirst();
         }
-        yield* mailbox.items(signal);
+        yield* stream.items(signal);
     }
     finally {
         signal.removeEventListener("abort", onAbort);
--- a/src/promotions/chooseSuccessor/test.ts
+++ b/src/promotions/chooseSuccessor/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
 import type { CandidateStatus } from "../types/CandidateStatus.js";
 import { chooseSuccessor } from "./index.js";
 
@@ -7,17 +8,7 @@
 
 function createCandidate(id: string, availabilityZone: string, entry: number): CandidateStatus {
     return {
-        endpoint: {
-            id,
-            group: "orders",
-            address: { host: "127.0.0.1", port: 1, availabilityZone },
-            slots: 3,
-            isLeaving: false,
-            isPrimary: false,
-            warmingMilliseconds: 0,
-            startedAt: 1,
-            revision: 1,
-        },
+        endpoint: createEndpointRecord({ id, address: { host: "127.0.0.1", port: 1, availabilityZone } }),
         status: {
             isPrimary: false,
             term: 3,
--- a/src/streams/createMailbox/index.ts
+++ b/src/streams/createItemStream/index.ts
@@ -1,11 +1,11 @@
-/** Options of `createMailbox`. */
-interface MailboxOptions {
+/** Options of `createItemStream`. */
+interface ItemStreamOptions {
     /** An item that was not taken yet is replaced by the next one. */
     readonly keepsOnlyLatest?: boolean;
 }
 
 /** Passes items from callbacks to one reader. */
-interface Mailbox<Item> {
+interface ItemStream<Item> {
     put(item: Item): void;
     /** Ends the reader with the error once it has taken what was put before. */
     fail(error: Error): void;
@@ -14,16 +14,16 @@
 }
 
 /**
- * Creates a mailbox: callbacks put items in, one reader takes them out as an async generator.
+ * Creates a stream of items: callbacks put them in, one reader takes them out as an async generator.
  *
  * @param options Whether to keep all items or only the latest.
- * @returns The mailbox, empty.
+ * @returns The stream, empty.
  *
  * @example
- * const mailbox = createMailbox<EndpointStatus>({ keepsOnlyLatest: true });
- * for await (const status of mailbox.items(signal)) { learn(status); }
+ * const stream = createItemStream<EndpointStatus>({ keepsOnlyLatest: true });
+ * for await (const status of stream.items(signal)) { learn(status); }
  */
-export function createMailbox<Item>(options: MailboxOptions = {}): Mailbox<Item> {
+export function createItemStream<Item>(options: ItemStreamOptions = {}): ItemStream<Item> {
     const waiting: Item[] = [];
     let failure: Error | undefined;
     let wake = (): void => {};
