Count a transaction that was rolled back for resting as failed

Cause, found by a new test: the reason was forgotten with the first answer, and the caller's next statement would have begun another transaction at the endpoint, without what had been rolled back.

--- a/src/callerSessions/createCallerSession/index.ts
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -102,7 +102,7 @@
     }
 
     function hasFailedTransaction(): boolean {
-        return transaction !== undefined && (transaction.hasFailed || abandonReason !== undefined);
+        return transaction?.hasFailed === true;
     }
 
     function state(): SessionState {
@@ -117,10 +117,7 @@
     }
 
     function fail(outcome: StatementOutcome): void {
-        connection.sendFailure(
-            outcome.failure!,
-            hasFailedTransaction() ? SessionState.FailedTransaction : state(),
-        );
+        connection.sendFailure(outcome.failure!, state());
     }
 
     function sendOutcome(id: string, outcome: StatementOutcome): void {
--- /dev/null
+++ b/src/callerSessions/createCallerSessions/test.ts
@@ -0,0 +1,128 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createMetrics } from "../../metrics/createMetrics/index.js";
+import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
+import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { FailureCode } from "../../statements/types/FailureCode.js";
+import { SessionState } from "../../statements/types/SessionState.js";
+import { StatementKind } from "../../statements/types/StatementKind.js";
+import { createKnownDirectory } from "../../testing/createKnownDirectory/index.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { callerSessionConstants } from "../constants.js";
+import { createPreparedNames } from "../createPreparedNames/index.js";
+import type { CallerCommand } from "../types/CallerCommand.js";
+import { CallerCommandKind } from "../types/CallerCommandKind.js";
+import type { CallerConnection } from "../types/CallerConnection.js";
+import { createCallerSessions } from "./index.js";
+
+const graceMilliseconds = 6_000;
+const begin: CallerCommand = {
+    kind: CallerCommandKind.Run,
+    id: "q1",
+    statement: { kind: StatementKind.Begin, text: "BEGIN", isReadOnly: false },
+};
+const read: CallerCommand = {
+    kind: CallerCommandKind.Run,
+    id: "q2",
+    statement: { kind: StatementKind.Read, text: "READ a" },
+};
+
+function createSite() {
+    const clock = createManualClock();
+    const directory = createKnownDirectory(clock, []);
+    const primaries = createPrimaries(clock, directory, () => {});
+    const sessions = createCallerSessions({
+        clock,
+        random: createRandomSource(1),
+        directory,
+        primaries,
+        evidence: createPositionEvidence(),
+        certainty: { isSure: () => true, confirm: async () => true },
+        placement: {
+            acquire: () => Promise.reject(new Error("no endpoint")),
+            noteLagging: () => {},
+            noteBusy: () => {},
+            answeredAt: () => 0,
+            stop: async () => {},
+        },
+        renewal: { renew: async () => {}, renewIfOld: () => {} },
+        preparedNames: createPreparedNames(),
+        metrics: createMetrics(),
+        log: () => {},
+    }, { graceMilliseconds });
+
+    async function open(database = "shop") {
+        const sent: string[] = [];
+        let deliver: (command: CallerCommand) => void = () => {};
+        let leave = (): void => {};
+        const connection: CallerConnection = {
+            onCommand: listener => {
+                deliver = listener;
+            },
+            onClose: listener => {
+                leave = listener;
+            },
+            sendReady: state => sent.push(`ready ${state}`),
+            sendSuccess: ({ state }) => sent.push(`success ${state}`),
+            sendFailure: ({ code }, state) => sent.push(`${code} ${state}`),
+            refuse: ({ code }) => sent.push(`refused ${code}`),
+            close: () => {
+                sent.push("closed");
+                leave();
+            },
+        };
+        sessions.serve(connection);
+        const run = async (command: CallerCommand): Promise<void> => {
+            deliver(command);
+            await clock.advance(0);
+        };
+        await run({ kind: CallerCommandKind.Open, database });
+        return { sent, run };
+    }
+
+    return { clock, sessions, open };
+}
+
+describe("createCallerSessions", () => {
+    it("closes idle sessions only when new connections go elsewhere", async () => {
+        const { clock, sessions, open } = createSite();
+        const { sent, run } = await open();
+        const stopped = sessions.closeAll();
+        await clock.advance(callerSessionConstants.rotationMilliseconds - 100);
+        assert.equal(sent.includes("closed"), false);
+        await run(read);
+        assert.equal(sent.at(-1), `${FailureCode.Busy} ${SessionState.Idle}`);
+        await clock.advance(200);
+        assert.equal(sent.at(-1), "closed");
+        await stopped;
+    });
+
+    it("leaves an open transaction half of the grace time", async () => {
+        const { clock, sessions, open } = createSite();
+        const { sent, run } = await open();
+        await run(begin);
+        const stopped = sessions.closeAll();
+        await clock.advance(callerSessionConstants.transactionGraceShare * graceMilliseconds - 100);
+        assert.equal(sent.at(-1), `success ${SessionState.InTransaction}`);
+        await clock.advance(200);
+        assert.equal(sent.at(-1), "closed");
+        await stopped;
+    });
+
+    it("rolls back a transaction that rests for too long, and says so with the next statement", async () => {
+        const { clock, open } = createSite();
+        const { sent, run } = await open();
+        await run(begin);
+        await clock.advance(3_100);
+        await run(read);
+        assert.equal(sent.at(-1), `${FailureCode.Aborted} ${SessionState.FailedTransaction}`);
+    });
+
+    it("closes a connection that does not open a session", async () => {
+        const { open } = createSite();
+        const { sent } = await open("nowhere");
+        assert.equal(sent[0], `refused ${FailureCode.UnknownDatabase}`);
+        assert.equal(sent.at(-1), "closed");
+    });
+});
--- a/src/callerSessions/createCallerTransaction/index.ts
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -152,7 +152,7 @@
             hasWritten ||= statement.mode === AccessMode.Write;
             return outcome;
         }
-        fail();
+        abandon();
         return toAborted(outcome);
     }
 
@@ -193,12 +193,8 @@
         return outcome;
     }
 
-    function fail(): void {
-        hasFailed = true;
-        abandon();
-    }
-
     function abandon(): void {
+        hasFailed = true;
         if (lease !== undefined) {
             void endTransaction(lease, log);
             lease = undefined;
--- a/src/callerSessions/types/CallerTransaction.ts
+++ b/src/callerSessions/types/CallerTransaction.ts
@@ -9,6 +9,6 @@
     run(statement: CallerStatement): Promise<StatementOutcome>;
     /** Commits it. */
     commit(statement: CallerStatement): Promise<StatementOutcome>;
-    /** Rolls it back, unless it is over. */
+    /** Rolls it back, unless it is over; it counts as failed from then on. */
     abandon(): void;
 }
