--- a/src/placement/createEndpointSessions/index.ts
+++ b/src/placement/createEndpointSessions/index.ts
@@ -136,7 +136,6 @@
         give,
         tryOpen,
         close,
-        hasIdle: () => idle.length > 0,
         open: () => open,
         opening: () => opening,
         isFailing: () => failures > 0 && open === 0 && opening === 0,
--- a/src/placement/types/EndpointSessions.ts
+++ b/src/placement/types/EndpointSessions.ts
@@ -8,7 +8,6 @@
     give(pooled: PooledSession): void;
     /** Starts to open a connection; false when the limit or a pause forbids it. */
     tryOpen(): boolean;
-    hasIdle(): boolean;
     /** Connections that are open, idle ones included. */
     open(): number;
     /** Connections that are being opened. */
--- a/src/platform/readVmSettings/index.ts
+++ b/src/platform/readVmSettings/index.ts
@@ -11,10 +11,8 @@
     nodeName: z.string().min(1),
     zone: z.string(),
     region: z.string(),
-    seeds: z.array(z.string()).default([]),
     zones: z.record(z.string(), z.string()).default({}),
     listen: z.object({ front: z.string(), ready: z.string(), control: z.string() }),
-    limits: z.object({ memoryMb: z.number() }),
     bounds: z.object({ graceS: z.number() }),
     platform: z.object({ addr: z.string() }),
     cloudApi: z.object({ addr: z.string() }),
@@ -55,11 +53,9 @@
         callerAddress: addressOf(fields.listen.front),
         readinessAddress: addressOf(fields.listen.ready),
         peerAddress: addressOf(fields.listen.control),
-        seedAddresses: fields.seeds.map(addressOf),
         storeAddress: addressOf(fields.platform.addr),
         promotionAddress: addressOf(fields.cloudApi.addr),
         graceMilliseconds: fields.bounds.graceS * millisecondsPerSecond,
-        memoryMegabytes: fields.limits.memoryMb,
     };
 }
 
--- a/src/primaries/createPositionEvidence/index.ts
+++ b/src/primaries/createPositionEvidence/index.ts
@@ -46,6 +46,5 @@
         coveringPosition: (group, moment) =>
             evidenceByGroup.get(group)?.find(evidence => evidence.askedAt >= moment)?.position,
         newestAskedAt: group => evidenceByGroup.get(group)?.at(-1)?.askedAt,
-        newestPosition: group => evidenceByGroup.get(group)?.at(-1)?.position,
     };
 }
--- a/src/primaries/types/PositionEvidence.ts
+++ b/src/primaries/types/PositionEvidence.ts
@@ -10,5 +10,4 @@
     coveringPosition(group: string, moment: number): LogPosition | undefined;
     /** When the newest evidence was asked for; undefined when there is none. */
     newestAskedAt(group: string): number | undefined;
-    newestPosition(group: string): LogPosition | undefined;
 }
--- a/src/testing/startVm/index.ts
+++ b/src/testing/startVm/index.ts
@@ -43,11 +43,9 @@
         callerAddress: addressOf(callerPort!),
         readinessAddress: addressOf(readinessPort!),
         peerAddress: addressOf(peerPort!),
-        seedAddresses: [],
         storeAddress: addressOf(platform.store.port),
         promotionAddress: addressOf(platform.promotionPort),
         graceMilliseconds: 1_000,
-        memoryMegabytes: 350,
         ...options,
     };
     const logLines: Record<string, unknown>[] = [];
--- a/src/vm/types/VmSettings.ts
+++ b/src/vm/types/VmSettings.ts
@@ -14,12 +14,9 @@
     readonly readinessAddress: Address;
     /** Where other VMs call this one. */
     readonly peerAddress: Address;
-    /** Some VMs to ask first; they may be gone. */
-    readonly seedAddresses: readonly Address[];
     readonly storeAddress: Address;
     /** Where promotions are ordered. */
     readonly promotionAddress: Address;
     /** Time from the order to stop until the process is killed. */
     readonly graceMilliseconds: number;
-    readonly memoryMegabytes: number;
 }
