--- /dev/null
+++ b/src/placement/createPlacement/test.ts
@@ -0,0 +1,165 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import type { EndpointSession } from "../../statements/types/EndpointSession.js";
+import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
+import { SessionState } from "../../statements/types/SessionState.js";
+import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
+import { createKnownDirectory } from "../../testing/createKnownDirectory/index.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import type { PlacementRequest } from "../types/PlacementRequest.js";
+import { createPlacement } from "./index.js";
+
+const records = ["a", "b", "c"].map((availabilityZone, index) =>
+    createEndpointRecord({
+        id: `i-${index + 1}`,
+        isPrimary: index === 0,
+        address: { host: "127.0.0.1", port: index + 1, availabilityZone },
+    })
+);
+const place = {
+    availabilityZone: "b",
+    region: "north",
+    regionsByZone: { a: "north", b: "north", c: "south" },
+};
+const workMilliseconds = 20;
+
+/** Endpoints that run each statement for a while, any number at once. */
+function createSite() {
+    const clock = createManualClock();
+    const directory = createKnownDirectory(clock, records);
+    const primaries = createPrimaries(clock, directory, () => {});
+    const opened = new Map<string, number>();
+
+    async function open({ id }: EndpointRecord): Promise<EndpointSession> {
+        opened.set(id, (opened.get(id) ?? 0) + 1);
+        return {
+            position: undefined,
+            isClosed: false,
+            exchange: async () => {
+                await clock.sleep(workMilliseconds);
+                return [{ rows: [], signature: id, state: SessionState.Idle }];
+            },
+            close: () => {},
+            onClose: () => {},
+        };
+    }
+
+    const placement = createPlacement({
+        clock,
+        directory,
+        primaries,
+        open,
+        place,
+        vmCount: () => 8,
+        metrics: { countConnection: () => {}, observe: () => {} },
+        log: () => {},
+    });
+
+    function createRequest(changes: Partial<PlacementRequest> = {}): PlacementRequest {
+        return {
+            group: "orders",
+            needsPrimary: false,
+            priority: 1,
+            expiresAt: clock.now() + 600,
+            excluded: new Set(),
+            values: new Map(),
+            ...changes,
+        };
+    }
+
+    /** Runs one statement; tells which endpoint answered it. */
+    async function run(changes: Partial<PlacementRequest> = {}): Promise<string> {
+        try {
+            const lease = await placement.acquire(createRequest(changes));
+            const [answer] = await lease.exchange([{ kind: OutgoingKind.Rollback }], 1_000);
+            lease.release();
+            return answer!.signature!;
+        }
+        catch {
+            return "refused";
+        }
+    }
+
+    return { clock, directory, placement, opened, run };
+}
+
+function count(answers: readonly string[], wanted: string): number {
+    return answers.filter(answer => answer === wanted).length;
+}
+
+describe("createPlacement", () => {
+    it("sends reads to the nearest replica, and to others when that one is full, to the primary last", async () => {
+        const { clock, run } = createSite();
+        const alone = run();
+        await clock.advance(100);
+        assert.equal(await alone, "i-2");
+        const many = Promise.all(Array.from({ length: 12 }, () => run()));
+        await clock.advance(400);
+        const answers = await many;
+        assert.ok(count(answers, "i-2") >= count(answers, "i-1"), answers.join(" "));
+        assert.ok(count(answers, "i-2") >= count(answers, "i-3"), answers.join(" "));
+        assert.equal(count(answers, "refused"), 0);
+    });
+
+    it("passes over a replica that lagged, for a moment", async () => {
+        const { clock, directory, placement, run } = createSite();
+        placement.noteLagging(directory.endpoint("i-2")!);
+        const first = run();
+        await clock.advance(30);
+        assert.notEqual(await first, "i-2");
+        await clock.advance(100);
+        // It is served elsewhere while the first connection to the nearest replica is opened.
+        void run();
+        await clock.advance(100);
+        const third = run();
+        await clock.advance(100);
+        assert.equal(await third, "i-2");
+    });
+
+    it("under twice the load that the primary's connections carry: urgent statements pass, the rest is refused in time", async () => {
+        const { clock, opened, run } = createSite();
+        const needsPrimary = true;
+        // Two connections run 100 statements a second; 60 urgent and 140 others arrive in each of two seconds.
+        const urgent: Promise<string>[] = [];
+        const others: Promise<string>[] = [];
+        for (let turn = 0; turn < 40; turn += 1) {
+            for (let index = 0; index < 10; index += 1) {
+                const isUrgent = index < 3;
+                (isUrgent ? urgent : others).push(run({ needsPrimary, priority: isUrgent ? 0 : 1 }));
+            }
+            await clock.advance(50);
+        }
+        await clock.advance(1_000);
+        const urgentAnswers = await Promise.all(urgent);
+        const otherAnswers = await Promise.all(others);
+        const served = count(urgentAnswers, "i-1") + count(otherAnswers, "i-1");
+        assert.equal(count(urgentAnswers, "refused"), 0);
+        assert.ok(count(otherAnswers, "refused") > 0);
+        // Goodput stays within a tenth of what the connections can run from the first statement to the last.
+        assert.ok(served >= 180, `${served} served`);
+        assert.equal(opened.get("i-1"), 2);
+    });
+
+    it("rejects at once what is meant for an endpoint that accepts no connection", async () => {
+        const clock = createManualClock();
+        const directory = createKnownDirectory(clock, records);
+        const placement = createPlacement({
+            clock,
+            directory,
+            primaries: createPrimaries(clock, directory, () => {}),
+            open: () => Promise.reject(new Error("refused")),
+            place,
+            vmCount: () => 8,
+            metrics: { countConnection: () => {}, observe: () => {} },
+            log: () => {},
+        });
+        const request = { group: "orders", endpointId: "i-1", needsPrimary: false, priority: -1, expiresAt: 400 };
+        const acquire = () => placement.acquire({ ...request, excluded: new Set(), values: new Map() });
+        const first = acquire().catch((error: Error) => error.message);
+        await clock.advance(400);
+        await first;
+        await assert.rejects(acquire(), /accepts no connection/);
+    });
+});
