--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -34,7 +34,7 @@
 };
 
 export default [
-    { ignores: ["dist/", "node_modules/", ".run/"] },
+    { ignores: ["dist/", "target/", "node_modules/", ".run/"] },
     ...typescript.configs.recommended,
     {
         files: ["src/**/*.ts", "features/**/*.ts"],
@@ -75,6 +75,12 @@
             "jsdoc/require-description": "error",
         },
     },
+    {
+        // The loader of the bundle hands `require` to code that was compiled ahead, so it is CommonJS itself.
+        files: [".ci/*.cjs"],
+        languageOptions: { sourceType: "commonjs" },
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
     {
         files: ["src/**/test.ts", "features/**/*.ts"],
         rules: { "@typescript-eslint/no-floating-promises": "off" },
