Forward callers' sessions to the VMs that hold connections of a group

Cause: at 86 VMs an endpoint accepts 65 connections, fewer than one a VM. Now two VMs of each large zone hold a group's connections and serve its sessions; the others forward sessions to them over the transport between VMs. Ruled out: forwarding single connections to endpoints; each VM would still need evidence of each primary's position.

--- a/src/callerSessions/createCallerSession/index.ts
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -10,35 +10,20 @@
 import { createFailure } from "../createFailure/index.js";
 import { runSingleStatement } from "../runSingleStatement/index.js";
 import type { CallerConnection } from "../types/CallerConnection.js";
+import type { CallerSession } from "../types/CallerSession.js";
 import type { CallerStatement } from "../types/CallerStatement.js";
 import type { CallerTransaction } from "../types/CallerTransaction.js";
+import type { ReceivedStatement } from "../types/ReceivedStatement.js";
 import type { SessionContext } from "../types/SessionContext.js";
 import type { SessionServices } from "../types/SessionServices.js";
 import type { StatementOutcome } from "../types/StatementOutcome.js";
 
-/** A statement with its id and time. */
-interface ReceivedStatement {
-    readonly id: string;
-    readonly statement: Statement;
-    readonly receivedAt: number;
-}
-
 /** Handles one kind of statement. */
 type StatementHandler<Kind extends StatementKind> = (
     statement: Extract<Statement, { readonly kind: Kind; }>,
     received: ReceivedStatement,
 ) => Promise<void> | void;
 
-/** The statements of one caller's session. */
-interface CallerSession {
-    /** Whether a transaction is open, failed ones included. */
-    isInTransaction(): boolean;
-    /** Runs a statement and sends its answer. */
-    handle(received: ReceivedStatement): Promise<void>;
-    /** Rolls back an open transaction; the caller learns of it with its next statement. */
-    abandonTransaction(reason: string): void;
-}
-
 /**
  * Creates the session of one caller: its values, prepared statements and transaction.
  *
@@ -236,5 +221,5 @@
         }
     }
 
-    return { isInTransaction: () => transaction !== undefined, handle, abandonTransaction };
+    return { isInTransaction: () => transaction !== undefined, handle, abandonTransaction, end: abandonTransaction };
 }
--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -1,3 +1,4 @@
+import type { SessionForwarding } from "../../forwarding/types/SessionForwarding.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import { createMailbox } from "../../waiting/createMailbox/index.js";
@@ -13,6 +14,8 @@
 interface CallerSessionsOptions {
     /** Time from the order to stop until the process is killed. */
     readonly graceMilliseconds: number;
+    /** Forwards sessions to other VMs; left out, this VM serves them all. */
+    readonly forwarding?: SessionForwarding;
 }
 
 /** A command with the time at which it was received. */
@@ -27,6 +30,8 @@
     isBusy: boolean;
     isInTransaction(): boolean;
     abandonTransaction(reason: string): void;
+    /** Ends what serves the caller. */
+    end(reason: string): void;
     close(): void;
 }
 
@@ -49,12 +54,22 @@
     let stoppingSince: number | undefined;
 
     function serve(connection: CallerConnection): void {
+        serveWith(connection, options.forwarding);
+    }
+
+    /** Serves a session of another VM's caller here. */
+    function serveForwarded(connection: CallerConnection): void {
+        serveWith(connection, undefined);
+    }
+
+    function serveWith(connection: CallerConnection, forwarding: SessionForwarding | undefined): void {
         const commands = createMailbox<ReceivedCommand>(clock);
         let waiting = 0;
         const open: OpenSession = {
             isBusy: false,
             isInTransaction: () => false,
             abandonTransaction: () => {},
+            end: () => {},
             close: () => connection.close(),
         };
         sessions.add(open);
@@ -80,7 +95,7 @@
             catch (error) {
                 log("session broke", { reason: (error as Error).stack });
             }
-            open.abandonTransaction("the caller has left");
+            open.end("the caller has left");
             connection.close();
         }
 
@@ -89,9 +104,11 @@
             if (database === undefined) {
                 return;
             }
-            const session = createCallerSession(connection, database, services);
+            const createLocal = () => createCallerSession(connection, database, services);
+            const session = forwarding?.forward(connection, database, createLocal) ?? createLocal();
             open.isInTransaction = session.isInTransaction;
             open.abandonTransaction = session.abandonTransaction;
+            open.end = session.end;
             for (;;) {
                 const limit = session.isInTransaction()
                     ? directory.routingTable()!.idleTransactionMilliseconds
@@ -199,5 +216,5 @@
         return [`${sessions.size} sessions, ${[...sessions].filter(session => session.isBusy).length} of them busy`];
     }
 
-    return { serve, count: () => sessions.size, closeAll, describeWork };
+    return { serve, serveForwarded, count: () => sessions.size, closeAll, describeWork };
 }
--- /dev/null
+++ b/src/forwarding/createSessionForwarding/index.ts
@@ -0,0 +1,52 @@
+import type { Directory } from "../../directory/types/Directory.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { createForwardedSession } from "../createForwardedSession/index.js";
+import type { SessionForwarding } from "../types/SessionForwarding.js";
+import type { SessionHosts } from "../types/SessionHosts.js";
+import type { SessionOpener } from "../types/SessionOpener.js";
+
+/** Options of `createSessionForwarding`. */
+interface SessionForwardingOptions {
+    readonly directory: Pick<Directory, "routeOf" | "version">;
+    readonly hosts: SessionHosts;
+    readonly open: SessionOpener;
+    readonly log: LogTopic;
+}
+
+/**
+ * Creates the forwarding of callers' sessions to the VMs that hold connections to the endpoints.
+ *
+ * @param options Directory, the choice of hosts, and how to open a session there.
+ * @returns The forwarding.
+ *
+ * @example
+ * const session = forwarding.forward(connection, "shop", createLocal) ?? createLocal();
+ */
+export function createSessionForwarding(options: SessionForwardingOptions): SessionForwarding {
+    const { directory, hosts, log } = options;
+    let hostsRoutingVersion = 0;
+
+    return {
+        forward: (connection, database, createLocal) => {
+            const group = directory.routeOf(database)?.group;
+            const host = group === undefined ? undefined : hosts.hostOf(group);
+            if (host === undefined) {
+                return undefined;
+            }
+            log("session is forwarded", { database, group, host: host.name });
+            return createForwardedSession({
+                connection,
+                database,
+                hostName: host.name,
+                opening: options.open(host, database),
+                createLocal,
+                routingVersion: () => Math.max(directory.version(), hostsRoutingVersion),
+                onRoutingVersion: version => {
+                    hostsRoutingVersion = Math.max(hostsRoutingVersion, version);
+                },
+                onLost: () => hosts.avoid(host),
+                log,
+            });
+        },
+    };
+}
--- /dev/null
+++ b/src/forwarding/createSessionForwarding/test.ts
@@ -0,0 +1,75 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
+import { ServiceName } from "../../kernel/types/ServiceName.js";
+import { createCallerStandIn } from "../../platform/standIns/createCallerStandIn/index.js";
+import { createPlatformStandIn } from "../../platform/standIns/createPlatformStandIn/index.js";
+import { SessionState } from "../../statements/types/SessionState.js";
+import { createRoute } from "../../testing/createRoute/index.js";
+import { startVm } from "../../testing/startVm/index.js";
+import { waitUntilTrue } from "../../testing/waitUntilTrue/index.js";
+import { forwardingConstants } from "../constants.js";
+import type { SessionHosts } from "../types/SessionHosts.js";
+
+const vmCount = forwardingConstants.largestUnsharedZone + 2;
+
+/** Starts one zone with more VMs than may hold connections of their own. */
+async function startSite() {
+    const platform = await createPlatformStandIn({ group: "orders", zones: ["a", "b", "c"], promoteMilliseconds: 60 });
+    platform.configure(7, [createRoute({ database: "shop", guarantee: ReadGuarantee.ReadYourWrites })]);
+    const names = Array.from({ length: vmCount }, (_, index) => `vm-${index}`);
+    const vms = await Promise.all(names.map(name => startVm(name, platform)));
+    const open = async (vm: typeof vms[number]) =>
+        (await createCallerStandIn(vm.settings.callerAddress.port, "shop")).caller;
+    const isForwarding = (vm: typeof vms[number]): boolean =>
+        vm.kernel.get<SessionHosts>(ServiceName.SessionHosts).hostOf("orders") !== undefined;
+    const stop = async (): Promise<void> => {
+        await Promise.all(vms.map(vm => vm.stop()));
+        platform.stop();
+    };
+    return { platform, vms, open, isForwarding, stop };
+}
+
+describe("sessions forwarded between VMs", () => {
+    let site: Awaited<ReturnType<typeof startSite>>;
+    before(async () => {
+        site = await startSite();
+        await waitUntilTrue("all but the hosts forward", async () => {
+            const forwarding = site.vms.filter(site.isForwarding);
+            return forwarding.length === vmCount - forwardingConstants.hostsPerZone;
+        });
+    });
+    after(() => site.stop());
+
+    it("keeps values, transactions and the session's own writes", async () => {
+        for (const vm of site.vms) {
+            const caller = await site.open(vm);
+            await caller.run(`SET unit ${vm.settings.name}`);
+            await caller.run(`WRITE ${vm.settings.name} one`);
+            const read = await caller.run(`READ ${vm.settings.name}`);
+            assert.deepEqual(read.rows, ["one"]);
+            const ran = site.platform.executed.find(({ id }) => id === caller.lastId())!;
+            assert.deepEqual(ran.values, { unit: vm.settings.name });
+            assert.equal((await caller.run("BEGIN")).state, SessionState.InTransaction);
+            await caller.run("WRITE t1 two");
+            assert.equal((await caller.run("COMMIT")).state, SessionState.Idle);
+            caller.close();
+        }
+    });
+
+    it("rolls back what a caller leaves open at another VM", async () => {
+        const leavers = await Promise.all(site.vms.map(site.open));
+        await Promise.all(leavers.map(async leaver => {
+            await leaver.run("BEGIN");
+            await leaver.run("WRITE left over");
+            leaver.close();
+        }));
+        const caller = await site.open(site.vms[0]!);
+        assert.deepEqual((await caller.run("READ left")).rows, ["nothing"]);
+        await waitUntilTrue("the endpoints hold no open transaction", async () => {
+            const written = await caller.run("WRITE left later");
+            return written.failure === undefined;
+        });
+        caller.close();
+    });
+});
--- /dev/null
+++ b/src/forwarding/createSessionHost/index.ts
@@ -0,0 +1,145 @@
+import type { CallerCommand } from "../../callerSessions/types/CallerCommand.js";
+import { CallerCommandKind } from "../../callerSessions/types/CallerCommandKind.js";
+import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
+import type { Clock } from "../../clock/types/Clock.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { FailureCode } from "../../statements/types/FailureCode.js";
+import { SessionState } from "../../statements/types/SessionState.js";
+import { createWaiter } from "../../waiting/createWaiter/index.js";
+import type { Waiter } from "../../waiting/types/Waiter.js";
+import { forwardingConstants } from "../constants.js";
+import type { ForwardedAnswer } from "../types/ForwardedAnswer.js";
+import type { SessionHost } from "../types/SessionHost.js";
+
+/** Options of `createSessionHost`. */
+interface SessionHostOptions {
+    readonly clock: Clock;
+    /** Serves a connection as a caller's, at this VM. */
+    readonly serve: (connection: CallerConnection) => void;
+    /** Version of the routing table that this VM knows. */
+    readonly routingVersion: () => number;
+    readonly log: LogTopic;
+}
+
+/** One session of another VM's caller. */
+interface OpenSession {
+    readonly state: () => SessionState;
+    run(command: CallerCommand): Promise<ForwardedAnswer>;
+}
+
+/** What a session answers a command with, without the version that is added to each answer. */
+type SessionAnswer = Omit<ForwardedAnswer, "routingVersion">;
+
+/**
+ * Creates the sessions that this VM serves for callers of other VMs: each is served like one of its own callers'.
+ *
+ * @param options Clock, how sessions are served, and the version of the routing table.
+ * @returns The host, without sessions.
+ *
+ * @example
+ * const router = createForwardingRouter(createSessionHost({ clock, serve: sessions.serveForwarded, ... }));
+ */
+export function createSessionHost(options: SessionHostOptions): SessionHost {
+    const { clock, log } = options;
+    const sessions = new Map<number, OpenSession>();
+    let lastId = 0;
+
+    async function* open(database: string, signal: AbortSignal | undefined): AsyncGenerator<number> {
+        lastId += 1;
+        const id = lastId;
+        const closed = new AbortController();
+        const end = (): void => closed.abort();
+        signal?.addEventListener("abort", end, { once: true });
+        try {
+            const session = createSession(closed);
+            sessions.set(id, session);
+            const { failure } = await session.run({ kind: CallerCommandKind.Open, database });
+            if (failure !== undefined) {
+                throw createError(ErrorKind.NotFound, `The session was not opened: ${failure.description}.`, {
+                    remedy: "Serve the session at another VM.",
+                });
+            }
+            yield id;
+            if (!closed.signal.aborted) {
+                await new Promise(resolve => closed.signal.addEventListener("abort", resolve, { once: true }));
+            }
+        }
+        finally {
+            sessions.delete(id);
+            end();
+            signal?.removeEventListener("abort", end);
+        }
+    }
+
+    function createSession(closed: AbortController): OpenSession {
+        let state = SessionState.Idle;
+        let waiting: Waiter<SessionAnswer> | undefined;
+        let deliver: (command: CallerCommand) => void = () => {};
+
+        function answer(given: SessionAnswer): void {
+            state = given.state;
+            waiting?.resolve(given);
+            waiting = undefined;
+        }
+
+        options.serve({
+            onCommand: listener => {
+                deliver = listener;
+            },
+            onClose: listener => closed.signal.addEventListener("abort", listener, { once: true }),
+            sendReady: (ready, position) => answer({ rows: [], state: ready, position }),
+            sendSuccess: answer,
+            sendFailure: (failure, failed) => answer({ rows: [], state: failed, failure }),
+            refuse: failure => answer({ rows: [], state: SessionState.Idle, failure }),
+            close: () => closed.abort(),
+        });
+
+        async function run(command: CallerCommand): Promise<ForwardedAnswer> {
+            waiting = createWaiter<SessionAnswer>({
+                clock,
+                timeoutMilliseconds: forwardingConstants.answerMilliseconds,
+                signal: closed.signal,
+                createTimeoutError: createClosed,
+            });
+            const { promise } = waiting;
+            deliver(command);
+            return { ...await promise, routingVersion: options.routingVersion() };
+        }
+
+        return { state: () => state, run };
+    }
+
+    function createClosed(): Error {
+        return createError(ErrorKind.NotFound, "The session is closed.", { remedy: "Open another session." });
+    }
+
+    async function run(
+        { sessionId, id, statement, routingVersion }: Parameters<SessionHost["run"]>[0],
+    ): Promise<ForwardedAnswer> {
+        const session = sessions.get(sessionId);
+        if (session === undefined) {
+            throw createClosed();
+        }
+        const startsWork = session.state() === SessionState.Idle;
+        if (startsWork && !await isRoutingKnown(routingVersion)) {
+            log("forwarded statement refused", { id, routingVersion, known: options.routingVersion() });
+            const failure = { code: FailureCode.Busy, description: "the newest routing table is not known here yet" };
+            return { rows: [], state: session.state(), failure, routingVersion: options.routingVersion() };
+        }
+        return await session.run({ kind: CallerCommandKind.Run, id, statement });
+    }
+
+    /** A caller's VM that has applied a routing table must not see an older one applied by its hosts. */
+    async function isRoutingKnown(version: number): Promise<boolean> {
+        const { routingMilliseconds, routingCheckMilliseconds } = forwardingConstants;
+        const until = clock.now() + routingMilliseconds;
+        while (options.routingVersion() < version && clock.now() < until) {
+            await clock.sleep(routingCheckMilliseconds);
+        }
+        return options.routingVersion() >= version;
+    }
+
+    return { open, run, count: () => sessions.size };
+}
--- /dev/null
+++ b/src/forwarding/createSessionHosts/index.ts
@@ -0,0 +1,71 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { VmIdentity } from "../../duty/types/VmIdentity.js";
+import { chooseHosts } from "../chooseHosts/index.js";
+import { forwardingConstants } from "../constants.js";
+import type { SessionHosts } from "../types/SessionHosts.js";
+
+/** Options of `createSessionHosts`. */
+interface SessionHostsOptions {
+    readonly clock: Clock;
+    /** This VM. */
+    readonly self: Pick<VmIdentity, "name" | "address">;
+    /** The groups of endpoints. */
+    readonly groups: () => readonly string[];
+    /** The other VMs that live. */
+    readonly otherVms: () => readonly VmIdentity[];
+}
+
+/**
+ * Creates the choice of the VMs that serve sessions for others.
+ *
+ * Sessions of one group are spread over the hosts of the zone. A host that could not be reached gets no new session
+ * for a while; when all are avoided, this VM serves the session itself.
+ *
+ * @param options Clock, this VM and the others.
+ * @returns The choice.
+ *
+ * @example
+ * const host = hosts.hostOf("orders");
+ */
+export function createSessionHosts(options: SessionHostsOptions): SessionHosts {
+    const { clock, self, otherVms } = options;
+    const avoidedUntil = new Map<string, number>();
+    let turn = 0;
+    let chosen: ReturnType<typeof chooseHosts> = new Map();
+    let chosenAt = -Infinity;
+
+    function listNames(group: string): ReadonlySet<string> {
+        const now = clock.now();
+        if (now - chosenAt >= forwardingConstants.choiceMilliseconds) {
+            chosen = chooseHosts(options.groups(), [self, ...otherVms()]);
+            chosenAt = now;
+        }
+        return chosen.get(group) ?? new Set([self.name]);
+    }
+
+    function othersOf(group: string): readonly VmIdentity[] {
+        const names = listNames(group);
+        return otherVms().filter(({ name }) => names.has(name));
+    }
+
+    function hostOf(group: string): VmIdentity | undefined {
+        if (listNames(group).has(self.name)) {
+            return undefined;
+        }
+        const now = clock.now();
+        const near = othersOf(group).filter(({ name, address }) =>
+            address.availabilityZone === self.address.availabilityZone && now >= (avoidedUntil.get(name) ?? -Infinity)
+        );
+        turn += 1;
+        return near[turn % Math.max(near.length, 1)];
+    }
+
+    return {
+        hostOf,
+        othersOf,
+        countOf: group => listNames(group).size,
+        avoid: ({ name }) => {
+            avoidedUntil.set(name, clock.now() + forwardingConstants.avoidMilliseconds);
+        },
+    };
+}
--- /dev/null
+++ b/src/forwarding/createSessionHosts/test.ts
@@ -0,0 +1,58 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { VmIdentity } from "../../duty/types/VmIdentity.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { chooseHosts } from "../chooseHosts/index.js";
+import { forwardingConstants } from "../constants.js";
+import { createSessionHosts } from "./index.js";
+
+function createVm(availabilityZone: string, index: number): VmIdentity {
+    const name = `${availabilityZone}-${index}`;
+    return { name, address: { host: name, port: 1, availabilityZone }, incarnation: "1" };
+}
+
+const vms = ["a", "b"].flatMap(zone => Array.from({ length: 10 }, (_, index) => createVm(zone, index)));
+const chosenNames = chooseHosts(["orders"], vms).get("orders")!;
+const chosen = vms.filter(({ name }) => chosenNames.has(name));
+const nearNames = chosen.filter(vm => vm.address.availabilityZone === "a").map(({ name }) => name);
+const outsider = vms.find(vm => vm.address.availabilityZone === "a" && !chosen.includes(vm))!;
+
+function createHosts(self: VmIdentity) {
+    const clock = createManualClock();
+    const hosts = createSessionHosts({
+        clock,
+        self,
+        groups: () => ["orders"],
+        otherVms: () => vms.filter(vm => vm !== self),
+    });
+    return { clock, hosts };
+}
+
+describe("createSessionHosts", () => {
+    it("spreads sessions over the hosts of the VM's own zone", () => {
+        const { hosts } = createHosts(outsider);
+        const used = new Set(Array.from({ length: 8 }, () => hosts.hostOf("orders")?.name));
+        assert.deepEqual([...used].sort(), [...nearNames].sort());
+        assert.equal(hosts.countOf("orders"), 2 * forwardingConstants.hostsPerZone);
+    });
+
+    it("serves sessions itself where it is a host", () => {
+        const { hosts } = createHosts(chosen[0]!);
+        assert.equal(hosts.hostOf("orders"), undefined);
+        assert.equal(hosts.othersOf("orders").length, chosen.length - 1);
+    });
+
+    it("avoids a host that was not reached for a while, and serves itself when all are avoided", async () => {
+        const { clock, hosts } = createHosts(outsider);
+        const avoided = hosts.hostOf("orders")!;
+        hosts.avoid(avoided);
+        assert.deepEqual(
+            new Set(Array.from({ length: 4 }, () => hosts.hostOf("orders")?.name)),
+            new Set(nearNames.filter(name => name !== avoided.name)),
+        );
+        hosts.avoid(hosts.hostOf("orders")!);
+        assert.equal(hosts.hostOf("orders"), undefined);
+        await clock.advance(forwardingConstants.avoidMilliseconds);
+        assert.notEqual(hosts.hostOf("orders"), undefined);
+    });
+});
--- /dev/null
+++ b/src/forwarding/forwardingSchemas.ts
@@ -0,0 +1,27 @@
+import { z } from "zod";
+import { AccessMode } from "../statements/types/AccessMode.js";
+import { StatementKind } from "../statements/types/StatementKind.js";
+
+const text = z.string();
+const name = z.string();
+const statement = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal(StatementKind.Begin), text, isReadOnly: z.boolean() }),
+    z.object({ kind: z.literal([StatementKind.Commit, StatementKind.Rollback]), text }),
+    z.object({ kind: z.literal([StatementKind.Read, StatementKind.Write]), text }),
+    z.object({ kind: z.literal(StatementKind.SetValue), text, name, value: z.string() }),
+    z.object({ kind: z.literal(StatementKind.Prepare), text, name, mode: z.enum(AccessMode), shape: z.string() }),
+    z.object({ kind: z.literal(StatementKind.Execute), text, name, remainder: z.string() }),
+    z.object({ kind: z.literal(StatementKind.ClosePrepared), text, name }),
+    z.object({ kind: z.literal(StatementKind.Unreadable), text }),
+]);
+
+/** Schemas of what VMs send each other to forward callers' sessions. */
+export const forwardingSchemas = {
+    database: z.string(),
+    statement: z.object({
+        sessionId: z.number().int(),
+        id: z.string(),
+        statement,
+        routingVersion: z.number(),
+    }),
+} as const;
--- /dev/null
+++ b/src/forwarding/mayTakeEffect/test.ts
@@ -0,0 +1,24 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { SessionState } from "../../statements/types/SessionState.js";
+import { StatementKind } from "../../statements/types/StatementKind.js";
+import { mayTakeEffect } from "./index.js";
+
+const write = { kind: StatementKind.Write, text: "WRITE a b" } as const;
+const execute = { kind: StatementKind.Execute, text: "EXECUTE s a b", name: "s", remainder: "a b" } as const;
+const read = { kind: StatementKind.Read, text: "READ a" } as const;
+const commit = { kind: StatementKind.Commit, text: "COMMIT" } as const;
+
+describe("mayTakeEffect", () => {
+    it("holds single writes, and prepared statements that may write, for possibly done", () => {
+        assert.equal(mayTakeEffect(write, SessionState.Idle), true);
+        assert.equal(mayTakeEffect(execute, SessionState.Idle), true);
+        assert.equal(mayTakeEffect(read, SessionState.Idle), false);
+    });
+
+    it("knows that nothing of a transaction is kept before its commit was sent", () => {
+        assert.equal(mayTakeEffect(write, SessionState.InTransaction), false);
+        assert.equal(mayTakeEffect(commit, SessionState.InTransaction), true);
+        assert.equal(mayTakeEffect(commit, SessionState.FailedTransaction), false);
+    });
+});
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -27,8 +27,8 @@
     readonly open: EndpointOpener;
     /** Where this VM stands. */
     readonly place: Parameters<typeof createEndpointScore>[1];
-    /** VMs that share the endpoints' connections. */
-    readonly vmCount: () => number;
+    /** VMs that share the connections of a group's endpoints. */
+    readonly vmCount: (group: string) => number;
     readonly metrics: Pick<Metrics, "countConnection" | "observe">;
     readonly log: LogTopic;
 }
@@ -81,7 +81,7 @@
     });
 
     function connectionLimit(group: string): number {
-        return shareConnections(directory.groupSettings(group)?.connectionLimit ?? 0, options.vmCount());
+        return shareConnections(directory.groupSettings(group)?.connectionLimit ?? 0, options.vmCount(group));
     }
 
     function targetOf(endpoint: EndpointRecord): Target {
--- a/src/promotions/createEndpointControl/index.ts
+++ b/src/promotions/createEndpointControl/index.ts
@@ -1,6 +1,5 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
-import type { Duty } from "../../duty/types/Duty.js";
 import type { EndpointCommand } from "../../duty/types/EndpointCommand.js";
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import type { VmPeer } from "../../duty/types/VmPeer.js";
@@ -16,7 +15,8 @@
     readonly clock: Clock;
     readonly directory: Directory;
     readonly placement: Placement;
-    readonly otherVms: Duty["otherVms"];
+    /** The other VMs that hold connections to a group's endpoints. */
+    readonly connectedVms: (group: string) => readonly VmIdentity[];
     readonly peerOf: (vm: VmIdentity) => VmPeer;
 }
 
@@ -71,7 +71,8 @@
     }
 
     async function runFromAnywhere(command: EndpointCommand): Promise<readonly StatementAnswer[]> {
-        const fromOthers = () => options.otherVms().map(vm => options.peerOf(vm).command(command));
+        const group = directory.endpoint(command.endpointId)?.group ?? "";
+        const fromOthers = () => options.connectedVms(group).map(vm => options.peerOf(vm).command(command));
         return await run(command).catch(() => Promise.any(fromOthers()));
     }
 
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -21,6 +21,8 @@
     readonly duty: Duty;
     /** Whether this VM reaches an endpoint. */
     readonly probe: (endpointId: string) => Promise<boolean>;
+    /** The other VMs that hold connections to a group's endpoints. */
+    readonly connectedVms: (group: string) => readonly VmIdentity[];
     readonly peerOf: (vm: VmIdentity) => VmPeer;
     readonly changePrimary: ReturnType<typeof createPrimaryChange>;
     /** Finds out which of several endpoints that hold themselves for the primary is it. */
@@ -134,7 +136,7 @@
             return true;
         }
         const answers = await Promise.all(
-            duty.otherVms().map(async vm => {
+            options.connectedVms(group).map(async vm => {
                 try {
                     return await options.peerOf(vm).askReached(primary.id) ? vm.name : undefined;
                 }
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -9,6 +9,9 @@
 import type { Duty } from "../../duty/types/Duty.js";
 import { createEventRecorder } from "../../events/createEventRecorder/index.js";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import { createForwardingRouter } from "../../forwarding/createForwardingRouter/index.js";
+import type { SessionHost } from "../../forwarding/types/SessionHost.js";
+import type { SessionHosts } from "../../forwarding/types/SessionHosts.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
@@ -28,6 +31,7 @@
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { createPeers } from "../../transport/createPeers/index.js";
 import { createTransportServer } from "../../transport/createTransportServer/index.js";
+import { trpc } from "../../transport/trpc/index.js";
 import type { Peers } from "../../transport/types/Peers.js";
 import type { VmSettings } from "../types/VmSettings.js";
 
@@ -96,15 +100,15 @@
                 ServiceName.Clock,
                 ServiceName.Directory,
                 ServiceName.Placement,
-                ServiceName.Duty,
+                ServiceName.SessionHosts,
                 ServiceName.Peers,
             ],
-            create: (clock: Clock, directory: Directory, placement: Placement, duty: Duty, peers: Peers) =>
+            create: (clock: Clock, directory: Directory, placement: Placement, hosts: SessionHosts, peers: Peers) =>
                 createEndpointControl({
                     clock,
                     directory,
                     placement,
-                    otherVms: duty.otherVms,
+                    connectedVms: hosts.othersOf,
                     peerOf: createVmPeers(peers, clock),
                 }),
         },
@@ -136,6 +140,7 @@
                 ServiceName.Duty,
                 ServiceName.EndpointControl,
                 ServiceName.EndpointProbe,
+                ServiceName.SessionHost,
                 ServiceName.Events,
                 ServiceName.Logger,
             ],
@@ -143,13 +148,14 @@
                 duty: Duty,
                 control: EndpointControl,
                 { probe }: EndpointProbe,
+                host: SessionHost,
                 events: EventRecorder,
                 logger: Logger,
             ) => createTransportServer({
                 host: peerAddress.host,
                 port: peerAddress.port,
                 peerSecret,
-                router: createDutyRouter(duty, control.run, probe),
+                router: trpc.mergeRouters(createDutyRouter(duty, control.run, probe), createForwardingRouter(host)),
                 events,
                 logger,
             }),
@@ -172,6 +178,7 @@
                 ServiceName.EndpointControl,
                 ServiceName.EndpointProbe,
                 ServiceName.PromotionOrders,
+                ServiceName.SessionHosts,
                 ServiceName.Peers,
                 ServiceName.Metrics,
                 ServiceName.Logger,
@@ -185,6 +192,7 @@
                 control: EndpointControl,
                 { probe }: EndpointProbe,
                 orders: PromotionOrders,
+                hosts: SessionHosts,
                 peers: Peers,
                 metrics: Metrics,
                 logger: Logger,
@@ -211,6 +219,7 @@
                     primaries,
                     duty,
                     probe,
+                    connectedVms: hosts.othersOf,
                     peerOf,
                     changePrimary,
                     settleDispute: createDisputeSettlement({ directory, duty, control, log }),
--- /dev/null
+++ b/src/vm/listForwardingServices/index.ts
@@ -0,0 +1,72 @@
+import type { CallerSessions } from "../../callerSessions/types/CallerSessions.js";
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Directory } from "../../directory/types/Directory.js";
+import type { Duty } from "../../duty/types/Duty.js";
+import { createForwardingPeers } from "../../forwarding/createForwardingPeers/index.js";
+import { createSessionForwarding } from "../../forwarding/createSessionForwarding/index.js";
+import { createSessionHost } from "../../forwarding/createSessionHost/index.js";
+import { createSessionHosts } from "../../forwarding/createSessionHosts/index.js";
+import type { SessionHosts } from "../../forwarding/types/SessionHosts.js";
+import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
+import { ServiceName } from "../../kernel/types/ServiceName.js";
+import type { Logger } from "../../logging/types/Logger.js";
+import type { Peers } from "../../transport/types/Peers.js";
+import type { VmSettings } from "../types/VmSettings.js";
+
+/**
+ * Lists the services by which VMs serve sessions for each other.
+ *
+ * @param settings Settings of the VM.
+ * @returns Their definitions, for a kernel.
+ *
+ * @example
+ * const definitions = listForwardingServices(settings);
+ */
+export function listForwardingServices({ name, peerAddress }: VmSettings): ServiceDefinition[] {
+    return [
+        {
+            name: ServiceName.SessionHosts,
+            dependencies: [ServiceName.Clock, ServiceName.Directory, ServiceName.Duty],
+            create: (clock: Clock, directory: Directory, duty: Duty) =>
+                createSessionHosts({
+                    clock,
+                    self: { name, address: peerAddress },
+                    groups: directory.groups,
+                    otherVms: duty.otherVms,
+                }),
+        },
+        {
+            name: ServiceName.SessionForwarding,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Directory,
+                ServiceName.SessionHosts,
+                ServiceName.Peers,
+                ServiceName.Logger,
+            ],
+            create: (clock: Clock, directory: Directory, hosts: SessionHosts, peers: Peers, logger: Logger) =>
+                createSessionForwarding({
+                    directory,
+                    hosts,
+                    open: createForwardingPeers(peers, clock),
+                    log: logger.topic("forwarding"),
+                }),
+        },
+        {
+            name: ServiceName.SessionHost,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.CallerSessions,
+                ServiceName.Directory,
+                ServiceName.Logger,
+            ],
+            create: (clock: Clock, sessions: CallerSessions, directory: Directory, logger: Logger) =>
+                createSessionHost({
+                    clock,
+                    serve: sessions.serveForwarded,
+                    routingVersion: directory.version,
+                    log: logger.topic("forwarding"),
+                }),
+        },
+    ];
+}
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -10,6 +10,9 @@
 import type { Directory } from "../../directory/types/Directory.js";
 import type { PlatformStore } from "../../directory/types/PlatformStore.js";
 import type { Duty } from "../../duty/types/Duty.js";
+import type { SessionForwarding } from "../../forwarding/types/SessionForwarding.js";
+import type { SessionHost } from "../../forwarding/types/SessionHost.js";
+import type { SessionHosts } from "../../forwarding/types/SessionHosts.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import { createLogger } from "../../logging/createLogger/index.js";
@@ -34,6 +37,7 @@
 import { createSettingsReload } from "../createSettingsReload/index.js";
 import { createVmFront } from "../createVmFront/index.js";
 import { listDutyServices } from "../listDutyServices/index.js";
+import { listForwardingServices } from "../listForwardingServices/index.js";
 import { openEndpoint } from "../openEndpoint/index.js";
 import type { VmSettings } from "../types/VmSettings.js";
 
@@ -117,7 +121,7 @@
                 ServiceName.Clock,
                 ServiceName.Directory,
                 ServiceName.Primaries,
-                ServiceName.Duty,
+                ServiceName.SessionHosts,
                 ServiceName.Metrics,
                 ServiceName.Logger,
             ],
@@ -125,7 +129,7 @@
                 clock: Clock,
                 directory: Directory,
                 primaries: Primaries,
-                duty: Duty,
+                hosts: SessionHosts,
                 metrics: Metrics,
                 logger: Logger,
             ) => createPlacement({
@@ -134,7 +138,7 @@
                 primaries,
                 open: openEndpoint,
                 place: settings,
-                vmCount: () => Math.max(duty.otherVms().length + 1, vmConstants.assumedVms),
+                vmCount: group => Math.max(hosts.countOf(group), vmConstants.assumedVms),
                 metrics,
                 log: logger.topic("placement"),
             }),
@@ -175,6 +179,7 @@
                 ServiceName.PositionEvidence,
                 ServiceName.PrimaryCertainty,
                 ServiceName.Placement,
+                ServiceName.SessionForwarding,
                 ServiceName.Metrics,
                 ServiceName.Logger,
             ],
@@ -186,6 +191,7 @@
                 evidence: PositionEvidence,
                 certainty: PrimaryCertainty,
                 placement: Placement,
+                forwarding: SessionForwarding,
                 metrics: Metrics,
                 logger: Logger,
             ) => {
@@ -205,16 +211,34 @@
                 };
                 return createCallerSessions(
                     { ...shared, renewal: createEvidenceRenewal(shared) },
-                    { graceMilliseconds: settings.graceMilliseconds },
+                    { graceMilliseconds: settings.graceMilliseconds, forwarding },
                 );
             },
         },
+        ...listForwardingServices(settings),
         ...listDutyServices(settings),
         { name: ServiceName.Metrics, dependencies: [], create: createMetrics },
         {
             name: ServiceName.MetricsServer,
-            dependencies: [ServiceName.Metrics, ServiceName.CallerSessions, ServiceName.Duty, ServiceName.Logger],
-            create: (metrics: Metrics, sessions: CallerSessions, duty: Duty, logger: Logger) => {
+            dependencies: [
+                ServiceName.Metrics,
+                ServiceName.CallerSessions,
+                ServiceName.SessionHost,
+                ServiceName.Duty,
+                ServiceName.Logger,
+            ],
+            create: (
+                metrics: Metrics,
+                sessions: CallerSessions,
+                sessionHost: SessionHost,
+                duty: Duty,
+                logger: Logger,
+            ) => {
+                metrics.observe(
+                    "tarragonpost_hosted_sessions",
+                    "Open sessions of other VMs' callers.",
+                    sessionHost.count,
+                );
                 metrics.observe("tarragonpost_sessions", "Open sessions.", sessions.count);
                 metrics.observe(
                     "tarragonpost_lease_held",
