--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -1,50 +1,27 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createMetrics } from "../../metrics/createMetrics/index.js";
 import type { EndpointLease } from "../../placement/types/EndpointLease.js";
-import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
-import { createPrimaries } from "../../primaries/createPrimaries/index.js";
-import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { AccessMode } from "../../statements/types/AccessMode.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { StatementKind } from "../../statements/types/StatementKind.js";
 import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
-import { createKnownDirectory } from "../../testing/createKnownDirectory/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createRoute } from "../../testing/createRoute/index.js";
-import { createPreparedNames } from "../createPreparedNames/index.js";
+import { createSessionServices } from "../../testing/createSessionServices/index.js";
 import { AttemptKind } from "../types/AttemptKind.js";
 import type { CallerStatement } from "../types/CallerStatement.js";
-import type { SessionServices } from "../types/SessionServices.js";
 import { attemptStatement } from "./index.js";
 
 const endpoint = createEndpointRecord({ isPrimary: true });
 
 function createAttempt(mode: AccessMode, isConfirmed: readonly boolean[], answer: Partial<StatementAnswer>) {
     const clock = createManualClock();
-    const directory = createKnownDirectory(clock, [endpoint]);
     const confirmations = [...isConfirmed];
-    const services: SessionServices = {
-        clock,
-        random: createRandomSource(1),
-        directory,
-        primaries: createPrimaries(clock, directory, () => {}),
-        evidence: createPositionEvidence(),
+    const services = createSessionServices(clock, [endpoint], {
         certainty: { isSure: () => false, confirm: async () => confirmations.shift() ?? false },
-        placement: {
-            acquire: () => Promise.reject(new Error("not needed")),
-            noteLagging: () => {},
-            noteBusy: () => {},
-            answeredAt: () => 0,
-            stop: async () => {},
-        },
-        renewal: { renew: async () => {}, renewIfOld: () => {} },
-        preparedNames: createPreparedNames(),
-        metrics: createMetrics(),
-        log: () => {},
-    };
+    });
     const statement: CallerStatement = {
         id: "q1",
         statement: { kind: mode === AccessMode.Read ? StatementKind.Read : StatementKind.Write, text: "a 1" },
--- a/src/callerSessions/createCallerSession/index.ts
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -1,4 +1,3 @@
-import type { Route } from "../../directory/types/Route.js";
 import { AccessMode } from "../../statements/types/AccessMode.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import type { PreparedStatement } from "../../statements/types/PreparedStatement.js";
@@ -43,7 +42,6 @@
     const { clock, directory, log } = services;
     const context: SessionContext = { database, values: new Map(), prepared: new Map(), commits: new Map() };
     let transaction: CallerTransaction | undefined;
-    let transactionRoute: Route | undefined;
     /** Why the transaction was rolled back without the caller's asking. */
     let abandonReason: string | undefined;
 
@@ -129,7 +127,6 @@
             sendOutcome(id, createUnrouted());
             return;
         }
-        transactionRoute = route;
         transaction = createCallerTransaction({ route, session: context, isReadOnly, receivedAt }, services);
         sendDone();
     }
@@ -139,7 +136,7 @@
         mode: AccessMode,
         prepared: PreparedStatement | undefined,
     ): Promise<void> {
-        const route = transaction === undefined ? directory.routeOf(database) : transactionRoute;
+        const route = transaction?.route ?? directory.routeOf(database);
         if (route === undefined) {
             sendOutcome(received.id, createUnrouted());
             return;
@@ -179,7 +176,7 @@
 
     async function commit(received: ReceivedStatement): Promise<void> {
         const ending = transaction;
-        if (ending === undefined || transactionRoute === undefined) {
+        if (ending === undefined) {
             sendOutcome(received.id, createFailure(FailureCode.Malformed, "no transaction is open"));
             return;
         }
@@ -189,7 +186,7 @@
             sendOutcome(received.id, createFailure(FailureCode.Aborted, reason));
             return;
         }
-        const statement = toCallerStatement(received, { route: transactionRoute, mode: AccessMode.Read });
+        const statement = toCallerStatement(received, { route: ending.route, mode: AccessMode.Read });
         const startedAt = clock.now();
         const outcome = await ending.commit(statement);
         services.metrics.countStatement(statement.route.guarantee, clock.now() - startedAt, outcome.failure?.code);
@@ -209,7 +206,6 @@
     function forgetTransaction(): void {
         transaction?.abandon();
         transaction = undefined;
-        transactionRoute = undefined;
         abandonReason = undefined;
     }
 
--- a/src/callerSessions/createCallerSessions/test.ts
+++ b/src/callerSessions/createCallerSessions/test.ts
@@ -1,16 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createMetrics } from "../../metrics/createMetrics/index.js";
-import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
-import { createPrimaries } from "../../primaries/createPrimaries/index.js";
-import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import { StatementKind } from "../../statements/types/StatementKind.js";
-import { createKnownDirectory } from "../../testing/createKnownDirectory/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
+import { createSessionServices } from "../../testing/createSessionServices/index.js";
 import { callerSessionConstants } from "../constants.js";
-import { createPreparedNames } from "../createPreparedNames/index.js";
 import type { CallerCommand } from "../types/CallerCommand.js";
 import { CallerCommandKind } from "../types/CallerCommandKind.js";
 import type { CallerConnection } from "../types/CallerConnection.js";
@@ -30,27 +25,7 @@
 
 function createSite() {
     const clock = createManualClock();
-    const directory = createKnownDirectory(clock, []);
-    const primaries = createPrimaries(clock, directory, () => {});
-    const sessions = createCallerSessions({
-        clock,
-        random: createRandomSource(1),
-        directory,
-        primaries,
-        evidence: createPositionEvidence(),
-        certainty: { isSure: () => true, confirm: async () => true },
-        placement: {
-            acquire: () => Promise.reject(new Error("no endpoint")),
-            noteLagging: () => {},
-            noteBusy: () => {},
-            answeredAt: () => 0,
-            stop: async () => {},
-        },
-        renewal: { renew: async () => {}, renewIfOld: () => {} },
-        preparedNames: createPreparedNames(),
-        metrics: createMetrics(),
-        log: () => {},
-    }, { graceMilliseconds });
+    const sessions = createCallerSessions(createSessionServices(clock, []), { graceMilliseconds });
 
     async function open(database = "shop") {
         const sent: string[] = [];
--- a/src/callerSessions/createCallerTransaction/index.ts
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -8,11 +8,12 @@
 import { acquireLease } from "../acquireLease/index.js";
 import { attemptStatement } from "../attemptStatement/index.js";
 import { createFailure } from "../createFailure/index.js";
-import { createRetryPauses } from "../createRetryPauses/index.js";
 import { describeGroup } from "../describeGroup/index.js";
 import { endTransaction } from "../endTransaction/index.js";
 import { noteAnswer } from "../noteAnswer/index.js";
 import { noteRefusal } from "../noteRefusal/index.js";
+import { repeatAttempts } from "../repeatAttempts/index.js";
+import type { Attempt } from "../types/Attempt.js";
 import { AttemptKind } from "../types/AttemptKind.js";
 import type { CallerStatement } from "../types/CallerStatement.js";
 import type { CallerTransaction } from "../types/CallerTransaction.js";
@@ -43,7 +44,7 @@
  */
 export function createCallerTransaction(options: TransactionOptions, services: SessionServices): CallerTransaction {
     const { route, session, isReadOnly, receivedAt } = options;
-    const { clock, random, log, metrics } = services;
+    const { clock, log, metrics } = services;
     let lease: EndpointLease | undefined;
     let hasWritten = false;
     let hasFailed = false;
@@ -73,32 +74,23 @@
     }
 
     /** Runs the first statement, with as many attempts as the time allows: nothing of them is kept. */
-    async function runFirst(statement: CallerStatement): Promise<StatementOutcome> {
+    function runFirst(statement: CallerStatement): Promise<StatementOutcome> {
         const excluded = new Set<string>();
-        let last = createFailure(FailureCode.Busy, "no endpoint can begin the transaction now");
-        for (const pause of createRetryPauses(random)) {
-            const attempt = await attemptFirst(statement, excluded);
-            if (attempt.kind === AttemptKind.Final) {
-                return attempt.outcome;
-            }
-            last = attempt.outcome;
-            metrics.countRetry(last.failure?.code);
-            log("transaction is begun again", {
-                id: statement.id,
-                group: route.group,
-                code: last.failure?.code,
-                reason: last.failure?.description,
-                waitedMilliseconds: Math.round(clock.now() - statement.receivedAt),
-            });
-            if (clock.now() + pause >= statement.expiresAt) {
-                break;
-            }
-            await clock.sleep(pause);
-        }
-        return last;
+        return repeatAttempts({
+            expiresAt: statement.expiresAt,
+            attempt: () => attemptFirst(statement, excluded),
+            onRepeatable: ({ failure }) =>
+                log("transaction is begun again", {
+                    id: statement.id,
+                    group: route.group,
+                    code: failure?.code,
+                    reason: failure?.description,
+                    waitedMilliseconds: Math.round(clock.now() - statement.receivedAt),
+                }),
+        }, services);
     }
 
-    async function attemptFirst(statement: CallerStatement, excluded: Set<string>) {
+    async function attemptFirst(statement: CallerStatement, excluded: Set<string>): Promise<Attempt> {
         let placed: PlacedLease;
         try {
             const { expiresAt } = statement;
@@ -202,6 +194,7 @@
     }
 
     return {
+        route,
         get hasFailed() {
             return hasFailed;
         },
--- a/src/callerSessions/runSingleStatement/index.ts
+++ b/src/callerSessions/runSingleStatement/index.ts
@@ -5,10 +5,12 @@
 import { attemptStatement } from "../attemptStatement/index.js";
 import { callerSessionConstants } from "../constants.js";
 import { createFailure } from "../createFailure/index.js";
-import { createRetryPauses } from "../createRetryPauses/index.js";
 import { describeGroup } from "../describeGroup/index.js";
+import { repeatAttempts } from "../repeatAttempts/index.js";
+import type { Attempt } from "../types/Attempt.js";
 import { AttemptKind } from "../types/AttemptKind.js";
 import type { CallerStatement } from "../types/CallerStatement.js";
+import type { PlacedLease } from "../types/PlacedLease.js";
 import type { SessionServices } from "../types/SessionServices.js";
 import type { StatementOutcome } from "../types/StatementOutcome.js";
 
@@ -22,7 +24,7 @@
  * @example
  * const outcome = await runSingleStatement(callerStatement, services);
  */
-export async function runSingleStatement(
+export function runSingleStatement(
     callerStatement: CallerStatement,
     services: SessionServices,
 ): Promise<StatementOutcome> {
@@ -30,55 +32,50 @@
     const { clock, log, metrics } = services;
     const isReadOnly = mode === AccessMode.Read;
     const excluded = new Set<string>();
-    let last = createFailure(FailureCode.Busy, "no endpoint can serve the statement now");
-    for (const pause of createRetryPauses(services.random)) {
-        let placed;
+    let placed: PlacedLease;
+    return repeatAttempts({ expiresAt, attempt, onRepeatable }, services);
+
+    async function attempt(previous: StatementOutcome): Promise<Attempt> {
         try {
             placed = await acquireLease({ route, session, isReadOnly, receivedAt, expiresAt, excluded }, services);
         }
         catch (error) {
-            const { message } = toTypedError(error);
-            metrics.countUnplaced();
-            log("statement was not placed", {
-                id,
-                isReadOnly,
-                ...describeGroup(route.group, services),
-                waitedMilliseconds: Math.round(clock.now() - receivedAt),
-                reason: message,
-            });
-            return last.failure?.code === FailureCode.Timeout ? last : createFailure(FailureCode.Busy, message);
-        }
-        const { lease } = placed;
-        const attempt = await attemptStatement(
-            callerStatement,
-            placed,
-            attemptMilliseconds(callerStatement, clock.now()),
-            services,
-        );
-        lease.release();
-        if (attempt.kind === AttemptKind.Final) {
-            return attempt.outcome;
+            return reportUnplaced(toTypedError(error).message, previous);
         }
-        last = attempt.outcome;
-        metrics.countRetry(last.failure?.code);
+        const timeLimit = attemptMilliseconds(callerStatement, clock.now());
+        const made = await attemptStatement(callerStatement, placed, timeLimit, services);
+        placed.lease.release();
+        return made;
+    }
+
+    function reportUnplaced(reason: string, previous: StatementOutcome): Attempt {
+        metrics.countUnplaced();
+        log("statement was not placed", {
+            id,
+            isReadOnly,
+            ...describeGroup(route.group, services),
+            waitedMilliseconds: Math.round(clock.now() - receivedAt),
+            reason,
+        });
+        const hasTimedOut = previous.failure?.code === FailureCode.Timeout;
+        return { kind: AttemptKind.Final, outcome: hasTimedOut ? previous : createFailure(FailureCode.Busy, reason) };
+    }
+
+    function onRepeatable({ failure }: StatementOutcome): void {
+        const { lease, leastPosition } = placed;
         log("statement is tried again", {
             id,
             endpoint: lease.endpoint.id,
             isPrimary: lease.isPrimary,
-            code: last.failure?.code,
-            reason: last.failure?.description,
-            leastPosition: placed.leastPosition,
+            code: failure?.code,
+            reason: failure?.description,
+            leastPosition,
             waitedMilliseconds: Math.round(clock.now() - receivedAt),
         });
-        if (last.failure?.code === FailureCode.Timeout) {
+        if (failure?.code === FailureCode.Timeout) {
             excluded.add(lease.endpoint.id);
         }
-        if (clock.now() + pause >= expiresAt) {
-            break;
-        }
-        await clock.sleep(pause);
     }
-    return last;
 }
 
 /** A read leaves time for another attempt; a write has all the time that is left. */
--- a/src/promotions/createDisputeSettlement/index.ts
+++ b/src/promotions/createDisputeSettlement/index.ts
@@ -5,8 +5,8 @@
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
-import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
-import { promotionConstants } from "../constants.js";
+import { orderStepDown } from "../orderStepDown/index.js";
+import { readEndpointStatus } from "../readEndpointStatus/index.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
 
 /** Options of `createDisputeSettlement`. */
@@ -38,12 +38,7 @@
 
     async function readClaim(endpoint: EndpointRecord): Promise<Claim | undefined> {
         try {
-            const [answer] = await control.runFromAnywhere({
-                endpointId: endpoint.id,
-                statements: [{ kind: OutgoingKind.ReadStatus }],
-                timeoutMilliseconds: promotionConstants.questionMilliseconds,
-            });
-            const status = answer?.replicaStatus;
+            const status = await readEndpointStatus(control, endpoint.id);
             return status?.isPrimary === true ? { endpoint, term: status.term } : undefined;
         }
         catch (error) {
@@ -54,11 +49,7 @@
 
     async function stepDown(endpoint: EndpointRecord, term: number): Promise<void> {
         try {
-            await control.runFromAnywhere({
-                endpointId: endpoint.id,
-                statements: [{ kind: OutgoingKind.StepDown, term }],
-                timeoutMilliseconds: promotionConstants.questionMilliseconds,
-            });
+            await orderStepDown(control, endpoint.id, term);
         }
         catch (error) {
             log("claimant did not step down", { endpoint: endpoint.id, term, reason: (error as Error).message });
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -9,11 +9,11 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { comparePositions } from "../../statements/comparePositions/index.js";
 import type { LogPosition } from "../../statements/types/LogPosition.js";
-import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
-import type { ReplicaStatus } from "../../statements/types/ReplicaStatus.js";
 import { chooseSuccessor } from "../chooseSuccessor/index.js";
 import { promotionConstants } from "../constants.js";
 import { isPrimaryAnswering } from "../isPrimaryAnswering/index.js";
+import { orderStepDown } from "../orderStepDown/index.js";
+import { readEndpointStatus } from "../readEndpointStatus/index.js";
 import type { CandidateStatus } from "../types/CandidateStatus.js";
 import { ChangeReason } from "../types/ChangeReason.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
@@ -106,11 +106,7 @@
             await clock.sleep(promotionConstants.drainMilliseconds);
         }
         try {
-            const [answer] = await control.runFromAnywhere({
-                endpointId: present.id,
-                statements: [{ kind: OutgoingKind.StepDown, term }],
-                timeoutMilliseconds: promotionConstants.questionMilliseconds,
-            });
+            const answer = await orderStepDown(control, present.id, term);
             log("present primary stepped down", {
                 group,
                 endpoint: present.id,
@@ -130,11 +126,7 @@
         while (clock.now() < until && !options.signal.aborted) {
             await clock.sleep(promotionConstants.stepDownPauseMilliseconds, options.signal);
             try {
-                await control.runFromAnywhere({
-                    endpointId: present.id,
-                    statements: [{ kind: OutgoingKind.StepDown, term }],
-                    timeoutMilliseconds: promotionConstants.questionMilliseconds,
-                });
+                await orderStepDown(control, present.id, term);
                 log("superseded primary stepped down", { endpoint: present.id, term });
                 return;
             }
@@ -177,22 +169,13 @@
     }
 
     async function readStatus(endpoint: EndpointRecord): Promise<CandidateStatus | undefined> {
-        const status = await askStatus(endpoint).catch((error: unknown) => {
+        const status = await readEndpointStatus(control, endpoint.id).catch((error: unknown) => {
             log("candidate did not answer", { endpoint: endpoint.id, reason: (error as Error).message });
             return undefined;
         });
         return status && { endpoint, status };
     }
 
-    async function askStatus(endpoint: EndpointRecord): Promise<ReplicaStatus | undefined> {
-        const [answer] = await control.runFromAnywhere({
-            endpointId: endpoint.id,
-            statements: [{ kind: OutgoingKind.ReadStatus }],
-            timeoutMilliseconds: promotionConstants.questionMilliseconds,
-        });
-        return answer?.replicaStatus;
-    }
-
     async function promote(group: string, { id: endpointId }: EndpointRecord): Promise<void> {
         const askedAt = clock.now();
         const fencingToken = await duty.verify();
--- /dev/null
+++ b/src/testing/createSessionServices/index.ts
@@ -0,0 +1,48 @@
+import { createPreparedNames } from "../../callerSessions/createPreparedNames/index.js";
+import type { SessionServices } from "../../callerSessions/types/SessionServices.js";
+import type { Clock } from "../../clock/types/Clock.js";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { createMetrics } from "../../metrics/createMetrics/index.js";
+import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
+import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { createKnownDirectory } from "../createKnownDirectory/index.js";
+
+/**
+ * Creates the services of callers' sessions for tests: nothing is placed, and primaries are sure.
+ *
+ * @param clock Source of time.
+ * @param endpoints The endpoints that the directory knows.
+ * @param changes Services that differ.
+ * @returns The services.
+ *
+ * @example
+ * const services = createSessionServices(createManualClock(), [], { certainty });
+ */
+export function createSessionServices(
+    clock: Clock,
+    endpoints: readonly EndpointRecord[],
+    changes: Partial<SessionServices> = {},
+): SessionServices {
+    const directory = createKnownDirectory(clock, endpoints);
+    return {
+        clock,
+        random: createRandomSource(1),
+        directory,
+        primaries: createPrimaries(clock, directory, () => {}),
+        evidence: createPositionEvidence(),
+        certainty: { isSure: () => true, confirm: async () => true },
+        placement: {
+            acquire: () => Promise.reject(new Error("no endpoint")),
+            noteLagging: () => {},
+            noteBusy: () => {},
+            answeredAt: () => 0,
+            stop: async () => {},
+        },
+        renewal: { renew: async () => {}, renewIfOld: () => {} },
+        preparedNames: createPreparedNames(),
+        metrics: createMetrics(),
+        log: () => {},
+        ...changes,
+    };
+}
