Fault soak: real programs as processes, faults from outside, promises checked from what callers and endpoints see

The platform's stand-in learns catching up, rejoining and what promotions drop. Found on the way: the stand-in of a caller raised an unhandled error when its connection was reset; mended.

--- /dev/null
+++ b/features/steps/soak.ts
@@ -0,0 +1,23 @@
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { createSystemClock } from "../../src/clock/createSystemClock/index.js";
+import { soakConstants } from "../../src/soak/constants.js";
+import { runSoak } from "../../src/soak/runSoak/index.js";
+import type { BrokenPromise } from "../../src/soak/types/BrokenPromise.js";
+
+const millisecondsPerSecond = 1_000;
+let broken: readonly BrokenPromise[] = [];
+let faultCount = 0;
+
+When("the soak runs for {int} seconds with seed {int}", async (seconds: number, seed: number) => {
+    const { vmCount, callerCount } = soakConstants;
+    const milliseconds = seconds * millisecondsPerSecond;
+    const result = await runSoak({ seed, milliseconds, vmCount, callerCount }, createSystemClock());
+    broken = result.broken;
+    faultCount = result.faults.length;
+});
+
+Then("the soak finds no broken promise", () => {
+    assert.deepEqual(broken, []);
+    assert.ok(faultCount > 0);
+});
--- a/src/platform/standIns/createCallerStandIn/index.ts
+++ b/src/platform/standIns/createCallerStandIn/index.ts
@@ -1,4 +1,3 @@
-import { once } from "node:events";
 import { connect } from "node:net";
 import type { SessionState } from "../../../statements/types/SessionState.js";
 import type { StatementFailure } from "../../../statements/types/StatementFailure.js";
@@ -53,7 +52,7 @@
     }
 
     socket.on("error", () => socket.destroy());
-    const closed = once(socket, "close").then(() => deliver(undefined));
+    const closed = new Promise<void>(resolve => socket.once("close", () => resolve())).then(() => deliver(undefined));
     socket.on("data", chunk => {
         for (const line of splitter.push(chunk) ?? []) {
             const message = decodeMessage(line);
--- a/src/platform/standIns/createPlatformStandIn/index.ts
+++ b/src/platform/standIns/createPlatformStandIn/index.ts
@@ -16,6 +16,8 @@
     /** Availability zones of the endpoints; the first holds the primary. */
     readonly zones: readonly string[];
     readonly promoteMilliseconds: number;
+    /** Where callers reach an endpoint; its own port when left out. */
+    readonly publish?: (endpoint: EndpointStandIn) => Promise<number>;
 }
 
 const connectionLimit = 21;
@@ -35,6 +37,7 @@
     const store = await createStoreStandIn();
     const executed: ExecutedStatement[] = [];
     const orders: PromotionOrder[] = [];
+    const dropped: LogEntry[] = [];
     const leaving = new Set<string>();
     const endpoints = await Promise.all(zones.map((_zone, index) =>
         createEndpointStandIn({
@@ -59,12 +62,16 @@
     });
     promotions.listen(0, "127.0.0.1");
     await once(promotions, "listening");
-    endpoints.forEach(register);
+    const ports = new Map<EndpointStandIn, number>();
+    for (const endpoint of endpoints) {
+        ports.set(endpoint, await (options.publish?.(endpoint) ?? endpoint.port));
+        register(endpoint);
+    }
 
     function register(endpoint: EndpointStandIn): void {
         store.put("servers", endpoint.id, {
             service: group,
-            addr: `127.0.0.1:${endpoint.port}`,
+            addr: `127.0.0.1:${ports.get(endpoint)}`,
             zone: zones[endpoints.indexOf(endpoint)],
             version: "v1",
             slots: 3,
@@ -86,10 +93,37 @@
         const isCut = replica.isIsolated || primary.isIsolated || replica.heldTerm > 0 || replica.isPrimary;
         if (!isCut && entry.position.term >= replica.term) {
             replica.term = entry.position.term;
-            replica.log.push(entry);
+            replica.log.push(...primary.log.slice(replica.log.length, primary.log.lastIndexOf(entry) + 1));
         }
     }
 
+    /** Has an endpoint take over the log of the present primary, and drop what that does not hold. */
+    function follow(endpoint: EndpointStandIn, primary: EndpointStandIn): void {
+        const kept = new Set(primary.log);
+        dropped.push(...endpoint.log.filter(entry => !kept.has(entry)));
+        endpoint.isPrimary = false;
+        endpoint.term = primary.term;
+        endpoint.heldTerm = 0;
+        endpoint.log = [...primary.log];
+        register(endpoint);
+    }
+
+    function findPrimary(): EndpointStandIn | undefined {
+        return endpoints
+            .filter(endpoint => endpoint.isPrimary)
+            .sort((left, right) => right.term - left.term)[0];
+    }
+
+    /** Ends an endpoint's isolation: it hears of the present primary again. */
+    function rejoin(endpoint: EndpointStandIn): void {
+        endpoint.isIsolated = false;
+        const primary = findPrimary();
+        if (primary === undefined || primary.isIsolated) {
+            return;
+        }
+        endpoints.filter(other => other !== primary && !other.isIsolated).forEach(other => follow(other, primary));
+    }
+
     function promote(id: string): void {
         const successor = endpoints.find(endpoint => endpoint.id === id)!;
         const term = Math.max(...endpoints.map(endpoint => endpoint.term)) + 1;
@@ -97,15 +131,8 @@
         successor.term = term;
         successor.heldTerm = 0;
         register(successor);
-        endpoints.filter(endpoint => endpoint !== successor && !endpoint.isIsolated).forEach(follow);
-
-        function follow(endpoint: EndpointStandIn): void {
-            endpoint.isPrimary = false;
-            endpoint.term = term;
-            endpoint.heldTerm = 0;
-            endpoint.log = [...successor.log];
-            register(endpoint);
-        }
+        const others = endpoints.filter(endpoint => endpoint !== successor && !endpoint.isIsolated);
+        others.forEach(endpoint => follow(endpoint, successor));
     }
 
     return {
@@ -120,6 +147,10 @@
             register(endpoint);
         },
         register,
+        unregister: endpoint => store.remove("servers", endpoint.id),
+        rejoin,
+        findPrimary,
+        dropped,
         stop: () => {
             store.stop();
             promotions.close();
--- /dev/null
+++ b/src/platform/standIns/encodeVmSettings/index.ts
@@ -0,0 +1,35 @@
+import { stringify } from "smol-toml";
+import type { Address } from "../../../network/types/Address.js";
+import type { VmSettings } from "../../../vm/types/VmSettings.js";
+
+const millisecondsPerSecond = 1_000;
+
+/**
+ * Writes the settings of a VM's process in the platform's format.
+ *
+ * @param settings The settings.
+ * @returns The text of the file.
+ *
+ * @example
+ * await writeFile("vm-1.toml", encodeVmSettings(settings));
+ */
+export function encodeVmSettings(settings: VmSettings): string {
+    return stringify({
+        nodeName: settings.name,
+        zone: settings.availabilityZone,
+        region: settings.region,
+        zones: settings.regionsByZone,
+        listen: {
+            front: formatAddress(settings.callerAddress),
+            ready: formatAddress(settings.readinessAddress),
+            control: formatAddress(settings.peerAddress),
+        },
+        bounds: { graceS: settings.graceMilliseconds / millisecondsPerSecond },
+        platform: { addr: formatAddress(settings.storeAddress) },
+        cloudApi: { addr: formatAddress(settings.promotionAddress) },
+    });
+}
+
+function formatAddress({ host, port }: Address): string {
+    return `${host}:${port}`;
+}
--- a/src/site/startProcess/index.ts
+++ b/src/site/startProcess/index.ts
@@ -8,6 +8,7 @@
     [SiteBinary.Endpoint]: "endpointStandIn",
     [SiteBinary.Entry]: "entry",
     [SiteBinary.Gateway]: "gateway",
+    [SiteBinary.Node]: "node",
     [SiteBinary.Operator]: "operator",
     [SiteBinary.Platform]: "platformStandIn",
 };
--- a/src/site/types/SiteBinary.ts
+++ b/src/site/types/SiteBinary.ts
@@ -3,6 +3,7 @@
     Endpoint = "Endpoint",
     Entry = "Entry",
     Gateway = "Gateway",
+    Node = "Node",
     Operator = "Operator",
     Platform = "Platform",
 }
--- /dev/null
+++ b/src/soak/checkPromises/index.ts
@@ -0,0 +1,39 @@
+import { findDoubledWrites } from "../checks/findDoubledWrites/index.js";
+import { findForeignAnswers } from "../checks/findForeignAnswers/index.js";
+import { findKeptRefusals } from "../checks/findKeptRefusals/index.js";
+import { findLateAnswers } from "../checks/findLateAnswers/index.js";
+import { findLostWrites } from "../checks/findLostWrites/index.js";
+import { findMixedSessions } from "../checks/findMixedSessions/index.js";
+import { findStaleReads } from "../checks/findStaleReads/index.js";
+import { findUnaskedStatements } from "../checks/findUnaskedStatements/index.js";
+import type { BrokenPromise } from "../types/BrokenPromise.js";
+import type { SoakHistory } from "../types/SoakHistory.js";
+
+/** Finds where a history breaks one promise; yields what was seen. */
+type PromiseCheck = (history: SoakHistory) => Iterable<string>;
+
+const checks: Readonly<Record<string, PromiseCheck>> = {
+    "no acknowledged write is lost": findLostWrites,
+    "no write takes effect twice": findDoubledWrites,
+    "what was refused did not take effect": findKeptRefusals,
+    "reads are as fresh as their route promises": findStaleReads,
+    "answers are those of the endpoint that ran the statement": findForeignAnswers,
+    "endpoints run what callers sent": findUnaskedStatements,
+    "values belong to their session": findMixedSessions,
+    "every statement is answered in time": findLateAnswers,
+};
+
+/**
+ * Checks the promises of the proxy against what callers and endpoints saw.
+ *
+ * @param history The history of a run.
+ * @returns The promises that were broken.
+ *
+ * @example
+ * const broken = checkPromises(history);
+ */
+export function checkPromises(history: SoakHistory): readonly BrokenPromise[] {
+    return Object.entries(checks).flatMap(([promise, check]) =>
+        [...check(history)].map(detail => ({ promise, detail }))
+    );
+}
--- /dev/null
+++ b/src/soak/checks/findForeignAnswers/index.ts
@@ -0,0 +1,21 @@
+import type { SoakHistory } from "../../types/SoakHistory.js";
+
+/**
+ * Finds answers with a signature that is not that of the endpoint that ran the statement.
+ *
+ * @param history The history of a run.
+ * @returns Yields the answers.
+ *
+ * @example
+ * const foreign = [...findForeignAnswers(history)];
+ */
+export function* findForeignAnswers({ units, executed }: SoakHistory): Generator<string> {
+    const valid = new Set(executed.map(({ id, endpointId }) => `${endpointId}.${id}`));
+    for (const { signatures } of units) {
+        for (const [id, signature] of Object.entries(signatures)) {
+            if (!signature.endsWith(`.${id}`) || !valid.has(signature)) {
+                yield `statement ${id} was answered with ${signature}`;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/soak/checks/findKeptRefusals/test.ts
@@ -0,0 +1,13 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createSoakHistory } from "../../../testing/createSoakHistory/index.js";
+import { UnitOutcome } from "../../types/UnitOutcome.js";
+import { findKeptRefusals } from "./index.js";
+
+describe("findKeptRefusals", () => {
+    it("finds a write that took effect although its caller was told that nothing is kept", () => {
+        const { units: [written, read] } = createSoakHistory();
+        const units = [{ ...written!, outcome: UnitOutcome.NotKept }, read!];
+        assert.deepEqual([...findKeptRefusals(createSoakHistory({ units }))], ["write w1 of session s1"]);
+    });
+});
--- /dev/null
+++ b/src/soak/checks/findLostWrites/test.ts
@@ -0,0 +1,26 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createSoakHistory } from "../../../testing/createSoakHistory/index.js";
+import { soakConstants } from "../../constants.js";
+import { findLostWrites } from "./index.js";
+
+const { log } = createSoakHistory();
+const dropped = log.slice(1);
+const shortLog = log.slice(0, 1);
+
+describe("findLostWrites", () => {
+    it("finds an acknowledged write that nobody holds", () => {
+        assert.equal([...findLostWrites(createSoakHistory({ log: shortLog, endpointFaults: [1_000] }))].length, 1);
+    });
+
+    it("passes over what a promotion dropped soon after an endpoint's fault, and only then", () => {
+        const near = createSoakHistory({ log: shortLog, dropped, endpointFaults: [1_000] });
+        const far = createSoakHistory({
+            log: shortLog,
+            dropped,
+            endpointFaults: [1_100 + soakConstants.lossMilliseconds],
+        });
+        assert.deepEqual([...findLostWrites(near)], []);
+        assert.equal([...findLostWrites(far)].length, 1);
+    });
+});
--- /dev/null
+++ b/src/soak/checks/findStaleReads/test.ts
@@ -0,0 +1,37 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ReadGuarantee } from "../../../directory/types/ReadGuarantee.js";
+import { createSoakHistory } from "../../../testing/createSoakHistory/index.js";
+import { soakConstants } from "../../constants.js";
+import type { CallerUnit } from "../../types/CallerUnit.js";
+import { findStaleReads } from "./index.js";
+
+const reads = [{ id: "r1", item: "item1", data: "old" }];
+const isStale = (changes: Partial<CallerUnit>): boolean =>
+    [...findStaleReads(createSoakHistory({}, { reads, ...changes }))].length > 0;
+const muchLater = 1_020 + soakConstants.stalenessMilliseconds;
+
+describe("findStaleReads", () => {
+    it("holds reads of the primary to every acknowledged write", () => {
+        assert.equal(isStale({ session: "s2", guarantee: ReadGuarantee.Primary }), true);
+        assert.equal(isStale({ session: "s2", startedAt: 1_010 }), false);
+    });
+
+    it("holds a session that reads its own writes to these, and to others' after the bound", () => {
+        const guarantee = ReadGuarantee.ReadYourWrites;
+        assert.equal(isStale({ guarantee }), true);
+        assert.equal(isStale({ guarantee, session: "s2" }), false);
+        assert.equal(isStale({ guarantee, session: "s2", startedAt: muchLater }), true);
+    });
+
+    it("allows bounded reads to be as old as the bound", () => {
+        const guarantee = ReadGuarantee.BoundedStaleness;
+        assert.equal(isStale({ guarantee, startedAt: muchLater - 1 }), false);
+        assert.equal(isStale({ guarantee, startedAt: muchLater }), true);
+    });
+
+    it("finds a read that saw nothing, and passes over what a promotion dropped", () => {
+        assert.equal(isStale({ reads: [{ ...reads[0]!, data: "nothing" }] }), true);
+        assert.equal(isStale({ reads: [{ ...reads[0]!, data: "dropped" }] }), false);
+    });
+});
--- /dev/null
+++ b/src/soak/checks/findUnaskedStatements/test.ts
@@ -0,0 +1,11 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createSoakHistory } from "../../../testing/createSoakHistory/index.js";
+import { findUnaskedStatements } from "./index.js";
+
+describe("findUnaskedStatements", () => {
+    it("finds a statement that no caller sent", () => {
+        const unasked = [...findUnaskedStatements(createSoakHistory({}, { ids: [] }))];
+        assert.deepEqual(unasked, ["statement r1 at i-1"]);
+    });
+});
--- /dev/null
+++ b/src/soak/createFaultyProxy/index.ts
@@ -0,0 +1,64 @@
+import { once } from "node:events";
+import { connect, createServer, type Socket } from "node:net";
+import type { Clock } from "../../clock/types/Clock.js";
+import { soakConstants } from "../constants.js";
+import type { FaultyProxy } from "../types/FaultyProxy.js";
+import { LinkMode } from "../types/LinkMode.js";
+
+/**
+ * Starts a proxy that passes bytes on to a server, and can delay them, hold them back or reset its connections.
+ *
+ * @param host Address of the server.
+ * @param port Its port.
+ * @param clock Measures delays.
+ * @returns The proxy, listening on a free port of 127.0.0.1.
+ *
+ * @example
+ * const link = await createFaultyProxy("127.0.0.1", store.port, clock);
+ * link.mode = LinkMode.Cut;
+ */
+export async function createFaultyProxy(host: string, port: number, clock: Clock): Promise<FaultyProxy> {
+    const sockets = new Set<Socket>();
+    const server = createServer({ noDelay: true }, near => {
+        const far = connect({ host, port, noDelay: true });
+        passOn(near, far, () => proxy.mode === LinkMode.Cut);
+        passOn(far, near, () => proxy.mode !== LinkMode.Passing);
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+
+    const proxy: FaultyProxy = {
+        port: (server.address() as { port: number; }).port,
+        mode: LinkMode.Passing,
+        delayMilliseconds: 0,
+        reset: () => sockets.forEach(socket => socket.resetAndDestroy()),
+        stop: () => {
+            server.close();
+            sockets.forEach(socket => socket.destroy());
+        },
+    };
+    return proxy;
+
+    /** Passes bytes in one direction; the end of the connection travels like bytes. */
+    function passOn(from: Socket, to: Socket, isCut: () => boolean): void {
+        let way = Promise.resolve();
+        const send = (act: () => void): void => {
+            way = way.then(async () => {
+                await clock.sleep(proxy.delayMilliseconds);
+                while (isCut() && !to.destroyed) {
+                    await clock.sleep(soakConstants.pollMilliseconds);
+                }
+                act();
+            });
+        };
+        sockets.add(from);
+        from.on("data", chunk => send(() => to.writable && to.write(chunk)));
+        from.on("end", () => send(() => to.end()));
+        // What follows an error is the event "close", which breaks the other side off as well.
+        from.on("error", () => from.destroy());
+        from.on("close", hasFailed => {
+            sockets.delete(from);
+            send(() => hasFailed ? to.resetAndDestroy() : to.destroySoon());
+        });
+    }
+}
--- /dev/null
+++ b/src/soak/isServedAgain/index.ts
@@ -0,0 +1,37 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import { createCallerStandIn } from "../../platform/standIns/createCallerStandIn/index.js";
+import { soakConstants } from "../constants.js";
+import { soakDatabases } from "../soakDatabases.js";
+import type { SoakSite } from "../types/SoakSite.js";
+
+/**
+ * Tells whether every VM is ready and serves a read on every database.
+ *
+ * @param site The site.
+ * @param clock Limits the wait for answers.
+ * @returns Whether all is served.
+ *
+ * @example
+ * const isServed = await isServedAgain(site, clock);
+ */
+export async function isServedAgain(site: SoakSite, clock: Clock): Promise<boolean> {
+    const answers = site.vms.map(async vm => {
+        const isReady = await vm.isReady().catch(() => false);
+        return isReady && await Promise.all(soakDatabases.map(({ name }) => isServed(vm.callers.port, name)));
+    });
+    const served = await Promise.race([
+        Promise.all(answers),
+        clock.sleep(soakConstants.patienceMilliseconds).then(() => [false]),
+    ]);
+    return served.flat().every(Boolean);
+}
+
+async function isServed(port: number, database: string): Promise<boolean> {
+    const { caller, opening } = await createCallerStandIn(port, database);
+    try {
+        return opening.state !== undefined && opening.failure === undefined;
+    }
+    finally {
+        caller.close();
+    }
+}
--- /dev/null
+++ b/src/soak/planFaults/test.ts
@@ -0,0 +1,27 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { soakConstants } from "../constants.js";
+import { FaultKind } from "../types/FaultKind.js";
+import { planFaults } from "./index.js";
+
+const milliseconds = 600_000;
+
+describe("planFaults", () => {
+    it("draws the same faults from the same seed", () => {
+        const draw = () => [...planFaults(createRandomSource(7), milliseconds)];
+        assert.deepEqual(draw(), draw());
+    });
+
+    it("draws every kind, in order, some overlapping", () => {
+        const faults = [...planFaults(createRandomSource(7), milliseconds)];
+        assert.equal(new Set(faults.map(({ kind }) => kind)).size, Object.keys(FaultKind).length);
+        const begins = faults.map(({ atMilliseconds }) => atMilliseconds);
+        assert.deepEqual(begins, [...begins].sort((left, right) => left - right));
+        const overlapping = faults.filter(({ atMilliseconds, durationMilliseconds }, index) =>
+            atMilliseconds + durationMilliseconds > (faults[index + 1]?.atMilliseconds ?? Infinity)
+        );
+        assert.ok(overlapping.length > faults.length / 4);
+        assert.ok(faults.every(fault => fault.durationMilliseconds <= soakConstants.longestFaultMilliseconds));
+    });
+});
--- /dev/null
+++ b/src/soak/runSoakCommand/index.ts
@@ -0,0 +1,121 @@
+import { cac } from "cac";
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import { reportFailure } from "../../commandLine/reportFailure/index.js";
+import { ExitCode } from "../../commandLine/types/ExitCode.js";
+import type { ProcessControl } from "../../commandLine/types/ProcessControl.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { soakConstants } from "../constants.js";
+import { runSoak } from "../runSoak/index.js";
+import type { SoakOptions } from "../types/SoakOptions.js";
+import type { SoakResult } from "../types/SoakResult.js";
+import { UnitOutcome } from "../types/UnitOutcome.js";
+
+const greatestSeed = 2 ** 31;
+
+/**
+ * Runs the command of the fault soak.
+ *
+ * It exits with 0 when every promise was kept, with 1 when one was broken or the run failed, and with 2 when the
+ * command line is wrong. After a broken promise the seed, the faults and the programs' last lines are kept in a folder.
+ *
+ * @param control The process.
+ *
+ * @example
+ * await runSoakCommand(createProcessControl());
+ */
+export async function runSoakCommand(control: ProcessControl): Promise<void> {
+    try {
+        control.exit(await runCommand(control));
+    }
+    catch (error) {
+        control.exit(reportFailure(error, control));
+    }
+}
+
+async function runCommand(control: ProcessControl): Promise<ExitCode> {
+    const options = parseOptions(control);
+    if (options === undefined) {
+        return ExitCode.Success;
+    }
+    const clock = createSystemClock();
+    let isSound = true;
+    for (let run = 0; run < options.runs; run += 1) {
+        const soak = { ...options, seed: options.seed + run };
+        const result = await runSoak(soak, clock);
+        control.write(`${summarize(soak, result)}\n`);
+        if (result.broken.length > 0) {
+            isSound = false;
+            keep(options.keep, soak, result);
+        }
+    }
+    return isSound ? ExitCode.Success : ExitCode.Failure;
+}
+
+function summarize({ seed }: SoakOptions, { broken, faults, history, recoveredMilliseconds }: SoakResult): string {
+    const { units, dropped } = history;
+    const count = (outcome: UnitOutcome): number => units.filter(unit => unit.outcome === outcome).length;
+    return [
+        `seed ${seed}: ${broken.length === 0 ? "all promises kept" : `${broken.length} broken`}`,
+        `${faults.length} faults`,
+        `${count(UnitOutcome.Acknowledged)} acknowledged, ${count(UnitOutcome.NotKept)} not kept`,
+        `${count(UnitOutcome.Unknown)} unknown, ${dropped.length} commits dropped by promotions`,
+        `served again after ${recoveredMilliseconds ?? "too many"} ms`,
+        ...broken.slice(0, soakConstants.printedBreaks).map(({ promise, detail }) => `\n  ${promise}: ${detail}`),
+    ].join("; ");
+}
+
+function keep(folder: string, { seed }: SoakOptions, { broken, faults, history, outputs }: SoakResult): void {
+    const target = join(folder, `seed-${seed}`);
+    mkdirSync(target, { recursive: true });
+    const { units, endpointFaults, lateSpans } = history;
+    const seen = { seed, broken, faults, endpointFaults, lateSpans, units };
+    writeFileSync(join(target, "run.json"), JSON.stringify(seen, undefined, 1));
+    for (const [name, output] of Object.entries(outputs)) {
+        writeFileSync(join(target, `${name}.log`), output);
+    }
+}
+
+/** Options of the command line. */
+interface CommandOptions extends SoakOptions {
+    readonly runs: number;
+    /** Folder for what is kept after a broken promise. */
+    readonly keep: string;
+}
+
+function parseOptions(control: ProcessControl): CommandOptions | undefined {
+    const commandLine = cac("tarragonpost-soak");
+    commandLine.command("", "Runs the real programs under faults and checks their promises.")
+        .option("--seed <number>", "Seed of the faults; drawn when left out")
+        .option("--minutes <number>", "How long faults are injected", { default: 1 })
+        .option("--runs <number>", "Runs, with seeds that follow each other", { default: 1 })
+        .option("--vms <number>", "Number of VMs", { default: soakConstants.vmCount })
+        .option("--callers <number>", "Number of callers", { default: soakConstants.callerCount })
+        .option("--keep <folder>", "Where a broken run is kept", { default: "soak-results" });
+    commandLine.help();
+    const { options } = commandLine.parse(["node", "tarragonpost-soak", ...control.words], { run: false });
+    if (options["help"] === true) {
+        return undefined;
+    }
+    const seed = options["seed"] === undefined ? Math.floor(Math.random() * greatestSeed) : options["seed"];
+    return {
+        seed: readNumber("seed", seed),
+        milliseconds: readNumber("minutes", options["minutes"]) * soakConstants.millisecondsPerMinute,
+        runs: readNumber("runs", options["runs"]),
+        vmCount: readNumber("vms", options["vms"]),
+        callerCount: readNumber("callers", options["callers"]),
+        keep: String(options["keep"]),
+    };
+}
+
+function readNumber(name: string, value: unknown): number {
+    const number = Number(value);
+    if (!Number.isFinite(number) || number < 0) {
+        throw createError(ErrorKind.InvalidSettings, `--${name} is no number of 0 or more: ${String(value)}.`, {
+            remedy: "See tarragonpost-soak --help.",
+        });
+    }
+    return number;
+}
--- /dev/null
+++ b/src/soak/startSoakSite/index.ts
@@ -0,0 +1,70 @@
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { Clock } from "../../clock/types/Clock.js";
+import { createPlatformStandIn } from "../../platform/standIns/createPlatformStandIn/index.js";
+import { createRoute } from "../../testing/createRoute/index.js";
+import { soakConstants } from "../constants.js";
+import { createFaultyProxy } from "../createFaultyProxy/index.js";
+import { soakDatabases } from "../soakDatabases.js";
+import { startSoakVm } from "../startSoakVm/index.js";
+import type { FaultyProxy } from "../types/FaultyProxy.js";
+import type { SoakSite } from "../types/SoakSite.js";
+
+/**
+ * Starts the site of a soak: the platform's stand-in in this process, VMs as processes, and links between them.
+ *
+ * @param vmCount Number of VMs.
+ * @param clock Source of time.
+ * @returns The site; its VMs may not be ready yet.
+ *
+ * @example
+ * const site = await startSoakSite(6, clock);
+ */
+export async function startSoakSite(vmCount: number, clock: Clock): Promise<SoakSite> {
+    const { group, zones, promoteMilliseconds, stalenessMilliseconds, statementMilliseconds } = soakConstants;
+    const endpointLinks: FaultyProxy[] = [];
+    const platform = await createPlatformStandIn({
+        group,
+        zones,
+        promoteMilliseconds,
+        publish: async ({ port }) => {
+            const link = await createFaultyProxy("127.0.0.1", port, clock);
+            endpointLinks.push(link);
+            return link.port;
+        },
+    });
+    const folder = await mkdtemp(join(tmpdir(), "tarragonpost-soak-"));
+    let version = 0;
+
+    function changeConfiguration(): void {
+        version += 1;
+        platform.configure(
+            version,
+            soakDatabases.map(({ name, guarantee }) =>
+                createRoute({
+                    database: name,
+                    group,
+                    guarantee,
+                    statementTimeoutMilliseconds: statementMilliseconds,
+                    maximumStalenessMilliseconds: stalenessMilliseconds,
+                    // Versions differ in what does not change the promises.
+                    priority: version % 2,
+                })
+            ),
+        );
+    }
+
+    changeConfiguration();
+    const indices = Array.from({ length: vmCount }, (_, index) => index);
+    const vms = await Promise.all(indices.map(index => startSoakVm({ index, platform, folder, clock })));
+
+    async function stop(): Promise<void> {
+        await Promise.all(vms.map(vm => vm.end("SIGTERM")));
+        [...endpointLinks, ...vms.flatMap(vm => [vm.callers, vm.store])].forEach(link => link.stop());
+        platform.stop();
+        await rm(folder, { recursive: true, force: true });
+    }
+
+    return { platform, vms, endpointLinks, changeConfiguration, stop };
+}
--- /dev/null
+++ b/src/soak/startSoakVm/index.ts
@@ -0,0 +1,112 @@
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import type { Clock } from "../../clock/types/Clock.js";
+import { askReadiness } from "../../platform/standIns/askReadiness/index.js";
+import { encodeVmSettings } from "../../platform/standIns/encodeVmSettings/index.js";
+import type { PlatformStandIn } from "../../platform/standIns/types/PlatformStandIn.js";
+import { reservePorts } from "../../site/reservePorts/index.js";
+import { startProcess } from "../../site/startProcess/index.js";
+import { SiteBinary } from "../../site/types/SiteBinary.js";
+import type { SiteProcess } from "../../site/types/SiteProcess.js";
+import type { VmSettings } from "../../vm/types/VmSettings.js";
+import { soakConstants } from "../constants.js";
+import { createFaultyProxy } from "../createFaultyProxy/index.js";
+import type { SoakVm } from "../types/SoakVm.js";
+
+/** Options of `startSoakVm`. */
+interface SoakVmOptions {
+    /** Number of the VM. */
+    readonly index: number;
+    readonly platform: PlatformStandIn;
+    /** Folder for its settings file. */
+    readonly folder: string;
+    readonly clock: Clock;
+}
+
+const millisecondsPerSecond = 1_000;
+const addressesPerByte = 250;
+
+/**
+ * Starts one VM of the soak: the real program as a process of its own, with an address of its own on the loopback
+ * interface and links that can be at fault.
+ *
+ * @param options Number of the VM, the platform and where its settings go.
+ * @returns The VM, its process just started.
+ *
+ * @example
+ * const vm = await startSoakVm({ index: 0, platform, folder, clock });
+ */
+export async function startSoakVm({ index, platform, folder, clock }: SoakVmOptions): Promise<SoakVm> {
+    const name = `vm-${index + 1}`;
+    const host = chooseHost(index);
+    const availabilityZone = soakConstants.zones[index % soakConstants.zones.length]!;
+    const [callerPort, readinessPort, peerPort] = await reservePorts(3);
+    const store = await createFaultyProxy("127.0.0.1", platform.store.port, clock);
+    const callers = await createFaultyProxy(host, callerPort!, clock);
+    const addressOf = (port: number, at = host) => ({ host: at, port, availabilityZone });
+    const settings: VmSettings = {
+        name,
+        availabilityZone,
+        region: "north",
+        regionsByZone: Object.fromEntries(soakConstants.zones.map(zone => [zone, "north"])),
+        callerAddress: addressOf(callerPort!),
+        readinessAddress: addressOf(readinessPort!),
+        peerAddress: addressOf(peerPort!),
+        storeAddress: addressOf(store.port, "127.0.0.1"),
+        promotionAddress: addressOf(platform.promotionPort, "127.0.0.1"),
+        graceMilliseconds: soakConstants.graceSeconds * millisecondsPerSecond,
+    };
+    const settingsFile = join(folder, `${name}.toml`);
+    const unexpectedEnds: string[] = [];
+    const outputs: (() => string)[] = [];
+    let running: SiteProcess | undefined;
+
+    function touchSettings(): void {
+        writeFileSync(settingsFile, encodeVmSettings(settings));
+    }
+
+    function start(): void {
+        const started = startProcess(name, SiteBinary.Node, { settingsFile });
+        running = started;
+        outputs.push(started.output);
+        void started.exited.then(reason => {
+            if (running === started) {
+                running = undefined;
+                unexpectedEnds.push(`${name} ended by itself: ${reason}`);
+            }
+        });
+    }
+
+    async function end(signal: NodeJS.Signals): Promise<void> {
+        const ending = running;
+        running = undefined;
+        ending?.signal("SIGCONT");
+        ending?.signal(signal);
+        const kill = setTimeout(() => ending?.signal("SIGKILL"), settings.graceMilliseconds);
+        await ending?.exited;
+        clearTimeout(kill);
+    }
+
+    touchSettings();
+    start();
+    return {
+        name,
+        callers,
+        store,
+        isRunning: () => running !== undefined,
+        isReady: () => askReadiness(readinessPort!, host),
+        signal: signal => running?.signal(signal),
+        end,
+        start,
+        touchSettings,
+        unexpectedEnds,
+        output: () => outputs.map(read => read()).join(""),
+    };
+}
+
+/** Addresses differ between VMs, and between soaks that run at the same time. */
+function chooseHost(index: number): string {
+    const high = 1 + process.pid % addressesPerByte;
+    const middle = Math.floor(process.pid / addressesPerByte) % addressesPerByte;
+    return `127.${high}.${middle}.${index + 2}`;
+}
--- /dev/null
+++ b/src/soak/types/BrokenPromise.ts
@@ -0,0 +1,6 @@
+/** A promise that a run broke. */
+export interface BrokenPromise {
+    readonly promise: string;
+    /** What was seen, for people. */
+    readonly detail: string;
+}
--- /dev/null
+++ b/src/soak/types/CallerRead.ts
@@ -0,0 +1,6 @@
+/** A read as its caller saw it. */
+export interface CallerRead {
+    readonly id: string;
+    readonly item: string;
+    readonly data: string;
+}
--- /dev/null
+++ b/src/soak/types/SoakSite.ts
@@ -0,0 +1,14 @@
+import type { PlatformStandIn } from "../../platform/standIns/types/PlatformStandIn.js";
+import type { FaultyProxy } from "./FaultyProxy.js";
+import type { SoakVm } from "./SoakVm.js";
+
+/** What a soak runs on. */
+export interface SoakSite {
+    readonly platform: PlatformStandIn;
+    readonly vms: readonly SoakVm[];
+    /** The links to the endpoints, in the order of the platform's endpoints. */
+    readonly endpointLinks: readonly FaultyProxy[];
+    /** Writes the next version of the configuration. */
+    changeConfiguration(): void;
+    stop(): Promise<void>;
+}
--- /dev/null
+++ b/src/testing/createSoakHistory/index.ts
@@ -0,0 +1,58 @@
+import { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
+import type { CallerUnit } from "../../soak/types/CallerUnit.js";
+import type { SoakHistory } from "../../soak/types/SoakHistory.js";
+import { UnitOutcome } from "../../soak/types/UnitOutcome.js";
+
+/**
+ * Creates a history of a soak in which every promise is kept, for tests: one session wrote an item and read it.
+ *
+ * @param changes What differs from that.
+ * @param readChanges What differs in the unit that reads.
+ * @returns The history.
+ *
+ * @example
+ * const broken = [...findLostWrites(createSoakHistory({ log: [] }))];
+ */
+export function createSoakHistory(
+    changes: Partial<SoakHistory> = {},
+    readChanges: Partial<CallerUnit> = {},
+): SoakHistory {
+    const written: CallerUnit = {
+        session: "s1",
+        vm: 0,
+        guarantee: ReadGuarantee.Primary,
+        startedAt: 1_000,
+        endedAt: 1_020,
+        outcome: UnitOutcome.Acknowledged,
+        ids: ["w1"],
+        writeIds: ["w1"],
+        items: ["item1"],
+        reads: [],
+        signatures: { w1: "i-1.w1" },
+        slowestMilliseconds: 20,
+    };
+    const read: CallerUnit = {
+        ...written,
+        startedAt: 1_100,
+        endedAt: 1_110,
+        ids: ["r1"],
+        writeIds: [],
+        items: [],
+        reads: [{ id: "r1", item: "item1", data: "new" }],
+        signatures: { r1: "i-1.r1" },
+        ...readChanges,
+    };
+    const values = { session: "s1" };
+    return {
+        units: [written, read],
+        executed: ["w1", "r1"].map(id => ({ id, endpointId: "i-1", connection: 1, isInTransaction: false, values })),
+        log: [
+            { position: { term: 1, entry: 1 }, ids: ["w0"], items: { item1: "old" } },
+            { position: { term: 1, entry: 2 }, ids: ["w1"], items: { item1: "new" } },
+        ],
+        dropped: [],
+        endpointFaults: [],
+        lateSpans: [],
+        ...changes,
+    };
+}
