In large zones few VMs watch the store; the others learn with the renewals of their leases

Removed records were not told between VMs, which a VM without a watch needs; they are now, with their revisions. Ruled out: lists that may be stale: a list older than a new record would take that for gone.

--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -28,6 +28,8 @@
     const vanishedAt = new Map<string, number>();
     /** Revisions of the records of endpoints that are gone, so that a VM that knows less cannot bring them back. */
     const goneRevisions = new Map<string, number>();
+    /** Revisions at which records were missing, to be passed on to other VMs; the newest last. */
+    const removals = new Map<string, number>();
     let highestRevision = 0;
     const listeners: ((groups: ReadonlySet<string>) => void)[] = [];
     let table: RoutingTable | undefined;
@@ -50,7 +52,7 @@
         if (update.isWhole) {
             const listed = new Set(update.changes.map(change => change.name));
             for (const id of [...endpoints.keys()].filter(known => !listed.has(known))) {
-                noteVanished(id, undefined, changed);
+                noteVanished(id, update.revision, changed);
             }
         }
         notify(changed);
@@ -77,6 +79,7 @@
         if (known === undefined || (revision !== undefined && known.revision > revision) || vanishedAt.has(id)) {
             return;
         }
+        noteRemoval(id, revision ?? known.revision);
         log("record of an endpoint vanished", { endpoint: id, group: known.group, wasLeaving: known.isLeaving });
         if (known.isLeaving) {
             forget(known, changed);
@@ -86,6 +89,16 @@
         void retire(known, vanishedAt.get(id)!);
     }
 
+    function noteRemoval(id: string, revision: number): void {
+        highestRevision = Math.max(highestRevision, revision);
+        removals.delete(id);
+        removals.set(id, revision);
+        const oldest = removals.keys().next().value;
+        if (removals.size > directoryConstants.rememberedRemovals && oldest !== undefined) {
+            removals.delete(oldest);
+        }
+    }
+
     /** Lets an endpoint whose record vanished go, unless it registers again in between. */
     async function retire(record: EndpointRecord, noticedAt: number): Promise<void> {
         const changed = new Set([record.group]);
@@ -146,6 +159,7 @@
         endpointsOf: group => [...endpoints.values()].filter(endpoint => endpoint.group === group),
         groups: () => [...new Set([...endpoints.values()].map(endpoint => endpoint.group))],
         records: () => [...endpoints.values()],
+        removals: () => [...removals].map(([id, revision]) => ({ id, revision })),
         onChange: listener => listeners.push(listener),
     };
 }
--- a/src/directory/createDirectoryFollower/index.ts
+++ b/src/directory/createDirectoryFollower/index.ts
@@ -7,6 +7,8 @@
 import type { Feed } from "../types/Feed.js";
 import type { FeedUpdate } from "../types/FeedUpdate.js";
 import type { PlatformStore } from "../types/PlatformStore.js";
+import type { StoreNews } from "../types/StoreNews.js";
+import type { WatchChoice } from "../types/WatchChoice.js";
 
 /** Options of `createDirectoryFollower`. */
 interface DirectoryFollowerOptions {
@@ -14,6 +16,10 @@
     readonly random: RandomSource;
     readonly store: Pick<PlatformStore, "endpoints" | "routingTables">;
     readonly directory: Directory;
+    /** Whether and how this VM watches. */
+    readonly choice: WatchChoice;
+    /** Told of each answer. */
+    readonly news: Pick<StoreNews, "noteAnswer">;
     readonly metrics: Pick<Metrics, "countStoreFailure">;
     readonly log: LogTopic;
 }
@@ -34,8 +40,9 @@
  * await createDirectoryFollower({ clock, random, store, directory, log }).start();
  */
 export function createDirectoryFollower(options: DirectoryFollowerOptions): DirectoryFollower {
-    const { clock, random, store, directory, log } = options;
+    const { clock, random, store, directory, choice, log } = options;
     const end = new AbortController();
+    let wasWatching = true;
 
     async function follow<Item>(
         name: string,
@@ -47,6 +54,8 @@
             clock,
             random,
             signal: end.signal,
+            isNeeded: isWatching,
+            watchMilliseconds: choice.watchMilliseconds,
             onFailure: error => {
                 options.metrics.countStoreFailure();
                 if (isReached) {
@@ -55,6 +64,7 @@
                 isReached = false;
             },
             onAnswer: () => {
+                options.news.noteAnswer(name);
                 if (!isReached) {
                     log("store is reached again", { feed: name });
                 }
@@ -66,6 +76,15 @@
         }
     }
 
+    function isWatching(): boolean {
+        const isNeeded = choice.isWatching();
+        if (isNeeded !== wasWatching) {
+            log(isNeeded ? "watches the store" : "leaves watching the store to other VMs");
+            wasWatching = isNeeded;
+        }
+        return isNeeded;
+    }
+
     async function start(): Promise<void> {
         void follow("endpoints", store.endpoints, directory.applyEndpoints);
         void follow("routing tables", store.routingTables, update => {
--- /dev/null
+++ b/src/directory/createWatchChoice/test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { VmIdentity } from "../../duty/types/VmIdentity.js";
+import { forwardingConstants } from "../../forwarding/constants.js";
+import { directoryConstants } from "../constants.js";
+import { createWatchChoice } from "./index.js";
+
+const createVms = (count: number): readonly VmIdentity[] =>
+    Array.from({ length: count }, (_, index) => ({
+        name: `vm-${index}`,
+        address: { host: `vm-${index}`, port: 1, availabilityZone: "a" },
+        incarnation: "1",
+    }));
+
+function listWatching(vms: readonly VmIdentity[], changes: { isFresh?: boolean; holder?: string; } = {}) {
+    return vms.filter(self =>
+        createWatchChoice({
+            self,
+            otherVms: () => vms.filter(vm => vm !== self),
+            isHolder: () => self.name === changes.holder,
+            news: { isFresh: () => changes.isFresh ?? true },
+        }).isWatching()
+    );
+}
+
+describe("createWatchChoice", () => {
+    it("has every VM of a small zone watch", () => {
+        const vms = createVms(forwardingConstants.largestUnsharedZone);
+        assert.equal(listWatching(vms).length, vms.length);
+    });
+
+    it("has a few VMs of a large zone watch, and the holder of the duty", () => {
+        const vms = createVms(14);
+        const watching = listWatching(vms);
+        assert.equal(watching.length, forwardingConstants.hostsPerZone);
+        const holder = vms.find(vm => !watching.includes(vm))!.name;
+        assert.equal(listWatching(vms, { holder }).length, forwardingConstants.hostsPerZone + 1);
+    });
+
+    it("has every VM watch that hears nothing recent", () => {
+        const vms = createVms(14);
+        assert.equal(listWatching(vms, { isFresh: false }).length, vms.length);
+    });
+
+    it("has shared watches end sooner", () => {
+        const [self, ...others] = createVms(14);
+        const choice = createWatchChoice({
+            self: self!,
+            otherVms: () => others,
+            isHolder: () => false,
+            news: { isFresh: () => true },
+        });
+        assert.equal(choice.watchMilliseconds(), directoryConstants.sharedWatchMilliseconds);
+    });
+});
--- a/src/directory/followFeed/index.ts
+++ b/src/directory/followFeed/index.ts
@@ -9,6 +9,10 @@
 interface FollowFeedOptions {
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Whether changes have to be waited for now; when left out, always. */
+    readonly isNeeded?: () => boolean;
+    /** How long a wait for changes lasts, in milliseconds. */
+    readonly watchMilliseconds?: () => number;
     /** Ends the generator. */
     readonly signal: AbortSignal;
     /** Told of each call that failed. */
@@ -40,18 +44,29 @@
     let pauses = createPauses();
     let revision: number | undefined;
     let hasFailed = false;
+
+    /** After a failure the next call asks for a prompt answer: a long watch of a silent store would be noticed late. */
+    function waitMilliseconds(): number {
+        const { cautiousWatchMilliseconds, watchMilliseconds } = directoryConstants;
+        return hasFailed ? cautiousWatchMilliseconds : options.watchMilliseconds?.() ?? watchMilliseconds;
+    }
+
     while (!signal.aborted) {
+        if (revision !== undefined && options.isNeeded?.() === false) {
+            await clock.sleep(directoryConstants.watchCheckMilliseconds, signal);
+            continue;
+        }
         try {
             const isWhole = revision === undefined;
             const batch = revision === undefined
                 ? await feed.list()
-                : await feed.waitForChanges(revision, waitMilliseconds(hasFailed));
+                : await feed.waitForChanges(revision, waitMilliseconds());
             options.onAnswer();
             hasFailed = false;
             pauses = createPauses();
             revision = batch?.revision;
             if (batch !== undefined && (isWhole || batch.changes.length > 0)) {
-                yield { isWhole, changes: batch.changes };
+                yield { isWhole, changes: batch.changes, revision: batch.revision };
             }
         }
         catch (error) {
@@ -62,8 +77,3 @@
         }
     }
 }
-
-/** After a failure the next call asks for a prompt answer: a long watch of a silent store would be noticed late. */
-function waitMilliseconds(hasFailed: boolean): number {
-    return hasFailed ? directoryConstants.cautiousWatchMilliseconds : directoryConstants.watchMilliseconds;
-}
--- a/src/directory/types/Directory.ts
+++ b/src/directory/types/Directory.ts
@@ -1,6 +1,7 @@
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { FeedUpdate } from "./FeedUpdate.js";
 import type { GroupSettings } from "./GroupSettings.js";
+import type { RecordRemoval } from "./RecordRemoval.js";
 import type { Route } from "./Route.js";
 import type { RoutingTable } from "./RoutingTable.js";
 
@@ -12,7 +13,7 @@
     applyRoutingTable(table: RoutingTable): boolean;
     /** The version in force; 0 before the first. */
     version(): number;
-    /** Highest revision of an endpoint's record that was seen. */
+    /** Highest revision of an endpoint's record, or of its removal, that was seen. */
     revision(): number;
     routingTable(): RoutingTable | undefined;
     routeOf(database: string): Route | undefined;
@@ -23,6 +24,8 @@
     groups(): readonly string[];
     /** All endpoints' records, to be passed on to another VM. */
     records(): readonly EndpointRecord[];
+    /** The records that were removed last, to be passed on likewise. */
+    removals(): readonly RecordRemoval[];
     /** Calls the listener after each change, with the groups that changed. */
     onChange(listener: (groups: ReadonlySet<string>) => void): void;
 }
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { RecordStore } from "../../directory/types/RecordStore.js";
+import type { StoreNews } from "../../directory/types/StoreNews.js";
 import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
@@ -23,6 +24,8 @@
     readonly random: RandomSource;
     readonly records: RecordStore;
     readonly directory: Directory;
+    /** How recent the directory is. */
+    readonly news: StoreNews;
     /** This VM. */
     readonly self: VmIdentity;
     /** Calls another VM. */
@@ -49,7 +52,7 @@
     const { clock, random, records, self, log } = options;
     const vms = createVmList(clock);
     const announcements = createAnnouncements(options.onAnnouncement);
-    const exchange = createRenewalExchange({ self, directory: options.directory, vms, announcements });
+    const exchange = createRenewalExchange({ ...options, vms, announcements });
     const end = new AbortController();
     let known: DutyHolder | undefined;
     let heardAt = -Infinity;
@@ -133,7 +136,7 @@
             }
             heardAt = sentAt;
             failedRenewals = 0;
-            exchange.learn(answer);
+            exchange.learn(answer, sentAt);
             if (answer.isCertain) {
                 lease.grant();
             }
--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -1,4 +1,7 @@
+import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
+import type { StoreNews } from "../../directory/types/StoreNews.js";
+import { dutyConstants } from "../constants.js";
 import type { createAnnouncements } from "../createAnnouncements/index.js";
 import type { createVmList } from "../createVmList/index.js";
 import { exchangeKnowledge } from "../exchangeKnowledge/index.js";
@@ -8,9 +11,11 @@
 
 /** Options of `createRenewalExchange`. */
 interface RenewalExchangeOptions {
+    readonly clock: Clock;
     /** This VM. */
     readonly self: VmIdentity;
     readonly directory: Directory;
+    readonly news: StoreNews;
     readonly vms: ReturnType<typeof createVmList>;
     readonly announcements: ReturnType<typeof createAnnouncements>;
 }
@@ -22,8 +27,8 @@
 interface RenewalExchange {
     /** What this VM tells the holder. */
     createRenewal(hasHeardHolder: boolean): Renewal;
-    /** Takes the holder's answer in. */
-    learn(answer: RenewalAnswer): void;
+    /** Takes the holder's answer in; the question was sent at that time. */
+    learn(answer: RenewalAnswer, sentAt: number): void;
     /** Takes another VM's renewal in and answers it. */
     answer(renewal: Renewal, state: HolderState): RenewalAnswer;
 }
@@ -39,7 +44,7 @@
  * exchange.learn(await peer.renew(exchange.createRenewal(true)));
  */
 export function createRenewalExchange(options: RenewalExchangeOptions): RenewalExchange {
-    const { self, directory, vms, announcements } = options;
+    const { clock, self, directory, news, vms, announcements } = options;
     /** What the holder knew last; nothing is sent before it has answered once. */
     let holderRoutingVersion = Number.POSITIVE_INFINITY;
     let holderEndpointRevision = Number.POSITIVE_INFINITY;
@@ -55,14 +60,22 @@
             vmListVersion: vms.version(),
             announcementSequence: announcements.latest(),
             ...routingVersion > holderRoutingVersion ? { routingTable: directory.routingTable() } : {},
-            ...endpointRevision > holderEndpointRevision ? { endpoints: directory.records() } : {},
+            ...endpointRevision > holderEndpointRevision ? listEndpoints() : {},
+            ...Number.isFinite(holderRoutingVersion) ? { newsAgeMilliseconds: Math.round(news.ageMilliseconds()) } : {},
         };
     }
 
-    function learn(answer: RenewalAnswer): void {
+    function listEndpoints() {
+        return { endpoints: directory.records(), removals: directory.removals() };
+    }
+
+    function learn(answer: RenewalAnswer, sentAt: number): void {
         holderRoutingVersion = answer.routingVersion;
         holderEndpointRevision = answer.endpointRevision;
         exchangeKnowledge(directory, answer);
+        if (answer.newsAgeMilliseconds !== undefined) {
+            news.learn(answer.newsAgeMilliseconds, sentAt);
+        }
         vms.refresh();
         if (answer.vms !== undefined) {
             vms.adopt(answer.vms, answer.vmListVersion);
@@ -72,6 +85,9 @@
 
     function answer(renewal: Renewal, state: HolderState): RenewalAnswer {
         exchangeKnowledge(directory, renewal);
+        if (renewal.newsAgeMilliseconds !== undefined) {
+            news.learn(renewal.newsAgeMilliseconds + dutyConstants.callMilliseconds, clock.now());
+        }
         const list = vms.list();
         const isBehind = directory.version() > renewal.routingVersion;
         return {
@@ -81,7 +97,8 @@
             vmListVersion: vms.version(),
             ...renewal.vmListVersion === vms.version() ? {} : { vms: list },
             ...isBehind ? { routingTable: directory.routingTable() } : {},
-            ...directory.revision() > renewal.endpointRevision ? { endpoints: directory.records() } : {},
+            ...directory.revision() > renewal.endpointRevision ? listEndpoints() : {},
+            newsAgeMilliseconds: Math.round(news.ageMilliseconds()),
             announcements: announcements.after(renewal.announcementSequence),
         };
     }
--- /dev/null
+++ b/src/duty/createRenewalExchange/test.ts
@@ -0,0 +1,78 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createStoreNews } from "../../directory/createStoreNews/index.js";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
+import { createKnownDirectory } from "../../testing/createKnownDirectory/index.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { createAnnouncements } from "../createAnnouncements/index.js";
+import { createVmList } from "../createVmList/index.js";
+import { createRenewalExchange } from "./index.js";
+
+const state = { isHolder: true, isCertain: true, token: 1 };
+
+/** A VM that knows some endpoints. */
+function createSide(clock: ReturnType<typeof createManualClock>, name: string, endpoints: readonly EndpointRecord[]) {
+    const directory = createKnownDirectory(clock, endpoints);
+    const news = createStoreNews(clock);
+    const exchange = createRenewalExchange({
+        clock,
+        self: { name, address: { host: name, port: 1, availabilityZone: "a" }, incarnation: "1" },
+        directory,
+        news,
+        vms: createVmList(clock),
+        announcements: createAnnouncements(() => {}),
+    });
+    return { directory, news, exchange };
+}
+
+function createPair() {
+    const clock = createManualClock();
+    const endpoint = createEndpointRecord({ isLeaving: true });
+    const holder = createSide(clock, "vm-1", [endpoint]);
+    const member = createSide(clock, "vm-2", [endpoint]);
+    const renew = (from = member): void => {
+        const sentAt = clock.now();
+        from.exchange.learn(holder.exchange.answer(from.exchange.createRenewal(true), state), sentAt);
+    };
+    return { clock, holder, member, renew };
+}
+
+const removal = { isWhole: false, changes: [{ name: "i-1", revision: 9, item: undefined }] };
+
+describe("createRenewalExchange", () => {
+    it("tells a VM that does not watch the store of removed records", () => {
+        const { holder, member, renew } = createPair();
+        holder.directory.applyEndpoints(removal);
+        assert.equal(holder.directory.endpoint("i-1"), undefined);
+        renew();
+        assert.equal(member.directory.endpoint("i-1"), undefined);
+        assert.equal(member.directory.revision(), 9);
+    });
+
+    it("tells the holder what a VM that watches has seen", () => {
+        const { holder, member, renew } = createPair();
+        renew();
+        member.directory.applyEndpoints(removal);
+        renew();
+        assert.equal(holder.directory.endpoint("i-1"), undefined);
+    });
+
+    it("does not let an older removal take away a record that was written since", () => {
+        const { holder, member, renew } = createPair();
+        holder.directory.applyEndpoints(removal);
+        const item = createEndpointRecord({ revision: 12 });
+        holder.directory.applyEndpoints({ isWhole: false, changes: [{ name: "i-1", revision: 12, item }] });
+        renew();
+        assert.equal(member.directory.endpoint("i-1")?.revision, 12);
+    });
+
+    it("passes on how recent the news are", async () => {
+        const { clock, holder, member, renew } = createPair();
+        holder.news.noteAnswer("endpoints");
+        await clock.advance(500);
+        renew();
+        assert.equal(member.news.ageMilliseconds(), 500);
+        assert.equal(member.news.isFresh(), true);
+    });
+});
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -62,6 +62,8 @@
         announcementSequence: z.number(),
         routingTable: routingTable.optional(),
         endpoints: z.array(endpoint).optional(),
+        removals: z.array(z.object({ id: z.string(), revision: z.number() })).optional(),
+        newsAgeMilliseconds: z.number().optional(),
     }),
     token: z.number(),
     endpointId: z.string(),
--- a/src/duty/types/Renewal.ts
+++ b/src/duty/types/Renewal.ts
@@ -1,4 +1,5 @@
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { RecordRemoval } from "../../directory/types/RecordRemoval.js";
 import type { RoutingTable } from "../../directory/types/RoutingTable.js";
 import type { VmIdentity } from "./VmIdentity.js";
 
@@ -19,4 +20,8 @@
     readonly routingTable?: RoutingTable;
     /** Sent when the holder's are older. */
     readonly endpoints?: readonly EndpointRecord[];
+    /** Records that were removed; sent along with the endpoints. */
+    readonly removals?: readonly RecordRemoval[];
+    /** Age of what the sender knows of the store, in milliseconds; left out while it may not have sent all of it. */
+    readonly newsAgeMilliseconds?: number;
 }
--- a/src/kernel/types/ServiceName.ts
+++ b/src/kernel/types/ServiceName.ts
@@ -47,10 +47,12 @@
     SessionHosts = "SessionHosts",
     SettingsReload = "SettingsReload",
     StatusBoard = "StatusBoard",
+    StoreNews = "StoreNews",
     SuspicionReports = "SuspicionReports",
     TermReservation = "TermReservation",
     Topology = "Topology",
     Transactions = "Transactions",
     TransportServer = "TransportServer",
     VmFront = "VmFront",
+    WatchChoice = "WatchChoice",
 }
--- a/src/testing/createDutyFleet/index.ts
+++ b/src/testing/createDutyFleet/index.ts
@@ -1,3 +1,4 @@
+import { createStoreNews } from "../../directory/createStoreNews/index.js";
 import { createDuty } from "../../duty/createDuty/index.js";
 import type { Announcement } from "../../duty/types/Announcement.js";
 import type { Duty } from "../../duty/types/Duty.js";
@@ -61,6 +62,7 @@
             random: createRandomSource(index),
             records,
             directory: createKnownDirectory(clock, []),
+            news: createStoreNews(clock),
             self: identity,
             peerOf: vm => peerOf(name, vm),
             onAnnouncement: announcement => announcements.push(announcement),
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { PlatformStore } from "../../directory/types/PlatformStore.js";
+import type { StoreNews } from "../../directory/types/StoreNews.js";
 import { applyAnnouncement } from "../../duty/applyAnnouncement/index.js";
 import { dutyConstants } from "../../duty/constants.js";
 import { createDuty } from "../../duty/createDuty/index.js";
@@ -71,6 +72,7 @@
                 ServiceName.Random,
                 ServiceName.PlatformStore,
                 ServiceName.Directory,
+                ServiceName.StoreNews,
                 ServiceName.Primaries,
                 ServiceName.Peers,
                 ServiceName.Logger,
@@ -80,6 +82,7 @@
                 random: RandomSource,
                 store: PlatformStore,
                 directory: Directory,
+                news: StoreNews,
                 primaries: Primaries,
                 peers: Peers,
                 logger: Logger,
@@ -88,6 +91,7 @@
                 random,
                 records: store.records,
                 directory,
+                news,
                 self: { name, address: peerAddress, incarnation: `${random.nextInteger(2 ** 32)}` },
                 peerOf: createVmPeers(peers, clock),
                 onAnnouncement: announcement => applyAnnouncement(primaries, announcement),
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -7,8 +7,12 @@
 import { directoryConstants } from "../../directory/constants.js";
 import { createDirectory } from "../../directory/createDirectory/index.js";
 import { createDirectoryFollower } from "../../directory/createDirectoryFollower/index.js";
+import { createStoreNews } from "../../directory/createStoreNews/index.js";
+import { createWatchChoice } from "../../directory/createWatchChoice/index.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { PlatformStore } from "../../directory/types/PlatformStore.js";
+import type { StoreNews } from "../../directory/types/StoreNews.js";
+import type { WatchChoice } from "../../directory/types/WatchChoice.js";
 import type { Duty } from "../../duty/types/Duty.js";
 import type { SessionForwarding } from "../../forwarding/types/SessionForwarding.js";
 import type { SessionHost } from "../../forwarding/types/SessionHost.js";
@@ -96,6 +100,8 @@
                 ServiceName.Random,
                 ServiceName.PlatformStore,
                 ServiceName.Directory,
+                ServiceName.WatchChoice,
+                ServiceName.StoreNews,
                 ServiceName.Metrics,
                 ServiceName.Logger,
             ],
@@ -104,9 +110,26 @@
                 random: RandomSource,
                 store: PlatformStore,
                 directory: Directory,
+                choice: WatchChoice,
+                news: StoreNews,
                 metrics: Metrics,
                 logger: Logger,
-            ) => createDirectoryFollower({ clock, random, store, directory, metrics, log: logger.topic("directory") }),
+            ) => {
+                const log = logger.topic("directory");
+                return createDirectoryFollower({ clock, random, store, directory, choice, news, metrics, log });
+            },
+        },
+        { name: ServiceName.StoreNews, dependencies: [ServiceName.Clock], create: createStoreNews },
+        {
+            name: ServiceName.WatchChoice,
+            dependencies: [ServiceName.Duty, ServiceName.StoreNews],
+            create: (duty: Duty, news: StoreNews) =>
+                createWatchChoice({
+                    self: { name: settings.name, address: settings.peerAddress },
+                    otherVms: duty.otherVms,
+                    isHolder: () => duty.heldToken() !== undefined,
+                    news,
+                }),
         },
         {
             name: ServiceName.Primaries,
