Give a reason when the timer of a wait is ended: the default one is an error with a stack

Cause: a profile of 24 VMs under 48 callers shows 4.5% of the processor in making DOMException and 10% in abort; each statement ends several waits.

--- a/src/clock/limitSignal/index.ts
+++ b/src/clock/limitSignal/index.ts
@@ -1,5 +1,8 @@
 import type { Clock } from "../types/Clock.js";
 
+/** Why the wait for the limit ends early; given because the default reason is an error whose making costs much. */
+const waitIsOver = "the wait is over";
+
 /** A signal with a time limit. */
 interface LimitedSignal {
     readonly signal: AbortSignal;
@@ -24,7 +27,7 @@
     const limit = new AbortController();
     const wait = new AbortController();
     const end = (): void => {
-        wait.abort();
+        wait.abort(waitIsOver);
         limit.abort();
     };
     if (parent.aborted) {
@@ -45,7 +48,7 @@
     return {
         signal: limit.signal,
         release: () => {
-            wait.abort();
+            wait.abort(waitIsOver);
             parent.removeEventListener("abort", end);
         },
     };
--- a/src/waiting/createWaiter/index.ts
+++ b/src/waiting/createWaiter/index.ts
@@ -1,6 +1,9 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Waiter } from "../types/Waiter.js";
 
+/** Why the time limit's wait ends early; given because the default reason is an error whose making costs much. */
+const waitIsOver = "the wait is over";
+
 /** Options of `createWaiter`. */
 interface WaiterOptions {
     readonly clock: Clock;
@@ -40,7 +43,7 @@
         }
         isSettled = true;
         signal?.removeEventListener("abort", expire);
-        timer.abort();
+        timer.abort(waitIsOver);
         finish();
         return true;
     }
