--- a/src/operator/checkSettings/index.ts
+++ b/src/operator/checkSettings/index.ts
@@ -1,17 +1,21 @@
-import type { z } from "zod";
 import { ExitCode } from "../../commandLine/types/ExitCode.js";
 import type { ProcessControl } from "../../commandLine/types/ProcessControl.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { readVmSettings } from "../../platform/readVmSettings/index.js";
 import { entrySettingsSchema } from "../../settings/entrySettingsSchema/index.js";
 import { gatewaySettingsSchema } from "../../settings/gatewaySettingsSchema/index.js";
 import { readSettings } from "../../settings/readSettings/index.js";
 import { operatorSettingsSchema } from "../operatorSettingsSchema/index.js";
 
-const schemaByBinary: ReadonlyMap<string, z.ZodType> = new Map<string, z.ZodType>([
-    ["tarragonpost", operatorSettingsSchema],
-    ["tarragonpost-entry", entrySettingsSchema],
-    ["tarragonpost-gateway", gatewaySettingsSchema],
+/** Reads a settings file; fails when it is not valid. */
+type SettingsReader = (file: string) => unknown;
+
+const readers: ReadonlyMap<string, SettingsReader> = new Map<string, SettingsReader>([
+    ["tarragonpost", file => readSettings(file, operatorSettingsSchema)],
+    ["tarragonpost-entry", file => readSettings(file, entrySettingsSchema)],
+    ["tarragonpost-gateway", file => readSettings(file, gatewaySettingsSchema)],
+    ["tarragonpost-node", readVmSettings],
 ]);
 
 /**
@@ -27,15 +31,15 @@
  * checkSettings("gateway.jsonc", "gateway", control);
  */
 export function checkSettings(file: string | undefined, binary: string | undefined, control: ProcessControl): ExitCode {
-    const schema = schemaByBinary.get(String(binary)) ?? schemaByBinary.get(`tarragonpost-${String(binary)}`);
-    if (file === undefined || schema === undefined) {
+    const read = readers.get(String(binary)) ?? readers.get(`tarragonpost-${String(binary)}`);
+    if (file === undefined || read === undefined) {
         throw createError(ErrorKind.InvalidRequest, "A settings file and a known program are needed.", {
             remedy: `Write \`tarragonpost settings check FILE --binary NAME\`, NAME one of ${
-                [...schemaByBinary.keys()].join(", ")
+                [...readers.keys()].join(", ")
             }.`,
         });
     }
-    readSettings(file, schema);
+    read(file);
     control.write(`${file} is valid.\n`);
     return ExitCode.Success;
 }
