--- a/src/load/runLoadCommand/index.ts
+++ b/src/load/runLoadCommand/index.ts
@@ -1,7 +1,7 @@
 import { cac } from "cac";
 import { writeFile } from "node:fs/promises";
+import { exitWithOutcome } from "../../commandLine/exitWithOutcome/index.js";
 import { readProductVersion } from "../../commandLine/readProductVersion/index.js";
-import { reportFailure } from "../../commandLine/reportFailure/index.js";
 import { ExitCode } from "../../commandLine/types/ExitCode.js";
 import type { ProcessControl } from "../../commandLine/types/ProcessControl.js";
 import { createError } from "../../errors/createError/index.js";
@@ -25,12 +25,7 @@
  * await runLoadCommand(createProcessControl());
  */
 export async function runLoadCommand(control: ProcessControl): Promise<void> {
-    try {
-        control.exit(await runCommand(control));
-    }
-    catch (error) {
-        control.exit(reportFailure(error, control));
-    }
+    await exitWithOutcome(control, () => runCommand(control));
 }
 
 async function runCommand(control: ProcessControl): Promise<ExitCode> {
--- a/src/operator/checkSettings/test.ts
+++ b/src/operator/checkSettings/test.ts
@@ -6,22 +6,9 @@
 import { ExitCode } from "../../commandLine/types/ExitCode.js";
 import type { ProcessControl } from "../../commandLine/types/ProcessControl.js";
 import { encodeVmSettings } from "../../platform/standIns/encodeVmSettings/index.js";
+import { createVmSettings } from "../../testing/createVmSettings/index.js";
 import { checkSettings } from "./index.js";
 
-const addressOf = (port: number) => ({ host: "127.0.0.1", port, availabilityZone: "a" });
-const vmSettings = {
-    name: "vm-1",
-    availabilityZone: "a",
-    region: "north",
-    regionsByZone: { a: "north" },
-    callerAddress: addressOf(1),
-    readinessAddress: addressOf(2),
-    peerAddress: addressOf(3),
-    storeAddress: addressOf(4),
-    promotionAddress: addressOf(5),
-    graceMilliseconds: 6_000,
-};
-
 describe("checkSettings", () => {
     const written: string[] = [];
     const control: ProcessControl = {
@@ -40,13 +27,13 @@
     after(() => rmSync(folder, { recursive: true }));
 
     it("accepts the settings of a VM on the platform", () => {
-        writeFileSync(file, encodeVmSettings(vmSettings));
+        writeFileSync(file, encodeVmSettings(createVmSettings()));
         assert.equal(checkSettings(file, "node", control), ExitCode.Success);
         assert.deepEqual(written, [`${file} is valid.\n`]);
     });
 
     it("names what is wrong with them", () => {
-        writeFileSync(file, encodeVmSettings({ ...vmSettings, name: "" }));
+        writeFileSync(file, encodeVmSettings(createVmSettings({ name: "" })));
         assert.throws(() => checkSettings(file, "tarragonpost-node", control), /vm\.toml: \w+: /);
     });
 
--- a/src/soak/runSoakCommand/index.ts
+++ b/src/soak/runSoakCommand/index.ts
@@ -2,7 +2,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { createSystemClock } from "../../clock/createSystemClock/index.js";
-import { reportFailure } from "../../commandLine/reportFailure/index.js";
+import { exitWithOutcome } from "../../commandLine/exitWithOutcome/index.js";
 import { ExitCode } from "../../commandLine/types/ExitCode.js";
 import type { ProcessControl } from "../../commandLine/types/ProcessControl.js";
 import { createError } from "../../errors/createError/index.js";
@@ -27,12 +27,7 @@
  * await runSoakCommand(createProcessControl());
  */
 export async function runSoakCommand(control: ProcessControl): Promise<void> {
-    try {
-        control.exit(await runCommand(control));
-    }
-    catch (error) {
-        control.exit(reportFailure(error, control));
-    }
+    await exitWithOutcome(control, () => runCommand(control));
 }
 
 async function runCommand(control: ProcessControl): Promise<ExitCode> {
--- /dev/null
+++ b/src/testing/createVmSettings/index.ts
@@ -0,0 +1,27 @@
+import type { VmSettings } from "../../vm/types/VmSettings.js";
+
+/**
+ * Creates settings of a VM for tests, with addresses on the loopback interface.
+ *
+ * @param changes What differs.
+ * @returns The settings.
+ *
+ * @example
+ * writeFileSync(file, encodeVmSettings(createVmSettings({ name: "vm-2" })));
+ */
+export function createVmSettings(changes: Partial<VmSettings> = {}): VmSettings {
+    const addressOf = (port: number) => ({ host: "127.0.0.1", port, availabilityZone: "a" });
+    return {
+        name: "vm-1",
+        availabilityZone: "a",
+        region: "north",
+        regionsByZone: { a: "north", b: "north", c: "south" },
+        callerAddress: addressOf(1),
+        readinessAddress: addressOf(2),
+        peerAddress: addressOf(3),
+        storeAddress: addressOf(4),
+        promotionAddress: addressOf(5),
+        graceMilliseconds: 6_000,
+        ...changes,
+    };
+}
--- a/src/testing/startVm/index.ts
+++ b/src/testing/startVm/index.ts
@@ -5,6 +5,7 @@
 import { reservePorts } from "../../site/reservePorts/index.js";
 import { listVmServices } from "../../vm/listVmServices/index.js";
 import type { VmSettings } from "../../vm/types/VmSettings.js";
+import { createVmSettings } from "../createVmSettings/index.js";
 
 /** The program of a VM, running in the test's process. */
 interface StartedVm {
@@ -35,11 +36,8 @@
 export async function startVm(name: string, platform: PlatformStandIn, options: VmOptions = {}): Promise<StartedVm> {
     const [callerPort, readinessPort, peerPort] = await reservePorts(3);
     const addressOf = (port: number) => ({ host: "127.0.0.1", port, availabilityZone: "a" });
-    const settings: VmSettings = {
+    const settings = createVmSettings({
         name,
-        availabilityZone: "a",
-        region: "north",
-        regionsByZone: { a: "north", b: "north", c: "south" },
         callerAddress: addressOf(callerPort!),
         readinessAddress: addressOf(readinessPort!),
         peerAddress: addressOf(peerPort!),
@@ -47,7 +45,7 @@
         promotionAddress: addressOf(platform.promotionPort),
         graceMilliseconds: 1_000,
         ...options,
-    };
+    });
     const logLines: Record<string, unknown>[] = [];
     const kernel = createKernel(listVmServices(settings, {
         writeLog: line => logLines.push(JSON.parse(line) as Record<string, unknown>),
