Wait for a condition in one place; a caller's open session holds what serves it

createCallerSessions, createSessionHost and runSoak each kept a loop that looks again until a time limit. The open session copied three functions of the session that serves it over placeholders; it holds that session now.

--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -2,11 +2,13 @@
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import { createMailbox } from "../../waiting/createMailbox/index.js";
+import { waitForCondition } from "../../waiting/waitForCondition/index.js";
 import { callerSessionConstants } from "../constants.js";
 import { createCallerSession } from "../createCallerSession/index.js";
 import type { CallerCommand } from "../types/CallerCommand.js";
 import { CallerCommandKind } from "../types/CallerCommandKind.js";
 import type { CallerConnection } from "../types/CallerConnection.js";
+import type { CallerSession } from "../types/CallerSession.js";
 import type { CallerSessions } from "../types/CallerSessions.js";
 import type { SessionServices } from "../types/SessionServices.js";
 
@@ -28,10 +30,8 @@
 interface OpenSession {
     /** Whether a command waits or is being run. */
     isBusy: boolean;
-    isInTransaction(): boolean;
-    abandonTransaction(reason: string): void;
-    /** Ends what serves the caller. */
-    end(reason: string): void;
+    /** What serves the caller; undefined until it has opened the session. */
+    served: CallerSession | undefined;
     close(): void;
 }
 
@@ -67,9 +67,7 @@
         let waiting = 0;
         const open: OpenSession = {
             isBusy: false,
-            isInTransaction: () => false,
-            abandonTransaction: () => {},
-            end: () => {},
+            served: undefined,
             close: () => connection.close(),
         };
         sessions.add(open);
@@ -95,7 +93,7 @@
             catch (error) {
                 log("session broke", { reason: (error as Error).stack });
             }
-            open.end("the caller has left");
+            open.served?.end("the caller has left");
             connection.close();
         }
 
@@ -106,9 +104,7 @@
             }
             const createLocal = () => createCallerSession(connection, database, services);
             const session = forwarding?.forward(connection, database, createLocal) ?? createLocal();
-            open.isInTransaction = session.isInTransaction;
-            open.abandonTransaction = session.abandonTransaction;
-            open.end = session.end;
+            open.served = session;
             for (;;) {
                 const limit = session.isInTransaction()
                     ? directory.routingTable()!.idleTransactionMilliseconds
@@ -153,13 +149,12 @@
         }
 
         /** A process that has just started knows no routes: that a database is unknown would not be true. */
-        async function isDirectoryKnown(): Promise<boolean> {
-            const { directoryMilliseconds, directoryCheckMilliseconds } = callerSessionConstants;
-            const until = clock.now() + directoryMilliseconds;
-            while (directory.version() === 0 && clock.now() < until) {
-                await clock.sleep(directoryCheckMilliseconds);
-            }
-            return directory.version() > 0;
+        function isDirectoryKnown(): Promise<boolean> {
+            return waitForCondition(() => directory.version() > 0, {
+                clock,
+                limitMilliseconds: callerSessionConstants.directoryMilliseconds,
+                checkMilliseconds: callerSessionConstants.directoryCheckMilliseconds,
+            });
         }
 
         function reportUnreadable(command: CallerCommand | undefined): void {
@@ -189,18 +184,22 @@
             await clock.sleep(stopCheckMilliseconds);
             elapsed = clock.now() - stoppingSince;
             if (elapsed >= transactionGraceShare * grace) {
-                forEachResting(session => session.isInTransaction(), endTransaction);
+                forEachResting(isInTransaction, endTransaction);
             }
             if (elapsed >= rotationMilliseconds) {
-                forEachResting(session => !session.isInTransaction(), session => session.close());
+                forEachResting(session => !isInTransaction(session), session => session.close());
             }
         }
         log("sessions are closed", { brokenOff: sessions.size });
         sessions.forEach(session => session.close());
     }
 
+    function isInTransaction({ served }: OpenSession): boolean {
+        return served?.isInTransaction() === true;
+    }
+
     function endTransaction(session: OpenSession): void {
-        session.abandonTransaction("this VM is stopping");
+        session.served?.abandonTransaction("this VM is stopping");
         session.close();
     }
 
--- a/src/forwarding/createSessionHost/index.ts
+++ b/src/forwarding/createSessionHost/index.ts
@@ -9,6 +9,7 @@
 import { SessionState } from "../../statements/types/SessionState.js";
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import type { Waiter } from "../../waiting/types/Waiter.js";
+import { waitForCondition } from "../../waiting/waitForCondition/index.js";
 import { forwardingConstants } from "../constants.js";
 import type { ForwardedAnswer } from "../types/ForwardedAnswer.js";
 import type { SessionHost } from "../types/SessionHost.js";
@@ -132,13 +133,12 @@
     }
 
     /** A caller's VM that has applied a routing table must not see an older one applied by its hosts. */
-    async function isRoutingKnown(version: number): Promise<boolean> {
-        const { routingMilliseconds, routingCheckMilliseconds } = forwardingConstants;
-        const until = clock.now() + routingMilliseconds;
-        while (options.routingVersion() < version && clock.now() < until) {
-            await clock.sleep(routingCheckMilliseconds);
-        }
-        return options.routingVersion() >= version;
+    function isRoutingKnown(version: number): Promise<boolean> {
+        return waitForCondition(() => options.routingVersion() >= version, {
+            clock,
+            limitMilliseconds: forwardingConstants.routingMilliseconds,
+            checkMilliseconds: forwardingConstants.routingCheckMilliseconds,
+        });
     }
 
     return { open, run, count: () => sessions.size };
--- a/src/soak/runSoak/index.ts
+++ b/src/soak/runSoak/index.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from "node:events";
 import type { Clock } from "../../clock/types/Clock.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { waitForCondition } from "../../waiting/waitForCondition/index.js";
 import { applyFault } from "../applyFault/index.js";
 import { checkPromises } from "../checkPromises/index.js";
 import { soakConstants } from "../constants.js";
@@ -111,15 +112,9 @@
         return waitUntil(() => isServedAgain(site, clock), limit);
     }
 
-    async function waitUntil(isTrue: () => boolean | Promise<boolean>, limit: number): Promise<boolean> {
-        const until = clock.now() + limit;
-        while (clock.now() < until) {
-            if (await isTrue()) {
-                return true;
-            }
-            await clock.sleep(soakConstants.pollMilliseconds);
-        }
-        return false;
+    function waitUntil(isTrue: () => boolean | Promise<boolean>, limitMilliseconds: number): Promise<boolean> {
+        const checkMilliseconds = soakConstants.pollMilliseconds;
+        return waitForCondition(isTrue, { clock, limitMilliseconds, checkMilliseconds });
     }
 
     function areLogsEqual(): boolean {
