--- a/src/directory/types/RecordStore.ts
+++ b/src/directory/types/RecordStore.ts
@@ -1,4 +1,3 @@
-import type { Feed } from "./Feed.js";
 import type { VersionedRecord } from "./VersionedRecord.js";
 
 /**
@@ -11,5 +10,4 @@
     read(name: string): Promise<VersionedRecord | undefined>;
     create(name: string, content: unknown): Promise<VersionedRecord>;
     replace(name: string, content: unknown, revision: number): Promise<VersionedRecord>;
-    readonly feed: Feed<VersionedRecord>;
 }
--- a/src/platform/createStoreClient/index.ts
+++ b/src/platform/createStoreClient/index.ts
@@ -3,7 +3,6 @@
 import type { Feed } from "../../directory/types/Feed.js";
 import type { FeedChange } from "../../directory/types/FeedChange.js";
 import type { PlatformStore } from "../../directory/types/PlatformStore.js";
-import type { RecordStore } from "../../directory/types/RecordStore.js";
 import type { RoutingTable } from "../../directory/types/RoutingTable.js";
 import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
 import { createError } from "../../errors/createError/index.js";
@@ -131,19 +130,13 @@
         return { revision: meta.revision, content: spec };
     }
 
-    const records: RecordStore = {
-        read,
-        create,
-        replace,
-        feed: createFeed(kinds.records, (_name, revision, content) => ({ revision, content })),
-    };
     return {
         endpoints: createFeed<EndpointRecord>(kinds.endpoints, decodeEndpointRecord),
         routingTables: createFeed<RoutingTable>(
             kinds.configuration,
             (_name, _revision, content) => decodeRoutingTable(content),
         ),
-        records,
+        records: { read, create, replace },
         stop: caller.stop,
     };
 }
--- a/src/platform/openEndpointSession/index.ts
+++ b/src/platform/openEndpointSession/index.ts
@@ -19,10 +19,8 @@
 
 /** Options of `openEndpointSession`. */
 interface OpenEndpointSessionOptions {
-    /** Where to connect: the endpoint, or a VM that passes the bytes on. */
+    /** Where the endpoint listens. */
     readonly address: Address;
-    /** Sent before everything else, for a VM that passes the bytes on. */
-    readonly preface?: string;
     readonly group: string;
     /** The endpoint that is expected at the address. */
     readonly endpointId: string;
@@ -66,7 +64,7 @@
 export function openEndpointSession(options: OpenEndpointSessionOptions): Promise<EndpointSession> {
     const { address, group, endpointId } = options;
     const socket = connect({ host: address.host, port: address.port, noDelay: true });
-    socket.write(`${options.preface ?? ""}STARTUP ${group} ${platformConstants.connectionUser} ${endpointId}\r\n`);
+    socket.write(`STARTUP ${group} ${platformConstants.connectionUser} ${endpointId}\r\n`);
 
     return new Promise((resolve, reject) => {
         let refusal: StatementFailure | undefined;
--- a/src/soak/types/CallerUnit.ts
+++ b/src/soak/types/CallerUnit.ts
@@ -17,8 +17,6 @@
     readonly ids: readonly string[];
     /** Ids of its writes. */
     readonly writeIds: readonly string[];
-    /** Items that it wrote. */
-    readonly items: readonly string[];
     readonly reads: readonly CallerRead[];
     /** Signatures that the answers carried, by the id of the statement. */
     readonly signatures: Readonly<Record<string, string>>;
--- a/src/testing/createMemoryRecords/index.ts
+++ b/src/testing/createMemoryRecords/index.ts
@@ -51,10 +51,6 @@
             requireService();
             return write(name, content, objects.get(name)?.revision === expected);
         },
-        feed: {
-            list: async () => ({ changes: [], revision }),
-            waitForChanges: async () => undefined,
-        },
     };
     return records;
 }
