One type and one function for what VMs tell each other with a renewal

Renewal, RenewalAnswer and exchangeKnowledge wrote the same fields three times, and both sides of the exchange put them together by code of their own.

--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -5,6 +5,7 @@
 import type { createAnnouncements } from "../createAnnouncements/index.js";
 import type { createVmList } from "../createVmList/index.js";
 import { exchangeKnowledge } from "../exchangeKnowledge/index.js";
+import type { Knowledge } from "../types/Knowledge.js";
 import type { Renewal } from "../types/Renewal.js";
 import type { RenewalAnswer } from "../types/RenewalAnswer.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
@@ -20,6 +21,9 @@
     readonly announcements: ReturnType<typeof createAnnouncements>;
 }
 
+/** Up to which versions a VM knows the world. */
+type KnownVersions = Pick<Knowledge, "routingVersion" | "endpointRevision">;
+
 /** What a VM says of its own part when it answers a renewal. */
 type HolderState = Pick<RenewalAnswer, "isHolder" | "isCertain" | "token">;
 
@@ -46,32 +50,37 @@
 export function createRenewalExchange(options: RenewalExchangeOptions): RenewalExchange {
     const { clock, self, directory, news, vms, announcements } = options;
     /** What the holder knew last; nothing is sent before it has answered once. */
-    let holderRoutingVersion = Number.POSITIVE_INFINITY;
-    let holderEndpointRevision = Number.POSITIVE_INFINITY;
+    let holderKnows: KnownVersions | undefined;
 
     function createRenewal(hasHeardHolder: boolean): Renewal {
-        const routingVersion = directory.version();
-        const endpointRevision = directory.revision();
         return {
+            ...tell(holderKnows),
             vm: self,
             hasHeardHolder,
-            routingVersion,
-            endpointRevision,
             vmListVersion: vms.version(),
             announcementSequence: announcements.latest(),
-            ...routingVersion > holderRoutingVersion ? { routingTable: directory.routingTable() } : {},
-            ...endpointRevision > holderEndpointRevision ? listEndpoints() : {},
-            ...Number.isFinite(holderRoutingVersion) ? { newsAgeMilliseconds: Math.round(news.ageMilliseconds()) } : {},
         };
     }
 
-    function listEndpoints() {
-        return { endpoints: directory.records(), removals: directory.removals() };
+    /** Tells what another VM lacks; while that is not known, only what versions there are. */
+    function tell(known: KnownVersions | undefined): Knowledge {
+        const versions = { routingVersion: directory.version(), endpointRevision: directory.revision() };
+        if (known === undefined) {
+            return versions;
+        }
+        const lacksRoutes = versions.routingVersion > known.routingVersion;
+        const lacksEndpoints = versions.endpointRevision > known.endpointRevision;
+        return {
+            ...versions,
+            ...lacksRoutes ? { routingTable: directory.routingTable() } : {},
+            ...lacksEndpoints ? { endpoints: directory.records(), removals: directory.removals() } : {},
+            newsAgeMilliseconds: Math.round(news.ageMilliseconds()),
+        };
     }
 
     function learn(answer: RenewalAnswer, sentAt: number): void {
-        holderRoutingVersion = answer.routingVersion;
-        holderEndpointRevision = answer.endpointRevision;
+        const { routingVersion, endpointRevision } = answer;
+        holderKnows = { routingVersion, endpointRevision };
         exchangeKnowledge(directory, answer);
         if (answer.newsAgeMilliseconds !== undefined) {
             news.learn(answer.newsAgeMilliseconds, sentAt);
@@ -89,16 +98,11 @@
             news.learn(renewal.newsAgeMilliseconds + dutyConstants.callMilliseconds, clock.now());
         }
         const list = vms.list();
-        const isBehind = directory.version() > renewal.routingVersion;
         return {
             ...state,
-            routingVersion: directory.version(),
-            endpointRevision: directory.revision(),
+            ...tell(renewal),
             vmListVersion: vms.version(),
             ...renewal.vmListVersion === vms.version() ? {} : { vms: list },
-            ...isBehind ? { routingTable: directory.routingTable() } : {},
-            ...directory.revision() > renewal.endpointRevision ? listEndpoints() : {},
-            newsAgeMilliseconds: Math.round(news.ageMilliseconds()),
             announcements: announcements.after(renewal.announcementSequence),
         };
     }
--- a/src/duty/exchangeKnowledge/index.ts
+++ b/src/duty/exchangeKnowledge/index.ts
@@ -1,14 +1,5 @@
 import type { Directory } from "../../directory/types/Directory.js";
-import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
-import type { RecordRemoval } from "../../directory/types/RecordRemoval.js";
-import type { RoutingTable } from "../../directory/types/RoutingTable.js";
-
-/** What another VM told of the world. */
-interface Knowledge {
-    readonly routingTable?: RoutingTable;
-    readonly endpoints?: readonly EndpointRecord[];
-    readonly removals?: readonly RecordRemoval[];
-}
+import type { Knowledge } from "../types/Knowledge.js";
 
 /**
  * Takes what another VM told into the directory; whatever is not newer changes nothing.
