--- a/src/callerSessions/createCallerTransaction/index.ts
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -8,10 +8,10 @@
 import { acquireLease } from "../acquireLease/index.js";
 import { attemptStatement } from "../attemptStatement/index.js";
 import { createFailure } from "../createFailure/index.js";
-import { describeGroup } from "../describeGroup/index.js";
 import { endTransaction } from "../endTransaction/index.js";
 import { noteAnswer } from "../noteAnswer/index.js";
 import { noteRefusal } from "../noteRefusal/index.js";
+import { noteUnplaced } from "../noteUnplaced/index.js";
 import { repeatAttempts } from "../repeatAttempts/index.js";
 import type { Attempt } from "../types/Attempt.js";
 import { AttemptKind } from "../types/AttemptKind.js";
@@ -44,7 +44,7 @@
  */
 export function createCallerTransaction(options: TransactionOptions, services: SessionServices): CallerTransaction {
     const { route, session, isReadOnly, receivedAt } = options;
-    const { clock, log, metrics } = services;
+    const { clock, log } = services;
     let lease: EndpointLease | undefined;
     let hasWritten = false;
     let hasFailed = false;
@@ -97,16 +97,9 @@
             placed = await acquireLease({ route, session, isReadOnly, receivedAt, expiresAt, excluded }, services);
         }
         catch (error) {
-            const outcome = createFailure(FailureCode.Busy, toTypedError(error).message);
-            metrics.countUnplaced();
-            log("transaction was not placed", {
-                id: statement.id,
-                isReadOnly,
-                ...describeGroup(route.group, services),
-                waitedMilliseconds: Math.round(clock.now() - statement.receivedAt),
-                reason: outcome.failure?.description,
-            });
-            return { kind: AttemptKind.Final, outcome };
+            const { message: reason } = toTypedError(error);
+            noteUnplaced(statement, { what: "transaction", isReadOnly, reason }, services);
+            return { kind: AttemptKind.Final, outcome: createFailure(FailureCode.Busy, reason) };
         }
         const refusal = await begin(placed, statement.expiresAt);
         if (refusal !== undefined) {
--- a/src/callerSessions/runSingleStatement/index.ts
+++ b/src/callerSessions/runSingleStatement/index.ts
@@ -5,7 +5,7 @@
 import { attemptStatement } from "../attemptStatement/index.js";
 import { callerSessionConstants } from "../constants.js";
 import { createFailure } from "../createFailure/index.js";
-import { describeGroup } from "../describeGroup/index.js";
+import { noteUnplaced } from "../noteUnplaced/index.js";
 import { repeatAttempts } from "../repeatAttempts/index.js";
 import type { Attempt } from "../types/Attempt.js";
 import { AttemptKind } from "../types/AttemptKind.js";
@@ -29,7 +29,7 @@
     services: SessionServices,
 ): Promise<StatementOutcome> {
     const { id, route, session, mode, receivedAt, expiresAt } = callerStatement;
-    const { clock, log, metrics } = services;
+    const { clock, log } = services;
     const isReadOnly = mode === AccessMode.Read;
     const excluded = new Set<string>();
     let placed: PlacedLease;
@@ -49,14 +49,7 @@
     }
 
     function reportUnplaced(reason: string, previous: StatementOutcome): Attempt {
-        metrics.countUnplaced();
-        log("statement was not placed", {
-            id,
-            isReadOnly,
-            ...describeGroup(route.group, services),
-            waitedMilliseconds: Math.round(clock.now() - receivedAt),
-            reason,
-        });
+        noteUnplaced(callerStatement, { what: "statement", isReadOnly, reason }, services);
         const hasTimedOut = previous.failure?.code === FailureCode.Timeout;
         return { kind: AttemptKind.Final, outcome: hasTimedOut ? previous : createFailure(FailureCode.Busy, reason) };
     }
