--- a/src/clock/limitSignal/index.ts
+++ b/src/clock/limitSignal/index.ts
@@ -1,7 +1,5 @@
 import type { Clock } from "../types/Clock.js";
-
-/** Why the wait for the limit ends early; given because the default reason is an error whose making costs much. */
-const waitIsOver = "the wait is over";
+import { waitIsOver } from "../waitIsOver.js";
 
 /** A signal with a time limit. */
 interface LimitedSignal {
--- a/src/soak/isServedAgain/index.ts
+++ b/src/soak/isServedAgain/index.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import { createCallerStandIn } from "../../platform/standIns/createCallerStandIn/index.js";
-import { soakConstants } from "../constants.js";
 import { soakDatabases } from "../soakDatabases.js";
 import type { SoakSite } from "../types/SoakSite.js";
+import { waitPatiently } from "../waitPatiently/index.js";
 
 /**
  * Tells whether every VM is ready and serves a read on every database.
@@ -19,11 +19,8 @@
         const isReady = await vm.isReady().catch(() => false);
         return isReady && await Promise.all(soakDatabases.map(({ name }) => isServed(vm.callers.port, name)));
     });
-    const served = await Promise.race([
-        Promise.all(answers),
-        clock.sleep(soakConstants.patienceMilliseconds).then(() => [false]),
-    ]);
-    return served.flat().every(Boolean);
+    const served = await waitPatiently(Promise.all(answers), clock);
+    return served?.flat().every(Boolean) === true;
 }
 
 async function isServed(port: number, database: string): Promise<boolean> {
--- a/src/soak/runCallerUnit/index.ts
+++ b/src/soak/runCallerUnit/index.ts
@@ -7,6 +7,7 @@
 import type { CallerUnit } from "../types/CallerUnit.js";
 import type { SoakSession } from "../types/SoakSession.js";
 import { UnitOutcome } from "../types/UnitOutcome.js";
+import { waitPatiently } from "../waitPatiently/index.js";
 
 /** Answers that promise that nothing of a unit is kept. */
 const refusals: Partial<Record<FailureCode, true>> = {
@@ -50,7 +51,6 @@
     const startedAt = clock.now();
     const ids: string[] = [];
     const writeIds: string[] = [];
-    const items: string[] = [];
     const reads: CallerRead[] = [];
     const signatures: Record<string, string> = {};
     let slowestMilliseconds = 0;
@@ -66,7 +66,6 @@
         outcome,
         ids,
         writeIds,
-        items,
         reads,
         signatures,
         slowestMilliseconds,
@@ -75,12 +74,7 @@
 
     async function ask(text: string): Promise<CallerAnswer> {
         const sentAt = clock.now();
-        const silence = new AbortController();
-        const given = await Promise.race([
-            caller.run(text),
-            clock.sleep(soakConstants.patienceMilliseconds, silence.signal).then(() => undefined),
-        ]);
-        silence.abort();
+        const given = await waitPatiently(caller.run(text), clock);
         const id = caller.lastId();
         ids.push(id);
         slowestMilliseconds = given === undefined
@@ -108,7 +102,6 @@
         const id = caller.lastId();
         if (isWrite) {
             writeIds.push(id);
-            items.push(item);
         }
         else if (answer.failure === undefined && answer.rows[0] !== undefined) {
             reads.push({ id, item, data: answer.rows[0] });
--- a/src/soak/runSoakCaller/index.ts
+++ b/src/soak/runSoakCaller/index.ts
@@ -7,6 +7,7 @@
 import { runCallerUnit } from "../runCallerUnit/index.js";
 import type { CallerUnit } from "../types/CallerUnit.js";
 import type { SoakSession } from "../types/SoakSession.js";
+import { waitPatiently } from "../waitPatiently/index.js";
 
 /** Options of `runSoakCaller`. */
 interface SoakCallerOptions {
@@ -59,9 +60,8 @@
     async function openSession(name: string): Promise<SoakSession | undefined> {
         const vm = random.nextInteger(options.ports.length);
         const database = options.databases[random.nextInteger(options.databases.length)]!;
-        const { patienceMilliseconds } = soakConstants;
         const opening = createCallerStandIn(options.ports[vm]!, database.name);
-        const opened = await Promise.race([opening, clock.sleep(patienceMilliseconds).then(() => undefined)]);
+        const opened = await waitPatiently(opening, clock);
         if (opened?.opening.state === undefined) {
             void opening.then(({ caller }) => caller.close());
             return undefined;
@@ -93,10 +93,7 @@
     }
 
     async function succeeds(caller: CallerStandIn, text: string): Promise<boolean> {
-        const answer = await Promise.race([
-            caller.run(text),
-            clock.sleep(soakConstants.patienceMilliseconds).then(() => undefined),
-        ]);
+        const answer = await waitPatiently(caller.run(text), clock);
         return answer?.state !== undefined && answer.failure === undefined;
     }
 }
--- a/src/waiting/createWaiter/index.ts
+++ b/src/waiting/createWaiter/index.ts
@@ -1,9 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
+import { waitIsOver } from "../../clock/waitIsOver.js";
 import type { Waiter } from "../types/Waiter.js";
 
-/** Why the time limit's wait ends early; given because the default reason is an error whose making costs much. */
-const waitIsOver = "the wait is over";
-
 /** Options of `createWaiter`. */
 interface WaiterOptions {
     readonly clock: Clock;
