--- /dev/null
+++ b/src/duty/createGrantedLeases/index.ts
@@ -0,0 +1,62 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import { dutyConstants } from "../constants.js";
+import type { GrantedLeases } from "../types/GrantedLeases.js";
+import type { VmIdentity } from "../types/VmIdentity.js";
+
+/** A lease and when it was granted. */
+interface GrantedLease {
+    readonly vm: VmIdentity;
+    readonly grantedAt: number;
+}
+
+/**
+ * Creates the holder's record of the leases that it has granted, and of those that a previous holder may have granted.
+ *
+ * @param clock Source of time.
+ * @returns The record, empty.
+ *
+ * @example
+ * const vms = leases.listPossibleVms(otherVms);
+ */
+export function createGrantedLeases(clock: Clock): GrantedLeases {
+    const { leaseMilliseconds, verifiedMilliseconds } = dutyConstants;
+    const leases = new Map<string, GrantedLease>();
+    /** Time at which the last lease of the previous holder ends. */
+    let formerLeasesEndAt = -Infinity;
+    let knowsFormerLeases = true;
+
+    function hasFormerLeases(): boolean {
+        return clock.now() < formerLeasesEndAt;
+    }
+
+    function listPossibleVms(otherVms: readonly VmIdentity[]): readonly VmIdentity[] {
+        if (hasFormerLeases()) {
+            return otherVms;
+        }
+        const now = clock.now();
+        return [...leases.values()]
+            .filter(({ grantedAt }) => now - grantedAt < leaseMilliseconds)
+            .map(({ vm }) => vm);
+    }
+
+    function endOf({ name }: VmIdentity): number {
+        const grantedAt = leases.get(name)?.grantedAt;
+        return grantedAt === undefined ? formerLeasesEndAt : grantedAt + leaseMilliseconds;
+    }
+
+    return {
+        startHolding: knowsAllVms => {
+            leases.clear();
+            formerLeasesEndAt = clock.now() + verifiedMilliseconds + leaseMilliseconds;
+            knowsFormerLeases = knowsAllVms;
+        },
+        recordContact: (vm, isGranted) => {
+            // A VM that calls this holder for the first time renews no lease of the previous one any more.
+            if (isGranted || !leases.has(vm.name)) {
+                leases.set(vm.name, { vm, grantedAt: clock.now() });
+            }
+        },
+        listPossibleVms,
+        endOfLeases: vms => Math.max(knowsFormerLeases ? -Infinity : formerLeasesEndAt, ...vms.map(endOf)),
+    };
+}
--- /dev/null
+++ b/src/duty/types/RelayedMembers.ts
@@ -0,0 +1,13 @@
+import type { VmIdentity } from "./VmIdentity.js";
+
+/** The VMs whose renewals this VM answers in place of the holder of the failover duty. */
+export interface RelayedMembers {
+    /** Records a renewal of a VM. */
+    recordContact(vm: VmIdentity): void;
+    /** Removes a VM that is stopping. */
+    remove(name: string): void;
+    /** The members with recent contact; undefined when the holder with this token already has this list. */
+    listUnreported(token: number): readonly VmIdentity[] | undefined;
+    /** Records that the holder with this token received the list that was returned last. */
+    confirm(token: number): void;
+}
