--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -1,11 +1,18 @@
 /** Constants of the directory. */
 export const directoryConstants = {
-    /** Length of one watch of the store, in milliseconds; short, so that an unresponsive connection is noticed. */
-    watchMilliseconds: 4_000,
-    /** The same where a few VMs watch for their zone: shorter, so that the others soon notice an unresponsive store. */
-    sharedWatchMilliseconds: 2_000,
-    /** Age of its data at which a VM that relies on other VMs' watches watches the store itself, in milliseconds. */
-    freshnessMilliseconds: 2_800,
+    /** Hosts that watch the store besides the holder of the failover duty. */
+    standbyWatchers: 1,
+    /** Hosts that watch the store at most while the data is stale. */
+    maximumWatchers: 8,
+    /**
+     * Length of one watch, as a share of the time within which a configuration has to be in force: an unresponsive
+     * connection to the store has to be noticed in less.
+     */
+    watchShare: 0.45,
+    /** Age at which data is stale, as a share of the same time: longer than a watch and the renewals after it. */
+    staleShare: 0.7,
+    /** Delay that orders the VMs which watch when the data is stale: each waits its rank times this, in milliseconds. */
+    rankDelayMilliseconds: 50,
     /** Upper bound of the reported age, in milliseconds. */
     maximumReportedAgeMilliseconds: 3_600_000,
     /** Polling interval of a VM that does not watch, to check whether it has to, in milliseconds. */
--- a/src/directory/createStoreFreshness/index.ts
+++ b/src/directory/createStoreFreshness/index.ts
@@ -10,7 +10,7 @@
  * @returns The record, without any answer.
  *
  * @example
- * if (!freshness.isFresh()) { await watchStore(); }
+ * if (freshness.ageMilliseconds() > 2_800) { await watchStore(); }
  */
 export function createStoreFreshness(clock: Clock): StoreFreshness {
     /** When each feed of the store last answered this VM. */
@@ -31,6 +31,5 @@
             receivedDataAt = Math.max(receivedDataAt, requestedAt - ageMilliseconds);
         },
         ageMilliseconds: () => Math.min(clock.now() - newestAt(), directoryConstants.maximumReportedAgeMilliseconds),
-        isFresh: () => clock.now() - newestAt() < directoryConstants.freshnessMilliseconds,
     };
 }
--- a/src/directory/createWatchPolicy/index.ts
+++ b/src/directory/createWatchPolicy/index.ts
@@ -1,53 +1,66 @@
-import type { VmIdentity } from "../../duty/types/VmIdentity.js";
-import { chooseHosts } from "../../forwarding/chooseHosts/index.js";
-import { forwardingConstants } from "../../forwarding/constants.js";
+import { rankByRendezvous } from "../../ownership/rankByRendezvous/index.js";
 import { directoryConstants } from "../constants.js";
 import type { StoreFreshness } from "../types/StoreFreshness.js";
 import type { WatchPolicy } from "../types/WatchPolicy.js";
 
 /** Options of `createWatchPolicy`. */
 interface WatchPolicyOptions {
-    /** This VM. */
-    readonly self: Pick<VmIdentity, "name" | "address">;
-    /** Returns the other VMs that are alive. */
-    readonly otherVms: () => readonly VmIdentity[];
+    /** Name of this VM. */
+    readonly name: string;
+    /** The VMs that hold connections to endpoints; the same array as long as they do not change. */
+    readonly hostVms: () => readonly { readonly name: string; }[];
     /** Whether this VM holds the failover duty; the other VMs get their data from the holder. */
     readonly isHolder: () => boolean;
-    readonly freshness: Pick<StoreFreshness, "isFresh">;
+    /** Whether the holder or a relay answers this VM. */
+    readonly isInContact: () => boolean;
+    readonly freshness: Pick<StoreFreshness, "ageMilliseconds">;
+    /** Time within which a configuration has to be in force on every VM, in milliseconds. */
+    readonly configurationMilliseconds: number;
 }
 
-/** Key of the store in the choice of hosts, which otherwise is made for groups of endpoints. */
+/** Key of the store in the choice of the VMs that watch it. */
 const storeKey = "platform store";
 
 /**
  * Creates the policy that decides whether this VM watches the store.
  *
- * The policy limits the load on the store, where each call is costly: in a large availability zone a few VMs watch, and
- * the others receive the changes with the renewals of their leases. A VM whose data is no longer fresh watches itself.
+ * The policy limits the load on the store, where each call is costly, whatever the size of the fleet: the holder of the
+ * failover duty watches and one host as its standby, and the others receive the changes with their renewals. When the
+ * data grows old, a few more hosts watch one after the other, since the store may refuse single VMs. A VM that no other
+ * VM answers watches itself.
  *
- * @param options This VM, the other VMs, and the freshness of this VM's data.
+ * @param options This VM, the hosts, and the freshness of this VM's data.
  * @returns The policy.
  *
  * @example
  * const updates = followFeed(feed, { isNeeded: watchPolicy.isWatching, ...options });
  */
 export function createWatchPolicy(options: WatchPolicyOptions): WatchPolicy {
-    const { self, otherVms, isHolder, freshness } = options;
+    const { name, freshness, configurationMilliseconds } = options;
+    const { standbyWatchers, maximumWatchers, staleShare, watchShare, rankDelayMilliseconds } = directoryConstants;
+    const staleMilliseconds = staleShare * configurationMilliseconds;
+    let rankedVms: readonly { readonly name: string; }[] | undefined;
+    let rank = 0;
 
-    function listVmsInZone(): readonly Pick<VmIdentity, "name" | "address">[] {
-        const { availabilityZone } = self.address;
-        return [self, ...otherVms().filter(vm => vm.address.availabilityZone === availabilityZone)];
+    /** Position of this VM among the hosts that may watch; behind all of them when it is not a host. */
+    function currentRank(): number {
+        const hostVms = options.hostVms();
+        if (hostVms !== rankedVms) {
+            const names = rankByRendezvous(storeKey, hostVms.map(vm => vm.name));
+            rank = names.includes(name) ? names.indexOf(name) : names.length;
+            rankedVms = hostVms;
+        }
+        return rank;
     }
 
-    function isChosen(): boolean {
-        return chooseHosts([storeKey], listVmsInZone()).get(storeKey)!.has(self.name);
+    function isWatching(): boolean {
+        if (options.isHolder() || currentRank() < standbyWatchers) {
+            return true;
+        }
+        const delay = Math.min(currentRank(), maximumWatchers) * rankDelayMilliseconds;
+        const isStale = freshness.ageMilliseconds() > staleMilliseconds + delay;
+        return isStale && (currentRank() < maximumWatchers || !options.isInContact());
     }
 
-    return {
-        isWatching: () => !freshness.isFresh() || isHolder() || isChosen(),
-        watchMilliseconds: () =>
-            listVmsInZone().length > forwardingConstants.maximumSmallZoneVms
-                ? directoryConstants.sharedWatchMilliseconds
-                : directoryConstants.watchMilliseconds,
-    };
+    return { isWatching, watchMilliseconds: () => Math.round(watchShare * configurationMilliseconds) };
 }
--- a/src/directory/followFeed/index.ts
+++ b/src/directory/followFeed/index.ts
@@ -12,7 +12,7 @@
     /** Whether the feed has to be watched now; when left out, it always is. */
     readonly isNeeded?: () => boolean;
     /** Length of one watch, in milliseconds. */
-    readonly watchMilliseconds?: () => number;
+    readonly watchMilliseconds: () => number;
     /** Ends the generator. */
     readonly signal: AbortSignal;
     /** Called after each failed call. */
@@ -47,8 +47,7 @@
 
     /** Requests a prompt answer after a failure, since a long watch would notice a still unresponsive store late. */
     function waitMilliseconds(): number {
-        const { retryWatchMilliseconds, watchMilliseconds } = directoryConstants;
-        return hasFailed ? retryWatchMilliseconds : options.watchMilliseconds?.() ?? watchMilliseconds;
+        return hasFailed ? directoryConstants.retryWatchMilliseconds : options.watchMilliseconds();
     }
 
     while (!signal.aborted) {
--- a/src/directory/followFeed/test.ts
+++ b/src/directory/followFeed/test.ts
@@ -6,6 +6,8 @@
 import type { Feed } from "../types/Feed.js";
 import { followFeed } from "./index.js";
 
+const watchMilliseconds = 1_800;
+
 describe("followFeed", () => {
     it("requests a prompt answer after a failure, and lists again when the history was dropped", async () => {
         const clock = createManualClock();
@@ -30,6 +32,7 @@
             clock,
             random: createRandomSource(1),
             signal: end.signal,
+            watchMilliseconds: () => watchMilliseconds,
             onFailure: () => {},
             onAnswer: () => {},
         });
@@ -38,7 +41,7 @@
         await clock.advance(directoryConstants.maximumRetryMilliseconds);
         assert.equal((await second).value?.isSnapshot, true);
         end.abort();
-        const { watchMilliseconds, retryWatchMilliseconds } = directoryConstants;
+        const { retryWatchMilliseconds } = directoryConstants;
         assert.deepEqual(calls, [
             "list",
             `watch ${watchMilliseconds}`,
--- a/src/directory/types/StoreFreshness.ts
+++ b/src/directory/types/StoreFreshness.ts
@@ -10,6 +10,4 @@
     applyAge(ageMilliseconds: number, requestedAt: number): void;
     /** Age of this VM's data in milliseconds, up to an upper bound. */
     ageMilliseconds(): number;
-    /** Whether the data is fresh enough for this VM not to watch the store itself. */
-    isFresh(): boolean;
 }
--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -2,13 +2,25 @@
 export const dutyConstants = {
     /** Name of the object in the platform's store that records the holder. */
     recordName: "failover",
-    /** Interval at which each VM sends a renewal to the holder, in milliseconds. */
+    /** Fencing token of the first holder. */
+    firstToken: 1,
+    /** Interval at which a host sends a renewal to the holder, in milliseconds; it needs a lease all the time. */
     renewalMilliseconds: 300,
+    /** Interval at which any other VM sends a renewal to a relay, in milliseconds. */
+    relayedRenewalMilliseconds: 1_000,
+    /** Time without a renewal after which a relay no longer reports a VM to the holder, in milliseconds. */
+    memberTimeoutMilliseconds: 2_500,
+    /**
+     * Time without an answer after which a VM that is not a host tries to become the holder, in milliseconds. It must
+     * exceed the time for which the holder still counts the VM as in contact: the relay's timeout, the relay's next
+     * renewal and `contactWithAllMilliseconds`.
+     */
+    relayedTakeoverMilliseconds: 5_000,
     /** Pause before the next renewal after the holder did not answer, in milliseconds. */
     renewalRetryMilliseconds: 60,
     /** Timeout of a call to another VM, in milliseconds. */
     callTimeoutMilliseconds: 400,
-    /** Failed renewals in a row after which a VM tries to become the holder. */
+    /** Failed renewals in a row after which a host tries to become the holder. */
     maximumFailedRenewals: 3,
     /** Time since its last contact with the holder for which a VM reports the holder as alive, in milliseconds. */
     holderContactMilliseconds: 900,
@@ -30,6 +42,8 @@
     removalMilliseconds: 60_000,
     /** Size of the range of announcement sequence numbers that belongs to one token. */
     announcementsPerToken: 1_000_000,
+    /** Size of the range of versions of the list of VMs that belongs to one token. */
+    versionsPerToken: 1_000_000,
     /** Interval at which the holder verifies itself in the store, in milliseconds. */
     verificationIntervalMilliseconds: 600,
     /** Shared by the VMs of one installation; access control relies on the platform's private network. */
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -2,13 +2,18 @@
 import type { Directory } from "../../directory/types/Directory.js";
 import type { RecordStore } from "../../directory/types/RecordStore.js";
 import type { StoreFreshness } from "../../directory/types/StoreFreshness.js";
-import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { dutyConstants } from "../constants.js";
+import { createAnnouncementDelivery } from "../createAnnouncementDelivery/index.js";
 import { createAnnouncements } from "../createAnnouncements/index.js";
+import { createFleetView } from "../createFleetView/index.js";
+import { createGrantedLeases } from "../createGrantedLeases/index.js";
+import { createHolderVerification } from "../createHolderVerification/index.js";
 import { createLease } from "../createLease/index.js";
+import { createRelayedMembers } from "../createRelayedMembers/index.js";
 import { createRenewalExchange } from "../createRenewalExchange/index.js";
+import { createTakeover } from "../createTakeover/index.js";
 import { createVmList } from "../createVmList/index.js";
 import type { Announcement } from "../types/Announcement.js";
 import type { Duty } from "../types/Duty.js";
@@ -39,8 +44,10 @@
  * Creates a VM's part in the failover duty: its holder is the only VM that may change primaries.
  *
  * One object of the store records the holder; a VM that replaces it at its revision is the holder with a higher token.
- * Every VM sends the holder several renewals a second. A VM whose renewals are not answered, and that finds no other VM
- * in contact with the holder, takes over. The holder renews nothing in the store; it verifies itself before each order.
+ * VMs that hold connections to endpoints need a lease, and send the holder several renewals a second. The other VMs of
+ * a zone send fewer renewals, to a relay: one of the hosts of their zone. A host whose renewals are not answered, and
+ * that finds no other host in contact with the holder, takes over; any other VM does so only much later. The holder
+ * renews nothing in the store; it verifies itself before each order.
  *
  * @param options Clock, store, this VM and clients for calls to other VMs.
  * @returns The duty, not started yet.
@@ -50,16 +57,24 @@
  */
 export function createDuty(options: DutyOptions): Duty {
     const { clock, random, records, self, log } = options;
+    const end = new AbortController();
     const vms = createVmList(clock);
+    const view = createFleetView(self, vms);
     const announcements = createAnnouncements(options.onAnnouncement);
-    const exchange = createRenewalExchange({ ...options, vms, announcements });
-    const end = new AbortController();
+    const exchange = createRenewalExchange({ ...options, vms, members: createRelayedMembers(clock), announcements });
+    const attemptTakeover = createTakeover({ ...options, view, signal: end.signal });
+    const grantedLeases = createGrantedLeases(clock);
+    const lease = createLease(clock);
+    const verification = createHolderVerification({ ...options, vms, heldToken, applyHolder });
+    const delivery = createAnnouncementDelivery({ ...options, announcements, leases: grantedLeases, view });
     let knownHolder: DutyHolder | undefined;
+    /** When the last renewal was sent that the holder answered. */
     let holderContactAt = -Infinity;
-    const lease = createLease(clock);
-    let holderChangedAt = -Infinity;
-    let verifiedAt = -Infinity;
+    const startedAt = clock.now();
+    /** When the last renewal was sent that the holder or a relay answered. */
+    let answeredAt = startedAt;
     let failedRenewals = 0;
+    let isLeaving = false;
     let isStopping = false;
 
     function heldToken(): number | undefined {
@@ -68,27 +83,22 @@
     }
 
     function applyHolder(holder: DutyHolder): void {
-        if (knownHolder !== undefined && holder.token < knownHolder.token) {
+        if (knownHolder !== undefined && holder.token <= knownHolder.token) {
             return;
         }
-        const isSame = knownHolder?.token === holder.token;
         knownHolder = holder;
-        if (!isSame) {
-            log("failover duty has a new holder", {
-                holder: holder.name,
-                token: holder.token,
-                isSelf: heldToken() !== undefined,
-            });
-            failedRenewals = 0;
-            holderChangedAt = clock.now();
-            announcements.startToken(holder.token);
+        const isSelf = heldToken() !== undefined;
+        log("failover duty has a new holder", { holder: holder.name, token: holder.token, isSelf });
+        failedRenewals = 0;
+        announcements.startToken(holder.token);
+        if (isSelf) {
+            vms.startToken(holder.token);
+            if (holder.token > dutyConstants.firstToken) {
+                grantedLeases.startHolding(exchange.hasVmsOfAllZones());
+            }
         }
     }
 
-    function applyRecord(record: VersionedRecord): void {
-        applyHolder(record.content as DutyHolder);
-    }
-
     async function runRenewalLoop(): Promise<void> {
         await clock.sleep(random.next() * dutyConstants.startSpreadMilliseconds, end.signal);
         while (!end.signal.aborted) {
@@ -107,171 +117,130 @@
             return 0;
         }
         if (heldToken() !== undefined) {
-            await verify();
+            await verification.verify();
             return dutyConstants.verificationIntervalMilliseconds;
         }
-        if (knownHolder.name === self.name || failedRenewals >= dutyConstants.maximumFailedRenewals) {
-            await attemptTakeover();
+        if (knownHolder.name === self.name || isTakeoverDue()) {
+            await takeOver(knownHolder);
             return dutyConstants.retryMilliseconds * random.next();
         }
-        await renew(knownHolder);
-        return failedRenewals === 0 ? dutyConstants.renewalMilliseconds : dutyConstants.renewalRetryMilliseconds;
+        const wasHost = isHost();
+        await renew(chooseTarget(knownHolder));
+        if (failedRenewals > 0) {
+            return dutyConstants.renewalRetryMilliseconds;
+        }
+        if (isHost()) {
+            // A VM that has just become a host needs a lease at once.
+            return wasHost ? dutyConstants.renewalMilliseconds : 0;
+        }
+        return dutyConstants.relayedRenewalMilliseconds;
     }
 
     async function readOrCreateHolder(): Promise<void> {
-        const record = await records.read(dutyConstants.recordName);
-        applyRecord(record ?? await records.create(dutyConstants.recordName, { ...self, token: 1 }));
+        const record = await records.read(dutyConstants.recordName)
+            ?? await records.create(dutyConstants.recordName, { ...self, token: dutyConstants.firstToken });
+        applyHolder(record.content as DutyHolder);
     }
 
-    async function renew(holder: DutyHolder): Promise<void> {
+    /** Whether this VM holds connections to endpoints; not before it knows the other VMs of its zone. */
+    function isHost(): boolean {
+        return vms.version() > 0 && view.isHost();
+    }
+
+    function isTakeoverDue(): boolean {
+        if (isLeaving || failedRenewals < dutyConstants.maximumFailedRenewals) {
+            return false;
+        }
+        // The holder counts other VMs as in contact while a relay hears them, so they leave the takeover to the hosts.
+        const isOrdinaryVm = vms.version() > 0 && !view.isHost();
+        return !isOrdinaryVm || clock.now() - answeredAt >= dutyConstants.relayedTakeoverMilliseconds;
+    }
+
+    /** Chooses the VM that gets the next renewal: the next relay after each failure, and the holder after all relays. */
+    function chooseTarget(holder: DutyHolder): VmIdentity {
+        const targets = vms.version() === 0 || view.isHost() ? [holder] : [...view.relays(), holder];
+        return targets[failedRenewals % targets.length]!;
+    }
+
+    async function renew(target: VmIdentity): Promise<void> {
         const sentAt = clock.now();
         try {
             lease.prepare();
-            const answer = await options.peerOf(holder).renew(
-                exchange.createRenewal(failedRenewals === 0 && holderContactAt > -Infinity),
-            );
-            if (!answer.isHolder || answer.token < holder.token) {
-                failedRenewals = dutyConstants.maximumFailedRenewals;
-                throw new Error("the queried VM is no longer the holder");
-            }
-            holderContactAt = sentAt;
+            const renewal = createRenewal(target);
+            const answer = await options.peerOf(target).renew(renewal);
+            checkAnswer(target, answer);
+            answeredAt = sentAt;
             failedRenewals = 0;
-            exchange.applyAnswer(answer, sentAt);
-            if (answer.isCertain) {
+            exchange.applyAnswer(renewal, answer, sentAt);
+            if (answer.isHolder) {
+                holderContactAt = sentAt;
+            }
+            if (answer.isHolder && answer.isCertain && renewal.isHost) {
                 lease.grant();
             }
         }
         catch (error) {
             failedRenewals += 1;
-            log("lease renewal failed", { holder: holder.name, failedRenewals, reason: (error as Error).message });
+            log("lease renewal failed", { target: target.name, failedRenewals, reason: (error as Error).message });
         }
     }
 
-    /** Attempts to become the holder, unless another VM is in contact with the current one. */
-    async function attemptTakeover(): Promise<void> {
-        const holder = knownHolder!;
-        await clock.sleep(rank() * dutyConstants.rankDelayMilliseconds, end.signal);
-        const record = await records.read(dutyConstants.recordName);
-        if (record === undefined) {
-            await readOrCreateHolder();
-            return;
+    function createRenewal(target: VmIdentity): Renewal {
+        return exchange.createRenewal(target, {
+            isHost: isHost(),
+            isLeaving,
+            hasHeardHolder: failedRenewals === 0 && holderContactAt > -Infinity,
+            token: knownHolder?.token ?? 0,
+        });
+    }
+
+    /** Fails when the answer is older than what this VM knows, or when the presumed holder no longer is the holder. */
+    function checkAnswer(target: VmIdentity, { isHolder, holder }: RenewalAnswer): void {
+        const known = knownHolder!;
+        const token = holder?.token ?? 0;
+        if (target.name === known.name && !isHolder && token <= known.token) {
+            failedRenewals = dutyConstants.maximumFailedRenewals;
+            throw new Error("the queried VM is no longer the holder");
         }
-        if ((record.content as DutyHolder).token > holder.token) {
-            applyRecord(record);
-            return;
+        if (holder === undefined || token < known.token) {
+            throw new Error(`the queried VM knows only an older holder, token ${token} before ${known.token}`);
         }
-        const vmInContact = holder.name === self.name ? undefined : await findVmInContact(holder);
-        if (vmInContact !== undefined) {
-            log("another VM is in contact with the holder; no takeover", { holder: holder.name, vm: vmInContact });
+        applyHolder(holder);
+    }
+
+    /** Attempts to become the holder, unless another host is in contact with the current one. */
+    async function takeOver(holder: DutyHolder): Promise<void> {
+        const { record, isHolderAlive } = await attemptTakeover(holder);
+        if (isHolderAlive === true) {
             failedRenewals = 0;
             return;
         }
-        log("attempts to take over the failover duty", { from: holder.name, token: holder.token + 1, failedRenewals });
-        const next = await records.replace(
-            dutyConstants.recordName,
-            { ...self, token: holder.token + 1 },
-            record.revision,
-        );
-        applyRecord(next);
-        notifyOfTakeover();
-    }
-
-    function rank(): number {
-        const names = otherVms().map(vm => vm.name).filter(name => name !== knownHolder?.name);
-        return names.filter(name => name < self.name).length;
-    }
-
-    async function findVmInContact(holder: DutyHolder): Promise<string | undefined> {
-        const others = otherVms().filter(vm => vm.name !== holder.name);
-        const inContact = await Promise.all(others.map(async vm => {
-            const hasContact = await options.peerOf(vm).queryHolderContact(holder.token).catch(() => false);
-            return hasContact ? vm.name : undefined;
-        }));
-        return inContact.find(name => name !== undefined);
+        if (record === undefined) {
+            await readOrCreateHolder();
+            return;
+        }
+        applyHolder(record.content as DutyHolder);
+        if (heldToken() !== undefined) {
+            notifyOfTakeover();
+        }
     }
 
+    /** Notifies the hosts; the other VMs learn of the new holder from their relays. */
     function notifyOfTakeover(): void {
-        for (const vm of otherVms()) {
+        for (const vm of view.hostVms().filter(({ name }) => name !== self.name)) {
             options.peerOf(vm).notifyOfHolder(knownHolder!).catch((error: unknown) => {
                 log("VM could not be notified of the new holder", { vm: vm.name, reason: (error as Error).message });
             });
         }
     }
 
-    async function verify(): Promise<number | undefined> {
-        const requestedAt = clock.now();
-        try {
-            const record = await records.read(dutyConstants.recordName);
-            if (record !== undefined) {
-                applyRecord(record);
-            }
-            if (heldToken() !== undefined) {
-                verifiedAt = requestedAt;
-            }
-            return heldToken();
-        }
-        catch (error) {
-            // While all VMs are in contact with this holder, none has replaced it, and the store is not needed.
-            const isInContactWithAll = vms.isHolderInContactWithAll(dutyConstants.contactWithAllMilliseconds);
-            log("holder not verified in the store", { isInContactWithAll, reason: (error as Error).message });
-            return isInContactWithAll ? heldToken() : undefined;
-        }
-    }
-
-    function otherVms(): readonly VmIdentity[] {
-        return vms.list().filter(vm => vm.name !== self.name);
-    }
-
-    async function announce(announcement: Omit<Announcement, "sequence">): Promise<readonly VmIdentity[]> {
-        const numbered = announcements.create(announcement);
-        const others = otherVms();
-        const confirmed = await Promise.all(others.map(async vm => {
-            try {
-                await options.peerOf(vm).announce(numbered);
-                return true;
-            }
-            catch (error) {
-                log("announcement was not confirmed", { vm: vm.name, reason: (error as Error).message });
-                return false;
-            }
-        }));
-        return others.filter((_vm, index) => !confirmed[index]);
-    }
-
-    /** Whether no other VM can have become the holder and changed a primary. */
-    function isCertain(): boolean {
-        if (heldToken() === undefined) {
-            return false;
-        }
-        const { verifiedMilliseconds, contactWithAllMilliseconds } = dutyConstants;
-        const now = clock.now();
-        return now - verifiedAt < verifiedMilliseconds || vms.isHolderInContactWithAll(contactWithAllMilliseconds);
-    }
-
-    async function waitForLeases(unconfirmed: readonly VmIdentity[]): Promise<void> {
-        if (unconfirmed.length === 0) {
-            return;
-        }
-        const { leaseMilliseconds, verifiedMilliseconds } = dutyConstants;
-        const endOfLease = ({ name }: VmIdentity): number => {
-            const lastContactAt = vms.lastContactAt(name) ?? -Infinity;
-            // A VM without contact since this holder took over may hold a lease granted by the previous holder.
-            const grantedAt = lastContactAt > holderChangedAt ? lastContactAt : holderChangedAt + verifiedMilliseconds;
-            return grantedAt + leaseMilliseconds;
-        };
-        const until = Math.max(...unconfirmed.map(endOfLease));
-        log("waits for leases to end", { vms: unconfirmed.map(({ name }) => name), milliseconds: until - clock.now() });
-        await clock.sleep(Math.max(until - clock.now(), 0));
-    }
-
     function answerRenewal(renewal: Renewal): RenewalAnswer {
-        vms.recordContact(self, true);
-        vms.recordContact(renewal.vm, renewal.hasHeardHolder);
-        return exchange.answer(renewal, {
-            isHolder: heldToken() !== undefined,
-            isCertain: isCertain(),
-            token: knownHolder?.token ?? 0,
-        });
+        const isHolder = heldToken() !== undefined;
+        const state = { isHolder, isCertain: verification.isCertain(), holder: knownHolder };
+        if (isHolder) {
+            grantedLeases.recordContact(renewal.vm, state.isCertain && renewal.isHost);
+        }
+        return exchange.answer(renewal, state);
     }
 
     function hasHolderContact(token: number): boolean {
@@ -282,15 +251,20 @@
 
     return {
         heldToken,
-        verify,
-        otherVms,
-        hasLease: () => heldToken() === undefined ? lease.isHeld() : isCertain(),
-        waitForLeases,
-        announce,
+        verify: verification.verify,
+        otherVms: view.otherVms,
+        hostVms: view.hostVms,
+        isHost,
+        isInContact: () => heldToken() !== undefined || failedRenewals === 0 && answeredAt > startedAt,
+        hasLease: () => heldToken() === undefined ? lease.isHeld() : verification.isCertain(),
+        ...delivery,
         answerRenewal,
         hasHolderContact,
         applyHolder,
         applyAnnouncement: announcements.apply,
+        leave: () => {
+            isLeaving = true;
+        },
         start: async () => void runRenewalLoop(),
         stop: async () => {
             isStopping = true;
--- a/src/duty/createDuty/test.ts
+++ b/src/duty/createDuty/test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createDutyFleet } from "../../testing/createDutyFleet/index.js";
+import { dutyConstants } from "../constants.js";
 import { AnnouncementPhase } from "../types/AnnouncementPhase.js";
 
 const names = ["vm-1", "vm-2", "vm-3"];
@@ -15,6 +16,24 @@
     return { fleet, holder: holder!, others };
 }
 
+const zones = ["a", "b", "c", "d", "e", "f"];
+const largeVmsPerZone = 3;
+
+/** Starts a fleet with a few large VMs and many small ones in each zone, and waits until every VM knows its part. */
+async function startLargeFleet(size: number) {
+    const largeNames = Array.from({ length: size }, (_, index) => `${zones[index % zones.length]}-${index}`);
+    const isLarge = (name: string) => Number(name.slice(2)) < largeVmsPerZone * zones.length;
+    const fleet = createDutyFleet(largeNames, {
+        describe: name => ({ availabilityZone: name[0]!, capacity: isLarge(name) ? 1.35 : 0.324 }),
+    });
+    await fleet.start();
+    await fleet.clock.advance(2 * stabilizationMilliseconds);
+    const [holder] = fleet.holders();
+    const hosts = (): readonly string[] => fleet.dutyOf(holder!).hostVms().map(({ name }) => name);
+    const ordinaryVms = (): readonly string[] => largeNames.filter(name => !hosts().includes(name));
+    return { fleet: { ...fleet, hosts, ordinaryVms }, holder: holder! };
+}
+
 describe("createDuty", () => {
     it("elects one holder, which grants leases to all other VMs", async () => {
         const { fleet } = await startFleet();
@@ -95,4 +114,102 @@
         await fleet.clock.advance(400);
         assert.ok(isOver);
     });
+
+    it("waits, as a new holder without a list of VMs, until the leases of all VMs have ended", async () => {
+        const { fleet, holder } = await startFleet();
+        const { records, clock } = fleet;
+        const newcomer = createDutyFleet([holder], { records, clock, describe: () => ({ incarnation: "restarted" }) });
+        fleet.isolate(holder);
+        await newcomer.start();
+        const startedAt = fleet.clock.now();
+        while (newcomer.holders().length === 0) {
+            await fleet.clock.advance(20);
+        }
+        const tookOverAt = fleet.clock.now();
+        // Without the store no other VM takes over in turn.
+        fleet.records.isAvailable = false;
+        let isOver = false;
+        void newcomer.dutyOf(holder).waitForLeases([]).then(() => {
+            isOver = true;
+        });
+        while (names.some(name => name !== holder && fleet.dutyOf(name).hasLease())) {
+            assert.equal(isOver, false);
+            await fleet.clock.advance(20);
+        }
+        await fleet.clock.advance(dutyConstants.verifiedMilliseconds + dutyConstants.leaseMilliseconds);
+        assert.ok(isOver);
+        assert.ok(tookOverAt - startedAt < stabilizationMilliseconds);
+    });
+
+    it("no longer lists a VM that is about to stop", async () => {
+        const { fleet, holder, others } = await startFleet();
+        fleet.dutyOf(others[0]!).leave();
+        await fleet.clock.advance(stabilizationMilliseconds);
+        assert.deepEqual(fleet.dutyOf(holder).otherVms().map(({ name }) => name), [others[1]]);
+        assert.deepEqual(fleet.dutyOf(others[1]!).otherVms().map(({ name }) => name), [holder]);
+        assert.ok(fleet.dutyOf(others[0]!).hasLease());
+    });
+
+    it("keeps the holder in a large fleet while the store is unreachable and all VMs are in contact", async () => {
+        const { fleet, holder } = await startLargeFleet(60);
+        fleet.records.isAvailable = false;
+        await fleet.clock.advance(2 * dutyConstants.relayedTakeoverMilliseconds);
+        assert.deepEqual(fleet.holders(), [holder]);
+        assert.ok(fleet.hosts().every(name => fleet.dutyOf(name).hasLease()));
+        const lost = fleet.ordinaryVms().find(name => name !== holder)!;
+        fleet.isolate(lost);
+        await fleet.clock.advance(dutyConstants.relayedTakeoverMilliseconds - 1);
+        assert.equal(await fleet.dutyOf(holder).verify(), undefined, "the isolated VM may have taken over");
+    });
+
+    it("finds another relay, and the holder without any, when relays do not answer", async () => {
+        const { fleet, holder } = await startLargeFleet(60);
+        const vm = fleet.ordinaryVms().find(name => name !== holder)!;
+        const zoneHosts = fleet.hosts().filter(name => name.startsWith(vm[0]!));
+        for (const host of zoneHosts) {
+            fleet.cuts.add(`${vm}>${host}`);
+        }
+        fleet.calls.splice(0);
+        await fleet.clock.advance(stabilizationMilliseconds);
+        assert.ok(fleet.calls.some(({ from, to }) => from === vm && to === holder));
+        assert.ok(fleet.dutyOf(vm).isInContact());
+        assert.deepEqual(fleet.holders(), [holder]);
+    });
+
+    it("elects a host when the holder of a large fleet is lost, and tells all VMs", async () => {
+        const { fleet, holder } = await startLargeFleet(60);
+        fleet.isolate(holder);
+        await fleet.dutyOf(holder).stop();
+        await fleet.clock.advance(stabilizationMilliseconds);
+        const [next, ...rest] = fleet.holders();
+        assert.equal(rest.length, 0);
+        assert.ok(fleet.hosts().includes(next!), `${next} is not a host`);
+        fleet.calls.splice(0);
+        await fleet.clock.advance(2 * dutyConstants.relayedRenewalMilliseconds);
+        const callers = new Set(fleet.calls.filter(({ to }) => to === holder).map(({ from }) => from));
+        assert.deepEqual([...callers], [], "VMs that still call the lost holder");
+    });
+
+    it("lets the holder bear the calls of the hosts only, whatever the size of the fleet", async () => {
+        const { renewalMilliseconds, relayedRenewalMilliseconds } = dutyConstants;
+        const seconds = 3;
+        for (const size of [8, 30, 100, 200, 400]) {
+            const { fleet, holder } = await startLargeFleet(size);
+            fleet.calls.splice(0);
+            await fleet.clock.advance(seconds * 1_000);
+            const toHolder = fleet.calls.filter(({ to }) => to === holder);
+            const hostCount = fleet.hosts().length;
+            const expected = hostCount * 1_000 / renewalMilliseconds + size / hostCount;
+            assert.ok(hostCount <= Math.max(size, 3 * zones.length), `${hostCount} hosts of ${size} VMs`);
+            assert.ok(
+                toHolder.length / seconds <= 1.1 * expected + 1,
+                `${toHolder.length / seconds} calls a second to the holder of ${size} VMs`,
+            );
+            const ofOthers = fleet.calls.filter(({ from }) => !fleet.hosts().includes(from) && from !== holder);
+            const perOther = ofOthers.length / seconds / Math.max(size - hostCount, 1);
+            assert.ok(perOther <= 1_000 / relayedRenewalMilliseconds, `${perOther} calls a second of an ordinary VM`);
+            const acrossZones = ofOthers.filter(({ from, to }) => from[0] !== to[0] && to !== holder);
+            assert.deepEqual(acrossZones, []);
+        }
+    });
 });
--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -1,14 +1,16 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { StoreFreshness } from "../../directory/types/StoreFreshness.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { applyDirectoryUpdate } from "../applyDirectoryUpdate/index.js";
 import { dutyConstants } from "../constants.js";
 import type { createAnnouncements } from "../createAnnouncements/index.js";
-import type { createVmList } from "../createVmList/index.js";
 import type { DirectoryUpdate } from "../types/DirectoryUpdate.js";
+import type { RelayedMembers } from "../types/RelayedMembers.js";
 import type { Renewal } from "../types/Renewal.js";
 import type { RenewalAnswer } from "../types/RenewalAnswer.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
+import type { VmList } from "../types/VmList.js";
 
 /** Options of `createRenewalExchange`. */
 interface RenewalExchangeOptions {
@@ -18,48 +20,67 @@
     readonly directory: Directory;
     /** Freshness of the directory. */
     readonly freshness: StoreFreshness;
-    readonly vms: ReturnType<typeof createVmList>;
+    readonly vms: VmList;
+    /** The VMs whose renewals this VM answers as a relay. */
+    readonly members: RelayedMembers;
     readonly announcements: ReturnType<typeof createAnnouncements>;
+    readonly log: LogTopic;
 }
 
 /** Versions of the directory that a VM has. */
 type KnownVersions = Pick<DirectoryUpdate, "routingVersion" | "endpointRevision">;
 
 /** State of the failover duty that a VM reports when it answers a renewal. */
-type HolderState = Pick<RenewalAnswer, "isHolder" | "isCertain" | "token">;
+type HolderState = Pick<RenewalAnswer, "isHolder" | "isCertain" | "holder">;
+
+/** State of the failover duty that a VM reports in a renewal. */
+type SenderState = Pick<Renewal, "isHost" | "isLeaving" | "hasHeardHolder"> & {
+    /** Token of the holder known to the VM. */
+    readonly token: number;
+};
 
 /** State that VMs send each other with each renewal. Each side sends only what the other lacks. */
 interface RenewalExchange {
-    /** Creates the next renewal that this VM sends to the holder. */
-    createRenewal(hasHeardHolder: boolean): Renewal;
-    /** Applies the holder's answer to a renewal that was sent at `sentAt`. */
-    applyAnswer(answer: RenewalAnswer, sentAt: number): void;
+    /** Creates the next renewal that this VM sends to another one. */
+    createRenewal(target: VmIdentity, state: SenderState): Renewal;
+    /** Applies the answer to a renewal that was sent at `sentAt`. */
+    applyAnswer(renewal: Renewal, answer: RenewalAnswer, sentAt: number): void;
     /** Applies another VM's renewal and creates the answer to it. */
     answer(renewal: Renewal, state: HolderState): RenewalAnswer;
+    /** Whether this VM's list has the VMs of all zones, not only of its own. */
+    hasVmsOfAllZones(): boolean;
 }
 
 /**
  * Creates the exchange of state that is part of the renewals: routing table, endpoints, VMs and announcements. It keeps
- * a VM up to date that cannot read the store.
+ * a VM up to date that does not read the store.
  *
  * @param options This VM and its state.
  * @returns The exchange.
  *
  * @example
- * exchange.applyAnswer(await peer.renew(exchange.createRenewal(true)), sentAt);
+ * const renewal = exchange.createRenewal(holder, state);
+ * exchange.applyAnswer(renewal, await peerOf(holder).renew(renewal), sentAt);
  */
 export function createRenewalExchange(options: RenewalExchangeOptions): RenewalExchange {
-    const { clock, self, directory, freshness, vms, announcements } = options;
-    /** Versions that the holder last reported; only versions are sent before its first answer. */
-    let holderVersions: KnownVersions | undefined;
+    const { clock, self, directory, freshness, vms, members, announcements } = options;
+    /** Versions that the last answering VM reported; only versions are sent before its first answer. */
+    let answerer: { readonly incarnation: string; readonly versions: KnownVersions; } | undefined;
+    let target: VmIdentity | undefined;
+    let hasVmsOfAllZones = false;
 
-    function createRenewal(hasHeardHolder: boolean): Renewal {
+    function createRenewal(nextTarget: VmIdentity, { token, ...state }: SenderState): Renewal {
+        target = nextTarget;
+        const isKnown = answerer?.incarnation === nextTarget.incarnation;
+        const unreported = state.isHost ? members.listUnreported(token) : undefined;
         return {
-            ...createUpdate(holderVersions),
+            ...createUpdate(isKnown ? answerer!.versions : undefined),
+            ...state,
             vm: self,
-            hasHeardHolder,
-            vmListVersion: vms.version(),
+            // A list of one zone is no start for the changes of all zones.
+            vmListVersion: state.isHost && !hasVmsOfAllZones ? 0 : vms.version(),
             announcementSequence: announcements.latestSequence(),
+            ...unreported === undefined ? {} : { members: unreported },
         };
     }
 
@@ -79,34 +100,70 @@
         };
     }
 
-    function applyAnswer(answer: RenewalAnswer, sentAt: number): void {
+    function applyAnswer(renewal: Renewal, answer: RenewalAnswer, sentAt: number): void {
         const { routingVersion, endpointRevision } = answer;
-        holderVersions = { routingVersion, endpointRevision };
+        answerer = { incarnation: target?.incarnation ?? "", versions: { routingVersion, endpointRevision } };
         applyDirectoryUpdate(directory, answer);
         if (answer.newsAgeMilliseconds !== undefined) {
             freshness.applyAge(answer.newsAgeMilliseconds, sentAt);
         }
-        vms.refresh();
-        if (answer.vms !== undefined) {
-            vms.replace(answer.vms, answer.vmListVersion);
+        if (answer.isHolder && renewal.members !== undefined) {
+            members.confirm(answer.holder?.token ?? 0);
         }
+        applyVmList(renewal, answer);
         answer.announcements.forEach(announcements.apply);
     }
 
+    function applyVmList(renewal: Renewal, { vmList }: RenewalAnswer): void {
+        vms.refresh();
+        if (vmList !== undefined && !vms.applyUpdate(vmList)) {
+            options.log("older list of VMs ignored", {
+                from: target?.name,
+                version: vmList.version,
+                known: vms.version(),
+            });
+            return;
+        }
+        hasVmsOfAllZones = renewal.isHost && (hasVmsOfAllZones || vmList?.isSnapshot === true);
+    }
+
     function answer(renewal: Renewal, state: HolderState): RenewalAnswer {
         applyDirectoryUpdate(directory, renewal);
         if (renewal.newsAgeMilliseconds !== undefined) {
             freshness.applyAge(renewal.newsAgeMilliseconds + dutyConstants.callTimeoutMilliseconds, clock.now());
         }
-        const list = vms.list();
+        recordSender(renewal, state.isHolder);
+        const vmList = vms.createUpdate(
+            renewal.vmListVersion,
+            renewal.isHost ? undefined : renewal.vm.address.availabilityZone,
+        );
         return {
             ...state,
             ...createUpdate(renewal),
-            vmListVersion: vms.version(),
-            ...renewal.vmListVersion === vms.version() ? {} : { vms: list },
+            ...vmList === undefined ? {} : { vmList },
             announcements: announcements.listAfter(renewal.announcementSequence),
         };
     }
 
-    return { createRenewal, applyAnswer, answer };
+    function recordSender(renewal: Renewal, isHolder: boolean): void {
+        const { vm, isLeaving, hasHeardHolder } = renewal;
+        if (isLeaving) {
+            members.remove(vm.name);
+        }
+        if (!isHolder) {
+            if (!isLeaving) {
+                members.recordContact(vm);
+            }
+            return;
+        }
+        vms.recordContact(self, true);
+        if (isLeaving) {
+            vms.remove(vm.name);
+            return;
+        }
+        vms.recordContact(vm, hasHeardHolder);
+        vms.recordMembers(vm.name, renewal.members);
+    }
+
+    return { createRenewal, applyAnswer, answer, hasVmsOfAllZones: () => hasVmsOfAllZones };
 }
--- a/src/duty/createVmList/index.ts
+++ b/src/duty/createVmList/index.ts
@@ -1,36 +1,29 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import { dutyConstants } from "../constants.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
+import type { VmList } from "../types/VmList.js";
+import type { VmListUpdate } from "../types/VmListUpdate.js";
 
-/** VMs that are alive, as known to the holder. */
-interface VmList {
-    /** Records contact with a VM, and whether that VM is in contact with the holder. */
-    recordContact(vm: VmIdentity, hasHolderContact: boolean): void;
-    /** VMs with recent contact. */
-    list(): readonly VmIdentity[];
-    /** Changes whenever the list changes. */
-    version(): number;
-    /** Replaces the list with one received from another VM. */
-    replace(vms: readonly VmIdentity[], version: number): void;
-    /** Renews the last contact of all VMs, because the holder still lists them. */
-    refresh(): void;
-    /** Whether all VMs that may still be alive, and at least two, had contact with the holder within this time. */
-    isHolderInContactWithAll(milliseconds: number): boolean;
-    /** Time of the last contact with a VM. */
-    lastContactAt(name: string): number | undefined;
-}
-
-/** A VM and the times of its last contacts. */
+/** A VM that is alive, or was alive recently. */
 interface ListedVm {
     readonly vm: VmIdentity;
-    readonly lastContactAt: number;
+    isLive: boolean;
+    /** Version of the list at which the VM, or whether it is alive, changed last. */
+    changedVersion: number;
+    /** When the VM last called this one. */
+    contactAt: number | undefined;
+    /** When this VM last learned that the VM is alive. */
+    seenAt: number;
     /** When the VM last reported contact with the holder. */
-    readonly holderContactAt: number;
+    holderContactAt: number;
 }
 
 /**
  * Creates the list of VMs that are alive: those with recent contact.
  *
+ * The holder of the failover duty numbers the changes of the list, so that others receive only what they lack. The
+ * numbers of a holder with a higher token are higher.
+ *
  * @param clock Source of time.
  * @returns The list, empty.
  *
@@ -39,66 +32,178 @@
  */
 export function createVmList(clock: Clock): VmList {
     const listed = new Map<string, ListedVm>();
+    /** Members that each relay reported last. */
+    const membersByRelay = new Map<string, readonly VmIdentity[]>();
     let version = 0;
-    /** Number of VMs in the list that was returned last. */
-    let liveCount = 0;
+    /** Changes up to this version cannot be told apart, so a VM with an older version gets the whole list. */
+    let snapshotVersion = 0;
+    let refreshedAt = -Infinity;
+    let live: readonly VmIdentity[] = [];
+    /** Time up to which no VM of `live` can have become silent for too long. */
+    let liveUntil = -Infinity;
+
+    function seenAt(entry: ListedVm): number {
+        return entry.isLive ? Math.max(entry.seenAt, refreshedAt) : entry.seenAt;
+    }
+
+    function markChanged(entry: ListedVm, isLive: boolean, changedVersion: number): void {
+        entry.seenAt = seenAt(entry);
+        entry.isLive = isLive;
+        entry.changedVersion = changedVersion;
+        liveUntil = -Infinity;
+    }
+
+    /** Returns the entry of a VM that is alive now; a new one when the VM is new, has restarted or was silent. */
+    function touch(vm: VmIdentity): ListedVm {
+        let entry = listed.get(vm.name);
+        if (entry?.vm.incarnation !== vm.incarnation || !isSameAddress(entry.vm, vm)) {
+            entry = {
+                vm,
+                isLive: false,
+                changedVersion: 0,
+                contactAt: undefined,
+                seenAt: clock.now(),
+                holderContactAt: -Infinity,
+            };
+            listed.set(vm.name, entry);
+        }
+        if (!entry.isLive) {
+            version += 1;
+            markChanged(entry, true, version);
+        }
+        entry.seenAt = clock.now();
+        return entry;
+    }
 
     function recordContact(vm: VmIdentity, hasHolderContact: boolean): void {
-        const known = listed.get(vm.name);
-        if (known?.vm.incarnation !== vm.incarnation) {
+        const entry = touch(vm);
+        entry.contactAt = clock.now();
+        if (hasHolderContact) {
+            entry.holderContactAt = clock.now();
+        }
+    }
+
+    function recordMembers(relayName: string, members: readonly VmIdentity[] | undefined): void {
+        if (members !== undefined) {
+            membersByRelay.set(relayName, members);
+        }
+        for (const member of membersByRelay.get(relayName) ?? []) {
+            if (!isSuperseded(member)) {
+                touch(member).holderContactAt = clock.now();
+            }
+        }
+    }
+
+    /** Whether a restarted process of the reported VM has called since: the relay's report is older. */
+    function isSuperseded(member: VmIdentity): boolean {
+        const entry = listed.get(member.name);
+        return entry !== undefined
+            && entry.vm.incarnation !== member.incarnation
+            && clock.now() - (entry.contactAt ?? -Infinity) < dutyConstants.contactTimeoutMilliseconds;
+    }
+
+    function remove(name: string): void {
+        const entry = listed.get(name);
+        membersByRelay.delete(name);
+        if (entry?.isLive === true) {
             version += 1;
+            markChanged(entry, false, version);
+            // A VM that is stopping never becomes the holder.
+            entry.holderContactAt = Infinity;
         }
-        const now = clock.now();
-        listed.set(vm.name, {
-            vm,
-            lastContactAt: now,
-            holderContactAt: hasHolderContact ? now : known?.holderContactAt ?? -Infinity,
-        });
     }
 
     function list(): readonly VmIdentity[] {
         const now = clock.now();
-        for (const [name, { lastContactAt }] of listed) {
-            if (now - lastContactAt > dutyConstants.removalMilliseconds) {
+        if (now <= liveUntil) {
+            return live;
+        }
+        const { contactTimeoutMilliseconds, removalMilliseconds } = dutyConstants;
+        for (const [name, entry] of listed) {
+            const silence = now - seenAt(entry);
+            if (silence > removalMilliseconds) {
                 listed.delete(name);
+                snapshotVersion = Math.max(snapshotVersion, entry.changedVersion);
+            }
+            else if (entry.isLive && silence > contactTimeoutMilliseconds) {
+                version += 1;
+                markChanged(entry, false, version);
             }
         }
-        const live = [...listed.values()].filter(({ lastContactAt }) =>
-            now - lastContactAt <= dutyConstants.contactTimeoutMilliseconds
-        );
-        if (live.length !== liveCount) {
-            liveCount = live.length;
-            version += 1;
-        }
-        return live.map(({ vm }) => vm);
+        const liveEntries = [...listed.values()].filter(({ isLive }) => isLive);
+        live = liveEntries.map(({ vm }) => vm);
+        liveUntil = Math.min(...liveEntries.map(seenAt), now) + contactTimeoutMilliseconds;
+        return live;
     }
 
-    function replace(vms: readonly VmIdentity[], nextVersion: number): void {
-        listed.clear();
-        vms.forEach(vm => listed.set(vm.name, { vm, lastContactAt: clock.now(), holderContactAt: -Infinity }));
-        version = nextVersion;
-        liveCount = vms.length;
+    function createUpdate(knownVersion: number, availabilityZone?: string): VmListUpdate | undefined {
+        list();
+        if (knownVersion >= version) {
+            return undefined;
+        }
+        const isSnapshot = knownVersion < snapshotVersion;
+        const changed = [...listed.values()].filter(({ vm, changedVersion }) =>
+            (isSnapshot || changedVersion > knownVersion)
+            && (availabilityZone === undefined || vm.address.availabilityZone === availabilityZone)
+        );
+        return {
+            version,
+            isSnapshot,
+            vms: changed.filter(({ isLive }) => isLive).map(({ vm }) => vm),
+            removedNames: isSnapshot ? [] : changed.filter(({ isLive }) => !isLive).map(({ vm }) => vm.name),
+        };
     }
 
-    function refresh(): void {
-        for (const [name, entry] of listed) {
-            listed.set(name, { ...entry, lastContactAt: clock.now() });
+    function applyUpdate(update: VmListUpdate): boolean {
+        if (update.version < version) {
+            return false;
+        }
+        const names = new Set(update.vms.map(({ name }) => name));
+        const removed = update.isSnapshot
+            ? [...listed.keys()].filter(name => !names.has(name))
+            : update.removedNames;
+        for (const name of removed) {
+            const entry = listed.get(name);
+            if (entry?.isLive === true) {
+                markChanged(entry, false, update.version);
+            }
+        }
+        for (const vm of update.vms) {
+            markChanged(touch(vm), true, update.version);
         }
+        version = update.version;
+        if (update.isSnapshot) {
+            snapshotVersion = update.version;
+        }
+        return true;
     }
 
     function isHolderInContactWithAll(milliseconds: number): boolean {
         const now = clock.now();
-        const contacts = [...listed.values()].map(({ holderContactAt: attendedAt }) => attendedAt);
-        return contacts.length > 1 && contacts.every(contactAt => now - contactAt < milliseconds);
+        return listed.size > 1
+            && [...listed.values()].every(({ holderContactAt }) => now - holderContactAt < milliseconds);
     }
 
     return {
-        isHolderInContactWithAll,
-        refresh,
+        startToken: token => {
+            version = Math.max(version, token * dutyConstants.versionsPerToken);
+            snapshotVersion = version;
+        },
         recordContact,
+        recordMembers,
+        remove,
         list,
         version: () => version,
-        replace,
-        lastContactAt: (name: string) => listed.get(name)?.lastContactAt,
+        createUpdate,
+        applyUpdate,
+        refresh: () => {
+            refreshedAt = clock.now();
+        },
+        isHolderInContactWithAll,
+        lastContactAt: name => listed.get(name)?.contactAt,
     };
 }
+
+function isSameAddress({ address: left }: VmIdentity, { address: right }: VmIdentity): boolean {
+    return left.host === right.host && left.port === right.port;
+}
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -5,7 +5,7 @@
 import { AnnouncementPhase } from "./types/AnnouncementPhase.js";
 
 const address = z.object({ host: z.string(), port: z.number(), availabilityZone: z.string() });
-const vm = z.object({ name: z.string(), address, incarnation: z.string() });
+const vm = z.object({ name: z.string(), address, capacity: z.number().positive(), incarnation: z.string() });
 const position = z.object({ term: z.number(), entry: z.number() });
 const routingTable = z.object({
     version: z.number(),
@@ -55,11 +55,14 @@
 export const dutySchemas = {
     renewal: z.object({
         vm,
+        isHost: z.boolean(),
+        isLeaving: z.boolean(),
         hasHeardHolder: z.boolean(),
         routingVersion: z.number(),
         endpointRevision: z.number(),
         vmListVersion: z.number(),
         announcementSequence: z.number(),
+        members: z.array(vm).optional(),
         routingTable: routingTable.optional(),
         endpoints: z.array(endpoint).optional(),
         removals: z.array(z.object({ id: z.string(), revision: z.number() })).optional(),
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -17,13 +17,19 @@
     verify(): Promise<number | undefined>;
     /** The other VMs that are known to be alive. */
     otherVms(): readonly VmIdentity[];
+    /** The VMs of all zones that hold connections to endpoints; with this VM if it does. */
+    hostVms(): readonly VmIdentity[];
+    /** Whether this VM holds connections to endpoints. */
+    isHost(): boolean;
+    /** Whether the holder or a relay answered the last renewal of this VM, or this VM is the holder. */
+    isInContact(): boolean;
     /** Whether this VM may rely on its known primaries: none can have been replaced without an announcement. */
     hasLease(): boolean;
     /** Waits until the leases of VMs that did not confirm an announcement have expired. */
     waitForLeases(vms: readonly VmIdentity[]): Promise<void>;
-    /** Sends an announcement to all VMs; resolves with the VMs that did not confirm it. */
+    /** Sends an announcement to the VMs that may have a lease; resolves with those that did not confirm it. */
     announce(announcement: Omit<Announcement, "sequence">): Promise<readonly VmIdentity[]>;
-    /** Answers another VM's renewal. */
+    /** Answers another VM's renewal, as the holder or as a relay. */
     answerRenewal(renewal: Renewal): RenewalAnswer;
     /** Whether this VM has had recent contact with the holder that has this token. */
     hasHolderContact(token: number): boolean;
@@ -31,6 +37,8 @@
     applyHolder(holder: DutyHolder): void;
     /** Applies an announcement, unless a newer one of its group is known. */
     applyAnnouncement(announcement: Announcement): void;
+    /** Reports with the next renewals that this VM is about to stop, so that the others no longer choose it as a host. */
+    leave(): void;
     start(): Promise<void>;
     stop(): Promise<void>;
 }
--- a/src/duty/types/Renewal.ts
+++ b/src/duty/types/Renewal.ts
@@ -1,13 +1,19 @@
 import type { DirectoryUpdate } from "./DirectoryUpdate.js";
 import type { VmIdentity } from "./VmIdentity.js";
 
-/** Request that a VM regularly sends to the holder of the failover duty. */
+/** Request that a VM regularly sends to the holder of the failover duty, or to a relay of its availability zone. */
 export interface Renewal extends DirectoryUpdate {
     readonly vm: VmIdentity;
+    /** Whether the VM holds connections to endpoints, and so needs a lease and the VMs of all zones. */
+    readonly isHost: boolean;
+    /** Whether the VM is stopping; it is then no longer listed. */
+    readonly isLeaving: boolean;
     /** Whether the holder answered the previous renewal of this VM. */
     readonly hasHeardHolder: boolean;
     /** Version of the list of VMs known to the sender. */
     readonly vmListVersion: number;
     /** Highest sequence number of an announcement known to the sender. */
     readonly announcementSequence: number;
+    /** The VMs whose renewals the sender answers; left out when the holder already has this list. */
+    readonly members?: readonly VmIdentity[];
 }
--- a/src/duty/types/RenewalAnswer.ts
+++ b/src/duty/types/RenewalAnswer.ts
@@ -1,16 +1,17 @@
 import type { Announcement } from "./Announcement.js";
 import type { DirectoryUpdate } from "./DirectoryUpdate.js";
-import type { VmIdentity } from "./VmIdentity.js";
+import type { DutyHolder } from "./DutyHolder.js";
+import type { VmListUpdate } from "./VmListUpdate.js";
 
-/** Answer to a renewal, normally sent by the holder of the failover duty. */
+/** Answer to a renewal, from the holder of the failover duty or from a relay. */
 export interface RenewalAnswer extends DirectoryUpdate {
     /** Whether the answering VM is the holder, as far as it knows. */
     readonly isHolder: boolean;
     /** Whether no other VM can have become the holder; only then the requesting VM gets a lease. */
     readonly isCertain: boolean;
-    readonly token: number;
-    readonly vmListVersion: number;
+    /** The holder known to the answering VM. */
+    readonly holder?: DutyHolder;
     /** Left out when the requesting VM already has this version of the list. */
-    readonly vms?: readonly VmIdentity[];
+    readonly vmList?: VmListUpdate;
     readonly announcements: readonly Announcement[];
 }
--- a/src/duty/types/VmIdentity.ts
+++ b/src/duty/types/VmIdentity.ts
@@ -5,6 +5,8 @@
     readonly name: string;
     /** Address that other VMs use for calls to this VM. */
     readonly address: Address;
+    /** Processor cores that the VM may use. */
+    readonly capacity: number;
     /** Chosen at random at each start of the program. */
     readonly incarnation: string;
 }
--- a/src/forwarding/constants.ts
+++ b/src/forwarding/constants.ts
@@ -4,8 +4,12 @@
     hostsPerZone: 2,
     /** Number of VMs in a zone up to which each holds its own connections; the endpoints accept enough for that. */
     maximumSmallZoneVms: 6,
-    /** Interval at which the hosts are chosen again, in milliseconds. */
-    choiceIntervalMilliseconds: 200,
+    /** Share of a large zone's capacity that its hosts have together at least. */
+    poolCapacityShare: 0.25,
+    /** Upper bound of a host's number of groups, relative to its share of the pool's capacity. */
+    maximumLoadFactor: 1.25,
+    /** Hosts of a large zone at least; while one is lost, each group still has two. */
+    minimumPoolVms: 3,
     /** Timeout of opening a session at its host, in milliseconds. */
     openTimeoutMilliseconds: 400,
     /** Timeout of a forwarded statement at its host, whatever its route allows, in milliseconds. */
--- a/src/forwarding/createSessionHosts/index.ts
+++ b/src/forwarding/createSessionHosts/index.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../clock/types/Clock.js";
+import type { Directory } from "../../directory/types/Directory.js";
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import { chooseHosts } from "../chooseHosts/index.js";
 import { forwardingConstants } from "../constants.js";
@@ -8,10 +9,9 @@
 interface SessionHostsOptions {
     readonly clock: Clock;
     /** This VM. */
-    readonly self: Pick<VmIdentity, "name" | "address">;
-    /** The groups of endpoints. */
-    readonly groups: () => readonly string[];
-    /** The other VMs that are alive. */
+    readonly self: Pick<VmIdentity, "name" | "address" | "capacity">;
+    readonly directory: Pick<Directory, "groups" | "onChange">;
+    /** The other VMs that are alive; the same array as long as they do not change. */
     readonly otherVms: () => readonly VmIdentity[];
 }
 
@@ -28,17 +28,26 @@
  * const host = hosts.hostOf("orders");
  */
 export function createSessionHosts(options: SessionHostsOptions): SessionHosts {
-    const { clock, self, otherVms } = options;
+    const { clock, self, directory, otherVms } = options;
     const avoidedUntil = new Map<string, number>();
     let forwardedCount = 0;
     let chosen: ReturnType<typeof chooseHosts> = new Map();
-    let chosenAt = -Infinity;
+    let chosenAmong: readonly VmIdentity[] | undefined;
+    let groups: readonly string[] = [];
+
+    directory.onChange(() => {
+        const current = directory.groups();
+        if (current.length !== groups.length || current.some(group => !chosen.has(group))) {
+            chosenAmong = undefined;
+        }
+    });
 
     function listNames(group: string): ReadonlySet<string> {
-        const now = clock.now();
-        if (now - chosenAt >= forwardingConstants.choiceIntervalMilliseconds) {
-            chosen = chooseHosts(options.groups(), [self, ...otherVms()]);
-            chosenAt = now;
+        const others = otherVms();
+        if (others !== chosenAmong) {
+            groups = directory.groups();
+            chosen = chooseHosts(groups, [self, ...others]);
+            chosenAmong = others;
         }
         return chosen.get(group) ?? new Set([self.name]);
     }
--- a/src/forwarding/createSessionHosts/test.ts
+++ b/src/forwarding/createSessionHosts/test.ts
@@ -2,13 +2,14 @@
 import { describe, it } from "node:test";
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
+import { createVmIdentity } from "../../testing/createVmIdentity/index.js";
 import { chooseHosts } from "../chooseHosts/index.js";
 import { forwardingConstants } from "../constants.js";
 import { createSessionHosts } from "./index.js";
 
 function createVm(availabilityZone: string, index: number): VmIdentity {
     const name = `${availabilityZone}-${index}`;
-    return { name, address: { host: name, port: 1, availabilityZone }, incarnation: "1" };
+    return createVmIdentity(name, { availabilityZone });
 }
 
 const vms = ["a", "b"].flatMap(zone => Array.from({ length: 10 }, (_, index) => createVm(zone, index)));
@@ -19,11 +20,12 @@
 
 function createHosts(self: VmIdentity) {
     const clock = createManualClock();
+    const others = vms.filter(vm => vm !== self);
     const hosts = createSessionHosts({
         clock,
         self,
-        groups: () => ["orders"],
-        otherVms: () => vms.filter(vm => vm !== self),
+        directory: { groups: () => ["orders"], onChange: () => {} },
+        otherVms: () => others,
     });
     return { clock, hosts };
 }
--- a/src/platform/readVmSettings/index.ts
+++ b/src/platform/readVmSettings/index.ts
@@ -6,6 +6,10 @@
 import type { VmSettings } from "../../vm/types/VmSettings.js";
 import { parseAddress } from "../parseAddress/index.js";
 
+const millisecondsPerSecond = 1_000;
+/** Time within which a configuration has to be in force, for a file that does not tell. */
+const defaultConfigurationMilliseconds = 4_000;
+
 /** Schema of the platform's settings file; other fields are ignored. */
 const fileSchema = z.object({
     nodeName: z.string().min(1),
@@ -13,12 +17,17 @@
     region: z.string(),
     zones: z.record(z.string(), z.string()).default({}),
     listen: z.object({ front: z.string(), ready: z.string(), control: z.string() }),
-    bounds: z.object({ graceS: z.number() }),
+    limits: z.object({ cpuShare: z.number().positive(), cores: z.number().positive() }).default({
+        cpuShare: 1,
+        cores: 1,
+    }),
+    bounds: z.object({
+        graceS: z.number(),
+        configApplyMs: z.number().positive().default(defaultConfigurationMilliseconds),
+    }),
     platform: z.object({ addr: z.string() }),
     cloudApi: z.object({ addr: z.string() }),
 });
-const millisecondsPerSecond = 1_000;
-
 /**
  * Reads the platform's settings file.
  *
@@ -55,6 +64,8 @@
         peerAddress: addressOf(fields.listen.control),
         storeAddress: addressOf(fields.platform.addr),
         promotionAddress: addressOf(fields.cloudApi.addr),
+        capacity: fields.limits.cpuShare * fields.limits.cores,
+        configurationMilliseconds: fields.bounds.configApplyMs,
         graceMilliseconds: fields.bounds.graceS * millisecondsPerSecond,
     };
 }
--- a/src/platform/standIns/encodeVmSettings/index.ts
+++ b/src/platform/standIns/encodeVmSettings/index.ts
@@ -24,7 +24,11 @@
             ready: formatAddress(settings.readinessAddress),
             control: formatAddress(settings.peerAddress),
         },
-        bounds: { graceS: settings.graceMilliseconds / millisecondsPerSecond },
+        limits: { cpuShare: settings.capacity, cores: 1 },
+        bounds: {
+            graceS: settings.graceMilliseconds / millisecondsPerSecond,
+            configApplyMs: settings.configurationMilliseconds,
+        },
         platform: { addr: formatAddress(settings.storeAddress) },
         cloudApi: { addr: formatAddress(settings.promotionAddress) },
     });
--- a/src/soak/constants.ts
+++ b/src/soak/constants.ts
@@ -14,6 +14,8 @@
     maximumStalenessMilliseconds: 2_500,
     promotionMilliseconds: 200,
     graceSeconds: 6,
+    /** Time within which a configuration has to be in force on every VM, in milliseconds. */
+    configurationMilliseconds: 4_000,
     /** Time after which a caller stops waiting for an answer, in milliseconds. */
     answerTimeoutMilliseconds: 4_000,
     /** Added to the statement timeout before an answer counts as late, in milliseconds. */
--- a/src/soak/startSoakVm/index.ts
+++ b/src/soak/startSoakVm/index.ts
@@ -54,6 +54,8 @@
         peerAddress: addressOf(peerPort!),
         storeAddress: addressOf(storeLink.port, "127.0.0.1"),
         promotionAddress: addressOf(platform.promotionPort, "127.0.0.1"),
+        capacity: 1,
+        configurationMilliseconds: soakConstants.configurationMilliseconds,
         graceMilliseconds: soakConstants.graceSeconds * millisecondsPerSecond,
     };
     const settingsFile = join(folder, `${name}.toml`);
--- a/src/testing/createDutyFleet/index.ts
+++ b/src/testing/createDutyFleet/index.ts
@@ -8,6 +8,13 @@
 import { createManualClock } from "../createManualClock/index.js";
 import { createMemoryRecords } from "../createMemoryRecords/index.js";
 import { createPopulatedDirectory } from "../createPopulatedDirectory/index.js";
+import { createVmIdentity } from "../createVmIdentity/index.js";
+
+/** A call from one VM to another. */
+interface FleetCall {
+    readonly from: string;
+    readonly to: string;
+}
 
 /** One VM of the fleet. */
 interface FleetVm {
@@ -16,25 +23,37 @@
     readonly announcements: Announcement[];
 }
 
+/** Options of `createDutyFleet`. */
+interface DutyFleetOptions {
+    /** Clock and store that the VMs share with another fleet. */
+    readonly clock?: ReturnType<typeof createManualClock>;
+    readonly records?: ReturnType<typeof createMemoryRecords>;
+    /** Returns the zone and the capacity of a VM where they differ from the defaults. */
+    readonly describe?: (name: string) => Parameters<typeof createVmIdentity>[1];
+}
+
 /**
  * Creates VMs that share a store and call each other in memory, with links that can be cut.
  *
  * @param names Names of the VMs.
+ * @param options Zones and capacities of the VMs.
  * @returns The fleet, not yet started.
  *
  * @example
  * const fleet = createDutyFleet(["vm-1", "vm-2"]);
  * await fleet.clock.advance(1_000);
  */
-export function createDutyFleet(names: readonly string[]) {
-    const clock = createManualClock();
-    const records = createMemoryRecords();
+export function createDutyFleet(names: readonly string[], options: DutyFleetOptions = {}) {
+    const { clock = createManualClock(), records = createMemoryRecords() } = options;
     /** Links on which calls fail, written `from>to`; all links of a failed VM are in the set. */
     const cuts = new Set<string>();
     const vms = new Map<string, FleetVm>();
+    /** The calls between VMs since the test cleared the list. */
+    const calls: FleetCall[] = [];
 
     function peerOf(from: string, { name: to }: VmIdentity): VmPeer {
         const call = async <Result>(handle: (duty: Duty) => Result): Promise<Result> => {
+            calls.push({ from, to });
             if (cuts.has(`${from}>${to}`)) {
                 throw new Error("the VM did not answer in time");
             }
@@ -51,11 +70,7 @@
     }
 
     names.forEach((name, index) => {
-        const identity = {
-            name,
-            address: { host: "127.0.0.1", port: index + 1, availabilityZone: "a" },
-            incarnation: `${index}`,
-        };
+        const identity = createVmIdentity(name, { incarnation: `${index}`, ...options.describe?.(name) });
         const announcements: Announcement[] = [];
         const duty = createDuty({
             clock,
@@ -82,6 +97,7 @@
         clock,
         records,
         cuts,
+        calls,
         isolate,
         dutyOf: (name: string) => vms.get(name)!.duty,
         announcementsOf: (name: string) => vms.get(name)!.announcements,
--- a/src/testing/createVmSettings/index.ts
+++ b/src/testing/createVmSettings/index.ts
@@ -21,6 +21,8 @@
         peerAddress: addressOf(3),
         storeAddress: addressOf(4),
         promotionAddress: addressOf(5),
+        capacity: 1,
+        configurationMilliseconds: 4_000,
         graceMilliseconds: 6_000,
         ...changes,
     };
--- a/src/vm/createVmServer/index.ts
+++ b/src/vm/createVmServer/index.ts
@@ -10,6 +10,8 @@
     readonly settings: VmSettings;
     readonly sessions: CallerSessions;
     readonly directory: Directory;
+    /** Called when the VM starts to stop, before its sessions are closed. */
+    readonly onStopping: () => void;
     readonly log: LogTopic;
 }
 
@@ -57,6 +59,7 @@
 
     async function stop(): Promise<void> {
         isStopping = true;
+        options.onStopping();
         await sessions.closeAll();
         stopFunctions.forEach(stopServer => stopServer());
     }
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -51,7 +51,7 @@
  * const definitions = listDutyServices(settings);
  */
 export function listDutyServices(settings: VmSettings): ServiceDefinition[] {
-    const { name, availabilityZone, peerAddress, regionsByZone } = settings;
+    const { name, availabilityZone, peerAddress, capacity, regionsByZone } = settings;
     const { peerSecret } = dutyConstants;
     return [
         {
@@ -92,7 +92,7 @@
                 records: store.records,
                 directory,
                 freshness,
-                self: { name, address: peerAddress, incarnation: `${random.nextInteger(2 ** 32)}` },
+                self: { name, address: peerAddress, capacity, incarnation: `${random.nextInteger(2 ** 32)}` },
                 peerOf: createVmPeers(peers, clock),
                 onAnnouncement: announcement => applyAnnouncement(primaries, announcement),
                 log: logger.topic("duty"),
--- a/src/vm/listForwardingServices/index.ts
+++ b/src/vm/listForwardingServices/index.ts
@@ -22,7 +22,7 @@
  * @example
  * const definitions = listForwardingServices(settings);
  */
-export function listForwardingServices({ name, peerAddress }: VmSettings): ServiceDefinition[] {
+export function listForwardingServices({ name, peerAddress, capacity }: VmSettings): ServiceDefinition[] {
     return [
         {
             name: ServiceName.SessionHosts,
@@ -30,8 +30,8 @@
             create: (clock: Clock, directory: Directory, duty: Duty) =>
                 createSessionHosts({
                     clock,
-                    self: { name, address: peerAddress },
-                    groups: directory.groups,
+                    self: { name, address: peerAddress, capacity },
+                    directory,
                     otherVms: duty.otherVms,
                 }),
         },
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -125,10 +125,12 @@
             dependencies: [ServiceName.Duty, ServiceName.StoreFreshness],
             create: (duty: Duty, freshness: StoreFreshness) =>
                 createWatchPolicy({
-                    self: { name: settings.name, address: settings.peerAddress },
-                    otherVms: duty.otherVms,
+                    name: settings.name,
+                    hostVms: duty.hostVms,
                     isHolder: () => duty.heldToken() !== undefined,
+                    isInContact: duty.isInContact,
                     freshness,
+                    configurationMilliseconds: settings.configurationMilliseconds,
                 }),
         },
         {
@@ -286,9 +288,9 @@
         },
         {
             name: ServiceName.VmServer,
-            dependencies: [ServiceName.CallerSessions, ServiceName.Directory, ServiceName.Logger],
-            create: (sessions: CallerSessions, directory: Directory, logger: Logger) =>
-                createVmServer({ settings, sessions, directory, log: logger.topic("front") }),
+            dependencies: [ServiceName.CallerSessions, ServiceName.Directory, ServiceName.Duty, ServiceName.Logger],
+            create: (sessions: CallerSessions, directory: Directory, duty: Duty, logger: Logger) =>
+                createVmServer({ settings, sessions, directory, onStopping: duty.leave, log: logger.topic("front") }),
         },
     ];
 }
--- a/src/vm/types/VmSettings.ts
+++ b/src/vm/types/VmSettings.ts
@@ -17,6 +17,10 @@
     readonly storeAddress: Address;
     /** Address of the platform's service that promotes endpoints. */
     readonly promotionAddress: Address;
+    /** Processor cores that the VM may use. */
+    readonly capacity: number;
+    /** Time within which a configuration has to be in force on every VM. */
+    readonly configurationMilliseconds: number;
     /** Time from the order to stop until the process is killed. */
     readonly graceMilliseconds: number;
 }
