Check all connections of a process for silence with one timer

Cause: each connection between VMs kept a timer of 250 ms; a host of a large fleet has dozens. Change: createSharedInterval calls the checks of all connections; a first interval may be shorter than 250 ms.

--- a/src/transport/createHeartbeat/index.ts
+++ b/src/transport/createHeartbeat/index.ts
@@ -1,5 +1,9 @@
+import { createSharedInterval } from "../../clock/createSharedInterval/index.js";
 import { transportConstants } from "../constants.js";
 
+/** All connections of a process are checked together: a large fleet has many, and each wake-up costs time. */
+const addIntervalListener = createSharedInterval(transportConstants.heartbeatIntervalMilliseconds);
+
 /** Options of `createHeartbeat`. */
 interface HeartbeatOptions {
     /** Returns whether a call or subscription is pending on the connection. */
@@ -32,7 +36,6 @@
  */
 export function createHeartbeat(options: HeartbeatOptions): Heartbeat {
     const {
-        heartbeatIntervalMilliseconds,
         intervalsBetweenIdlePings,
         maximumUnansweredPings,
     } = transportConstants;
@@ -48,7 +51,7 @@
             return;
         }
         if (unansweredCount === maximumUnansweredPings) {
-            clearInterval(timer);
+            stop();
             options.onUnresponsive();
             return;
         }
@@ -56,12 +59,12 @@
         options.ping();
     }
 
-    const timer = setInterval(checkSilence, heartbeatIntervalMilliseconds);
+    const stop = addIntervalListener(checkSilence);
     return {
         recordFrame: () => {
             silentIntervals = 0;
             unansweredCount = 0;
         },
-        stop: () => clearInterval(timer),
+        stop,
     };
 }
