Vouch for no primary after a change whose end is unknown

Reading the code shows two ways: a VM trusted the registered primary under its lease again 4 s after a change was announced, although the change was still under way; and a change whose order to promote was not answered in time was announced as cancelled, although the order may still take effect.

Change: after an announced change no lease vouches for a primary until its end or its cancellation is announced; such statements ask the other endpoints. A change whose order may have been given is not cancelled; when the answer to the order is lost, the successor is watched as after an answer. The holder settles a change that stays unfinished, also one of a previous holder, after 3 s.

The tests of both fail on the code before: the lease vouched after the expiry, and the change was cancelled.

--- a/src/primaries/constants.ts
+++ b/src/primaries/constants.ts
@@ -2,7 +2,10 @@
 export const primaryConstants = {
     /** Time for which an endpoint that refused a write as not being the primary is disqualified, in milliseconds. */
     disqualifiedMilliseconds: 250,
-    /** Time after which an announced change of primary that was not finished is ignored, in milliseconds. */
+    /**
+     * Time after which statements go to the registered primary again although the end of an announced change is
+     * unknown, in milliseconds; no lease vouches for it then.
+     */
     changeExpiryMilliseconds: 4_000,
     /** Most answers kept as evidence of a primary's log position, per group. */
     maximumEvidencePerGroup: 64,
--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -14,6 +14,8 @@
     lastPrimary?: string;
     /** Time until which no primary is known because of a change in progress. */
     changingUntil?: number;
+    /** Whether a change was announced and neither its end nor its cancellation. */
+    isChangeUnfinished: boolean;
     /** The primary announced by the VM that changed it; valid until a higher term is observed. */
     announced?: { readonly endpointId: string; readonly term: number; };
 }
@@ -51,7 +53,7 @@
     function stateOf(group: string): KnownGroupState {
         let state = statesByGroup.get(group);
         if (state === undefined) {
-            state = { term: 0 };
+            state = { term: 0, isChangeUnfinished: false };
             statesByGroup.set(group, state);
         }
         return state;
@@ -121,6 +123,7 @@
     function beginChange(group: string, term: number): void {
         const state = stateOf(group);
         state.changingUntil = clock.now() + primaryConstants.changeExpiryMilliseconds;
+        state.isChangeUnfinished = true;
         log("change of primary begins", { group, term, from: state.lastPrimary });
         void clock.sleep(primaryConstants.changeExpiryMilliseconds + 1).then(() => notify(group));
     }
@@ -128,6 +131,7 @@
     function finishChange(group: string, endpointId: string, term: number): void {
         const state = stateOf(group);
         state.changingUntil = undefined;
+        state.isChangeUnfinished = false;
         state.term = Math.max(state.term, term);
         state.announced = { endpointId, term };
         disqualifications.delete(endpointId);
@@ -136,7 +140,9 @@
     }
 
     function cancelChange(group: string): void {
-        stateOf(group).changingUntil = undefined;
+        const state = stateOf(group);
+        state.changingUntil = undefined;
+        state.isChangeUnfinished = false;
         log("change of primary cancelled", { group });
         notify(group);
     }
@@ -160,6 +166,7 @@
     return {
         primaryOf,
         hasPrimaryConflict,
+        isChangeUnfinished: group => stateOf(group).isChangeUnfinished,
         termOf: group => stateOf(group).term,
         recordPosition,
         recordNotPrimary,
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -42,6 +42,7 @@
     function isVerified(endpoint: EndpointRecord): boolean {
         return options.hasLease()
             && !primaries.hasPrimaryConflict(endpoint.group)
+            && !primaries.isChangeUnfinished(endpoint.group)
             && primaries.primaryOf(endpoint.group)?.id === endpoint.id;
     }
 
--- a/src/primaries/createPrimaryVerification/test.ts
+++ b/src/primaries/createPrimaryVerification/test.ts
@@ -3,6 +3,7 @@
 import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createPopulatedDirectory } from "../../testing/createPopulatedDirectory/index.js";
+import { primaryConstants } from "../constants.js";
 import { createPrimaries } from "../createPrimaries/index.js";
 import { createPrimaryVerification } from "./index.js";
 
@@ -22,7 +23,7 @@
         metrics: { countPrimaryVerification: () => {} },
         log: () => {},
     });
-    return { state, primaries, verification };
+    return { clock, state, primaries, verification };
 }
 
 describe("createPrimaryVerification", () => {
@@ -36,6 +37,16 @@
         assert.equal(verification.isVerified(primary), false);
     });
 
+    it("relies on no lease after an announced change whose end is unknown, also after the change has expired", async () => {
+        const { clock, primaries, verification } = createSite(async () => false);
+        primaries.beginChange("orders", 2);
+        await clock.advance(primaryConstants.changeExpiryMilliseconds);
+        assert.equal(primaries.primaryOf("orders")?.id, primary.id);
+        assert.equal(verification.isVerified(primary), false);
+        primaries.finishChange("orders", primary.id, 2);
+        assert.ok(verification.isVerified(primary));
+    });
+
     it("verifies the primary when all others are replicas, and not when one is primary or gives no answer", async () => {
         assert.equal(await createSite(async () => false).verification.verify(primary), true);
         assert.equal(await createSite(async id => id === "i-3").verification.verify(primary), false);
--- a/src/primaries/types/Primaries.ts
+++ b/src/primaries/types/Primaries.ts
@@ -7,6 +7,11 @@
     primaryOf(group: string): EndpointRecord | undefined;
     /** Whether several endpoints are registered as the primary and no announcement of the newest term decides. */
     hasPrimaryConflict(group: string): boolean;
+    /**
+     * Whether a change of primary was announced and neither its end nor its cancellation: another endpoint may lead at
+     * any moment, so no lease vouches for the known primary.
+     */
+    isChangeUnfinished(group: string): boolean;
     /** Highest term observed in a group; 0 before the first. */
     termOf(group: string): number;
     /** Records the log position in an endpoint's answer. */
--- a/src/promotions/constants.ts
+++ b/src/promotions/constants.ts
@@ -20,6 +20,11 @@
     maximumVerificationMilliseconds: 500,
     /** Time that the promoted endpoint has to become the primary, in milliseconds. */
     promotionTimeoutMilliseconds: 3_500,
+    /**
+     * Time for which a change whose end is unknown is left alone, in milliseconds: longer than an order to promote takes
+     * and than the leases of a previous holder last.
+     */
+    settlementMilliseconds: 3_000,
     /** Pause before a failed change is attempted again, in milliseconds. */
     retryMilliseconds: 400,
     /** Time for which an unreachable superseded primary is repeatedly ordered to step down, in milliseconds. */
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -5,6 +5,7 @@
 import type { Duty } from "../../duty/types/Duty.js";
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import { createError } from "../../errors/createError/index.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { comparePositions } from "../../statements/comparePositions/index.js";
@@ -46,7 +47,8 @@
  * 2. The current primary steps down, if any VM can reach it, so that it accepts no write once the successor is primary.
  * 3. The successor receives the end of the log, is promoted, and is announced to all VMs.
  *
- * The announcement of a change that fails is cancelled.
+ * The announcement of a change that fails is cancelled, unless the promotion may have been ordered: it may then take
+ * effect later, so the change stays unfinished until the coordinator settles it.
  *
  * @param options Clock, known state, and the clients of VMs, endpoints and the platform.
  * @returns Changes the primary of one group; fails when that is not possible.
@@ -62,8 +64,9 @@
         const startedAt = clock.now();
         log("change of the primary starts", { group, from: currentPrimary?.id, reason, term });
         const unconfirmedVms = await duty.announce({ group, phase: AnnouncementPhase.Begun, term });
+        const change: Change = { group, currentPrimary, reason, term, unconfirmedVms, isOrdered: false };
         try {
-            const successor = await changePrimary({ group, currentPrimary, reason, term, unconfirmedVms });
+            const successor = await changePrimary(change);
             await duty.announce({ group, phase: AnnouncementPhase.Finished, term, endpointId: successor.id });
             const tookMilliseconds = Math.round(clock.now() - startedAt);
             log("change of the primary is complete", {
@@ -75,7 +78,15 @@
             });
         }
         catch (error) {
-            await duty.announce({ group, phase: AnnouncementPhase.Cancelled, term });
+            if (change.isOrdered) {
+                log("end of the change of the primary is unknown; no lease vouches for a primary until it is settled", {
+                    group,
+                    term,
+                });
+            }
+            else {
+                await duty.announce({ group, phase: AnnouncementPhase.Cancelled, term });
+            }
             throw error;
         }
     };
@@ -88,6 +99,8 @@
         readonly term: number;
         /** VMs that may still send to the current primary. */
         readonly unconfirmedVms: readonly VmIdentity[];
+        /** Whether the promotion may have been ordered: the successor may then lead at any moment. */
+        isOrdered: boolean;
     }
 
     async function changePrimary(change: Change): Promise<EndpointRecord> {
@@ -104,7 +117,7 @@
             received: successor.status.received,
             logEnd,
         });
-        await promote(group, successor.endpoint);
+        await promote(change, successor.endpoint);
         await waitForPrimary(successor.endpoint);
         return successor.endpoint;
     }
@@ -193,7 +206,8 @@
         return status && { endpoint, status };
     }
 
-    async function promote(group: string, { id: endpointId }: EndpointRecord): Promise<void> {
+    async function promote(change: Change, { id: endpointId }: EndpointRecord): Promise<void> {
+        const { group } = change;
         const requestedAt = clock.now();
         const fencingToken = await duty.verify();
         if (
@@ -204,7 +218,22 @@
             });
         }
         log("orders the promotion", { group, endpoint: endpointId, fencingToken });
-        await orders.promote({ group, endpointId, holderName: options.vmName, fencingToken });
+        change.isOrdered = true;
+        try {
+            await orders.promote({ group, endpointId, holderName: options.vmName, fencingToken });
+        }
+        catch (error) {
+            const { kind, message } = toTypedError(error);
+            if (kind !== ErrorKind.OutcomeUnknown) {
+                change.isOrdered = false;
+                throw error;
+            }
+            log("answer to the order to promote was lost; the successor is watched", {
+                group,
+                endpoint: endpointId,
+                reason: message,
+            });
+        }
     }
 
     async function waitForPrimary({ id }: EndpointRecord): Promise<void> {
--- /dev/null
+++ b/src/promotions/createPrimaryChange/test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { createPromotionSite } from "../../testing/createPromotionSite/index.js";
+import { promotionConstants } from "../constants.js";
+import { ChangeReason } from "../types/ChangeReason.js";
+
+const { Begun, Cancelled, Finished } = AnnouncementPhase;
+const changeMilliseconds = promotionConstants.promotionTimeoutMilliseconds + 2_000;
+
+/** Changes the primary of a site whose platform treats orders as given; returns the error with which it failed. */
+async function runChange(promote: Parameters<typeof createPromotionSite>[0]["promote"]) {
+    const site = createPromotionSite({ promote });
+    let failure: unknown;
+    const change = site.changePrimary(site.group, site.primary(), ChangeReason.Leaving).catch((error: unknown) => {
+        failure = error;
+    });
+    await site.clock.advance(changeMilliseconds);
+    await change;
+    return { site, failure };
+}
+
+const failWith = (kind: ErrorKind) => createError(kind, "The order failed.", { remedy: "Try again." });
+
+describe("createPrimaryChange", () => {
+    it("announces the beginning and the end of a change", async () => {
+        const { site, failure } = await runChange(async (_id, makePrimary) => makePrimary());
+        assert.equal(failure, undefined);
+        assert.deepEqual(site.phases(), [Begun, Finished]);
+        assert.equal(site.primaries.isChangeUnfinished(site.group), false);
+    });
+
+    it("cancels a change whose order was certainly not executed", async () => {
+        const { site, failure } = await runChange(async () => {
+            throw failWith(ErrorKind.Conflict);
+        });
+        assert.ok(failure);
+        assert.deepEqual(site.phases(), [Begun, Cancelled]);
+    });
+
+    it("finishes a change although the answer to its order was lost", async () => {
+        const { site, failure } = await runChange(async (_id, makePrimary) => {
+            makePrimary();
+            throw failWith(ErrorKind.OutcomeUnknown);
+        });
+        assert.equal(failure, undefined);
+        assert.deepEqual(site.phases(), [Begun, Finished]);
+    });
+
+    it("does not cancel a change whose order may still take effect, so no lease vouches for the old primary", async () => {
+        for (const lost of [true, false]) {
+            const { site, failure } = await runChange(async () => {
+                if (lost) {
+                    throw failWith(ErrorKind.OutcomeUnknown);
+                }
+            });
+            assert.ok(failure);
+            assert.deepEqual(site.phases(), [Begun]);
+            assert.ok(site.primaries.isChangeUnfinished(site.group));
+        }
+    });
+});
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -35,6 +35,8 @@
 interface GroupWatch {
     isBusy: boolean;
     missingSince?: number;
+    /** When the group was first seen with a change whose end is unknown. */
+    unfinishedSince?: number;
 }
 
 /**
@@ -75,6 +77,10 @@
                 await options.handlePrimaryConflict(group);
                 return;
             }
+            if (primaries.isChangeUnfinished(group) && (!isSettlementDue(watch) || await settleChange(group))) {
+                return;
+            }
+            watch.unfinishedSince = undefined;
             const primary = primaries.primaryOf(group);
             const reason = await findChangeReason(group, watch, primary);
             if (reason !== undefined) {
@@ -91,6 +97,24 @@
         }
     }
 
+    /** Whether a change whose end is unknown has lasted so long that an order to promote has taken effect, or will not. */
+    function isSettlementDue(watch: GroupWatch): boolean {
+        watch.unfinishedSince ??= clock.now();
+        return clock.now() - watch.unfinishedSince >= promotionConstants.settlementMilliseconds;
+    }
+
+    /** Announces which endpoint leads; returns false when none answers, so that the primary has to be changed again. */
+    async function settleChange(group: string): Promise<boolean> {
+        try {
+            await options.handlePrimaryConflict(group);
+            return true;
+        }
+        catch (error) {
+            log("unfinished change of the primary could not be settled", { group, reason: (error as Error).message });
+            return false;
+        }
+    }
+
     async function changePrimary(group: string, primary: EndpointRecord | undefined, reason: ChangeReason) {
         try {
             await options.changePrimary(group, primary, reason);
--- /dev/null
+++ b/src/promotions/createPromotionCoordinator/test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
+import { createPromotionSite } from "../../testing/createPromotionSite/index.js";
+import { promotionConstants } from "../constants.js";
+
+const { Begun, Finished } = AnnouncementPhase;
+const { settlementMilliseconds, checkIntervalMilliseconds } = promotionConstants;
+
+describe("createPromotionCoordinator", () => {
+    it("replaces a primary that is leaving", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        await site.coordinator.start();
+        site.register("i-1", { isLeaving: true });
+        await site.clock.advance(1_500);
+        assert.deepEqual(site.phases(), [Begun, Finished]);
+        assert.notEqual(site.primary().id, "i-1");
+        await site.coordinator.stop();
+    });
+
+    it("settles a change that a previous holder left unfinished, once its order can no longer take effect", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        site.primaries.beginChange(site.group, 2);
+        await site.coordinator.start();
+        await site.clock.advance(settlementMilliseconds);
+        assert.deepEqual(site.phases(), []);
+        await site.clock.advance(2 * checkIntervalMilliseconds);
+        assert.deepEqual(site.phases(), [Finished]);
+        assert.equal(site.primaries.primaryOf(site.group)?.id, "i-1");
+        assert.deepEqual(site.orderedIds, []);
+        await site.coordinator.stop();
+    });
+
+    it("changes the primary again when no endpoint can settle an unfinished change", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        site.primaries.beginChange(site.group, 2);
+        site.unreachableIds.add("i-1");
+        await site.coordinator.start();
+        await site.clock.advance(settlementMilliseconds + 4_000);
+        assert.equal(site.orderedIds.length, 1);
+        assert.equal(site.phases().at(-1), Finished);
+        assert.equal(site.primaries.isChangeUnfinished(site.group), false);
+        await site.coordinator.stop();
+    });
+});
