Let no VM watch the store before it knows the other VMs

Change: a VM has no rank among the hosts before it knows them; the lists that it has just read are fresh.

--- a/src/directory/createWatchPolicy/index.ts
+++ b/src/directory/createWatchPolicy/index.ts
@@ -40,14 +40,14 @@
     const { standbyWatchers, maximumWatchers, staleShare, watchShare, rankDelayMilliseconds } = directoryConstants;
     const staleMilliseconds = staleShare * configurationMilliseconds;
     let rankedVms: readonly { readonly name: string; }[] | undefined;
-    let rank = 0;
+    let rank = Infinity;
 
-    /** Position of this VM among the hosts that may watch; behind all of them when it is not a host. */
+    /** Position of this VM among the hosts that may watch; infinite when it is not a host or does not know them yet. */
     function currentRank(): number {
         const hostVms = options.hostVms();
         if (hostVms !== rankedVms) {
             const names = rankByRendezvous(storeKey, hostVms.map(vm => vm.name));
-            rank = names.includes(name) ? names.indexOf(name) : names.length;
+            rank = names.includes(name) ? names.indexOf(name) : Infinity;
             rankedVms = hostVms;
         }
         return rank;
--- a/src/directory/createWatchPolicy/test.ts
+++ b/src/directory/createWatchPolicy/test.ts
@@ -60,6 +60,18 @@
         assert.equal(listWatching(40, conditions).length, standbyWatchers);
     });
 
+    it("does not let a VM watch that has just read the store and does not know the other VMs yet", () => {
+        const policy = createWatchPolicy({
+            name: "host-0",
+            hostVms: () => [],
+            isHolder: () => false,
+            isInContact: () => false,
+            freshness: { ageMilliseconds: () => 0 },
+            configurationMilliseconds,
+        });
+        assert.equal(policy.isWatching(), false);
+    });
+
     it("lets every VM of a small fleet have the newest configuration in time although no other VM reads it", () => {
         const lastAt = staleMilliseconds + maximumWatchers * rankDelayMilliseconds;
         assert.ok(lastAt + directoryConstants.watchPollingMilliseconds < configurationMilliseconds);
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -40,6 +40,8 @@
     readonly log: LogTopic;
 }
 
+const unknownVms: readonly VmIdentity[] = [];
+
 /**
  * Creates a VM's part in the failover duty: its holder is the only VM that may change primaries.
  *
@@ -253,7 +255,7 @@
         heldToken,
         verify: verification.verify,
         otherVms: view.otherVms,
-        hostVms: view.hostVms,
+        hostVms: () => vms.version() === 0 ? unknownVms : view.hostVms(),
         isHost,
         isInContact: () => heldToken() !== undefined || failedRenewals === 0 && answeredAt > startedAt,
         hasLease: () => heldToken() === undefined ? lease.isHeld() : verification.isCertain(),
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -17,7 +17,7 @@
     verify(): Promise<number | undefined>;
     /** The other VMs that are known to be alive. */
     otherVms(): readonly VmIdentity[];
-    /** The VMs of all zones that hold connections to endpoints; with this VM if it does. */
+    /** The VMs of all zones that hold connections to endpoints, with this VM if it does; none before it knows them. */
     hostVms(): readonly VmIdentity[];
     /** Whether this VM holds connections to endpoints. */
     isHost(): boolean;
