Open a forwarded session with its first statement, and end idle ones together

Change: the forwarding VM gives the session its key and sends the database with the first statement; one subscription a link reports sessions that the host closes; ends of idle sessions travel with the next statement or after 500 ms. Sessions end with the connection. A first statement that may take effect is sent only to a host that answered in the last 300 ms or answers a probe; when the answer to another first statement is lost, this VM serves the session itself. A statement that the host has certainly not run is now reported as aborted, not as unknown.

--- a/src/forwarding/constants.ts
+++ b/src/forwarding/constants.ts
@@ -10,8 +10,12 @@
     maximumLoadFactor: 1.25,
     /** Hosts of a large zone at least; while one is lost, each group still has two. */
     minimumPoolVms: 3,
-    /** Timeout of opening a session at its host, in milliseconds. */
+    /** Time within which a host must answer before a session's first statement is sent to it, in milliseconds. */
     openTimeoutMilliseconds: 400,
+    /** A host that answered this recently needs no probe before a statement that may take effect, in milliseconds. */
+    recentAnswerMilliseconds: 300,
+    /** Time for which the ends of idle sessions are collected before they are reported to the host, in milliseconds. */
+    closeDelayMilliseconds: 500,
     /** Timeout of a forwarded statement at its host, whatever its route allows, in milliseconds. */
     answerTimeoutMilliseconds: 60_000,
     /** Time for which an unreachable host gets no new session, in milliseconds. */
--- a/src/forwarding/createForwardedSession/index.ts
+++ b/src/forwarding/createForwardedSession/index.ts
@@ -1,6 +1,9 @@
 import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
 import type { CallerSession } from "../../callerSessions/types/CallerSession.js";
 import type { ReceivedStatement } from "../../callerSessions/types/ReceivedStatement.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { TypedError } from "../../errors/types/TypedError.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
@@ -8,21 +11,24 @@
 import type { ForwardedAnswer } from "../types/ForwardedAnswer.js";
 import type { HostedSession } from "../types/HostedSession.js";
 
+/** Errors after which the host has certainly not run the statement. */
+const notRunKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.Unreachable, ErrorKind.NotFound]);
+
 /** Options of `createForwardedSession`. */
 interface ForwardedSessionOptions {
     readonly connection: CallerConnection;
     readonly database: string;
     /** Name of the VM that serves the session. */
     readonly hostName: string;
-    /** The session that is being opened at the host. */
-    readonly opening: Promise<HostedSession>;
+    /** The session at the host, which opens it with the first statement. */
+    readonly hosted: HostedSession;
     /** Creates a session at this VM; used when the host does not open one. */
     readonly createLocal: () => CallerSession;
     /** Newest version of the routing table that was applied to this VM's callers. */
     readonly routingVersion: () => number;
     /** Called with the version of the routing table that the host applied. */
     readonly onRoutingVersion: (version: number) => void;
-    /** Called when the host did not open the session or the connection to it was lost. */
+    /** Called when the host did not run the first statement or the connection to it was lost. */
     readonly onHostLost: () => void;
     readonly log: LogTopic;
 }
@@ -30,44 +36,23 @@
 /**
  * Creates the session of a caller that another VM serves.
  *
- * When the host does not open the session, this VM serves it. When the connection to the host is lost later, the caller
- * gets a failure that tells whether its statement may have taken effect, and its connection is closed, because the
- * session's values are lost.
+ * When the host does not answer the first statement, and that statement cannot have taken effect there, this VM serves
+ * the session. When the connection to the host is lost later, the caller gets a failure that tells whether its statement
+ * may have taken effect, and its connection is closed, because the session's values are lost.
  *
  * @param options The caller's connection, the host and the fallback without it.
  * @returns The session.
  *
  * @example
- * const session = createForwardedSession({ connection, opening: open(host, database), ...rest });
+ * const session = createForwardedSession({ connection, hosted: open(host, database), ...rest });
  */
 export function createForwardedSession(options: ForwardedSessionOptions): CallerSession {
-    const { connection, database, hostName, log } = options;
+    const { connection, database, hosted, hostName, log } = options;
     let state = SessionState.Idle;
     let local: CallerSession | undefined;
     let isBusy = false;
-    let isEnded = false;
-    const hosted = openHosted();
-
-    async function openHosted(): Promise<HostedSession | undefined> {
-        try {
-            const session = await options.opening;
-            session.onClose(closeWhenIdle);
-            if (isEnded) {
-                session.close();
-            }
-            return session;
-        }
-        catch (error) {
-            options.onHostLost();
-            log("host did not open a session; it is served by this VM", {
-                database,
-                host: hostName,
-                reason: (error as Error).message,
-            });
-            local = options.createLocal();
-            return undefined;
-        }
-    }
+    let hasAnswered = false;
+    hosted.onClose(closeWhenIdle);
 
     function closeWhenIdle(): void {
         if (!isBusy) {
@@ -77,22 +62,40 @@
     }
 
     async function handle(received: ReceivedStatement): Promise<void> {
-        const session = await hosted;
-        if (session === undefined) {
-            await local!.handle(received);
+        if (local !== undefined) {
+            await local.handle(received);
             return;
         }
         isBusy = true;
         const { id, statement } = received;
         try {
-            sendAnswer(await session.run({ id, statement, routingVersion: options.routingVersion() }));
+            sendAnswer(await hosted.run({ id, statement, routingVersion: options.routingVersion() }));
+            hasAnswered = true;
         }
         catch (error) {
-            reportLostHost(received, error as Error);
+            await handleLostHost(received, toTypedError(error));
         }
         isBusy = false;
     }
 
+    async function handleLostHost(received: ReceivedStatement, error: TypedError): Promise<void> {
+        const isCertainlyNotRun = notRunKinds.has(error.kind);
+        options.onHostLost();
+        if (hasAnswered || !isCertainlyNotRun && mayTakeEffect(received.statement, state)) {
+            reportLostHost(received, error, isCertainlyNotRun);
+            return;
+        }
+        log("host did not answer the first statement of a session; it is served by this VM", {
+            id: received.id,
+            database,
+            host: hostName,
+            reason: error.message,
+        });
+        hosted.close();
+        local = options.createLocal();
+        await local.handle(received);
+    }
+
     function sendAnswer(answer: ForwardedAnswer): void {
         const { failure, routingVersion, ...success } = answer;
         state = answer.state;
@@ -105,9 +108,9 @@
         }
     }
 
-    function reportLostHost({ id, statement }: ReceivedStatement, error: Error): void {
-        const code = mayTakeEffect(statement, state) ? FailureCode.OutcomeUnknown : FailureCode.Aborted;
-        options.onHostLost();
+    function reportLostHost({ id, statement }: ReceivedStatement, error: Error, isCertainlyNotRun: boolean): void {
+        const hasUnknownOutcome = !isCertainlyNotRun && mayTakeEffect(statement, state);
+        const code = hasUnknownOutcome ? FailureCode.OutcomeUnknown : FailureCode.Aborted;
         log("connection to the host of a session was lost; the caller's connection is closed", {
             id,
             database,
@@ -129,9 +132,8 @@
         // The host rolls back a transaction that is idle too long, and reports it in the answer to the next statement.
         abandonTransaction: reason => local?.abandonTransaction(reason),
         end: reason => {
-            isEnded = true;
             local?.end(reason);
-            void hosted.then(session => session?.close());
+            hosted.close();
         },
     };
 }
--- a/src/forwarding/createForwardedSession/test.ts
+++ b/src/forwarding/createForwardedSession/test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { CallerSession } from "../../callerSessions/types/CallerSession.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import type { Statement } from "../../statements/types/Statement.js";
@@ -14,7 +16,7 @@
 const commit: Statement = { kind: StatementKind.Commit, text: "COMMIT" };
 
 /** Creates a session whose host answers with the result of `answer`, or fails with the error that it throws. */
-function createSite(answer: (statement: Statement) => ForwardedAnswer, openingError?: Error) {
+function createSite(answer: (statement: Statement) => ForwardedAnswer) {
     const events: string[] = [];
     let closeHosted = (): void => {};
     const hosted: HostedSession = {
@@ -45,7 +47,7 @@
         },
         database: "shop",
         hostName: "vm-2",
-        opening: openingError === undefined ? Promise.resolve(hosted) : Promise.reject(openingError),
+        hosted,
         createLocal: () => local,
         routingVersion: () => 7,
         onRoutingVersion: version => void events.push(`version ${version}`),
@@ -60,10 +62,13 @@
     return { rows: [], state, routingVersion: 8 };
 }
 
-function failWith(message: string): never {
-    throw new Error(message);
+function failWith(kind: ErrorKind): never {
+    throw createError(kind, "The host did not answer.", { remedy: "Use another one." });
 }
 
+const { ConnectionClosed, NotFound, Unreachable } = ErrorKind;
+const read: Statement = { kind: StatementKind.Read, text: "READ a" };
+
 describe("createForwardedSession", () => {
     it("forwards statements with the version of the routing table, and returns the answers", async () => {
         const { events, session, run } = createSite(() => answerWith(SessionState.InTransaction));
@@ -72,16 +77,54 @@
         assert.equal(session.isInTransaction(), true);
     });
 
-    it("serves the caller at this VM when the host does not open the session", async () => {
-        const { events, session, run } = createSite(() => failWith("unused"), new Error("no answer"));
+    it("serves the caller at this VM when the host has certainly not run the first statement", async () => {
+        for (const kind of [Unreachable, NotFound]) {
+            const { events, session, run } = createSite(() => failWith(kind));
+            await run(write);
+            await run(commit);
+            assert.deepEqual(events.slice(1), [
+                "lost",
+                "host session ended",
+                "local runs Write",
+                "local runs Commit",
+            ]);
+            session.end("left");
+            assert.ok(events.includes("local session ended"));
+        }
+    });
+
+    it("serves the caller at this VM when the answer to a first statement without effect was lost", async () => {
+        for (const statement of [read, begin]) {
+            const { events, run } = createSite(() => failWith(ConnectionClosed));
+            await run(statement);
+            assert.equal(events.at(-1), `local runs ${statement.kind}`);
+        }
+    });
+
+    it("does not run a read again at this VM in a session whose values are lost", async () => {
+        let answered = 0;
+        const { events, run } = createSite(() => {
+            answered += 1;
+            return answered === 1 ? answerWith(SessionState.Idle) : failWith(ConnectionClosed);
+        });
+        await run(read);
+        await run(read);
+        assert.deepEqual(events.slice(-3), ["lost", `${FailureCode.Aborted} Idle`, "closed"]);
+    });
+
+    it("reports a write as not run that the host has certainly not run", async () => {
+        let answered = 0;
+        const { events, run } = createSite(() => {
+            answered += 1;
+            return answered === 1 ? answerWith(SessionState.Idle) : failWith(NotFound);
+        });
+        await run(read);
         await run(write);
-        assert.deepEqual(events, ["lost", "local runs Write"]);
-        session.end("left");
-        assert.equal(events.at(-1), "local session ended");
+        assert.deepEqual(events.slice(-2), [`${FailureCode.Aborted} Idle`, "closed"]);
     });
 
     it("reports an unknown outcome for a single write when the connection to the host was lost", async () => {
-        const { events, run } = createSite(() => failWith("closed"));
+        const { events, run } = createSite(() => failWith(ConnectionClosed));
         await run(write);
         assert.deepEqual(events.slice(1), ["lost", `${FailureCode.OutcomeUnknown} Idle`, "closed"]);
     });
@@ -89,7 +132,7 @@
     it("reports a transaction as aborted before its commit was sent, and an unknown outcome afterwards", async () => {
         for (const [last, code] of [[write, FailureCode.Aborted], [commit, FailureCode.OutcomeUnknown]] as const) {
             const { events, run } = createSite(({ kind }) =>
-                kind === last.kind ? failWith("closed") : answerWith(SessionState.InTransaction)
+                kind === last.kind ? failWith(ConnectionClosed) : answerWith(SessionState.InTransaction)
             );
             await run(begin);
             await run(last);
--- a/src/forwarding/createForwardingRouter/index.ts
+++ b/src/forwarding/createForwardingRouter/index.ts
@@ -7,7 +7,8 @@
 /**
  * Creates the router with which other VMs forward their callers' sessions to this one, under `forwarding`.
  *
- * Each session is a subscription of the same duration, so either side is notified at once when the other closes it.
+ * The host opens a session with its first statement. Sessions end with the connection between the VMs, and one
+ * subscription a connection reports the sessions that the host has closed.
  *
  * @param host The sessions that this VM serves for others.
  * @returns The router.
@@ -17,11 +18,13 @@
  * const router = trpc.mergeRouters(createDutyRouter(duty, run, probe), createForwardingRouter(host));
  */
 export function createForwardingRouter(host: SessionHost) {
-    const open = trpc.procedure
-        .input((input: unknown) => checkPeerValue(forwardingSchemas.database, input))
-        .subscription(({ input, signal }) => host.open(input, signal));
+    const watchClosed = trpc.procedure.subscription(({ ctx, signal }) => host.watchClosed(ctx.connectionEnd, signal));
+    const close = trpc.procedure
+        .input((input: unknown) => checkPeerValue(forwardingSchemas.sessionKeys, input))
+        .mutation(({ input }) => host.close(input));
+    const probe = trpc.procedure.query(() => true);
     const run = trpc.procedure
         .input((input: unknown) => checkPeerValue(forwardingSchemas.statement, input) as ForwardedStatement)
-        .mutation(({ input }) => host.run(input));
-    return trpc.router({ forwarding: trpc.router({ open, run }) });
+        .mutation(({ input, ctx }) => host.run(input, ctx.connectionEnd));
+    return trpc.router({ forwarding: trpc.router({ watchClosed, run, close, probe }) });
 }
--- a/src/forwarding/createSessionForwarding/index.ts
+++ b/src/forwarding/createSessionForwarding/index.ts
@@ -38,7 +38,7 @@
                 connection,
                 database,
                 hostName: host.name,
-                opening: options.open(host, database),
+                hosted: options.open(host, database),
                 createLocal,
                 routingVersion: () => Math.max(directory.routingVersion(), newestHostRoutingVersion),
                 onRoutingVersion: version => {
--- a/src/forwarding/forwardingSchemas.ts
+++ b/src/forwarding/forwardingSchemas.ts
@@ -4,6 +4,7 @@
 
 const text = z.string();
 const name = z.string();
+const sessionKeys = z.array(z.string());
 const statement = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal(StatementKind.Begin), text, isReadOnly: z.boolean() }),
     z.object({ kind: z.literal([StatementKind.Commit, StatementKind.Rollback]), text }),
@@ -17,11 +18,13 @@
 
 /** Schemas of the messages with which VMs forward callers' sessions. */
 export const forwardingSchemas = {
-    database: z.string(),
+    sessionKeys,
     statement: z.object({
-        sessionId: z.number().int(),
+        sessionKey: z.string(),
+        database: z.string().optional(),
         id: z.string(),
         statement,
         routingVersion: z.number(),
+        closedKeys: sessionKeys.optional(),
     }),
 } as const;
--- /dev/null
+++ b/src/forwarding/types/HostLink.ts
@@ -0,0 +1,7 @@
+import type { HostedSession } from "./HostedSession.js";
+
+/** The connection of a forwarding VM to one host, over which all its sessions there run. */
+export interface HostLink {
+    /** Creates a session; the host opens it with the first statement. */
+    openSession(database: string): HostedSession;
+}
--- a/src/membership/createMembershipService/test.ts
+++ b/src/membership/createMembershipService/test.ts
@@ -151,7 +151,7 @@
     const fleet = createFleet(zoneSizes);
     await fleet.start();
     const [observer, subject] = [fleet.members.get("a-1") as Member, fleet.members.get("a-2") as Member];
-    const sender = { peerName: "a-3", peerZone: "a" };
+    const sender = { peerName: "a-3", peerZone: "a", connectionEnd: new AbortController().signal };
     const sendUpdate = (record: PeerRecord) =>
         observer.probe({ target: "a-1", updates: { peers: [record], zones: [] } }, sender);
     sendUpdate({ ...subject.self, state: PeerState.Suspected });
--- a/src/testing/createDirectPeers/index.ts
+++ b/src/testing/createDirectPeers/index.ts
@@ -26,7 +26,12 @@
  * @example
  * const peers = createDirectPeers({ peerName: "gateway-1", peerZone: "a" }, { routers });
  */
-export function createDirectPeers(caller: PeerContext, options: DirectPeersOptions): Peers {
+export function createDirectPeers(
+    caller: Omit<PeerContext, "connectionEnd">,
+    options: DirectPeersOptions,
+): Peers {
+    const context: PeerContext = { ...caller, connectionEnd: new AbortController().signal };
+
     async function call(address: Address, path: string, type: "query" | "mutation", input: unknown): Promise<unknown> {
         const router = options.routers.get(address.port);
         if (router === undefined || options.isDelivered?.(address, path) === false) {
@@ -35,7 +40,7 @@
             });
         }
         const getRawInput = async (): Promise<unknown> => structuredClone(input);
-        return callTRPCProcedure({ router, path, type, ctx: caller, getRawInput, signal: undefined, batchIndex: 0 });
+        return callTRPCProcedure({ router, path, type, ctx: context, getRawInput, signal: undefined, batchIndex: 0 });
     }
 
     function createLink(address: Address): TRPCLink<AnyTRPCRouter> {
--- a/src/transport/servePeer/index.ts
+++ b/src/transport/servePeer/index.ts
@@ -37,6 +37,7 @@
     const log = options.logger.topic("transport");
     const nonce = randomBytes(16).toString("hex");
     const runningCalls = new Map<number, AbortController>();
+    const connectionEnd = new AbortController();
     let context: PeerContext | undefined;
 
     function send(frame: Frame): void {
@@ -68,7 +69,7 @@
                 remedy: "Give every process of one installation the same `peerSecret` in its settings.",
             });
         }
-        context = { peerName, peerZone };
+        context = { peerName, peerZone, connectionEnd: connectionEnd.signal };
         send([FrameKind.Welcome]);
     }
 
@@ -134,6 +135,7 @@
     });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => {
+        connectionEnd.abort(waitAbortReason);
         for (const controller of runningCalls.values()) {
             controller.abort(waitAbortReason);
         }
--- a/src/vm/listForwardingServices/index.ts
+++ b/src/vm/listForwardingServices/index.ts
@@ -10,6 +10,7 @@
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
 import type { Peers } from "../../transport/types/Peers.js";
 import type { VmSettings } from "../types/VmSettings.js";
 
@@ -39,18 +40,25 @@
             name: ServiceName.SessionForwarding,
             dependencies: [
                 ServiceName.Clock,
+                ServiceName.Random,
                 ServiceName.Directory,
                 ServiceName.SessionHosts,
                 ServiceName.Peers,
                 ServiceName.Logger,
             ],
-            create: (clock: Clock, directory: Directory, hosts: SessionHosts, peers: Peers, logger: Logger) =>
-                createSessionForwarding({
-                    directory,
-                    hosts,
-                    open: createSessionOpener(peers, clock),
-                    log: logger.topic("forwarding"),
-                }),
+            create: (
+                clock: Clock,
+                random: RandomSource,
+                directory: Directory,
+                hosts: SessionHosts,
+                peers: Peers,
+                logger: Logger,
+            ) => createSessionForwarding({
+                directory,
+                hosts,
+                open: createSessionOpener(peers, clock, `${name}-${random.nextInteger(2 ** 32)}`),
+                log: logger.topic("forwarding"),
+            }),
         },
         {
             name: ServiceName.SessionHost,
