Poll half as often whether a VM has to watch the store

Change: every 400 ms; a VM whose data is stale still watches in time, as the test of the last watcher's time shows.

--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -16,7 +16,7 @@
     /** Upper bound of the reported age, in milliseconds. */
     maximumReportedAgeMilliseconds: 3_600_000,
     /** Polling interval of a VM that does not watch, to check whether it has to, in milliseconds. */
-    watchPollingMilliseconds: 200,
+    watchPollingMilliseconds: 400,
     /** Removals that are kept to be sent to other VMs; the oldest are dropped. */
     maximumRemovals: 64,
     /** Length of a watch after a failed call, in milliseconds; short, so that a recovered store is noticed at once. */
