--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -10,7 +10,7 @@
      */
     watchShare: 0.45,
     /** Age at which data is stale, as a share of the same time: longer than a watch and the renewals after it. */
-    staleShare: 0.7,
+    staleShare: 0.6,
     /** Delay that orders the VMs which watch when the data is stale: each waits its rank times this, in milliseconds. */
     rankDelayMilliseconds: 50,
     /** Upper bound of the reported age, in milliseconds. */
