Leave connections to the VMs that are meant to hold them

VMs that do not know the fleet yet after a restart serve callers themselves, and kept the connections that they had opened, so that the hosts got none.

Change: a VM that is not a host of a group closes connections to its endpoints after 1 s without use; starting VMs learn of the fleet within 0.1 s instead of 0.4 s. The test fails without the check of unused connections.

--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -35,7 +35,13 @@
     const connection: AcquiredConnection = {
         endpoint,
         isPrimary: true,
-        pooled: { session: undefined as never, endpointStartedAt: 1, values: new Map(), prepared: new Set() },
+        pooled: {
+            session: undefined as never,
+            idleSince: 0,
+            endpointStartedAt: 1,
+            values: new Map(),
+            prepared: new Set(),
+        },
         exchange: async statements => {
             exchanges += 1;
             const done: StatementAnswer = { rows: [], signature: "ok", state: SessionState.Idle };
--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -27,7 +27,7 @@
     /** Delay that orders the attempts to become the holder: each VM waits its rank times this, in milliseconds. */
     rankDelayMilliseconds: 60,
     /** Upper bound of the random delay that spreads the first attempts of VMs started together, in milliseconds. */
-    startSpreadMilliseconds: 400,
+    startSpreadMilliseconds: 100,
     /** Longest pause after an attempt to read the holder or to become it, in milliseconds. */
     retryMilliseconds: 400,
     /** Duration of a lease, from the moment before the renewal was sent, in milliseconds. */
--- a/src/forwarding/createSessionHosts/index.ts
+++ b/src/forwarding/createSessionHosts/index.ts
@@ -13,6 +13,8 @@
     readonly directory: Pick<Directory, "groups" | "onChange">;
     /** The other VMs that are alive; the same array as long as they do not change. */
     readonly otherVms: () => readonly VmIdentity[];
+    /** Whether this VM is known to hold connections to endpoints. */
+    readonly isHost: () => boolean;
 }
 
 /**
@@ -72,6 +74,7 @@
     return {
         hostOf,
         otherHostsOf,
+        isHostOf: group => options.isHost() && listNames(group).has(self.name),
         hostCountOf: group => listNames(group).size,
         avoid: ({ name }) => {
             avoidedUntil.set(name, clock.now() + forwardingConstants.avoidMilliseconds);
--- a/src/forwarding/createSessionHosts/test.ts
+++ b/src/forwarding/createSessionHosts/test.ts
@@ -26,6 +26,7 @@
         self,
         directory: { groups: () => ["orders"], onChange: () => {} },
         otherVms: () => others,
+        isHost: () => chosen.includes(self),
     });
     return { clock, hosts };
 }
@@ -41,6 +42,8 @@
     it("serves sessions itself where it is a host", () => {
         const { hosts } = createHosts(chosen[0]!);
         assert.equal(hosts.hostOf("orders"), undefined);
+        assert.equal(hosts.isHostOf("orders"), true);
+        assert.equal(createHosts(outsider).hosts.isHostOf("orders"), false);
         assert.equal(hosts.otherHostsOf("orders").length, chosen.length - 1);
     });
 
--- a/src/forwarding/types/SessionHosts.ts
+++ b/src/forwarding/types/SessionHosts.ts
@@ -8,6 +8,8 @@
     otherHostsOf(group: string): readonly VmIdentity[];
     /** Number of VMs, this one included, that share the connections of the group's endpoints. */
     hostCountOf(group: string): number;
+    /** Whether this VM holds connections to the group's endpoints; false before it knows the other VMs. */
+    isHostOf(group: string): boolean;
     /** Records that a VM was unreachable; it gets no new session for a while. */
     avoid(vm: VmIdentity): void;
 }
--- a/src/placement/alignSession/test.ts
+++ b/src/placement/alignSession/test.ts
@@ -8,6 +8,7 @@
 function createPooled(values: Record<string, string>, prepared: string[] = []): PooledSession {
     return {
         session: undefined as never,
+        idleSince: 0,
         endpointStartedAt: 0,
         values: new Map(Object.entries(values)),
         prepared: new Set(prepared),
--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -17,6 +17,8 @@
     concurrentOpenings: 1,
     /** Most connections of one VM to one endpoint: more would only queue at the endpoint. */
     maximumConnections: 6,
+    /** Idle time after which a VM closes a connection that other VMs are meant to hold, in milliseconds. */
+    unusedMilliseconds: 1_000,
     /** Pause of reads at an endpoint that lagged; doubles up to the maximum, in milliseconds. */
     initialLagPauseMilliseconds: 40,
     maximumLagPauseMilliseconds: 400,
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -17,6 +17,8 @@
     readonly record: () => EndpointRecord | undefined;
     /** Returns the number of connections that may be open. */
     readonly limit: () => number;
+    /** Whether this VM is meant to hold connections to the endpoint; otherwise idle ones are left to other VMs. */
+    readonly isHolding: () => boolean;
     /** Called when a connection became available, was closed or could not be opened, and after a pause. */
     readonly onChange: () => void;
     readonly metrics: Pick<Metrics, "countConnection">;
@@ -26,7 +28,7 @@
 /**
  * Creates the pool of connections of one VM to one endpoint.
  *
- * Connections are opened on demand and kept. The pause after failed attempts to open one doubles up to a maximum.
+ * Connections are opened on demand, and kept where this VM is meant to hold them. The pause after failed attempts to open one doubles up to a maximum.
  *
  * @param options Clock, function that opens connections, limit, and listener.
  * @returns The pool, empty.
@@ -67,6 +69,7 @@
             pooled.session.close();
             return;
         }
+        pooled.idleSince = clock.now();
         idle.push(pooled);
         options.onChange();
     }
@@ -93,6 +96,7 @@
             const pooled: PooledSession = {
                 session,
                 endpointStartedAt: record.startedAt,
+                idleSince: clock.now(),
                 values: new Map(),
                 prepared: new Set(),
             };
@@ -136,6 +140,16 @@
         void clock.sleep(pause).then(options.onChange);
     }
 
+    function closeUnused(): void {
+        if (options.isHolding()) {
+            return;
+        }
+        const latest = clock.now() - placementConstants.unusedMilliseconds;
+        for (const pooled of idle.filter(({ idleSince }) => idleSince <= latest)) {
+            pooled.session.close();
+        }
+    }
+
     function close(): void {
         isClosed = true;
         idle.splice(0).forEach(pooled => pooled.session.close());
@@ -145,6 +159,7 @@
         acquire,
         release,
         tryOpen,
+        closeUnused,
         close,
         openCount: () => openCount,
         openingCount: () => openingCount,
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -29,6 +29,8 @@
     readonly vmLocation: Parameters<typeof createLatencyEstimate>[1];
     /** Returns the number of VMs that share the connections of a group's endpoints. */
     readonly vmCount: (group: string) => number;
+    /** Whether this VM is one of the VMs that hold connections to a group's endpoints. */
+    readonly isHolding: (group: string) => boolean;
     readonly metrics: Pick<Metrics, "countConnection" | "registerGauge">;
     readonly log: LogTopic;
 }
@@ -68,6 +70,7 @@
     const { clock, directory, primaries, log } = options;
     const targets = new Map<string, Target>();
     const waitingByGroup = new Map<string, WaitingRequest[]>();
+    let isUnusedCheckScheduled = false;
 
     directory.onChange(groups => {
         closeRemoved();
@@ -95,7 +98,11 @@
                     open: options.open,
                     record: () => directory.endpoint(id),
                     limit: () => connectionLimit(group),
-                    onChange: () => dispatch(group),
+                    isHolding: () => options.isHolding(group),
+                    onChange: () => {
+                        scheduleUnusedCheck();
+                        dispatch(group);
+                    },
                     metrics: options.metrics,
                     log,
                 }),
@@ -109,6 +116,22 @@
         return target;
     }
 
+    /** Checks all pools with one timer, as long as connections are open. */
+    function scheduleUnusedCheck(): void {
+        if (isUnusedCheckScheduled) {
+            return;
+        }
+        isUnusedCheckScheduled = true;
+        clock.startTimer(placementConstants.unusedMilliseconds, () => {
+            isUnusedCheckScheduled = false;
+            const pools = [...targets.values()].map(({ pool }) => pool);
+            pools.forEach(pool => pool.closeUnused());
+            if (pools.some(pool => pool.openCount() > 0)) {
+                scheduleUnusedCheck();
+            }
+        });
+    }
+
     function closeRemoved(): void {
         for (const [id, target] of targets) {
             if (directory.endpoint(id) === undefined) {
--- a/src/placement/createPlacement/test.ts
+++ b/src/placement/createPlacement/test.ts
@@ -8,6 +8,7 @@
 import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createPopulatedDirectory } from "../../testing/createPopulatedDirectory/index.js";
+import { placementConstants } from "../constants.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
 import { createPlacement } from "./index.js";
 
@@ -31,18 +32,28 @@
     const directory = createPopulatedDirectory(clock, records);
     const primaries = createPrimaries(clock, directory, () => {});
     const opened = new Map<string, number>();
+    const closed: string[] = [];
+    const site = { isHolding: true };
 
     async function open({ id }: EndpointRecord): Promise<EndpointSession> {
         opened.set(id, (opened.get(id) ?? 0) + 1);
+        const closeListeners: (() => void)[] = [];
+        let isClosed = false;
         return {
             position: undefined,
-            isClosed: false,
+            get isClosed() {
+                return isClosed;
+            },
             exchange: async () => {
                 await clock.sleep(workMilliseconds);
                 return [{ rows: [], signature: id, state: SessionState.Idle }];
             },
-            close: () => {},
-            onClose: () => {},
+            close: () => {
+                isClosed = true;
+                closed.push(id);
+                closeListeners.forEach(listener => listener());
+            },
+            onClose: listener => closeListeners.push(listener),
         };
     }
 
@@ -53,6 +64,7 @@
         open,
         vmLocation,
         vmCount: () => 8,
+        isHolding: () => site.isHolding,
         metrics: { countConnection: () => {}, registerGauge: () => {} },
         log: () => {},
     });
@@ -82,7 +94,7 @@
         }
     }
 
-    return { clock, directory, placement, opened, run };
+    return { clock, directory, placement, opened, closed, site, run };
 }
 
 function count(answers: readonly string[], wanted: string): number {
@@ -142,6 +154,17 @@
         assert.equal(opened.get("i-1"), 2);
     });
 
+    it("keeps its connections while it is meant to hold them, and leaves them to other VMs otherwise", async () => {
+        const { clock, site, opened, closed, run } = createSite();
+        const running = run();
+        await clock.advance(placementConstants.unusedMilliseconds * 3);
+        await running;
+        assert.deepEqual(closed, []);
+        site.isHolding = false;
+        await clock.advance(placementConstants.unusedMilliseconds);
+        assert.deepEqual(closed.sort(), [...opened.keys()].sort());
+    });
+
     it("rejects at once a request for a specific endpoint that accepts no connection", async () => {
         const clock = createManualClock();
         const directory = createPopulatedDirectory(clock, records);
@@ -152,6 +175,7 @@
             open: () => Promise.reject(new Error("refused")),
             vmLocation,
             vmCount: () => 8,
+            isHolding: () => true,
             metrics: { countConnection: () => {}, registerGauge: () => {} },
             log: () => {},
         });
--- a/src/vm/listForwardingServices/index.ts
+++ b/src/vm/listForwardingServices/index.ts
@@ -34,6 +34,7 @@
                     self: { name, address: peerAddress, capacity },
                     directory,
                     otherVms: duty.otherVms,
+                    isHost: duty.isHost,
                 }),
         },
         {
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -164,6 +164,7 @@
                 open: openEndpoint,
                 vmLocation: settings,
                 vmCount: group => Math.max(hosts.hostCountOf(group), vmConstants.minimumAssumedVms),
+                isHolding: hosts.isHostOf,
                 metrics,
                 log: logger.topic("placement"),
             }),
