--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -12,6 +12,7 @@
 import { placementConstants } from "../constants.js";
 import { createEndpointSessionPool } from "../createEndpointSessionPool/index.js";
 import { createLatencyEstimate } from "../createLatencyEstimate/index.js";
+import { createUnusedCheck } from "../createUnusedCheck/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
 import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { EndpointSessionPool } from "../types/EndpointSessionPool.js";
@@ -70,7 +71,7 @@
     const { clock, directory, primaries, log } = options;
     const targets = new Map<string, Target>();
     const waitingByGroup = new Map<string, WaitingRequest[]>();
-    let isUnusedCheckScheduled = false;
+    const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
     directory.onChange(groups => {
         closeRemoved();
@@ -116,22 +117,6 @@
         return target;
     }
 
-    /** Checks all pools with one timer, as long as connections are open. */
-    function scheduleUnusedCheck(): void {
-        if (isUnusedCheckScheduled) {
-            return;
-        }
-        isUnusedCheckScheduled = true;
-        clock.startTimer(placementConstants.unusedMilliseconds, () => {
-            isUnusedCheckScheduled = false;
-            const pools = [...targets.values()].map(({ pool }) => pool);
-            pools.forEach(pool => pool.closeUnused());
-            if (pools.some(pool => pool.openCount() > 0)) {
-                scheduleUnusedCheck();
-            }
-        });
-    }
-
     function closeRemoved(): void {
         for (const [id, target] of targets) {
             if (directory.endpoint(id) === undefined) {
