--- a/src/model/listChangeSteps/index.ts
+++ b/src/model/listChangeSteps/index.ts
@@ -16,7 +16,7 @@
  */
 export function* listChangeSteps(state: ChangeState, rules: ChangeRules): Generator<ChangeState> {
     yield* listHolderSteps(state, rules);
-    yield* listVmSteps(state);
+    yield* listVmSteps(state, rules);
     yield* listWriteSteps(state, rules);
 }
 
@@ -33,6 +33,13 @@
     if (phase === ChangePhase.Ordered) {
         yield { ...state, phase: ChangePhase.Promoted };
     }
+    if (phase === ChangePhase.Announced) {
+        yield { ...state, phase: ChangePhase.Serving, hasReceivedAnnouncement: false, hasConfirmed: false };
+    }
+    if (phase === ChangePhase.Ordered && !rules.cancelsOnlyUnordered) {
+        // The order was not answered and takes effect after the cancellation.
+        yield { ...state, hasReceivedAnnouncement: false };
+    }
     if (phase !== ChangePhase.Serving && !state.hasSteppedDown) {
         yield { ...state, hasSteppedDown: true };
     }
@@ -43,7 +50,7 @@
     return state.hasConfirmed || !rules.waitsForLeases || !mustAwaitLease;
 }
 
-function* listVmSteps(state: ChangeState): Generator<ChangeState> {
+function* listVmSteps(state: ChangeState, rules: ChangeRules): Generator<ChangeState> {
     if (!state.isCut) {
         yield { ...state, isCut: true };
         if (state.phase === ChangePhase.Serving) {
@@ -53,8 +60,13 @@
             yield { ...state, hasReceivedAnnouncement: true, hasConfirmed: true };
             // The confirmation is lost.
             yield { ...state, hasReceivedAnnouncement: true };
+            // The answer to a renewal carries the announcement and grants a lease.
+            yield { ...state, hasReceivedAnnouncement: true, hasConfirmed: true, hasLease: true };
         }
     }
+    if (state.hasReceivedAnnouncement && !rules.keepsAnnouncementUntilEnd) {
+        yield { ...state, hasReceivedAnnouncement: false };
+    }
     if (state.hasLease) {
         yield { ...state, hasLease: false };
     }
--- a/src/model/searchPrimaryChange/test.ts
+++ b/src/model/searchPrimaryChange/test.ts
@@ -10,6 +10,8 @@
     verifiesWithoutLease: true,
     verifiesAfterAnswer: true,
     countsFormerLeases: true,
+    keepsAnnouncementUntilEnd: true,
+    cancelsOnlyUnordered: true,
 };
 
 describe("searchPrimaryChange", () => {
--- a/src/model/types/ChangeRules.ts
+++ b/src/model/types/ChangeRules.ts
@@ -12,4 +12,8 @@
     readonly verifiesAfterAnswer: boolean;
     /** A new holder takes leases of the previous holder into account. */
     readonly countsFormerLeases: boolean;
+    /** A VM that received the announcement relies on no lease until the end of the change, however long it takes. */
+    readonly keepsAnnouncementUntilEnd: boolean;
+    /** The holder cancels no change whose promotion may have been ordered. */
+    readonly cancelsOnlyUnordered: boolean;
 }
