Let other VMs read the holder's record for a holder that the store refuses

Change: while the store does not answer the holder, three of the hosts that called it last read the record for it; the verification counts from before the question, as with its own read.

--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -32,6 +32,8 @@
     retryMilliseconds: 400,
     /** Duration of a lease, from the moment before the renewal was sent, in milliseconds. */
     leaseMilliseconds: 1_000,
+    /** Hosts that the holder asks at most to read its record while the store does not answer it. */
+    maximumRecordReaders: 3,
     /** Time for which a verification of the holder in the store remains valid, in milliseconds. */
     verifiedMilliseconds: 1_800,
     /** The holder also counts as verified while every known VM had contact with it this recently, in milliseconds. */
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -67,7 +67,7 @@
     const attemptTakeover = createTakeover({ ...options, view, signal: end.signal });
     const grantedLeases = createGrantedLeases(clock);
     const lease = createLease(clock);
-    const verification = createHolderVerification({ ...options, vms, heldToken, applyHolder });
+    const verification = createHolderVerification({ ...options, vms, view, heldToken, applyHolder });
     const delivery = createAnnouncementDelivery({ ...options, announcements, leases: grantedLeases, view });
     let knownHolder: DutyHolder | undefined;
     /** When the last renewal was sent that the holder answered. */
@@ -261,6 +261,7 @@
         hasLease: () => heldToken() === undefined ? lease.isHeld() : verification.isCertain(),
         ...delivery,
         answerRenewal,
+        readHolder: async () => (await records.read(dutyConstants.recordName))?.content as DutyHolder | undefined,
         hasHolderContact,
         applyHolder,
         applyAnnouncement: announcements.apply,
--- a/src/duty/createDuty/test.ts
+++ b/src/duty/createDuty/test.ts
@@ -86,6 +86,34 @@
         assert.ok(names.every(name => fleet.dutyOf(name).hasLease()));
     });
 
+    it("keeps a holder that the store refuses as long as another VM can read the record for it", async () => {
+        const { fleet, holder, others } = await startFleet();
+        const [companion, outsider] = others as [string, string];
+        fleet.refusedByStore.add(holder);
+        fleet.isolate(outsider);
+        fleet.refusedByStore.add(outsider);
+        await fleet.clock.advance(2 * stabilizationMilliseconds);
+        assert.equal(await fleet.dutyOf(holder).verify(), fleet.dutyOf(holder).heldToken());
+        assert.ok(fleet.dutyOf(companion).hasLease());
+        fleet.refusedByStore.add(companion);
+        await fleet.clock.advance(stabilizationMilliseconds);
+        assert.equal(await fleet.dutyOf(holder).verify(), undefined);
+        assert.equal(fleet.dutyOf(companion).hasLease(), false);
+    });
+
+    it("lets a holder that the store refuses learn that it was replaced", async () => {
+        const { fleet, holder, others } = await startFleet();
+        const [companion, successor] = others as [string, string];
+        fleet.refusedByStore.add(holder);
+        for (const name of [holder, companion]) {
+            fleet.cuts.add(`${name}>${successor}`);
+            fleet.cuts.add(`${successor}>${name}`);
+        }
+        await fleet.clock.advance(2 * stabilizationMilliseconds);
+        assert.deepEqual(fleet.holders(), [successor]);
+        assert.equal(await fleet.dutyOf(holder).verify(), undefined);
+    });
+
     it("delivers announcements to all VMs, with the next renewal to those that were unreachable", async () => {
         const { fleet, holder, others } = await startFleet();
         fleet.cuts.add(`${holder}>${others[0]}`);
--- a/src/duty/createDutyRouter/index.ts
+++ b/src/duty/createDutyRouter/index.ts
@@ -36,6 +36,7 @@
     const askReached = trpc.procedure
         .input((input: unknown) => checkPeerValue(dutySchemas.endpointId, input))
         .query(({ input }) => probe(input));
+    const readHolder = trpc.procedure.query(() => duty.readHolder());
     const introduceHolder = trpc.procedure
         .input((input: unknown) => checkPeerValue(dutySchemas.holder, input) as DutyHolder)
         .mutation(({ input }) => duty.applyHolder(input));
@@ -45,5 +46,7 @@
     const command = trpc.procedure
         .input((input: unknown) => checkPeerValue(dutySchemas.command, input) as EndpointCommand)
         .mutation(({ input }) => runCommand(input));
-    return trpc.router({ duty: trpc.router({ renew, askHeard, askReached, introduceHolder, announce, command }) });
+    return trpc.router({
+        duty: trpc.router({ renew, askHeard, askReached, readHolder, introduceHolder, announce, command }),
+    });
 }
--- a/src/duty/createHolderVerification/index.ts
+++ b/src/duty/createHolderVerification/index.ts
@@ -3,13 +3,20 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { dutyConstants } from "../constants.js";
 import type { DutyHolder } from "../types/DutyHolder.js";
+import type { FleetView } from "../types/FleetView.js";
+import type { VmIdentity } from "../types/VmIdentity.js";
 import type { VmList } from "../types/VmList.js";
+import type { VmPeer } from "../types/VmPeer.js";
 
 /** Options of `createHolderVerification`. */
 interface HolderVerificationOptions {
     readonly clock: Clock;
     readonly records: Pick<RecordStore, "read">;
-    readonly vms: Pick<VmList, "isHolderInContactWithAll">;
+    /** This VM. */
+    readonly self: VmIdentity;
+    readonly vms: Pick<VmList, "isHolderInContactWithAll" | "lastContactAt">;
+    readonly view: Pick<FleetView, "hostVms">;
+    readonly peerOf: (vm: VmIdentity) => VmPeer;
     /** Token of this VM while it is the holder. */
     readonly heldToken: () => number | undefined;
     /** Applies the holder that the store records. */
@@ -26,29 +33,63 @@
 }
 
 /**
- * Creates the verification of the holder: by its record in the store, or, while the store does not answer, by recent
- * contact with all other VMs, none of which can then have replaced it.
+ * Creates the verification of the holder by its record in the store.
  *
- * @param options Clock, store, the list of VMs, and the holder known to this VM.
+ * When the store does not answer this VM, other VMs read the record for it, because the store may refuse single VMs.
+ * When it answers none of them, recent contact with all other VMs is enough: none of them can then have replaced the
+ * holder.
+ *
+ * @param options Clock, store, other VMs, and the holder known to this VM.
  * @returns The verification.
  *
  * @example
  * const token = await verification.verify();
  */
 export function createHolderVerification(options: HolderVerificationOptions): HolderVerification {
-    const { clock, heldToken, log } = options;
+    const { clock, self, vms, heldToken, log } = options;
     let verifiedAt = -Infinity;
+    let isStoreAnswering = true;
 
     function isInContactWithAll(): boolean {
-        return options.vms.isHolderInContactWithAll(dutyConstants.contactWithAllMilliseconds);
+        return vms.isHolderInContactWithAll(dutyConstants.contactWithAllMilliseconds);
+    }
+
+    async function readOwn(): Promise<DutyHolder | undefined> {
+        try {
+            const record = await options.records.read(dutyConstants.recordName);
+            isStoreAnswering = true;
+            return record?.content as DutyHolder | undefined;
+        }
+        catch (error) {
+            isStoreAnswering = false;
+            throw error;
+        }
+    }
+
+    /** Has some of the hosts that called this VM last read the record. */
+    function readThroughOthers(): Promise<DutyHolder | undefined> {
+        const contactAt = ({ name }: VmIdentity): number => vms.lastContactAt(name) ?? -Infinity;
+        const others = options.view.hostVms()
+            .filter(({ name }) => name !== self.name)
+            .sort((left, right) => contactAt(right) - contactAt(left))
+            .slice(0, dutyConstants.maximumRecordReaders);
+        return Promise.any(others.map(vm => options.peerOf(vm).readHolder()));
+    }
+
+    /** Reads the record; asks the other VMs at once while the store does not answer this one. */
+    async function readHolder(): Promise<DutyHolder | undefined> {
+        if (isStoreAnswering) {
+            return await readOwn().catch(readThroughOthers);
+        }
+        return await Promise.any([readOwn(), readThroughOthers()]);
     }
 
     async function verify(): Promise<number | undefined> {
         const requestedAt = clock.now();
         try {
-            const record = await options.records.read(dutyConstants.recordName);
-            if (record !== undefined) {
-                options.applyHolder(record.content as DutyHolder);
+            const holder = await readHolder();
+            if (holder !== undefined) {
+                options.applyHolder(holder);
             }
             if (heldToken() !== undefined) {
                 verifiedAt = requestedAt;
--- a/src/duty/createVmPeers/index.ts
+++ b/src/duty/createVmPeers/index.ts
@@ -47,6 +47,7 @@
                     options => duty.askReached.query(endpointId, options),
                     2 * dutyConstants.callTimeoutMilliseconds,
                 ),
+            readHolder: () => callWithTimeout(options => duty.readHolder.query(undefined, options)),
             notifyOfHolder: holder => callWithTimeout(options => duty.introduceHolder.mutate(holder, options)),
             announce: announcement => callWithTimeout(options => duty.announce.mutate(announcement, options)),
             command: command =>
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -31,6 +31,8 @@
     announce(announcement: Omit<Announcement, "sequence">): Promise<readonly VmIdentity[]>;
     /** Answers another VM's renewal, as the holder or as a relay. */
     answerRenewal(renewal: Renewal): RenewalAnswer;
+    /** Reads the recorded holder from the store for another VM; undefined when there is no record. */
+    readHolder(): Promise<DutyHolder | undefined>;
     /** Whether this VM has had recent contact with the holder that has this token. */
     hasHolderContact(token: number): boolean;
     /** Applies a holder, unless one with a higher token is known. */
--- a/src/duty/types/VmPeer.ts
+++ b/src/duty/types/VmPeer.ts
@@ -10,6 +10,8 @@
     renew(renewal: Renewal): Promise<RenewalAnswer>;
     /** Queries whether that VM has had recent contact with the holder that has this token. */
     queryHolderContact(token: number): Promise<boolean>;
+    /** Has that VM read the recorded holder from the store; undefined when there is no record. */
+    readHolder(): Promise<DutyHolder | undefined>;
     /** Notifies that VM of the current holder. */
     notifyOfHolder(holder: DutyHolder): Promise<void>;
     announce(announcement: Announcement): Promise<void>;
--- a/src/testing/createDutyFleet/index.ts
+++ b/src/testing/createDutyFleet/index.ts
@@ -1,4 +1,5 @@
 import { createStoreFreshness } from "../../directory/createStoreFreshness/index.js";
+import type { RecordStore } from "../../directory/types/RecordStore.js";
 import { createDuty } from "../../duty/createDuty/index.js";
 import type { Announcement } from "../../duty/types/Announcement.js";
 import type { Duty } from "../../duty/types/Duty.js";
@@ -47,12 +48,14 @@
     const { clock = createManualClock(), records = createMemoryRecords() } = options;
     /** Links on which calls fail, written `from>to`; all links of a failed VM are in the set. */
     const cuts = new Set<string>();
+    /** VMs that the store refuses. */
+    const refusedByStore = new Set<string>();
     const vms = new Map<string, FleetVm>();
     /** The calls between VMs since the test cleared the list. */
     const calls: FleetCall[] = [];
 
     function peerOf(from: string, { name: to }: VmIdentity): VmPeer {
-        const call = async <Result>(handle: (duty: Duty) => Result): Promise<Result> => {
+        const call = async <Result>(handle: (duty: Duty) => Result | Promise<Result>): Promise<Result> => {
             calls.push({ from, to });
             if (cuts.has(`${from}>${to}`)) {
                 throw new Error("the VM did not answer in time");
@@ -61,6 +64,7 @@
         };
         return {
             renew: renewal => call(duty => duty.answerRenewal(renewal)),
+            readHolder: () => call(duty => duty.readHolder()),
             queryHolderContact: token => call(duty => duty.hasHolderContact(token)),
             notifyOfHolder: holder => call(duty => duty.applyHolder(holder)),
             announce: announcement => call(duty => duty.applyAnnouncement(announcement)),
@@ -69,13 +73,24 @@
         };
     }
 
+    /** The store as one VM reaches it. */
+    function recordsOf(name: string): RecordStore {
+        const reach = <Result>(call: () => Promise<Result>): Promise<Result> =>
+            refusedByStore.has(name) ? Promise.reject(new Error("the store refuses this VM")) : call();
+        return {
+            read: key => reach(() => records.read(key)),
+            create: (key, content) => reach(() => records.create(key, content)),
+            replace: (key, content, revision) => reach(() => records.replace(key, content, revision)),
+        };
+    }
+
     names.forEach((name, index) => {
         const identity = createVmIdentity(name, { incarnation: `${index}`, ...options.describe?.(name) });
         const announcements: Announcement[] = [];
         const duty = createDuty({
             clock,
             random: createRandomSource(index),
-            records,
+            records: recordsOf(name),
             directory: createPopulatedDirectory(clock, []),
             freshness: createStoreFreshness(clock),
             self: identity,
@@ -96,6 +111,7 @@
     return {
         clock,
         records,
+        refusedByStore,
         cuts,
         calls,
         isolate,
