--- a/.ci/bundleNode.mjs
+++ b/.ci/bundleNode.mjs
@@ -7,6 +7,7 @@
 import { copyFileSync, mkdirSync } from "node:fs";
 
 const folder = "target/binaries/node";
+const warmUpMilliseconds = 30_000;
 
 mkdirSync(folder, { recursive: true });
 await build({
@@ -24,4 +25,22 @@
 });
 copyFileSync(".ci/startBundle.cjs", `${folder}/index.cjs`);
 // The flags must match those of the deploy file: V8 rejects a code cache that was created under other flags.
-execFileSync(process.execPath, ["--max-old-space-size=200", `${folder}/index.cjs`, "--compile"], { stdio: "inherit" });
+const flags = ["--max-old-space-size=200"];
+const warmUp = "target/warmUpNode.mjs";
+await build({
+    entryPoints: [".ci/warmUpNode.ts"],
+    outfile: warmUp,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    logLevel: "warning",
+    packages: "external",
+});
+try {
+    execFileSync(process.execPath, [warmUp, folder, ...flags], { stdio: "inherit", timeout: warmUpMilliseconds });
+}
+catch (error) {
+    console.error(`The warm-up failed (${error.message}); the code cache holds the start of the program only.`);
+    execFileSync(process.execPath, [...flags, `${folder}/index.cjs`, "--compile"], { stdio: "inherit" });
+}
--- a/.ci/startBundle.cjs
+++ b/.ci/startBundle.cjs
@@ -1,4 +1,7 @@
-/** Runs the bundle with the V8 code cache that was written at build time; with `--compile`, writes that cache. */
+/**
+ * Runs the bundle with the V8 code cache that was written at build time. With `--compile`, writes that cache: after the
+ * signal SIGUSR2 when there are settings to run with, otherwise after `--version`.
+ */
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const { join } = require("node:path");
 const { Script } = require("node:vm");
@@ -6,17 +9,25 @@
 const bundleFile = join(__dirname, "bundle.cjs");
 const codeFile = join(__dirname, "bundle.code");
 const isCompiling = process.argv[2] === "--compile";
+const isWarmingUp = isCompiling && process.env.TARRAGONPOST_SETTINGS !== undefined;
 if (isCompiling) {
-    // The code cache holds only functions that ran: `--version` runs the start-up code except for the services.
-    process.argv[2] = "--version";
+    process.argv.splice(2, 1, ...isWarmingUp ? [] : ["--version"]);
 }
 const source = readFileSync(bundleFile, "utf8").replace(/^#!.*/, "");
 const script = new Script(`(function (require, module, exports, __filename, __dirname) {${source}\n})`, {
     filename: bundleFile,
     ...!isCompiling && existsSync(codeFile) ? { cachedData: readFileSync(codeFile) } : {},
 });
+// The code cache holds only functions that have run.
+const writeCodeCache = () => writeFileSync(codeFile, script.createCachedData());
+if (isWarmingUp) {
+    process.once("SIGUSR2", () => {
+        writeCodeCache();
+        process.exit(0);
+    });
+}
 const bundle = { exports: {} };
 script.runInThisContext()(require, bundle, bundle.exports, bundleFile, __dirname);
-if (isCompiling) {
-    setImmediate(() => writeFileSync(codeFile, script.createCachedData()));
+if (isCompiling && !isWarmingUp) {
+    setImmediate(writeCodeCache);
 }
--- a/src/platform/standIns/createCallerStandIn/index.ts
+++ b/src/platform/standIns/createCallerStandIn/index.ts
@@ -14,8 +14,9 @@
 /**
  * Connects to a VM and opens a session, as the users' callers do.
  *
- * @param port Port of the VM's caller server on the loopback address.
+ * @param port Port of the VM's caller server.
  * @param database The database to open.
+ * @param host Loopback address of the VM.
  * @returns The session and the answer to its startup message.
  *
  * @example
@@ -25,8 +26,9 @@
 export async function createCallerStandIn(
     port: number,
     database: string,
+    host = "127.0.0.1",
 ): Promise<{ readonly caller: CallerStandIn; readonly opening: CallerAnswer; }> {
-    const socket = connect({ host: "127.0.0.1", port, noDelay: true });
+    const socket = connect({ host, port, noDelay: true });
     const splitter = createLineSplitter(maximumMessageBytes);
     const answers: CallerAnswer[] = [];
     const waiters: ((answer: CallerAnswer) => void)[] = [];
