Add no endpoint from another VM that was already missing when this VM read the store

Change: a record from another VM whose revision is not newer than the store's when this VM read it is ignored, unless it is known or the other VM reports it as missing too, which keeps the usual delay. The test fails on the code before.

--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -31,6 +31,8 @@
     /** Revisions at which records were missing, to be sent to other VMs; the newest last. */
     const removals = new Map<string, number>();
     let highestRevision = 0;
+    /** Revision of the store up to which this VM has read all records itself. */
+    let completeRevision = 0;
     const listeners: ((groups: ReadonlySet<string>) => void)[] = [];
     let table: RoutingTable | undefined;
     let routes = new Map<string, Route>();
@@ -38,14 +40,17 @@
 
     function applyEndpoints(update: FeedUpdate<EndpointRecord>): void {
         const changed = new Set<string>();
+        const isFromOtherVm = update.revision === undefined;
+        // A VM that knows of a removal also sends the record, which is then removed after the usual delay.
+        const removedNames = new Set(update.changes.filter(({ item }) => item === undefined).map(({ name }) => name));
         for (const { name, revision, item, problem } of update.changes) {
             if (problem !== undefined) {
                 log("record of an endpoint cannot be decoded", { endpoint: name, revision, problem });
             }
-            if (item !== undefined) {
+            if (item !== undefined && (!isFromOtherVm || removedNames.has(name) || !isGone(item))) {
                 storeRecord(item, changed);
             }
-            else if (problem === undefined || endpoints.has(name)) {
+            else if (item === undefined && (problem === undefined || endpoints.has(name))) {
                 markMissing(name, revision, changed);
             }
         }
@@ -55,9 +60,15 @@
                 markMissing(id, update.revision, changed);
             }
         }
+        completeRevision = Math.max(completeRevision, update.revision ?? 0);
         notify(changed);
     }
 
+    /** Whether another VM sent a record that was already missing when this VM read the store. */
+    function isGone({ id, revision }: EndpointRecord): boolean {
+        return !endpoints.has(id) && revision <= completeRevision;
+    }
+
     function storeRecord(record: EndpointRecord, changed: Set<string>): void {
         const known = endpoints.get(record.id);
         if (record.revision <= (removedRevisions.get(record.id) ?? 0)) {
--- a/src/directory/createDirectory/test.ts
+++ b/src/directory/createDirectory/test.ts
@@ -53,6 +53,33 @@
         assert.equal(directory.endpoint("i-1"), undefined);
     });
 
+    it("does not add an endpoint that another VM still knows, but that was missing when this VM read the store", () => {
+        const directory = createPopulatedDirectory(createManualClock(), []);
+        directory.applyEndpoints({ isSnapshot: true, revision: 20, changes: [] });
+        const apply = (revision: number): void => {
+            const item = createEndpointRecord({ revision });
+            directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", revision, item }] });
+        };
+        apply(7);
+        assert.equal(directory.endpoint("i-1"), undefined);
+        apply(21);
+        assert.equal(directory.endpoint("i-1")?.revision, 21);
+    });
+
+    it("gives an endpoint the usual delay that another VM knows as missing", async () => {
+        const clock = createManualClock();
+        const directory = createPopulatedDirectory(clock, []);
+        directory.applyEndpoints({ isSnapshot: true, revision: 20, changes: [] });
+        const item = createEndpointRecord({ revision: 7 });
+        directory.applyEndpoints({
+            isSnapshot: false,
+            changes: [{ name: "i-1", revision: 7, item }, { name: "i-1", revision: 12, item: undefined }],
+        });
+        assert.equal(directory.endpoint("i-1")?.isLeaving, false);
+        await clock.advance(directoryConstants.missingRecordMilliseconds);
+        assert.equal(directory.endpoint("i-1")?.isLeaving, true);
+    });
+
     it("keeps the other endpoints when a record cannot be decoded", () => {
         const directory = createPopulatedDirectory(createManualClock(), [createEndpointRecord()]);
         directory.applyEndpoints({
