--- a/src/events/createEventRecorder/index.ts
+++ b/src/events/createEventRecorder/index.ts
@@ -36,7 +36,8 @@
 
     function observe(timestamp: HybridTimestamp): void {
         const limit = clock.wallTime() + eventConstants.maximumClockDriftMilliseconds;
-        if (Number.isInteger(timestamp?.wallMilliseconds) && timestamp.wallMilliseconds <= limit) {
+        const isWellFormed = Number.isInteger(timestamp?.wallMilliseconds) && Number.isInteger(timestamp.counter);
+        if (isWellFormed && timestamp.wallMilliseconds <= limit) {
             advance(timestamp);
         }
     }
