Wait for all leases of a previous holder, and take answers of gateways for unknown outcomes

Reading the code for what could lead there shows two faults: after a restart of all VMs a new holder takes the list of its predecessor for complete although that one does not know all VMs yet, and waits for no lease of the others; and an order to promote that a gateway answers (502, 504) counted as not given, so that the change was cancelled.

--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -96,7 +96,7 @@
         if (isSelf) {
             vms.startToken(holder.token);
             if (holder.token > dutyConstants.firstToken) {
-                grantedLeases.startHolding(exchange.hasVmsOfAllZones());
+                grantedLeases.startHolding();
             }
         }
     }
--- a/src/duty/createGrantedLeases/index.ts
+++ b/src/duty/createGrantedLeases/index.ts
@@ -23,7 +23,6 @@
     const leases = new Map<string, GrantedLease>();
     /** Time at which the last lease of the previous holder ends. */
     let formerLeasesEndAt = -Infinity;
-    let knowsFormerLeases = true;
 
     function hasFormerLeases(): boolean {
         return clock.now() < formerLeasesEndAt;
@@ -40,23 +39,21 @@
     }
 
     function endOf({ name }: VmIdentity): number {
-        const grantedAt = leases.get(name)?.grantedAt;
-        return grantedAt === undefined ? formerLeasesEndAt : grantedAt + leaseMilliseconds;
+        return (leases.get(name)?.grantedAt ?? -Infinity) + leaseMilliseconds;
     }
 
     return {
-        startHolding: knowsAllVms => {
+        startHolding: () => {
             leases.clear();
             formerLeasesEndAt = clock.now() + verifiedMilliseconds + leaseMilliseconds;
-            knowsFormerLeases = knowsAllVms;
         },
         recordContact: (vm, isGranted) => {
-            // A VM that calls this holder for the first time renews no lease of the previous one any more.
-            if (isGranted || !leases.has(vm.name)) {
+            if (isGranted) {
                 leases.set(vm.name, { vm, grantedAt: clock.now() });
             }
         },
         listPossibleVms,
-        endOfLeases: vms => Math.max(knowsFormerLeases ? -Infinity : formerLeasesEndAt, ...vms.map(endOf)),
+        // The previous holder may have granted leases to VMs that this one does not know yet.
+        endOfLeases: vms => Math.max(formerLeasesEndAt, ...vms.map(endOf)),
     };
 }
--- a/src/platform/createHttpClient/index.ts
+++ b/src/platform/createHttpClient/index.ts
@@ -30,7 +30,9 @@
 }
 
 /** Statuses of requests that had no effect and may succeed later. */
-const unavailableStatuses: ReadonlySet<number> = new Set([429, 502, 503, 504]);
+const refusedStatuses: ReadonlySet<number> = new Set([429, 503]);
+/** Statuses with which a request may have had an effect behind the answering process. */
+const gatewayStatuses: ReadonlySet<number> = new Set([502, 504]);
 /** Codes of connect errors, after which the request was not sent. */
 const notSentCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "EHOSTUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 
@@ -69,8 +71,8 @@
                 signal: timeoutController.signal,
             });
             const text = await response.body.text();
-            if (unavailableStatuses.has(response.statusCode)) {
-                mayHaveTakenEffect = false;
+            if (refusedStatuses.has(response.statusCode) || gatewayStatuses.has(response.statusCode)) {
+                mayHaveTakenEffect = gatewayStatuses.has(response.statusCode);
                 throw new Error(`status ${response.statusCode}`);
             }
             return { status: response.statusCode, content: parseBody(text) };
