Log why a primary is relied on, which announcements apply, and when leases begin

The logs of the incident could not tell a lease from queried endpoints, an announcement that was applied from one that was ignored, or when a holder granted leases. Each is one line where it changes: the reason for which a primary is relied on, an announcement with its sequence number and the highest known, a lease after a time without one, and the holder's granting. The beginning and the end of a change also tell the term that the VM had observed. No logic changes.

--- a/src/duty/createAnnouncements/index.ts
+++ b/src/duty/createAnnouncements/index.ts
@@ -1,3 +1,4 @@
+import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { dutyConstants } from "../constants.js";
 import type { Announcement } from "../types/Announcement.js";
 
@@ -19,20 +20,27 @@
  * Creates the store of announcements of a VM, which keeps the newest one of each group.
  *
  * @param onNew Called with each new announcement.
+ * @param log Receives a line for each announcement that is applied or ignored.
  * @returns The announcements; none is known yet.
  *
  * @example
  * announcements.apply({ sequence: 1_000_001, group: "orders", phase: AnnouncementPhase.Begun, term: 4 });
  */
-export function createAnnouncements(onNew: (announcement: Announcement) => void): Announcements {
+export function createAnnouncements(onNew: (announcement: Announcement) => void, log: LogTopic): Announcements {
     const newest = new Map<string, Announcement>();
     let latestSequence = 0;
     let lastOwnSequence = 0;
 
     function apply(announcement: Announcement): void {
-        if (announcement.sequence <= (newest.get(announcement.group)?.sequence ?? 0)) {
+        const { sequence, group, phase, term, endpointId } = announcement;
+        const knownSequence = newest.get(group)?.sequence ?? 0;
+        if (sequence < knownSequence) {
+            log("older announcement ignored", { group, phase, sequence, knownSequence });
+        }
+        if (sequence <= knownSequence) {
             return;
         }
+        log("announcement applied", { group, phase, sequence, latestSequence, term, endpoint: endpointId });
         newest.set(announcement.group, announcement);
         latestSequence = Math.max(latestSequence, announcement.sequence);
         onNew(announcement);
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -62,7 +62,7 @@
     const end = new AbortController();
     const vms = createVmList(clock);
     const view = createFleetView(self, vms);
-    const announcements = createAnnouncements(options.onAnnouncement);
+    const announcements = createAnnouncements(options.onAnnouncement, log);
     const exchange = createRenewalExchange({ ...options, vms, members: createRelayedMembers(clock), announcements });
     const attemptTakeover = createTakeover({ ...options, view, signal: end.signal });
     const grantedLeases = createGrantedLeases(clock);
@@ -76,6 +76,8 @@
     /** When the last renewal was sent that the holder or a relay answered. */
     let answeredAt = startedAt;
     let failedRenewals = 0;
+    /** Whether this VM granted leases when it answered the last renewal as the holder. */
+    let wasGranting = false;
     let isLeaving = false;
     let isStopping = false;
 
@@ -178,7 +180,7 @@
                 holderContactAt = sentAt;
             }
             if (answer.isHolder && answer.isCertain && renewal.isHost) {
-                lease.grant();
+                startLease(target, renewal);
             }
         }
         catch (error) {
@@ -187,6 +189,14 @@
         }
     }
 
+    /** Starts the lease that the holder granted; a log line reports a lease after a time without one. */
+    function startLease({ name }: VmIdentity, { announcementSequence }: Renewal): void {
+        if (!lease.isHeld()) {
+            log("lease obtained", { holder: name, token: knownHolder?.token, announcementSequence });
+        }
+        lease.grant();
+    }
+
     function createRenewal(target: VmIdentity): Renewal {
         return exchange.createRenewal(target, {
             isHost: isHost(),
@@ -240,11 +250,20 @@
         const isHolder = heldToken() !== undefined;
         const state = { isHolder, isCertain: verification.isCertain(), holder: knownHolder };
         if (isHolder) {
+            logGranting(state.isCertain);
             grantedLeases.recordContact(renewal.vm, state.isCertain && renewal.isHost);
         }
         return exchange.answer(renewal, state);
     }
 
+    /** Logs when this holder begins to grant leases, and when it no longer does. */
+    function logGranting(isGranting: boolean): void {
+        if (isGranting !== wasGranting) {
+            wasGranting = isGranting;
+            log(isGranting ? "grants leases" : "grants no leases", { token: heldToken() });
+        }
+    }
+
     function hasHolderContact(token: number): boolean {
         return knownHolder?.token === token
             && failedRenewals === 0
--- a/src/duty/createRenewalExchange/test.ts
+++ b/src/duty/createRenewalExchange/test.ts
@@ -32,7 +32,7 @@
         freshness,
         vms,
         members: createRelayedMembers(clock),
-        announcements: createAnnouncements(() => {}),
+        announcements: createAnnouncements(() => {}, () => {}),
         log: () => {},
     });
     return { identity, directory, freshness, vms, exchange };
--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -124,18 +124,19 @@
         const state = stateOf(group);
         state.changingUntil = clock.now() + primaryConstants.changeExpiryMilliseconds;
         state.isChangeUnfinished = true;
-        log("change of primary begins", { group, term, from: state.lastPrimary });
+        log("change of primary begins", { group, term, observedTerm: state.term, from: state.lastPrimary });
         void clock.sleep(primaryConstants.changeExpiryMilliseconds + 1).then(() => notify(group));
     }
 
     function finishChange(group: string, endpointId: string, term: number): void {
         const state = stateOf(group);
+        const observedTerm = state.term;
         state.changingUntil = undefined;
         state.isChangeUnfinished = false;
         state.term = Math.max(state.term, term);
         state.announced = { endpointId, term };
         disqualifications.delete(endpointId);
-        log("change of primary finished", { group, term, endpoint: endpointId });
+        log("change of primary finished", { group, term, observedTerm, endpoint: endpointId });
         notify(group);
     }
 
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -17,6 +17,13 @@
     readonly log: LogTopic;
 }
 
+/** Why a primary is relied on. */
+enum RelianceReason {
+    Lease = "Lease",
+    /** The other endpoints of the group were queried. */
+    QueriedEndpoints = "QueriedEndpoints",
+}
+
 /** Verifications of one endpoint. */
 interface PendingVerifications {
     /** In flight: it may have begun before the answer that a new caller relies on. */
@@ -38,12 +45,27 @@
 export function createPrimaryVerification(options: PrimaryVerificationOptions): PrimaryVerification {
     const { directory, primaries, log } = options;
     const pendingByEndpoint = new Map<string, PendingVerifications>();
+    /** What was logged last for each group. */
+    const loggedReliance = new Map<string, string>();
 
     function isVerified(endpoint: EndpointRecord): boolean {
-        return options.hasLease()
+        const isVouchedFor = options.hasLease()
             && !primaries.hasPrimaryConflict(endpoint.group)
             && !primaries.isChangeUnfinished(endpoint.group)
             && primaries.primaryOf(endpoint.group)?.id === endpoint.id;
+        if (isVouchedFor) {
+            logReliance(endpoint, RelianceReason.Lease);
+        }
+        return isVouchedFor;
+    }
+
+    /** Logs why a primary is relied on, when this differs from the last time. */
+    function logReliance({ id, group }: EndpointRecord, reason: RelianceReason): void {
+        const reliance = `${id} ${reason}`;
+        if (loggedReliance.get(group) !== reliance) {
+            loggedReliance.set(group, reliance);
+            log("primary is relied on", { group, endpoint: id, reason, observedTerm: primaries.termOf(group) });
+        }
     }
 
     function verify(endpoint: EndpointRecord): Promise<boolean> {
@@ -67,7 +89,10 @@
         const answers = await Promise.all(others.map(({ id }) => options.queryIsPrimary(id).catch(() => undefined)));
         const hasNoOtherPrimary = others.length > 0 && answers.every(isPrimary => isPrimary === false);
         options.metrics.countPrimaryVerification(hasNoOtherPrimary);
-        if (!hasNoOtherPrimary) {
+        if (hasNoOtherPrimary) {
+            logReliance(endpoint, RelianceReason.QueriedEndpoints);
+        }
+        else {
             log("primary could not be verified", {
                 group: endpoint.group,
                 endpoint: endpoint.id,
