Send a lost announcement again although a later one of another group has arrived

Cause: a renewal reported the highest sequence number that the VM knew over all groups, and the holder sent what was newer. A later announcement of another group, received outside a renewal, hid the lost one for good; the holder had waited only for the lease that the VM held when the change began. Why it works: a VM reports the number up to which it is complete, which only answers to renewals raise, since they hold all that the answering VM has after the reported one; a relay answers with nothing beyond its own complete number. So an announcement that a lease depends on arrives before or with that lease.

--- a/src/duty/createAnnouncements/index.ts
+++ b/src/duty/createAnnouncements/index.ts
@@ -10,8 +10,13 @@
     create(announcement: Omit<Announcement, "sequence">): Announcement;
     /** Applies an announcement, unless a newer one of its group is known. */
     apply(announcement: Announcement): void;
-    /** Highest sequence number known. */
-    latestSequence(): number;
+    /** Applies the announcements in the answer to a renewal: all that the answering VM has after `completeSequence`. */
+    applyAnswer(answered: readonly Announcement[]): void;
+    /**
+     * Sequence number up to which this VM has the newest announcement of each group. An announcement that reached it
+     * outside a renewal does not count, because an earlier one of another group may have been lost.
+     */
+    completeSequence(): number;
     /** Lists the newest announcement of each group, if its sequence number is higher than the given one. */
     listAfter(sequence: number): readonly Announcement[];
 }
@@ -29,6 +34,7 @@
 export function createAnnouncements(onNew: (announcement: Announcement) => void, log: LogTopic): Announcements {
     const newest = new Map<string, Announcement>();
     let latestSequence = 0;
+    let completeSequence = 0;
     let lastOwnSequence = 0;
 
     function apply(announcement: Announcement): void {
@@ -57,7 +63,11 @@
             return numbered;
         },
         apply,
-        latestSequence: () => latestSequence,
+        applyAnswer: answered => {
+            answered.forEach(apply);
+            completeSequence = Math.max(completeSequence, ...answered.map(({ sequence }) => sequence));
+        },
+        completeSequence: () => completeSequence,
         listAfter: sequence => [...newest.values()].filter(announcement => announcement.sequence > sequence),
     };
 }
--- a/src/duty/createDuty/test.ts
+++ b/src/duty/createDuty/test.ts
@@ -125,6 +125,18 @@
         assert.equal(fleet.announcementsOf(others[1]!).length, 1);
     });
 
+    it("sends a lost announcement with the next renewal although a later one of another group has arrived", async () => {
+        const { fleet, holder, others } = await startFleet();
+        const link = `${holder}>${others[0]}`;
+        fleet.cuts.add(link);
+        await fleet.dutyOf(holder).announce({ group: "orders", phase: AnnouncementPhase.Begun, term: 2 });
+        fleet.cuts.delete(link);
+        await fleet.dutyOf(holder).announce({ group: "stock", phase: AnnouncementPhase.Begun, term: 2 });
+        await fleet.clock.advance(stabilizationMilliseconds);
+        const groups = fleet.announcementsOf(others[0]!).map(({ group }) => group);
+        assert.deepEqual(groups.sort(), ["orders", "stock"]);
+    });
+
     it("waits until the lease of a VM that did not confirm has expired", async () => {
         const { fleet, holder, others } = await startFleet();
         const isolated = others[0]!;
--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -5,6 +5,7 @@
 import { applyDirectoryUpdate } from "../applyDirectoryUpdate/index.js";
 import { dutyConstants } from "../constants.js";
 import type { createAnnouncements } from "../createAnnouncements/index.js";
+import type { Announcement } from "../types/Announcement.js";
 import type { DirectoryUpdate } from "../types/DirectoryUpdate.js";
 import type { RelayedMembers } from "../types/RelayedMembers.js";
 import type { Renewal } from "../types/Renewal.js";
@@ -79,7 +80,7 @@
             vm: self,
             // A list of one zone is no start for the changes of all zones.
             vmListVersion: state.isHost && !hasVmsOfAllZones ? 0 : vms.version(),
-            announcementSequence: announcements.latestSequence(),
+            announcementSequence: announcements.completeSequence(),
             ...unreported === undefined ? {} : { members: unreported },
         };
     }
@@ -111,7 +112,7 @@
             members.confirm(answer.holder?.token ?? 0);
         }
         applyVmList(renewal, answer);
-        answer.announcements.forEach(announcements.apply);
+        announcements.applyAnswer(answer.announcements);
     }
 
     function applyVmList(renewal: Renewal, { vmList }: RenewalAnswer): void {
@@ -141,10 +142,16 @@
             ...state,
             ...createUpdate(renewal),
             ...vmList === undefined ? {} : { vmList },
-            announcements: announcements.listAfter(renewal.announcementSequence),
+            announcements: listAnnouncements(renewal, state),
         };
     }
 
+    /** A relay sends nothing beyond what it has completely: the sender would count an announcement it lacks as known. */
+    function listAnnouncements({ announcementSequence }: Renewal, { isHolder }: HolderState): readonly Announcement[] {
+        const limit = isHolder ? Infinity : announcements.completeSequence();
+        return announcements.listAfter(announcementSequence).filter(({ sequence }) => sequence <= limit);
+    }
+
     function recordSender(renewal: Renewal, isHolder: boolean): void {
         const { vm, isLeaving, hasHeardHolder } = renewal;
         if (isLeaving) {
--- a/src/duty/types/Renewal.ts
+++ b/src/duty/types/Renewal.ts
@@ -12,7 +12,7 @@
     readonly hasHeardHolder: boolean;
     /** Version of the list of VMs known to the sender. */
     readonly vmListVersion: number;
-    /** Highest sequence number of an announcement known to the sender. */
+    /** Sequence number up to which the sender has the newest announcement of each group. */
     readonly announcementSequence: number;
     /** The VMs whose renewals the sender answers; left out when the holder already has this list. */
     readonly members?: readonly VmIdentity[];
