Number a change of primary by the term that the endpoints report

Cause: the holder announced a change with the highest term that it had observed, plus one. With a higher term in force, VMs that knew it counted the end of the change as outdated and returned to the registered primary; an old primary of that term ignored the order to step down, and the background order ended at its first answer, whatever it said. Why it works: the end of a change carries the term of the promoted endpoint's own status. A primary that ignores the order is ordered again above the term it reported. The order in the background follows the promotion and carries its term, so it stops an older primary and never a newer one.

--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -13,6 +13,7 @@
 import { chooseSuccessor } from "../chooseSuccessor/index.js";
 import { promotionConstants } from "../constants.js";
 import { orderStepDown } from "../orderStepDown/index.js";
+import { orderStepDownAboveTerm } from "../orderStepDownAboveTerm/index.js";
 import { queryIsPrimary } from "../queryIsPrimary/index.js";
 import { readEndpointStatus } from "../readEndpointStatus/index.js";
 import type { CandidateStatus } from "../types/CandidateStatus.js";
@@ -66,14 +67,14 @@
         const unconfirmedVms = await duty.announce({ group, phase: AnnouncementPhase.Begun, term });
         const change: Change = { group, currentPrimary, reason, term, unconfirmedVms, isOrdered: false };
         try {
-            const successor = await changePrimary(change);
-            await duty.announce({ group, phase: AnnouncementPhase.Finished, term, endpointId: successor.id });
+            const promoted = await changePrimary(change);
+            await duty.announce({ group, phase: AnnouncementPhase.Finished, ...promoted });
             const tookMilliseconds = Math.round(clock.now() - startedAt);
             log("change of the primary is complete", {
                 group,
                 from: currentPrimary?.id,
-                to: successor.id,
-                term,
+                to: promoted.endpointId,
+                term: promoted.term,
                 tookMilliseconds,
             });
         }
@@ -96,6 +97,7 @@
         readonly group: string;
         readonly currentPrimary: EndpointRecord | undefined;
         readonly reason: ChangeReason;
+        /** Expected term: one above the highest that this VM has observed, which may be below the endpoints' own. */
         readonly term: number;
         /** VMs that may still send to the current primary. */
         readonly unconfirmedVms: readonly VmIdentity[];
@@ -103,12 +105,15 @@
         isOrdered: boolean;
     }
 
-    async function changePrimary(change: Change): Promise<EndpointRecord> {
-        const { group, currentPrimary, term } = change;
+    /** The endpoint that a change made the primary, and the term in which it leads by its own account. */
+    interface PromotedEndpoint {
+        readonly endpointId: string;
+        readonly term: number;
+    }
+
+    async function changePrimary(change: Change): Promise<PromotedEndpoint> {
+        const { group, currentPrimary } = change;
         const logEnd = await stepDown(change);
-        if (logEnd === undefined && currentPrimary !== undefined) {
-            void stepDownInBackground(currentPrimary, term);
-        }
         await duty.waitForLeases(change.unconfirmedVms);
         const successor = await findSuccessor(change, logEnd);
         log("successor is chosen", {
@@ -118,28 +123,32 @@
             logEnd,
         });
         await promote(change, successor.endpoint);
-        await waitForPrimary(successor.endpoint);
-        return successor.endpoint;
+        const term = await waitForPrimary(successor.endpoint);
+        if (logEnd === undefined && currentPrimary !== undefined) {
+            void stepDownInBackground(currentPrimary, term);
+        }
+        return { endpointId: successor.endpoint.id, term };
     }
 
     /** Orders the current primary to step down; returns the end of its log, or undefined when no VM can reach it. */
     async function stepDown({ group, currentPrimary, reason, term }: Change): Promise<LogPosition | undefined> {
         if (currentPrimary === undefined || reason === ChangeReason.Unreachable) {
-            // No VM can reach the primary now; it is ordered to step down in the background as soon as one can.
+            // No VM can reach the primary now; it is ordered to step down after the promotion, as soon as one can.
             return undefined;
         }
         if (reason === ChangeReason.Leaving) {
             await clock.sleep(promotionConstants.drainMilliseconds);
         }
         try {
-            const answer = await orderStepDown(control, currentPrimary.id, term);
+            const answer = await orderStepDownAboveTerm(control, currentPrimary.id, term);
             log("current primary answered the order to step down", {
                 group,
                 endpoint: currentPrimary.id,
-                status: answer?.replicaStatus,
-                failure: answer?.failure,
+                term,
+                status: answer.replicaStatus,
+                failure: answer.failure,
             });
-            return answer?.replicaStatus?.received ?? answer?.position;
+            return answer.replicaStatus?.isPrimary === false ? answer.replicaStatus.received : undefined;
         }
         catch (error) {
             log("current primary is unreachable", {
@@ -151,20 +160,23 @@
         }
     }
 
-    async function stepDownInBackground(superseded: EndpointRecord, term: number): Promise<void> {
+    /** Orders a superseded primary to step down as soon as it answers, unless it leads in a newer term by then. */
+    async function stepDownInBackground({ id }: EndpointRecord, term: number): Promise<void> {
         const deadline = clock.now() + promotionConstants.stepDownMilliseconds;
         while (clock.now() < deadline && !options.signal.aborted) {
             await clock.sleep(promotionConstants.stepDownPauseMilliseconds, options.signal);
-            try {
-                await orderStepDown(control, superseded.id, term);
-                log("superseded primary answered the order to step down", { endpoint: superseded.id, term });
+            // It may still be unreachable; a log line reports when it answered, or that it never did.
+            const answer = await orderStepDown(control, id, term).catch(() => undefined);
+            if (answer !== undefined) {
+                log("superseded primary answered the order to step down", {
+                    endpoint: id,
+                    term,
+                    status: answer.replicaStatus,
+                });
                 return;
             }
-            catch {
-                // It is still unreachable; a log line reports when it answered, or that it never did.
-            }
         }
-        log("superseded primary did not answer the order to step down", { endpoint: superseded.id, term });
+        log("superseded primary did not answer the order to step down", { endpoint: id, term });
     }
 
     /** Waits for a successor that holds the log to its end, if known; at the deadline takes the best candidate. */
@@ -236,13 +248,15 @@
         }
     }
 
-    async function waitForPrimary({ id }: EndpointRecord): Promise<void> {
+    /** Waits until an endpoint is the primary; returns the term in which it leads. */
+    async function waitForPrimary({ id }: EndpointRecord): Promise<number> {
         const deadline = clock.now() + promotionConstants.promotionTimeoutMilliseconds;
         while (clock.now() < deadline) {
             await clock.sleep(promotionConstants.pollingMilliseconds);
             const isPrimary = await queryIsPrimary(control.runFromAnyVm, id).catch(() => false);
-            if (isPrimary) {
-                return;
+            const status = isPrimary ? await readEndpointStatus(control, id).catch(() => undefined) : undefined;
+            if (status?.isPrimary === true) {
+                return status.term;
             }
         }
         throw createError(
--- a/src/promotions/createPrimaryChange/test.ts
+++ b/src/promotions/createPrimaryChange/test.ts
@@ -11,8 +11,11 @@
 const changeMilliseconds = promotionConstants.promotionTimeoutMilliseconds + 2_000;
 
 /** Changes the primary of a site whose platform treats orders as given; returns the error with which it failed. */
-async function runChange(promote: Parameters<typeof createPromotionSite>[0]["promote"]) {
-    const site = createPromotionSite({ promote });
+async function runChange(
+    promote: Parameters<typeof createPromotionSite>[0]["promote"],
+    options: { readonly term?: number; } = {},
+) {
+    const site = createPromotionSite({ promote, ...options });
     let failure: unknown;
     const change = site.changePrimary(site.group, site.primary(), ChangeReason.Leaving).catch((error: unknown) => {
         failure = error;
@@ -25,6 +28,44 @@
 const failWith = (kind: ErrorKind) => createError(kind, "The order failed.", { remedy: "Try again." });
 
 describe("createPrimaryChange", () => {
+    it("announces the term in which the promoted endpoint leads, not one derived from what the holder observed", async () => {
+        const { site } = await runChange(async (_id, makePrimary) => makePrimary(), { term: 4 });
+        assert.equal(site.announcements().at(-1)?.term, 5);
+    });
+
+    it("orders a primary whose term the holder has not observed to step down before it promotes another endpoint", async () => {
+        const roles: boolean[] = [];
+        const site = createPromotionSite({
+            term: 4,
+            promote: async (_id, makePrimary) => {
+                roles.push(site.endpoints.get("i-1")!.isPrimary);
+                makePrimary();
+            },
+        });
+        const change = site.changePrimary(site.group, site.primary(), ChangeReason.Leaving);
+        await site.clock.advance(changeMilliseconds);
+        await change;
+        assert.deepEqual(roles, [false]);
+    });
+
+    it("orders an unreachable primary to step down once it answers, but not after it was promoted again", async () => {
+        for (const isPromotedAgain of [false, true]) {
+            const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+            site.unreachableIds.add("i-1");
+            site.isolatedIds.add("i-1");
+            const change = site.changePrimary(site.group, site.primary(), ChangeReason.Unreachable);
+            await site.clock.advance(changeMilliseconds);
+            await change;
+            assert.ok(site.endpoints.get("i-1")!.isPrimary);
+            if (isPromotedAgain) {
+                site.makePrimary("i-1");
+            }
+            site.unreachableIds.delete("i-1");
+            await site.clock.advance(2 * promotionConstants.stepDownPauseMilliseconds);
+            assert.equal(site.endpoints.get("i-1")!.isPrimary, isPromotedAgain);
+        }
+    });
+
     it("announces the beginning and the end of a change", async () => {
         const { site, failure } = await runChange(async (_id, makePrimary) => makePrimary());
         assert.equal(failure, undefined);
--- a/src/promotions/orderStepDown/index.ts
+++ b/src/promotions/orderStepDown/index.ts
@@ -4,7 +4,8 @@
 import type { EndpointControl } from "../types/EndpointControl.js";
 
 /**
- * Orders an endpoint, through any VM that can reach it, to stop being the primary of an older term.
+ * Orders an endpoint, through any VM that can reach it, to stop being the primary of an older term. An endpoint whose own
+ * term is not older ignores the order.
  *
  * @param control Sends the order to the endpoint.
  * @param endpointId The endpoint.
@@ -13,17 +14,17 @@
  * @throws When no VM got an answer in time.
  *
  * @example
- * const answer = await orderStepDown(control, "i-7", 4);
+ * const { replicaStatus } = await orderStepDown(control, "i-7", 4);
  */
 export async function orderStepDown(
     control: Pick<EndpointControl, "runFromAnyVm">,
     endpointId: string,
     term: number,
-): Promise<StatementAnswer | undefined> {
+): Promise<StatementAnswer> {
     const [answer] = await control.runFromAnyVm({
         endpointId,
         statements: [{ kind: OutgoingKind.StepDown, term }],
         timeoutMilliseconds: promotionConstants.queryTimeoutMilliseconds,
     });
-    return answer;
+    return answer!;
 }
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -11,6 +11,7 @@
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
+import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { createEndpointRecord } from "../createEndpointRecord/index.js";
@@ -21,28 +22,42 @@
 interface PromotionSiteOptions {
     /** Executes an order to promote an endpoint. */
     readonly promote: (endpointId: string, makePrimary: () => void) => Promise<void>;
+    /** Term of the group at the start, which the holder has not observed; 1 when left out. */
+    readonly term?: number;
+}
+
+/** An endpoint in memory. */
+interface SiteEndpoint {
+    isPrimary: boolean;
+    term: number;
 }
 
 const group = "orders";
+const endpointIds = ["i-1", "i-2", "i-3"];
 
 /**
  * Creates the holder of the failover duty with one group of three endpoints in memory, for tests of its changes.
  *
  * @param options How the platform treats orders to promote.
- * @returns The coordinator, the known primaries, the announcements, and the endpoint that leads.
+ * @returns The coordinator, the known primaries, the announcements, and the endpoints.
  *
  * @example
  * const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
  */
 export function createPromotionSite(options: PromotionSiteOptions) {
     const clock = createManualClock();
-    const records = ["i-1", "i-2", "i-3"].map(id => createEndpointRecord({ id, isPrimary: id === "i-1" }));
+    const records = endpointIds.map(id => createEndpointRecord({ id, isPrimary: id === "i-1" }));
+    const endpoints = new Map<string, SiteEndpoint>(
+        endpointIds.map(id => [id, { isPrimary: id === "i-1", term: options.term ?? 1 }]),
+    );
     const directory = createPopulatedDirectory(clock, records);
     const primaries = createPrimaries(clock, directory, () => {});
     const announcements: Announcement[] = [];
     const orderedIds: string[] = [];
+    /** Endpoints that no VM reaches. */
     const unreachableIds = new Set<string>();
-    let leader = { id: "i-1", term: 1 };
+    /** Endpoints that do not hear of a promotion. */
+    const isolatedIds = new Set<string>();
     let revision = 100;
 
     function register(id: string, changes: Partial<EndpointRecord>): void {
@@ -51,27 +66,54 @@
         directory.applyEndpoints({ isSnapshot: false, changes: [{ name: id, revision, item }] });
     }
 
+    function setRole(id: string, role: SiteEndpoint): void {
+        endpoints.set(id, role);
+        register(id, { isPrimary: role.isPrimary });
+    }
+
     function makePrimary(id: string): void {
-        register(leader.id, { isPrimary: false });
-        leader = { id, term: leader.term + 1 };
-        register(id, { isPrimary: true });
+        const term = 1 + Math.max(...[...endpoints.values()].map(endpoint => endpoint.term));
+        setRole(id, { isPrimary: true, term });
+        endpointIds
+            .filter(other => other !== id && !isolatedIds.has(other))
+            .forEach(other => setRole(other, { isPrimary: false, term }));
     }
 
-    async function run({ endpointId, statements }: EndpointCommand): Promise<readonly StatementAnswer[]> {
-        if (unreachableIds.has(endpointId)) {
-            throw new Error("no answer in time");
+    function findPrimaryId(): string {
+        return endpointIds
+            .filter(id => endpoints.get(id)!.isPrimary)
+            .sort((left, right) => endpoints.get(right)!.term - endpoints.get(left)!.term)[0]!;
+    }
+
+    function execute(endpointId: string, statement: OutgoingStatement): StatementAnswer {
+        const { isPrimary, term } = endpoints.get(endpointId)!;
+        if (statement.kind === OutgoingKind.StepDown && isPrimary && term < statement.term) {
+            setRole(endpointId, { isPrimary: false, term });
         }
-        const isPrimary = leader.id === endpointId;
-        const received = { term: leader.term, entry: 7 };
-        return statements.map(({ kind }) => ({
+        const isRefused = statement.kind === OutgoingKind.Begin && !isPrimary;
+        const received = { term, entry: 7 };
+        return {
             rows: [],
             state: SessionState.Idle,
             position: received,
-            failure: kind === OutgoingKind.Begin && !isPrimary
-                ? { code: FailureCode.ReadOnly, description: "" }
-                : undefined,
-            replicaStatus: { isPrimary, term: leader.term, received, lagMilliseconds: 0, busyCount: 0 },
-        })) as unknown as readonly StatementAnswer[];
+            ...isRefused ? { failure: { code: FailureCode.ReadOnly, description: "" } } : {},
+            replicaStatus: {
+                isPrimary: endpoints.get(endpointId)!.isPrimary,
+                term,
+                received,
+                heldTerm: 0,
+                lagMilliseconds: 0,
+                busySlots: 0,
+                connections: 0,
+            },
+        };
+    }
+
+    async function run({ endpointId, statements }: EndpointCommand): Promise<readonly StatementAnswer[]> {
+        if (unreachableIds.has(endpointId)) {
+            throw new Error("no answer in time");
+        }
+        return statements.map(statement => execute(endpointId, statement));
     }
 
     const duty = {
@@ -123,8 +165,12 @@
         changePrimary,
         orderedIds,
         unreachableIds,
+        isolatedIds,
+        endpoints,
+        makePrimary,
         register,
-        primary: () => directory.endpoint(leader.id)!,
+        primary: () => directory.endpoint(findPrimaryId())!,
+        announcements: (): readonly Announcement[] => announcements,
         phases: (): readonly AnnouncementPhase[] => announcements.map(({ phase }) => phase),
     };
 }
