Let no lease vouch for a primary whose term is below an observed one

Evidence: two new tests of createPrimaryVerification, both failed on the code before. Why it works: an announced term below an observed one counts as a change whose end is unknown, so the VM queries the other endpoints until the holder announces the end; the same holds for a primary that is known to lead in a lower term only. The term of an announced primary is compared, not only its log's, which lags until the first commit of the term.

--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -106,14 +106,35 @@
         }
         state.term = position.term;
         log("higher term observed", { group: endpoint.group, term: position.term, endpoint: endpoint.id });
-        const primaryTerm = primary && termsAsPrimary.get(primary.id);
-        if (primary !== undefined && primaryTerm !== undefined && primaryTerm < position.term) {
+        if (primary !== undefined && isSuperseded(primary)) {
+            const primaryTerm = leadingTermOf(primary);
             log("primary may be superseded", { group: endpoint.group, endpoint: primary.id, primaryTerm });
             disqualify(primary);
         }
         notify(endpoint.group);
     }
 
+    /** Highest term in which an endpoint is known to lead; undefined when none is known. */
+    function leadingTermOf({ id, group }: EndpointRecord): number | undefined {
+        const { announced } = stateOf(group);
+        // The log of an endpoint that leads in a new term has positions of the old one until its first commit.
+        const terms = [termsAsPrimary.get(id), announced?.endpointId === id ? announced.term : undefined];
+        const knownTerms = terms.filter(term => term !== undefined);
+        return knownTerms.length === 0 ? undefined : Math.max(...knownTerms);
+    }
+
+    function isSuperseded(endpoint: EndpointRecord): boolean {
+        const leadingTerm = leadingTermOf(endpoint);
+        return leadingTerm !== undefined && leadingTerm < stateOf(endpoint.group).term;
+    }
+
+    /** Whether a change is under way, or has taken place, whose end was not announced to this VM. */
+    function isChangeUnfinished(group: string): boolean {
+        const state = stateOf(group);
+        const isAnnouncedOutdated = state.announced !== undefined && state.announced.term < state.term;
+        return state.isChangeUnfinished || isAnnouncedOutdated;
+    }
+
     function recordNotPrimary(endpoint: EndpointRecord): void {
         log("endpoint is not the primary", { group: endpoint.group, endpoint: endpoint.id });
         disqualify(endpoint);
@@ -167,7 +188,8 @@
     return {
         primaryOf,
         hasPrimaryConflict,
-        isChangeUnfinished: group => stateOf(group).isChangeUnfinished,
+        isChangeUnfinished,
+        isSuperseded,
         termOf: group => stateOf(group).term,
         recordPosition,
         recordNotPrimary,
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -52,6 +52,7 @@
         const isVouchedFor = options.hasLease()
             && !primaries.hasPrimaryConflict(endpoint.group)
             && !primaries.isChangeUnfinished(endpoint.group)
+            && !primaries.isSuperseded(endpoint)
             && primaries.primaryOf(endpoint.group)?.id === endpoint.id;
         if (isVouchedFor) {
             logReliance(endpoint, RelianceReason.Lease);
--- a/src/primaries/createPrimaryVerification/test.ts
+++ b/src/primaries/createPrimaryVerification/test.ts
@@ -47,6 +47,29 @@
         assert.ok(verification.isVerified(primary));
     });
 
+    it("relies on no lease for a registered primary while a term above the announced one was observed", () => {
+        const { primaries, verification } = createSite(async () => false);
+        const replica = createEndpointRecord({ id: "i-2" });
+        primaries.finishChange("orders", replica.id, 1);
+        assert.ok(verification.isVerified(replica));
+        primaries.recordPosition(replica, { term: 2, entry: 8 });
+        assert.equal(primaries.primaryOf("orders")?.id, primary.id);
+        assert.equal(verification.isVerified(primary), false);
+        primaries.finishChange("orders", replica.id, 3);
+        assert.ok(verification.isVerified(replica));
+    });
+
+    it("relies on no lease for a primary that answered in a lower term than observed since", async () => {
+        const { clock, primaries, verification } = createSite(async () => false);
+        primaries.recordPosition(primary, { term: 1, entry: 5 });
+        primaries.recordPosition(createEndpointRecord({ id: "i-2" }), { term: 2, entry: 6 });
+        await clock.advance(primaryConstants.disqualifiedMilliseconds + 1);
+        assert.equal(primaries.primaryOf("orders")?.id, primary.id);
+        assert.equal(verification.isVerified(primary), false);
+        primaries.recordPosition(primary, { term: 2, entry: 7 });
+        assert.ok(verification.isVerified(primary));
+    });
+
     it("verifies the primary when all others are replicas, and not when one is primary or gives no answer", async () => {
         assert.equal(await createSite(async () => false).verification.verify(primary), true);
         assert.equal(await createSite(async id => id === "i-3").verification.verify(primary), false);
--- a/src/primaries/types/Primaries.ts
+++ b/src/primaries/types/Primaries.ts
@@ -8,10 +8,12 @@
     /** Whether several endpoints are registered as the primary and no announcement of the newest term decides. */
     hasPrimaryConflict(group: string): boolean;
     /**
-     * Whether a change of primary was announced and neither its end nor its cancellation: another endpoint may lead at
-     * any moment, so no lease vouches for the known primary.
+     * Whether a change of primary was announced and neither its end nor its cancellation, or a term above that of the
+     * announced primary was observed: another endpoint may lead, so no lease vouches for the known primary.
      */
     isChangeUnfinished(group: string): boolean;
+    /** Whether a term above the one in which an endpoint is known to lead was observed in its group. */
+    isSuperseded(endpoint: EndpointRecord): boolean;
     /** Highest term observed in a group; 0 before the first. */
     termOf(group: string): number;
     /** Records the log position in an endpoint's answer. */
