Count an endpoint as a replica only when it says that it is not the primary

Callers: a VM without a lease may acknowledge at a superseded primary when the promoted endpoint is busy or fails. Cause: the query whether an endpoint leads took any refusal, also busy, failed or timed out, for 'not the primary', and a VM without a lease acknowledges when all other endpoints say so. Why it works: only a refusal for not being the primary is an answer; any other leaves it open, so the primary is not verified. A probe still counts such an endpoint as reachable.

--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -11,8 +11,8 @@
     readonly primaries: Primaries;
     /** Whether this VM holds a lease, so that it is notified of each change of primary before it takes effect. */
     readonly hasLease: () => boolean;
-    /** Queries an endpoint whether it is the primary; fails when it does not answer. */
-    readonly queryIsPrimary: (endpointId: string) => Promise<boolean>;
+    /** Queries an endpoint whether it is the primary; undefined when its answer does not tell, fails without one. */
+    readonly queryIsPrimary: (endpointId: string) => Promise<boolean | undefined>;
     readonly metrics: Pick<Metrics, "countPrimaryVerification">;
     readonly log: LogTopic;
 }
--- a/src/primaries/createPrimaryVerification/test.ts
+++ b/src/primaries/createPrimaryVerification/test.ts
@@ -9,7 +9,7 @@
 
 const primary = createEndpointRecord({ id: "i-1", isPrimary: true });
 
-function createSite(queryIsPrimary: (endpointId: string) => Promise<boolean>) {
+function createSite(queryIsPrimary: (endpointId: string) => Promise<boolean | undefined>) {
     const clock = createManualClock();
     const replicas = ["i-2", "i-3"].map(id => createEndpointRecord({ id }));
     const directory = createPopulatedDirectory(clock, [primary, ...replicas]);
@@ -70,7 +70,7 @@
         assert.ok(verification.isVerified(primary));
     });
 
-    it("verifies the primary when all others are replicas, and not when one is primary or gives no answer", async () => {
+    it("verifies the primary when all others are replicas, and not when one is primary or gives no clear answer", async () => {
         assert.equal(await createSite(async () => false).verification.verify(primary), true);
         assert.equal(await createSite(async id => id === "i-3").verification.verify(primary), false);
         const unresponsive = createSite(async id => {
@@ -80,6 +80,8 @@
             return false;
         });
         assert.equal(await unresponsive.verification.verify(primary), false);
+        const unclear = createSite(async id => id === "i-3" ? undefined : false);
+        assert.equal(await unclear.verification.verify(primary), false);
     });
 
     it("does not rely on a query that was sent before the call", async () => {
--- a/src/promotions/createEndpointProbe/index.ts
+++ b/src/promotions/createEndpointProbe/index.ts
@@ -43,7 +43,7 @@
         try {
             const isPrimary = await queryIsPrimary(control.run, endpointId);
             const endpoint = directory.endpoint(endpointId);
-            if (!isPrimary && endpoint !== undefined) {
+            if (isPrimary === false && endpoint !== undefined) {
                 primaries.recordNotPrimary(endpoint);
             }
             return true;
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -254,7 +254,9 @@
         while (clock.now() < deadline) {
             await clock.sleep(promotionConstants.pollingMilliseconds);
             const isPrimary = await queryIsPrimary(control.runFromAnyVm, id).catch(() => false);
-            const status = isPrimary ? await readEndpointStatus(control, id).catch(() => undefined) : undefined;
+            const status = isPrimary === true
+                ? await readEndpointStatus(control, id).catch(() => undefined)
+                : undefined;
             if (status?.isPrimary === true) {
                 return status.term;
             }
--- a/src/promotions/queryIsPrimary/index.ts
+++ b/src/promotions/queryIsPrimary/index.ts
@@ -1,4 +1,5 @@
 import type { EndpointCommand } from "../../duty/types/EndpointCommand.js";
+import { FailureCode } from "../../statements/types/FailureCode.js";
 import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { promotionConstants } from "../constants.js";
@@ -9,7 +10,7 @@
  *
  * @param run Sends statements to the endpoint.
  * @param endpointId The endpoint.
- * @returns Whether the endpoint is the primary.
+ * @returns Whether the endpoint is the primary; undefined when it refuses for another reason than not being the primary.
  * @throws When the endpoint does not answer.
  *
  * @example
@@ -18,11 +19,15 @@
 export async function queryIsPrimary(
     run: (command: EndpointCommand) => Promise<readonly StatementAnswer[]>,
     endpointId: string,
-): Promise<boolean> {
+): Promise<boolean | undefined> {
     const [begin] = await run({
         endpointId,
         statements: [{ kind: OutgoingKind.Begin, isReadOnly: false }, { kind: OutgoingKind.Rollback }],
         timeoutMilliseconds: promotionConstants.queryTimeoutMilliseconds,
     });
-    return begin?.failure === undefined;
+    if (begin === undefined) {
+        return undefined;
+    }
+    const code = begin.failure?.code;
+    return code === undefined || (code === FailureCode.ReadOnly ? false : undefined);
 }
