Announce a primary after an unknown end only when no other endpoint can lead in a higher term

Cause: the holder asked the registered claimants, and the highest term among those that answered won; a term known to be higher, and endpoints without an answer, did not count. A change that failed was also announced as cancelled while the order of an earlier one could still take effect. Evidence: three new tests, run on the code before, failed there: a primary of a term below an observed one was announced, no new term was started with an endpoint unresponsive, and the change was cancelled. Why it works: all endpoints of the group are asked. A claimant is announced only if all others answered and nobody knows a higher term; otherwise an order to promote the endpoint with the furthest log (the claimant, at the same position) starts a term above all others. Other registered primaries are ordered to step down in that term. A conflict in which no endpoint claims the role is left to the ordinary check of the primary instead of being tried for ever. Result: tests of primaries, promotions and vm pass.

--- a/src/promotions/chooseSuccessor/index.ts
+++ b/src/promotions/chooseSuccessor/index.ts
@@ -7,7 +7,7 @@
     readonly replicas: number;
     /** Number of replicas that must have received a commit before it is acknowledged. */
     readonly synchronousReplicas: number;
-    /** Among candidates with the same log position, one in this region is preferred. */
+    /** Among candidates with the same log position, one that is the primary is preferred, then one in this region. */
     readonly preferredRegion: string | undefined;
     readonly regionsByZone: Readonly<Record<string, string>>;
 }
@@ -37,6 +37,8 @@
     const preferenceOf = ({ endpoint }: CandidateStatus): number =>
         regionsByZone[endpoint.address.availabilityZone] === preferredRegion ? 1 : 0;
     return [...candidates].sort((left, right) =>
-        comparePositions(right.status.received, left.status.received) || preferenceOf(right) - preferenceOf(left)
+        comparePositions(right.status.received, left.status.received)
+        || Number(right.status.isPrimary) - Number(left.status.isPrimary)
+        || preferenceOf(right) - preferenceOf(left)
     )[0];
 }
--- a/src/promotions/chooseSuccessor/test.ts
+++ b/src/promotions/chooseSuccessor/test.ts
@@ -34,6 +34,13 @@
         assert.equal(chosen?.endpoint.id, "x");
     });
 
+    it("prefers the primary among candidates with the same log position", () => {
+        const replica = createCandidate("x", "a", 10);
+        const { endpoint, status } = createCandidate("y", "c", 10);
+        const chosen = chooseSuccessor([replica, { endpoint, status: { ...status, isPrimary: true } }], options);
+        assert.equal(chosen?.endpoint.id, "y");
+    });
+
     it("requires an answer from each replica that may hold the only copy of an acknowledged commit", () => {
         const candidates = [createCandidate("x", "a", 10)];
         assert.equal(chooseSuccessor(candidates, { ...options, synchronousReplicas: 1 }), undefined);
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -8,6 +8,7 @@
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Primaries } from "../../primaries/types/Primaries.js";
 import { comparePositions } from "../../statements/comparePositions/index.js";
 import type { LogPosition } from "../../statements/types/LogPosition.js";
 import { chooseSuccessor } from "../chooseSuccessor/index.js";
@@ -31,8 +32,8 @@
     /** Name of this VM. */
     readonly vmName: string;
     readonly regionsByZone: Readonly<Record<string, string>>;
-    /** Highest term known in a group. */
-    readonly termOf: (group: string) => number;
+    /** The primaries known to this VM. */
+    readonly primaries: Pick<Primaries, "isChangeUnfinished" | "termOf">;
     /** Ends background tasks. */
     readonly signal: AbortSignal;
     readonly log: LogTopic;
@@ -58,14 +59,16 @@
  * await changePrimary("orders", primary, ChangeReason.Leaving);
  */
 export function createPrimaryChange(options: PrimaryChangeOptions): PrimaryChange {
-    const { clock, directory, duty, control, orders, log } = options;
+    const { clock, directory, duty, control, orders, primaries, log } = options;
 
     return async (group, currentPrimary, reason) => {
-        const term = options.termOf(group) + 1;
+        const term = primaries.termOf(group) + 1;
+        // The order of an earlier change may still take effect.
+        const isOrdered = primaries.isChangeUnfinished(group);
         const startedAt = clock.now();
         log("change of the primary starts", { group, from: currentPrimary?.id, reason, term });
         const unconfirmedVms = await duty.announce({ group, phase: AnnouncementPhase.Begun, term });
-        const change: Change = { group, currentPrimary, reason, term, unconfirmedVms, isOrdered: false };
+        const change: Change = { group, currentPrimary, reason, term, unconfirmedVms, isOrdered };
         try {
             const promoted = await changePrimary(change);
             await duty.announce({ group, phase: AnnouncementPhase.Finished, ...promoted });
@@ -101,7 +104,7 @@
         readonly term: number;
         /** VMs that may still send to the current primary. */
         readonly unconfirmedVms: readonly VmIdentity[];
-        /** Whether the promotion may have been ordered: the successor may then lead at any moment. */
+        /** Whether a promotion may have been ordered, by this change or an earlier one, and take effect at any moment. */
         isOrdered: boolean;
     }
 
@@ -112,7 +115,7 @@
     }
 
     async function changePrimary(change: Change): Promise<PromotedEndpoint> {
-        const { group, currentPrimary } = change;
+        const { group } = change;
         const logEnd = await stepDown(change);
         await duty.waitForLeases(change.unconfirmedVms);
         const successor = await findSuccessor(change, logEnd);
@@ -124,8 +127,8 @@
         });
         await promote(change, successor.endpoint);
         const term = await waitForPrimary(successor.endpoint);
-        if (logEnd === undefined && currentPrimary !== undefined) {
-            void stepDownInBackground(currentPrimary, term);
+        if (logEnd === undefined) {
+            listOtherPrimaries(change, successor.endpoint).forEach(other => void stepDownInBackground(other, term));
         }
         return { endpointId: successor.endpoint.id, term };
     }
@@ -160,6 +163,12 @@
         }
     }
 
+    /** Lists the endpoints that may still act as the primary beside the successor. */
+    function listOtherPrimaries({ group, currentPrimary }: Change, successor: EndpointRecord): EndpointRecord[] {
+        return directory.endpointsOf(group)
+            .filter(({ id, isPrimary }) => id !== successor.id && (isPrimary || id === currentPrimary?.id));
+    }
+
     /** Orders a superseded primary to step down as soon as it answers, unless it leads in a newer term by then. */
     async function stepDownInBackground({ id }: EndpointRecord, term: number): Promise<void> {
         const deadline = clock.now() + promotionConstants.stepDownMilliseconds;
@@ -230,6 +239,7 @@
             });
         }
         log("orders the promotion", { group, endpoint: endpointId, fencingToken });
+        const wasOrdered = change.isOrdered;
         change.isOrdered = true;
         try {
             await orders.promote({ group, endpointId, holderName: options.vmName, fencingToken });
@@ -237,7 +247,7 @@
         catch (error) {
             const { kind, message } = toTypedError(error);
             if (kind !== ErrorKind.OutcomeUnknown) {
-                change.isOrdered = false;
+                change.isOrdered = wasOrdered;
                 throw error;
             }
             log("answer to the order to promote was lost; the successor is watched", {
--- a/src/promotions/createPrimaryChange/test.ts
+++ b/src/promotions/createPrimaryChange/test.ts
@@ -81,6 +81,20 @@
         assert.deepEqual(site.phases(), [Begun, Cancelled]);
     });
 
+    it("does not cancel a change while the order of an earlier one may still take effect", async () => {
+        const site = createPromotionSite({
+            promote: async () => {
+                throw failWith(ErrorKind.Conflict);
+            },
+        });
+        site.primaries.beginChange(site.group, 2);
+        const change = site.changePrimary(site.group, site.primary(), ChangeReason.Leaving).catch(() => {});
+        await site.clock.advance(changeMilliseconds);
+        await change;
+        assert.deepEqual(site.phases(), [Begun]);
+        assert.ok(site.primaries.isChangeUnfinished(site.group));
+    });
+
     it("finishes a change although the answer to its order was lost", async () => {
         const { site, failure } = await runChange(async (_id, makePrimary) => {
             makePrimary();
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -10,6 +10,7 @@
 import { promotionConstants } from "../constants.js";
 import type { createPrimaryChange } from "../createPrimaryChange/index.js";
 import { ChangeReason } from "../types/ChangeReason.js";
+import { PrimaryDecision } from "../types/PrimaryDecision.js";
 
 /** Options of `createPromotionCoordinator`. */
 interface PromotionCoordinatorOptions {
@@ -25,8 +26,8 @@
     readonly connectedVms: (group: string) => readonly VmIdentity[];
     readonly peerOf: (vm: VmIdentity) => VmPeer;
     readonly changePrimary: ReturnType<typeof createPrimaryChange>;
-    /** Decides the primary when several endpoints claim to be it. */
-    readonly handlePrimaryConflict: (group: string) => Promise<void>;
+    /** Decides which endpoint is the primary when several claim to be it, or when the end of a change is unknown. */
+    readonly decidePrimary: (group: string) => Promise<PrimaryDecision>;
     readonly metrics: Pick<Metrics, "countPrimaryChange">;
     readonly log: LogTopic;
 }
@@ -73,12 +74,11 @@
         }
         watch.isBusy = true;
         try {
-            if (primaries.hasPrimaryConflict(group)) {
-                await options.handlePrimaryConflict(group);
-                return;
-            }
-            if (primaries.isChangeUnfinished(group) && (!isSettlementDue(watch) || await settleChange(group))) {
-                return;
+            const isUnfinished = primaries.isChangeUnfinished(group);
+            if (primaries.hasPrimaryConflict(group) || isUnfinished) {
+                if (isUnfinished && !isSettlementDue(watch) || await settle(group)) {
+                    return;
+                }
             }
             watch.unfinishedSince = undefined;
             const primary = primaries.primaryOf(group);
@@ -103,16 +103,16 @@
         return clock.now() - watch.unfinishedSince >= promotionConstants.settlementMilliseconds;
     }
 
-    /** Announces which endpoint leads; returns false when none answers, so that the primary has to be changed again. */
-    async function settleChange(group: string): Promise<boolean> {
-        try {
-            await options.handlePrimaryConflict(group);
-            return true;
-        }
-        catch (error) {
-            log("unfinished change of the primary could not be settled", { group, reason: (error as Error).message });
-            return false;
+    /**
+     * Has one endpoint announced as the primary. While another one may lead, it takes a promotion, which starts a term
+     * above all others. Returns false when no endpoint claims to be the primary.
+     */
+    async function settle(group: string): Promise<boolean> {
+        const decision = await options.decidePrimary(group);
+        if (decision === PrimaryDecision.Undecided) {
+            await changePrimary(group, undefined, ChangeReason.Undecided);
         }
+        return decision !== PrimaryDecision.NoPrimary;
     }
 
     async function changePrimary(group: string, primary: EndpointRecord | undefined, reason: ChangeReason) {
--- a/src/promotions/createPromotionCoordinator/test.ts
+++ b/src/promotions/createPromotionCoordinator/test.ts
@@ -31,6 +31,33 @@
         await site.coordinator.stop();
     });
 
+    it("announces no primary of a term below an observed one after a change whose end is unknown", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        site.isolatedIds.add("i-1");
+        site.primaries.beginChange(site.group, 2);
+        site.makePrimary("i-2");
+        site.unreachableIds.add("i-2");
+        site.register("i-2", { isPrimary: false });
+        await site.coordinator.start();
+        await site.clock.advance(settlementMilliseconds + 2_000);
+        const announced = site.announcements().at(-1)!;
+        assert.equal(announced.phase, Finished);
+        assert.ok(announced.term > 2, `term ${announced.term}`);
+        await site.coordinator.stop();
+    });
+
+    it("starts a new term when an endpoint that may have been promoted does not answer", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        site.primaries.beginChange(site.group, 2);
+        site.unreachableIds.add("i-2");
+        await site.coordinator.start();
+        await site.clock.advance(settlementMilliseconds + 2_000);
+        assert.deepEqual(site.orderedIds, ["i-1"]);
+        assert.equal(site.announcements().at(-1)?.term, 2);
+        assert.equal(site.primaries.primaryOf(site.group)?.id, "i-1");
+        await site.coordinator.stop();
+    });
+
     it("changes the primary again when no endpoint can settle an unfinished change", async () => {
         const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
         site.primaries.beginChange(site.group, 2);
--- a/src/promotions/types/ChangeReason.ts
+++ b/src/promotions/types/ChangeReason.ts
@@ -6,4 +6,6 @@
     Unreachable = "Unreachable",
     /** No endpoint of the group is known as the primary. */
     Missing = "Missing",
+    /** An endpoint claims to be the primary, but another one may lead in a higher term. */
+    Undecided = "Undecided",
 }
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -6,7 +6,7 @@
 import type { EndpointCommand } from "../../duty/types/EndpointCommand.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
 import { createPrimaryChange } from "../../promotions/createPrimaryChange/index.js";
-import { createPrimaryConflictHandler } from "../../promotions/createPrimaryConflictHandler/index.js";
+import { createPrimaryDecision } from "../../promotions/createPrimaryDecision/index.js";
 import { createPromotionCoordinator } from "../../promotions/createPromotionCoordinator/index.js";
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
@@ -142,7 +142,7 @@
         },
         vmName: "vm-1",
         regionsByZone: {},
-        termOf: primaries.termOf,
+        primaries,
     });
     const coordinator = createPromotionCoordinator({
         ...shared,
@@ -154,7 +154,7 @@
             throw new Error("no other VM is known");
         },
         changePrimary,
-        handlePrimaryConflict: createPrimaryConflictHandler(shared),
+        decidePrimary: createPrimaryDecision({ ...shared, termOf: primaries.termOf }),
         metrics: { countPrimaryChange: () => {} },
     });
     return {
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -25,7 +25,7 @@
 import { createEndpointControl } from "../../promotions/createEndpointControl/index.js";
 import { createEndpointProbe } from "../../promotions/createEndpointProbe/index.js";
 import { createPrimaryChange } from "../../promotions/createPrimaryChange/index.js";
-import { createPrimaryConflictHandler } from "../../promotions/createPrimaryConflictHandler/index.js";
+import { createPrimaryDecision } from "../../promotions/createPrimaryDecision/index.js";
 import { createPromotionCoordinator } from "../../promotions/createPromotionCoordinator/index.js";
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
 import type { PromotionOrders } from "../../promotions/types/PromotionOrders.js";
@@ -212,7 +212,7 @@
                     orders,
                     vmName: name,
                     regionsByZone,
-                    termOf: primaries.termOf,
+                    primaries,
                     log,
                 });
                 const peerOf = createVmPeers(peers, clock);
@@ -226,7 +226,7 @@
                     connectedVms: hosts.otherHostsOf,
                     peerOf,
                     changePrimary,
-                    handlePrimaryConflict: createPrimaryConflictHandler({ directory, duty, control, log }),
+                    decidePrimary: createPrimaryDecision({ directory, duty, control, termOf: primaries.termOf, log }),
                     metrics,
                     log,
                 });
