Let a new holder vouch for no primary before its predecessor can no longer act

Callers: a VM may be acknowledged at the old primary while an order to promote of the previous holder takes effect. Cause: a new holder granted leases as soon as it was verified in the store. It need not have heard of the change that its predecessor had begun, and the order may be 2 s on its way; its own changes waited 2.8 s, less than a verification, an order and a promotion take together. Evidence: the new test of createDuty failed on the code before (a lease 1 s after the takeover), as the tests of the coordinator cannot pass there (a new holder announced nothing). Why it works: for 4 s a new holder grants no lease and orders nothing, and VMs query the other endpoints instead. It then has every group decided by its endpoints and announced, also a group that it was told nothing of, before the first lease; until then it cancels no change. Tests that took a lease for granted 3 s after a takeover wait for that time now; their bounds follow the constant.

--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -34,6 +34,12 @@
     leaseMilliseconds: 1_000,
     /** Hosts that the holder asks at most to read its record while the store does not answer it. */
     maximumRecordReaders: 3,
+    /**
+     * Time after a takeover for which the previous holder may still act, in milliseconds: it exceeds the time for which a
+     * holder counts as verified together with a lease that it granted last, and the time that an order to promote takes
+     * that was sent after its last verification.
+     */
+    formerHolderMilliseconds: 4_000,
     /** Time for which a verification of the holder in the store remains valid, in milliseconds. */
     verifiedMilliseconds: 1_800,
     /** The holder also counts as verified while every known VM had contact with it this recently, in milliseconds. */
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -76,8 +76,6 @@
     /** When the last renewal was sent that the holder or a relay answered. */
     let answeredAt = startedAt;
     let failedRenewals = 0;
-    /** Whether this VM granted leases when it answered the last renewal as the holder. */
-    let wasGranting = false;
     let isLeaving = false;
     let isStopping = false;
 
@@ -248,20 +246,16 @@
 
     function answerRenewal(renewal: Renewal): RenewalAnswer {
         const isHolder = heldToken() !== undefined;
-        const state = { isHolder, isCertain: verification.isCertain(), holder: knownHolder };
+        const state = { isHolder, isCertain: isCertain(), holder: knownHolder };
         if (isHolder) {
-            logGranting(state.isCertain);
             grantedLeases.recordContact(renewal.vm, state.isCertain && renewal.isHost);
         }
         return exchange.answer(renewal, state);
     }
 
-    /** Logs when this holder begins to grant leases, and when it no longer does. */
-    function logGranting(isGranting: boolean): void {
-        if (isGranting !== wasGranting) {
-            wasGranting = isGranting;
-            log(isGranting ? "grants leases" : "grants no leases", { token: heldToken() });
-        }
+    /** Whether this VM may grant leases: no other VM can have become the holder, and the primaries are known. */
+    function isCertain(): boolean {
+        return grantedLeases.isGranting() && verification.isCertain();
     }
 
     function hasHolderContact(token: number): boolean {
@@ -277,7 +271,9 @@
         hostVms: () => vms.version() === 0 ? unknownVms : view.hostVms(),
         isHost,
         isInContact: () => heldToken() !== undefined || failedRenewals === 0 && answeredAt > startedAt,
-        hasLease: () => heldToken() === undefined ? lease.isHeld() : verification.isCertain(),
+        hasLease: () => heldToken() === undefined ? lease.isHeld() : isCertain(),
+        isGranting: grantedLeases.isGranting,
+        startGranting: grantedLeases.startGranting,
         ...delivery,
         answerRenewal,
         readHolder: async () => (await records.read(dutyConstants.recordName))?.content as DutyHolder | undefined,
--- a/src/duty/createDuty/test.ts
+++ b/src/duty/createDuty/test.ts
@@ -51,6 +51,25 @@
         const next = others.filter(name => fleet.dutyOf(name).heldToken() !== undefined);
         assert.equal(next.length, 1);
         assert.ok(fleet.dutyOf(next[0]!).heldToken()! > token);
+        await fleet.clock.advance(dutyConstants.formerHolderMilliseconds);
+        assert.ok(others.every(name => fleet.dutyOf(name).hasLease()));
+    });
+
+    it("grants no lease as a new holder while an order of the previous one may take effect", async () => {
+        const { fleet, holder, others } = await startFleet();
+        await fleet.dutyOf(holder).stop();
+        fleet.isolate(holder);
+        const hasHolder = (): boolean => others.some(name => fleet.dutyOf(name).heldToken() !== undefined);
+        while (!hasHolder()) {
+            await fleet.clock.advance(20);
+        }
+        await fleet.clock.advance(dutyConstants.leaseMilliseconds);
+        const endsAt = fleet.clock.now() + dutyConstants.formerHolderMilliseconds - dutyConstants.leaseMilliseconds;
+        while (fleet.clock.now() < endsAt - 40) {
+            assert.ok(others.every(name => !fleet.dutyOf(name).hasLease()), `at ${fleet.clock.now()} ms`);
+            await fleet.clock.advance(20);
+        }
+        await fleet.clock.advance(stabilizationMilliseconds);
         assert.ok(others.every(name => fleet.dutyOf(name).hasLease()));
     });
 
@@ -176,7 +195,7 @@
             assert.equal(isOver, false);
             await fleet.clock.advance(20);
         }
-        await fleet.clock.advance(dutyConstants.verifiedMilliseconds + dutyConstants.leaseMilliseconds);
+        await fleet.clock.advance(tookOverAt + dutyConstants.formerHolderMilliseconds - fleet.clock.now());
         assert.ok(isOver);
         assert.ok(tookOverAt - startedAt < stabilizationMilliseconds);
     });
--- a/src/duty/createGrantedLeases/index.ts
+++ b/src/duty/createGrantedLeases/index.ts
@@ -19,13 +19,14 @@
  * const vms = leases.listPossibleVms(otherVms);
  */
 export function createGrantedLeases(clock: Clock): GrantedLeases {
-    const { leaseMilliseconds, verifiedMilliseconds } = dutyConstants;
+    const { leaseMilliseconds, formerHolderMilliseconds } = dutyConstants;
     const leases = new Map<string, GrantedLease>();
-    /** Time at which the last lease of the previous holder ends. */
-    let formerLeasesEndAt = -Infinity;
+    /** Time at which the last lease of the previous holder has ended, and its last order has taken effect. */
+    let formerHolderEndsAt = -Infinity;
+    let mayGrant = true;
 
     function hasFormerLeases(): boolean {
-        return clock.now() < formerLeasesEndAt;
+        return clock.now() < formerHolderEndsAt;
     }
 
     function listPossibleVms(otherVms: readonly VmIdentity[]): readonly VmIdentity[] {
@@ -45,8 +46,13 @@
     return {
         startHolding: () => {
             leases.clear();
-            formerLeasesEndAt = clock.now() + verifiedMilliseconds + leaseMilliseconds;
+            mayGrant = false;
+            formerHolderEndsAt = clock.now() + formerHolderMilliseconds;
         },
+        startGranting: () => {
+            mayGrant = true;
+        },
+        isGranting: () => mayGrant && !hasFormerLeases(),
         recordContact: (vm, isGranted) => {
             if (isGranted) {
                 leases.set(vm.name, { vm, grantedAt: clock.now() });
@@ -54,6 +60,6 @@
         },
         listPossibleVms,
         // The previous holder may have granted leases to VMs that this one does not know yet.
-        endOfLeases: vms => Math.max(formerLeasesEndAt, ...vms.map(endOf)),
+        endOfLeases: vms => Math.max(formerHolderEndsAt, ...vms.map(endOf)),
     };
 }
--- a/src/duty/createGrantedLeases/test.ts
+++ b/src/duty/createGrantedLeases/test.ts
@@ -1,12 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { promotionConstants } from "../../promotions/constants.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createVmIdentity } from "../../testing/createVmIdentity/index.js";
 import { dutyConstants } from "../constants.js";
 import { createGrantedLeases } from "./index.js";
 
-const { leaseMilliseconds, verifiedMilliseconds } = dutyConstants;
-const formerMilliseconds = verifiedMilliseconds + leaseMilliseconds;
+const { leaseMilliseconds, verifiedMilliseconds, formerHolderMilliseconds: formerMilliseconds } = dutyConstants;
 const [host, other] = ["vm-1", "vm-2"].map(name => createVmIdentity(name)) as [
     ReturnType<typeof createVmIdentity>,
     ReturnType<typeof createVmIdentity>,
@@ -24,6 +24,26 @@
         assert.deepEqual(leases.listPossibleVms([host, other]), []);
     });
 
+    it("waits longer for a previous holder than its last lease and its last order to promote may take", () => {
+        const { maximumVerificationMilliseconds, orderTimeoutMilliseconds } = promotionConstants;
+        assert.ok(formerMilliseconds > verifiedMilliseconds + leaseMilliseconds);
+        assert.ok(formerMilliseconds > maximumVerificationMilliseconds + orderTimeoutMilliseconds);
+    });
+
+    it("grants no lease as a new holder before the primaries are known and the previous holder cannot act", async () => {
+        const clock = createManualClock();
+        const leases = createGrantedLeases(clock);
+        assert.ok(leases.isGranting());
+        leases.startHolding();
+        leases.startGranting();
+        assert.equal(leases.isGranting(), false);
+        await clock.advance(formerMilliseconds);
+        assert.ok(leases.isGranting());
+        leases.startHolding();
+        await clock.advance(formerMilliseconds);
+        assert.equal(leases.isGranting(), false);
+    });
+
     it("lists all VMs while the previous holder's leases may last", async () => {
         const clock = createManualClock();
         const leases = createGrantedLeases(clock);
--- a/src/duty/createHolderVerification/index.ts
+++ b/src/duty/createHolderVerification/index.ts
@@ -49,6 +49,7 @@
     const { clock, self, vms, heldToken, log } = options;
     let verifiedAt = -Infinity;
     let isStoreAnswering = true;
+    let wasCertain = false;
 
     function isInContactWithAll(): boolean {
         return vms.isHolderInContactWithAll(dutyConstants.contactWithAllMilliseconds);
@@ -108,7 +109,12 @@
 
     function isCertain(): boolean {
         const isVerified = clock.now() - verifiedAt < dutyConstants.verifiedMilliseconds;
-        return heldToken() !== undefined && (isVerified || isInContactWithAll());
+        const isCertainNow = heldToken() !== undefined && (isVerified || isInContactWithAll());
+        if (isCertainNow !== wasCertain) {
+            wasCertain = isCertainNow;
+            log("certainty of the holder has changed", { isCertain: isCertainNow, isVerified, token: heldToken() });
+        }
+        return isCertainNow;
     }
 
     return { verify, isCertain };
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -25,7 +25,14 @@
     isInContact(): boolean;
     /** Whether this VM may rely on its known primaries: none can have been replaced without an announcement. */
     hasLease(): boolean;
-    /** Waits until the leases of VMs that did not confirm an announcement have expired. */
+    /** Whether this VM grants leases while it is the holder; a new holder does not before `startGranting`. */
+    isGranting(): boolean;
+    /** Grants leases from now on: no order of a previous holder can take effect, and each group's primary is known. */
+    startGranting(): void;
+    /**
+     * Waits until the leases of VMs that did not confirm an announcement have expired, and until nothing that a previous
+     * holder did can take effect.
+     */
     waitForLeases(vms: readonly VmIdentity[]): Promise<void>;
     /** Sends an announcement to the VMs that may have a lease; resolves with those that did not confirm it. */
     announce(announcement: Omit<Announcement, "sequence">): Promise<readonly VmIdentity[]>;
--- a/src/duty/types/GrantedLeases.ts
+++ b/src/duty/types/GrantedLeases.ts
@@ -2,12 +2,16 @@
 
 /** The leases that the holder of the failover duty has granted. */
 export interface GrantedLeases {
-    /** Begins a new record when this VM replaces another holder. */
+    /** Begins a new record when this VM replaces another holder; no lease may be granted yet. */
     startHolding(): void;
+    /** Allows leases, once nothing that the previous holder did takes effect: the primary of each group is known. */
+    startGranting(): void;
+    /** Whether leases may be granted. */
+    isGranting(): boolean;
     /** Records that a VM called this holder, and whether it was granted a lease. */
     recordContact(vm: VmIdentity, isGranted: boolean): void;
     /** Lists those of the other VMs that may have a lease now. */
     listPossibleVms(otherVms: readonly VmIdentity[]): readonly VmIdentity[];
-    /** Time after which none of these VMs has a lease, and no VM one of the previous holder. */
+    /** Time after which none of these VMs has a lease, and nothing that the previous holder did takes effect. */
     endOfLeases(vms: readonly VmIdentity[]): number;
 }
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -63,8 +63,8 @@
 
     return async (group, currentPrimary, reason) => {
         const term = primaries.termOf(group) + 1;
-        // The order of an earlier change may still take effect.
-        const isOrdered = primaries.isChangeUnfinished(group);
+        // The order of an earlier change, also of a previous holder, may still take effect.
+        const isOrdered = primaries.isChangeUnfinished(group) || !duty.isGranting();
         const startedAt = clock.now();
         log("change of the primary starts", { group, from: currentPrimary?.id, reason, term });
         const unconfirmedVms = await duty.announce({ group, phase: AnnouncementPhase.Begun, term });
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -35,6 +35,8 @@
 /** State of the checks of one group. */
 interface GroupWatch {
     isBusy: boolean;
+    /** Whether this holder has announced the primary, or that it is being changed. */
+    isConfirmed: boolean;
     missingSince?: number;
     /** When the group was first seen with a change whose end is unknown. */
     unfinishedSince?: number;
@@ -55,15 +57,33 @@
 export function createPromotionCoordinator(options: PromotionCoordinatorOptions) {
     const { clock, directory, primaries, duty, end, log } = options;
     const watches = new Map<string, GroupWatch>();
+    let watchedToken: number | undefined;
+    /** Whether the holder with this token has announced the primary of each group, or need not. */
+    let hasConfirmedAll = false;
 
     async function runCheckLoop(): Promise<void> {
         while (!end.signal.aborted) {
             await clock.sleep(promotionConstants.checkIntervalMilliseconds, end.signal);
-            if (duty.heldToken() === undefined) {
+            const token = duty.heldToken();
+            if (token !== watchedToken) {
                 watches.clear();
-                continue;
+                watchedToken = token;
+                hasConfirmedAll = duty.isGranting();
+            }
+            if (token !== undefined) {
+                checkGroups();
             }
-            directory.groups().forEach(group => void checkGroup(group));
+        }
+    }
+
+    /** Checks all groups. A new holder lets leases vouch for the primaries once it has announced each of them. */
+    function checkGroups(): void {
+        const groups = directory.groups();
+        groups.forEach(group => void checkGroup(group));
+        if (!hasConfirmedAll && groups.length > 0 && groups.every(group => watchOf(group).isConfirmed)) {
+            hasConfirmedAll = true;
+            log("primaries are announced; leases may be granted", { groups: groups.length, token: watchedToken });
+            duty.startGranting();
         }
     }
 
@@ -74,18 +94,14 @@
         }
         watch.isBusy = true;
         try {
-            const isUnfinished = primaries.isChangeUnfinished(group);
-            if (primaries.hasPrimaryConflict(group) || isUnfinished) {
-                if (isUnfinished && !isSettlementDue(watch) || await settle(group)) {
+            if (primaries.hasPrimaryConflict(group) || primaries.isChangeUnfinished(group)) {
+                if (!isSettlementDue(group, watch) || await settle(group, watch)) {
                     return;
                 }
             }
             watch.unfinishedSince = undefined;
-            const primary = primaries.primaryOf(group);
-            const reason = await findChangeReason(group, watch, primary);
-            if (reason !== undefined) {
-                await changePrimary(group, primary, reason);
-                watch.missingSince = undefined;
+            if (!await replaceFailedPrimary(group, watch) && isUnconfirmed(watch) && !await settle(group, watch)) {
+                await clock.sleep(promotionConstants.retryMilliseconds, end.signal);
             }
         }
         catch (error) {
@@ -97,8 +113,31 @@
         }
     }
 
-    /** Whether a change whose end is unknown has lasted so long that an order to promote has taken effect, or will not. */
-    function isSettlementDue(watch: GroupWatch): boolean {
+    /** Whether this VM is a new holder that has not announced the primary yet. */
+    function isUnconfirmed(watch: GroupWatch): boolean {
+        return !hasConfirmedAll && !watch.isConfirmed;
+    }
+
+    /** Changes the primary if it has to be replaced; returns whether it had to. */
+    async function replaceFailedPrimary(group: string, watch: GroupWatch): Promise<boolean> {
+        const primary = primaries.primaryOf(group);
+        const reason = await findChangeReason(group, watch, primary);
+        if (reason === undefined) {
+            return false;
+        }
+        await changePrimary(group, watch, primary, reason);
+        watch.missingSince = undefined;
+        return true;
+    }
+
+    /**
+     * Whether the primary may be decided: at once in a conflict, and otherwise when a change whose end is unknown has
+     * lasted so long that an order to promote has taken effect, or will not.
+     */
+    function isSettlementDue(group: string, watch: GroupWatch): boolean {
+        if (!primaries.isChangeUnfinished(group)) {
+            return true;
+        }
         watch.unfinishedSince ??= clock.now();
         return clock.now() - watch.unfinishedSince >= promotionConstants.settlementMilliseconds;
     }
@@ -107,15 +146,27 @@
      * Has one endpoint announced as the primary. While another one may lead, it takes a promotion, which starts a term
      * above all others. Returns false when no endpoint claims to be the primary.
      */
-    async function settle(group: string): Promise<boolean> {
+    async function settle(group: string, watch: GroupWatch): Promise<boolean> {
         const decision = await options.decidePrimary(group);
         if (decision === PrimaryDecision.Undecided) {
-            await changePrimary(group, undefined, ChangeReason.Undecided);
+            await changePrimary(group, watch, undefined, ChangeReason.Undecided);
         }
-        return decision !== PrimaryDecision.NoPrimary;
+        if (decision === PrimaryDecision.NoPrimary) {
+            return false;
+        }
+        watch.isConfirmed = true;
+        watch.unfinishedSince = undefined;
+        return true;
     }
 
-    async function changePrimary(group: string, primary: EndpointRecord | undefined, reason: ChangeReason) {
+    async function changePrimary(
+        group: string,
+        watch: GroupWatch,
+        primary: EndpointRecord | undefined,
+        reason: ChangeReason,
+    ): Promise<void> {
+        // Until its end is announced, no lease vouches for a primary of the group.
+        watch.isConfirmed = true;
         try {
             await options.changePrimary(group, primary, reason);
             options.metrics.countPrimaryChange(true);
@@ -129,7 +180,7 @@
     function watchOf(group: string): GroupWatch {
         let watch = watches.get(group);
         if (watch === undefined) {
-            watch = { isBusy: false };
+            watch = { isBusy: false, isConfirmed: false };
             watches.set(group, watch);
         }
         return watch;
--- a/src/promotions/createPromotionCoordinator/test.ts
+++ b/src/promotions/createPromotionCoordinator/test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { createPromotionSite } from "../../testing/createPromotionSite/index.js";
 import { promotionConstants } from "../constants.js";
 
@@ -18,6 +20,40 @@
         await site.coordinator.stop();
     });
 
+    it("announces each primary as a new holder before leases vouch for it, whatever the previous holder had begun", async () => {
+        const site = createPromotionSite({ isNewHolder: true, promote: async (_id, makePrimary) => makePrimary() });
+        site.isolatedIds.add("i-1");
+        site.makePrimary("i-2");
+        site.register("i-2", { isPrimary: false });
+        await site.coordinator.start();
+        assert.equal(site.isGranting(), false);
+        await site.clock.advance(3 * checkIntervalMilliseconds);
+        assert.ok(site.isGranting());
+        const { group, phase, term, endpointId } = site.announcements().at(-1)!;
+        assert.deepEqual({ group, phase, term, endpointId }, {
+            group: site.group,
+            phase: Finished,
+            term: 2,
+            endpointId: "i-2",
+        });
+        await site.coordinator.stop();
+    });
+
+    it("cancels no change as a new holder that has not announced the primary", async () => {
+        const site = createPromotionSite({
+            isNewHolder: true,
+            promote: async () => {
+                throw createError(ErrorKind.Conflict, "The order failed.", { remedy: "Try again." });
+            },
+        });
+        site.unreachableIds.add("i-1");
+        await site.coordinator.start();
+        await site.clock.advance(1_000);
+        assert.deepEqual(site.phases(), [Begun]);
+        assert.ok(site.primaries.isChangeUnfinished(site.group));
+        await site.coordinator.stop();
+    });
+
     it("settles a change that a previous holder left unfinished, once its order can no longer take effect", async () => {
         const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
         site.primaries.beginChange(site.group, 2);
--- a/src/testing/createDutyFleet/index.ts
+++ b/src/testing/createDutyFleet/index.ts
@@ -33,6 +33,8 @@
     readonly describe?: (name: string) => Parameters<typeof createVmIdentity>[1];
 }
 
+const grantingIntervalMilliseconds = 100;
+
 /**
  * Creates VMs that share a store and call each other in memory, with links that can be cut.
  *
@@ -101,6 +103,16 @@
         vms.set(name, { identity, duty, announcements });
     });
 
+    /** In place of the coordinator: lets a new holder grant leases once its predecessor can no longer act. */
+    async function runGranting(duty: Duty): Promise<void> {
+        for (;;) {
+            await clock.sleep(grantingIntervalMilliseconds);
+            if (duty.heldToken() !== undefined && !duty.isGranting()) {
+                duty.startGranting();
+            }
+        }
+    }
+
     function isolate(name: string): void {
         for (const other of names.filter(candidate => candidate !== name)) {
             cuts.add(`${name}>${other}`);
@@ -122,6 +134,7 @@
         start: async () => {
             for (const { duty } of vms.values()) {
                 await duty.start();
+                void runGranting(duty);
             }
         },
     };
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -24,6 +24,8 @@
     readonly promote: (endpointId: string, makePrimary: () => void) => Promise<void>;
     /** Term of the group at the start, which the holder has not observed; 1 when left out. */
     readonly term?: number;
+    /** Whether the holder has just replaced another one. */
+    readonly isNewHolder?: boolean;
 }
 
 /** An endpoint in memory. */
@@ -58,6 +60,7 @@
     const unreachableIds = new Set<string>();
     /** Endpoints that do not hear of a promotion. */
     const isolatedIds = new Set<string>();
+    let isGranting = options.isNewHolder !== true;
     let revision = 100;
 
     function register(id: string, changes: Partial<EndpointRecord>): void {
@@ -119,6 +122,10 @@
     const duty = {
         heldToken: () => 1,
         verify: async () => 1,
+        isGranting: () => isGranting,
+        startGranting: () => {
+            isGranting = true;
+        },
         waitForLeases: async () => {},
         announce: async (announcement: Omit<Announcement, "sequence">) => {
             const numbered = { ...announcement, sequence: announcements.length + 1 };
@@ -170,6 +177,7 @@
         makePrimary,
         register,
         primary: () => directory.endpoint(findPrimaryId())!,
+        isGranting: () => isGranting,
         announcements: (): readonly Announcement[] => announcements,
         phases: (): readonly AnnouncementPhase[] => announcements.map(({ phase }) => phase),
     };
