Simulate VMs that change primaries on a manual clock

The VMs run the product's services from listVmServices; the network between them, the store, the platform and the endpoints are simulated, and callers write by the product's own rule of acknowledgement. No product code is changed.

--- /dev/null
+++ b/src/testing/createSimulatedEndpoints/index.ts
@@ -0,0 +1,144 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
+import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
+import { replicateLogs } from "../replicateLogs/index.js";
+import { runAtEndpoint } from "../runAtEndpoint/index.js";
+import type { HistoryEvent } from "../types/HistoryEvent.js";
+import { HistoryEventKind } from "../types/HistoryEventKind.js";
+import type { SimulatedEndpoint } from "../types/SimulatedEndpoint.js";
+import type { SimulatedEndpoints } from "../types/SimulatedEndpoints.js";
+import type { SimulatedNetwork } from "../types/SimulatedNetwork.js";
+import type { SimulatedStore } from "../types/SimulatedStore.js";
+
+/** Options of `createSimulatedEndpoints`. */
+interface SimulatedEndpointsOptions {
+    readonly clock: Clock;
+    readonly network: SimulatedNetwork;
+    readonly store: SimulatedStore;
+    readonly groups: readonly string[];
+    /** Availability zones of the endpoints of a group. */
+    readonly zones: readonly string[];
+    readonly history: HistoryEvent[];
+}
+
+const endpointsPerGroup = 3;
+const tickMilliseconds = 10;
+const reportMilliseconds = 1_000;
+const silenceMilliseconds = 3_000;
+
+/**
+ * Creates the endpoints of a simulation: one primary and its replicas per group, which register in the store.
+ *
+ * @param options Clock, network, store, groups and history.
+ * @returns The endpoints, started.
+ *
+ * @example
+ * endpoints.crash("orders-1");
+ */
+export function createSimulatedEndpoints(options: SimulatedEndpointsOptions): SimulatedEndpoints {
+    const { clock, network, store, groups, zones, history } = options;
+    const endpointsByGroup = new Map(groups.map(group => [group, createGroup(group)]));
+    const endpoints = new Map([...endpointsByGroup.values()].flat().map(endpoint => [endpoint.id, endpoint]));
+    const leaders = new Map<string, { readonly id: string; readonly term: number; }>();
+    groups.forEach(group => lead(endpointsByGroup.get(group)![0]!));
+    tick();
+
+    function createGroup(group: string): readonly SimulatedEndpoint[] {
+        return Array.from({ length: endpointsPerGroup }, (_value, index) => ({
+            id: `${group}-${index + 1}`,
+            group,
+            availabilityZone: zones[index % zones.length]!,
+            isRunning: true,
+            startedAt: 1,
+            isPrimary: false,
+            isLeaving: false,
+            term: 1,
+            position: { term: 1, entry: 0 },
+            heldTerm: 0,
+            reportedAt: 0,
+        }));
+    }
+
+    function get(id: string): SimulatedEndpoint {
+        return endpoints.get(id)!;
+    }
+
+    function lead(endpoint: SimulatedEndpoint): void {
+        const { id, group } = endpoint;
+        const term = (leaders.get(group)?.term ?? 0) + 1;
+        leaders.set(group, { id, term });
+        Object.assign(endpoint, { term, isPrimary: true, heldTerm: 0, reachesSuccessorSince: undefined });
+        history.push({ kind: HistoryEventKind.Promotion, at: clock.now(), group, endpointId: id, term });
+    }
+
+    function tick(): void {
+        endpointsByGroup.forEach(members => replicateLogs(members, network, clock.now()));
+        endpoints.forEach(register);
+        clock.startTimer(tickMilliseconds, tick);
+    }
+
+    /** Reports changes to the store at once, and otherwise now and then that the endpoint is alive. */
+    function register(endpoint: SimulatedEndpoint): void {
+        const { id, group, availabilityZone, isPrimary, isLeaving, startedAt } = endpoint;
+        const now = clock.now();
+        const isReporting = endpoint.isRunning && store.isAvailable && network.isConnected(id, "store");
+        const state = JSON.stringify({ isPrimary, isLeaving, startedAt });
+        if (isReporting && (state !== endpoint.registered || now - endpoint.reportedAt >= reportMilliseconds)) {
+            endpoint.reportedAt = now;
+            if (state !== endpoint.registered) {
+                endpoint.registered = state;
+                const address = { host: id, port: 1, availabilityZone };
+                store.putEndpoint({
+                    id,
+                    group,
+                    address,
+                    slots: 8,
+                    isLeaving,
+                    isPrimary,
+                    warmingMilliseconds: 0,
+                    startedAt,
+                });
+            }
+        }
+        else if (endpoint.registered !== undefined && now - endpoint.reportedAt > silenceMilliseconds) {
+            endpoint.registered = undefined;
+            store.removeEndpoint(id);
+        }
+    }
+
+    function run(id: string, statements: readonly OutgoingStatement[]): readonly StatementAnswer[] {
+        const endpoint = get(id);
+        return runAtEndpoint(endpoint, statements, writeId => {
+            endpoint.position = { term: endpoint.term, entry: endpoint.position.entry + 1 };
+            const { group } = endpoint;
+            history.push({ kind: HistoryEventKind.Commit, at: clock.now(), group, endpointId: id, writeId });
+        });
+    }
+
+    return {
+        ids: [...endpoints.keys()],
+        get,
+        leaderOf: group => leaders.get(group)!.id,
+        run,
+        promote: id => {
+            const endpoint = get(id);
+            if (endpoint.isRunning && leaders.get(endpoint.group)!.id !== id) {
+                lead(endpoint);
+            }
+        },
+        crash: id => {
+            get(id).isRunning = false;
+        },
+        recover: id => {
+            const endpoint = get(id);
+            if (!endpoint.isRunning) {
+                const isPrimary = endpoint.isPrimary && leaders.get(endpoint.group)!.id === id;
+                const startedAt = Math.floor(clock.now()) + 1;
+                Object.assign(endpoint, { isRunning: true, isPrimary, heldTerm: 0, startedAt });
+            }
+        },
+        setPosition: (id, position) => {
+            get(id).position = position;
+        },
+    };
+}
--- /dev/null
+++ b/src/testing/types/HistoryEvent.ts
@@ -0,0 +1,35 @@
+import type { HistoryEventKind } from "./HistoryEventKind.js";
+
+/** An event of a simulation that the checks of its history need; the events are listed in the order of execution. */
+export type HistoryEvent =
+    /** A promotion took effect. */
+    | {
+        readonly kind: HistoryEventKind.Promotion;
+        readonly at: number;
+        readonly group: string;
+        readonly endpointId: string;
+        readonly term: number;
+    }
+    /** An endpoint committed a write. */
+    | {
+        readonly kind: HistoryEventKind.Commit;
+        readonly at: number;
+        readonly group: string;
+        readonly endpointId: string;
+        readonly writeId: string;
+    }
+    /** A caller received the success of its write. */
+    | {
+        readonly kind: HistoryEventKind.Acknowledgement;
+        readonly at: number;
+        readonly group: string;
+        readonly writeId: string;
+    }
+    /** An order to promote arrived at the platform. */
+    | {
+        readonly kind: HistoryEventKind.Order;
+        readonly at: number;
+        readonly holderName: string;
+        readonly fencingToken: number;
+        readonly endpointId: string;
+    };
--- /dev/null
+++ b/src/testing/types/SimulatedEndpoints.ts
@@ -0,0 +1,21 @@
+import type { LogPosition } from "../../statements/types/LogPosition.js";
+import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
+import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
+import type { SimulatedEndpoint } from "./SimulatedEndpoint.js";
+
+/** The groups of endpoints of a simulation. */
+export interface SimulatedEndpoints {
+    readonly ids: readonly string[];
+    get(id: string): SimulatedEndpoint;
+    /** Id of the endpoint whose promotion took effect last. */
+    leaderOf(group: string): string;
+    /** Executes statements at an endpoint, outside any earlier transaction. */
+    run(id: string, statements: readonly OutgoingStatement[]): readonly StatementAnswer[];
+    /** Lets an order to promote take effect. */
+    promote(id: string): void;
+    crash(id: string): void;
+    /** Starts a crashed endpoint again, with its log. */
+    recover(id: string): void;
+    /** Sets the position of an endpoint's log, for the state that a test starts with. */
+    setPosition(id: string, position: LogPosition): void;
+}
--- /dev/null
+++ b/src/testing/types/SimulatedVm.ts
@@ -0,0 +1,17 @@
+import type { AnyTRPCRouter } from "@trpc/server";
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Duty } from "../../duty/types/Duty.js";
+import type { Kernel } from "../../kernel/types/Kernel.js";
+import type { Primaries } from "../../primaries/types/Primaries.js";
+
+/** One run of the program on a VM of a simulation. */
+export interface SimulatedVm {
+    readonly name: string;
+    /** Clock of the process; it stands still for the process once it was killed. */
+    readonly clock: Clock;
+    isRunning: boolean;
+    readonly kernel: Kernel;
+    readonly duty: Duty;
+    readonly primaries: Primaries;
+    readonly router: AnyTRPCRouter;
+}
