Count contact with all VMs as proof only once the list of VMs must be complete

Callers: after a restart of its VM a holder that the store did not answer went on granting leases, although a VM that it did not know had taken over and changed the primary: writes were acknowledged at the superseded one. Cause: while the store does not answer, a holder relies on contact with every VM of its list, and after a restart the list holds only the VMs that have called since. Why it works: any VM that is alive and not in contact takes over within 5 s. A verification in the store 6 s after the takeover therefore shows that there is none beside those of the list; before it, contact counts for nothing.

--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -48,6 +48,11 @@
     contactTimeoutMilliseconds: 10_000,
     /** Time without contact after which a VM is removed for good, in milliseconds. */
     removalMilliseconds: 60_000,
+    /**
+     * Time after a takeover after which a verification in the store shows that the list of VMs is complete, in
+     * milliseconds: any VM that was alive and not in contact would have taken over by then.
+     */
+    completeListMilliseconds: 6_000,
     /** Size of the range of announcement sequence numbers that belongs to one token. */
     announcementsPerToken: 1_000_000,
     /** Size of the range of versions of the list of VMs that belongs to one token. */
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -97,6 +97,7 @@
             vms.startToken(holder.token);
             if (holder.token > dutyConstants.firstToken) {
                 grantedLeases.startHolding();
+                verification.startHolding();
             }
         }
     }
--- a/src/duty/createHolderVerification/index.ts
+++ b/src/duty/createHolderVerification/index.ts
@@ -26,6 +26,8 @@
 
 /** Verifies that this VM is still the holder of the failover duty. */
 interface HolderVerification {
+    /** Records that this VM replaces another holder; it may not know all VMs yet. */
+    startHolding(): void;
     /** Returns the token, or undefined when this VM is not the holder or this could not be verified. */
     verify(): Promise<number | undefined>;
     /** Whether no other VM can have become the holder and changed a primary. */
@@ -37,7 +39,7 @@
  *
  * When the store does not answer this VM, other VMs read the record for it, because the store may refuse single VMs.
  * When it answers none of them, recent contact with all other VMs is enough: none of them can then have replaced the
- * holder.
+ * holder. This counts once the holder must know all VMs.
  *
  * @param options Clock, store, other VMs, and the holder known to this VM.
  * @returns The verification.
@@ -48,11 +50,14 @@
 export function createHolderVerification(options: HolderVerificationOptions): HolderVerification {
     const { clock, self, vms, heldToken, log } = options;
     let verifiedAt = -Infinity;
+    /** When this VM replaced another holder; a holder that replaced none knows all VMs that ever called one. */
+    let tookOverAt = -Infinity;
     let isStoreAnswering = true;
     let wasCertain = false;
 
     function isInContactWithAll(): boolean {
-        return vms.isHolderInContactWithAll(dutyConstants.contactWithAllMilliseconds);
+        return verifiedAt >= tookOverAt + dutyConstants.completeListMilliseconds
+            && vms.isHolderInContactWithAll(dutyConstants.contactWithAllMilliseconds);
     }
 
     async function readOwn(): Promise<DutyHolder | undefined> {
@@ -117,5 +122,12 @@
         return isCertainNow;
     }
 
-    return { verify, isCertain };
+    return {
+        startHolding: () => {
+            verifiedAt = -Infinity;
+            tookOverAt = clock.now();
+        },
+        verify,
+        isCertain,
+    };
 }
