Take the position of a promoted primary as evidence before the first commit of its term

Callers: after a change of primary reads at replicas lack evidence of the primary's position until the next commit in the group, and go to the primary. Cause: evidence needed a position of at least the highest known term. Since the announced term is the one in which the endpoint leads, its log, which has positions of the old term until its first commit, does not reach it. Why it works: a verified primary is the current one, whatever the term of its last entry; a primary known to lead in a lower term only is not verified. Result: tests of callerSessions and vm pass.

--- a/src/callerSessions/recordAnswer/index.ts
+++ b/src/callerSessions/recordAnswer/index.ts
@@ -25,10 +25,7 @@
         return;
     }
     primaries.recordPosition(endpoint, answer.position);
-    if (
-        connection.isPrimary && verification.isVerified(endpoint)
-        && answer.position.term >= primaries.termOf(endpoint.group)
-    ) {
+    if (connection.isPrimary && verification.isVerified(endpoint)) {
         evidence.record(endpoint.group, sentAt, answer.position);
     }
 }
