Order no promotion when the VM was suspended after it had verified itself

Callers: none seen. A holder that was suspended between its verification in the store and its order could give the order seconds later, when another VM holds the duty. Cause: the age of the verification was measured by the monotonic clock alone, which may stop while a machine is suspended. Why it works: the longer of monotonic and wall time counts, in one function that the lease uses too.

--- a/src/duty/createLease/index.ts
+++ b/src/duty/createLease/index.ts
@@ -1,3 +1,4 @@
+import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import { dutyConstants } from "../constants.js";
 
@@ -25,18 +26,16 @@
  * lease.grant();
  */
 export function createLease(clock: Clock): Lease {
-    let prepared = { now: -Infinity, wall: -Infinity };
-    let granted = prepared;
+    let sinceRenewal = (): number => Infinity;
+    let sinceGranted = sinceRenewal;
 
     return {
         prepare: () => {
-            prepared = { now: clock.now(), wall: clock.wallTime() };
+            sinceRenewal = startElapsedTimer(clock);
         },
         grant: () => {
-            granted = prepared;
+            sinceGranted = sinceRenewal;
         },
-        isHeld: () =>
-            clock.now() - granted.now < dutyConstants.leaseMilliseconds
-            && clock.wallTime() - granted.wall < dutyConstants.leaseMilliseconds,
+        isHeld: () => sinceGranted() < dutyConstants.leaseMilliseconds,
     };
 }
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -1,3 +1,4 @@
+import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
@@ -229,11 +230,9 @@
 
     async function promote(change: Change, { id: endpointId }: EndpointRecord): Promise<void> {
         const { group } = change;
-        const requestedAt = clock.now();
+        const sinceVerification = startElapsedTimer(clock);
         const fencingToken = await duty.verify();
-        if (
-            fencingToken === undefined || clock.now() - requestedAt > promotionConstants.maximumVerificationMilliseconds
-        ) {
+        if (fencingToken === undefined || sinceVerification() > promotionConstants.maximumVerificationMilliseconds) {
             throw createError(ErrorKind.Conflict, "This VM could not verify in time that it holds the failover duty.", {
                 remedy: "The holder attempts the change again.",
             });
--- a/src/promotions/createPrimaryChange/test.ts
+++ b/src/promotions/createPrimaryChange/test.ts
@@ -73,6 +73,22 @@
         assert.equal(site.primaries.isChangeUnfinished(site.group), false);
     });
 
+    it("orders nothing when the VM was suspended after it had verified that it holds the duty", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        const { maximumVerificationMilliseconds } = promotionConstants;
+        let suspendedMilliseconds = 0;
+        site.clock.wallTime = () => site.clock.now() + suspendedMilliseconds;
+        site.duty.verify = async () => {
+            suspendedMilliseconds += maximumVerificationMilliseconds + 1;
+            return 1;
+        };
+        const change = site.changePrimary(site.group, site.primary(), ChangeReason.Leaving).catch(() => {});
+        await site.clock.advance(changeMilliseconds);
+        await change;
+        assert.deepEqual(site.orderedIds, []);
+        assert.deepEqual(site.phases(), [Begun, Cancelled]);
+    });
+
     it("cancels a change whose order was certainly not executed", async () => {
         const { site, failure } = await runChange(async () => {
             throw failWith(ErrorKind.Conflict);
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -167,6 +167,7 @@
     return {
         clock,
         group,
+        duty,
         primaries,
         coordinator,
         changePrimary,
