Wait for an earlier process of the same VM only since the start of this one

Cause: a new holder waited 4 s after its takeover, also when it replaced the holder that an earlier process of its own VM was. That process had ended before this one started. Why it works: what such a process granted or ordered last is counted from the start of this one. Leases and orders of the previous holder are counted apart, so a decision does not wait for leases.

--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -35,11 +35,12 @@
     /** Hosts that the holder asks at most to read its record while the store does not answer it. */
     maximumRecordReaders: 3,
     /**
-     * Time after a takeover for which the previous holder may still act, in milliseconds: it exceeds the time for which a
-     * holder counts as verified together with a lease that it granted last, and the time that an order to promote takes
-     * that was sent after its last verification.
+     * Time after a takeover after which an order to promote that the previous holder gave last has taken effect, in
+     * milliseconds: its verification, the longest way of the order and the promotion together.
      */
-    formerHolderMilliseconds: 4_000,
+    formerOrdersMilliseconds: 4_000,
+    /** The same for the last order of an earlier process of this VM, from the start of this one, in milliseconds. */
+    formerProcessMilliseconds: 3_200,
     /** Time for which a verification of the holder in the store remains valid, in milliseconds. */
     verifiedMilliseconds: 1_800,
     /** The holder also counts as verified while every known VM had contact with it this recently, in milliseconds. */
--- a/src/duty/createAnnouncementDelivery/index.ts
+++ b/src/duty/createAnnouncementDelivery/index.ts
@@ -29,7 +29,7 @@
  */
 export function createAnnouncementDelivery(
     options: AnnouncementDeliveryOptions,
-): Pick<Duty, "announce" | "waitForLeases"> {
+): Pick<Duty, "announce" | "waitForFormerOrders" | "waitForLeases"> {
     const { clock, announcements, leases, log } = options;
 
     return {
@@ -48,6 +48,7 @@
             }));
             return recipients.filter((_vm, index) => !confirmed[index]);
         },
+        waitForFormerOrders: () => clock.sleep(Math.max(leases.endOfFormerOrders() - clock.now(), 0)),
         waitForLeases: async unconfirmed => {
             const milliseconds = leases.endOfLeases(unconfirmed) - clock.now();
             if (milliseconds > 0) {
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -88,6 +88,7 @@
         if (knownHolder !== undefined && holder.token <= knownHolder.token) {
             return;
         }
+        const isFormerProcess = knownHolder?.name === self.name && holder.token === knownHolder.token + 1;
         knownHolder = holder;
         const isSelf = heldToken() !== undefined;
         log("failover duty has a new holder", { holder: holder.name, token: holder.token, isSelf });
@@ -96,7 +97,7 @@
         if (isSelf) {
             vms.startToken(holder.token);
             if (holder.token > dutyConstants.firstToken) {
-                grantedLeases.startHolding();
+                grantedLeases.startHolding(isFormerProcess);
                 verification.startHolding();
             }
         }
--- a/src/duty/createDuty/test.ts
+++ b/src/duty/createDuty/test.ts
@@ -51,7 +51,7 @@
         const next = others.filter(name => fleet.dutyOf(name).heldToken() !== undefined);
         assert.equal(next.length, 1);
         assert.ok(fleet.dutyOf(next[0]!).heldToken()! > token);
-        await fleet.clock.advance(dutyConstants.formerHolderMilliseconds);
+        await fleet.clock.advance(dutyConstants.formerOrdersMilliseconds);
         assert.ok(others.every(name => fleet.dutyOf(name).hasLease()));
     });
 
@@ -64,7 +64,7 @@
             await fleet.clock.advance(20);
         }
         await fleet.clock.advance(dutyConstants.leaseMilliseconds);
-        const endsAt = fleet.clock.now() + dutyConstants.formerHolderMilliseconds - dutyConstants.leaseMilliseconds;
+        const endsAt = fleet.clock.now() + dutyConstants.formerOrdersMilliseconds - dutyConstants.leaseMilliseconds;
         while (fleet.clock.now() < endsAt - 40) {
             assert.ok(others.every(name => !fleet.dutyOf(name).hasLease()), `at ${fleet.clock.now()} ms`);
             await fleet.clock.advance(20);
@@ -195,7 +195,7 @@
             assert.equal(isOver, false);
             await fleet.clock.advance(20);
         }
-        await fleet.clock.advance(tookOverAt + dutyConstants.formerHolderMilliseconds - fleet.clock.now());
+        await fleet.clock.advance(tookOverAt + dutyConstants.formerOrdersMilliseconds - fleet.clock.now());
         assert.ok(isOver);
         assert.ok(tookOverAt - startedAt < stabilizationMilliseconds);
     });
--- a/src/duty/createGrantedLeases/index.ts
+++ b/src/duty/createGrantedLeases/index.ts
@@ -19,14 +19,27 @@
  * const vms = leases.listPossibleVms(otherVms);
  */
 export function createGrantedLeases(clock: Clock): GrantedLeases {
-    const { leaseMilliseconds, formerHolderMilliseconds } = dutyConstants;
+    const { leaseMilliseconds, verifiedMilliseconds } = dutyConstants;
+    const startedAt = clock.now();
     const leases = new Map<string, GrantedLease>();
-    /** Time at which the last lease of the previous holder has ended, and its last order has taken effect. */
-    let formerHolderEndsAt = -Infinity;
+    /** Time at which the last lease of the previous holder has ended. */
+    let formerLeasesEndAt = -Infinity;
+    /** Time at which the last order of the previous holder has taken effect. */
+    let formerOrdersEndAt = -Infinity;
     let mayGrant = true;
 
+    function startHolding(isFormerProcess: boolean): void {
+        leases.clear();
+        mayGrant = false;
+        // An earlier process of this VM had ended when this one started.
+        formerLeasesEndAt = (isFormerProcess ? startedAt : clock.now() + verifiedMilliseconds) + leaseMilliseconds;
+        formerOrdersEndAt = isFormerProcess
+            ? startedAt + dutyConstants.formerProcessMilliseconds
+            : clock.now() + dutyConstants.formerOrdersMilliseconds;
+    }
+
     function hasFormerLeases(): boolean {
-        return clock.now() < formerHolderEndsAt;
+        return clock.now() < formerLeasesEndAt;
     }
 
     function listPossibleVms(otherVms: readonly VmIdentity[]): readonly VmIdentity[] {
@@ -44,15 +57,12 @@
     }
 
     return {
-        startHolding: () => {
-            leases.clear();
-            mayGrant = false;
-            formerHolderEndsAt = clock.now() + formerHolderMilliseconds;
-        },
+        startHolding,
         startGranting: () => {
             mayGrant = true;
         },
-        isGranting: () => mayGrant && !hasFormerLeases(),
+        isGranting: () => mayGrant && clock.now() >= formerOrdersEndAt,
+        endOfFormerOrders: () => formerOrdersEndAt,
         recordContact: (vm, isGranted) => {
             if (isGranted) {
                 leases.set(vm.name, { vm, grantedAt: clock.now() });
@@ -60,6 +70,6 @@
         },
         listPossibleVms,
         // The previous holder may have granted leases to VMs that this one does not know yet.
-        endOfLeases: vms => Math.max(formerHolderEndsAt, ...vms.map(endOf)),
+        endOfLeases: vms => Math.max(formerLeasesEndAt, formerOrdersEndAt, ...vms.map(endOf)),
     };
 }
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -29,6 +29,8 @@
     isGranting(): boolean;
     /** Grants leases from now on: no order of a previous holder can take effect, and each group's primary is known. */
     startGranting(): void;
+    /** Waits until every order of a previous holder has taken effect. */
+    waitForFormerOrders(): Promise<void>;
     /**
      * Waits until the leases of VMs that did not confirm an announcement have expired, and until nothing that a previous
      * holder did can take effect.
--- a/src/duty/types/GrantedLeases.ts
+++ b/src/duty/types/GrantedLeases.ts
@@ -2,9 +2,12 @@
 
 /** The leases that the holder of the failover duty has granted. */
 export interface GrantedLeases {
-    /** Begins a new record when this VM replaces another holder; no lease may be granted yet. */
-    startHolding(): void;
-    /** Allows leases, once nothing that the previous holder did takes effect: the primary of each group is known. */
+    /**
+     * Begins a new record when this VM replaces another holder, or the holder that an earlier process of this VM was; no
+     * lease may be granted yet.
+     */
+    startHolding(isFormerProcess: boolean): void;
+    /** Allows leases, once every order of the previous holder has taken effect: the primary of each group is known. */
     startGranting(): void;
     /** Whether leases may be granted. */
     isGranting(): boolean;
@@ -12,6 +15,8 @@
     recordContact(vm: VmIdentity, isGranted: boolean): void;
     /** Lists those of the other VMs that may have a lease now. */
     listPossibleVms(otherVms: readonly VmIdentity[]): readonly VmIdentity[];
+    /** Time after which every order of the previous holder has taken effect. */
+    endOfFormerOrders(): number;
     /** Time after which none of these VMs has a lease, and nothing that the previous holder did takes effect. */
     endOfLeases(vms: readonly VmIdentity[]): number;
 }
--- a/src/promotions/constants.ts
+++ b/src/promotions/constants.ts
@@ -18,6 +18,8 @@
     orderTimeoutMilliseconds: 2_000,
     /** No promotion is ordered when the verification before it took longer than this, in milliseconds. */
     maximumVerificationMilliseconds: 500,
+    /** Time after which an order to promote that has been received has taken effect, in milliseconds. */
+    promotionEffectMilliseconds: 1_000,
     /** Time that the promoted endpoint has to become the primary, in milliseconds. */
     promotionTimeoutMilliseconds: 3_500,
     /**
--- a/src/promotions/createPrimaryDecision/index.ts
+++ b/src/promotions/createPrimaryDecision/index.ts
@@ -68,8 +68,7 @@
     }
 
     return async group => {
-        // An order of a previous holder may still take effect.
-        await duty.waitForLeases([]);
+        await duty.waitForFormerOrders();
         const endpoints = directory.endpointsOf(group);
         const statuses = await Promise.all(endpoints.map(queryStatus));
         const claims: Claim[] = endpoints.flatMap((endpoint, index) =>
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -126,6 +126,7 @@
         startGranting: () => {
             isGranting = true;
         },
+        waitForFormerOrders: async () => {},
         waitForLeases: async () => {},
         announce: async (announcement: Omit<Announcement, "sequence">) => {
             const numbered = { ...announcement, sequence: announcements.length + 1 };
