Compare terms when other endpoints are queried, and query them less often

Cause: the queries asked only who leads, not in which term; and each write was verified by a query before it was sent. Evidence: two new tests of createPrimaryVerification for the terms, the spacing and the recent verification; the first could not pass before, since the answers' positions were dropped. Not covered: a term in which nothing was committed. Why it works: the log position in each answer tells a newer term, and a primary of a lower one is not verified. Result: tests of primaries, promotions, callerSessions, vm pass.

--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -75,7 +75,10 @@
     connection: EligibleConnection["connection"],
     services: SessionServices,
 ): Promise<boolean> {
-    return mode === AccessMode.Read || await isReplicaOrVerifiedPrimary(connection, services);
+    const { isPrimary, endpoint } = connection;
+    return mode === AccessMode.Read
+        || isPrimary && services.verification.wasVerified(endpoint)
+        || await isReplicaOrVerifiedPrimary(connection, services);
 }
 
 /** Whether a known primary is verified; true for a replica, whose answers are checked by log position instead. */
--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -20,7 +20,11 @@
     const clock = createManualClock();
     const remainingResults = [...verificationResults];
     const services = createSessionServices(clock, [endpoint], {
-        verification: { isVerified: () => false, verify: async () => remainingResults.shift() ?? false },
+        verification: {
+            isVerified: () => false,
+            wasVerified: () => false,
+            verify: async () => remainingResults.shift() ?? false,
+        },
     });
     const statement: CallerStatement = {
         id: "q1",
--- a/src/callerSessions/recordAnswer/test.ts
+++ b/src/callerSessions/recordAnswer/test.ts
@@ -12,7 +12,11 @@
 
 /** Records an answer of a primary that was announced with term 3. */
 function record(position: { readonly term: number; readonly entry: number; }, isVerified: boolean) {
-    const verification = { isVerified: () => isVerified, verify: async () => isVerified };
+    const verification = {
+        isVerified: () => isVerified,
+        wasVerified: () => isVerified,
+        verify: async () => isVerified,
+    };
     const services = createSessionServices(createManualClock(), [endpoint], { verification });
     services.primaries.finishChange(endpoint.group, endpoint.id, 3);
     recordAnswer(connection, 10, { rows: [], state: SessionState.Idle, position }, services);
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -1,18 +1,22 @@
+import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
+import { primaryConstants } from "../constants.js";
+import type { EndpointRole } from "../types/EndpointRole.js";
 import type { Primaries } from "../types/Primaries.js";
 import type { PrimaryVerification } from "../types/PrimaryVerification.js";
 
 /** Options of `createPrimaryVerification`. */
 interface PrimaryVerificationOptions {
+    readonly clock: Clock;
     readonly directory: Directory;
     readonly primaries: Primaries;
     /** Whether this VM holds a lease, so that it is notified of each change of primary before it takes effect. */
     readonly hasLease: () => boolean;
-    /** Queries an endpoint whether it is the primary; undefined when its answer does not tell, fails without one. */
-    readonly queryIsPrimary: (endpointId: string) => Promise<boolean | undefined>;
+    /** Queries an endpoint whether it is the primary; fails when it does not answer. */
+    readonly queryRole: (endpointId: string) => Promise<EndpointRole>;
     readonly metrics: Pick<Metrics, "countPrimaryVerification">;
     readonly log: LogTopic;
 }
@@ -30,20 +34,25 @@
     running?: Promise<boolean>;
     /** Not yet begun; new callers share it. */
     waiting?: Promise<boolean>;
+    /** When the last query was sent. */
+    queriedAt: number;
+    /** When the last query was sent that verified the endpoint. */
+    verifiedAt: number;
 }
 
 /**
  * Creates the verification of primaries. A VM with a lease is notified of each change of primary before it takes
- * effect. A VM without one queries all other endpoints of the group, since only one of those can have been promoted.
+ * effect. A VM without one queries all other endpoints of the group, since only one of those can have been promoted; the log of each
+ * also tells whether a newer term has begun.
  *
- * @param options Directory, known primaries, state of the lease, and function that queries endpoints.
+ * @param options Clock, directory, known primaries, state of the lease, and function that queries endpoints.
  * @returns The verification.
  *
  * @example
  * const isVerified = verification.isVerified(endpoint) || await verification.verify(endpoint);
  */
 export function createPrimaryVerification(options: PrimaryVerificationOptions): PrimaryVerification {
-    const { directory, primaries, log } = options;
+    const { clock, directory, primaries, log } = options;
     const pendingByEndpoint = new Map<string, PendingVerifications>();
     /** What was logged last for each group. */
     const loggedReliance = new Map<string, string>();
@@ -69,26 +78,64 @@
         }
     }
 
+    function pendingOf({ id }: EndpointRecord): PendingVerifications {
+        let pending = pendingByEndpoint.get(id);
+        if (pending === undefined) {
+            pending = { queriedAt: -Infinity, verifiedAt: -Infinity };
+            pendingByEndpoint.set(id, pending);
+        }
+        return pending;
+    }
+
+    function wasVerified(endpoint: EndpointRecord): boolean {
+        const age = clock.now() - pendingOf(endpoint).verifiedAt;
+        return age < primaryConstants.recentVerificationMilliseconds && !primaries.isSuperseded(endpoint);
+    }
+
     function verify(endpoint: EndpointRecord): Promise<boolean> {
-        const pending = pendingByEndpoint.get(endpoint.id) ?? {};
-        pendingByEndpoint.set(endpoint.id, pending);
+        const pending = pendingOf(endpoint);
         if (pending.waiting !== undefined) {
             return pending.waiting;
         }
         const previous = pending.running ?? Promise.resolve(true);
-        const verification = previous.then(() => {
+        const verification = previous.then(async () => {
+            const pause = pending.queriedAt + primaryConstants.querySpacingMilliseconds - clock.now();
+            if (pause > 0) {
+                await clock.sleep(pause);
+            }
             pending.waiting = undefined;
             pending.running = verification;
-            return queryOthers(endpoint);
+            pending.queriedAt = clock.now();
+            const { queriedAt } = pending;
+            const hasNoOtherPrimary = await queryOthers(endpoint);
+            if (hasNoOtherPrimary) {
+                pending.verifiedAt = queriedAt;
+            }
+            return hasNoOtherPrimary;
         });
         pending.waiting = verification;
         return verification;
     }
 
+    /** Queries whether an endpoint is the primary, and records its log's term; undefined when that stays open. */
+    async function queryIsPrimary(endpoint: EndpointRecord): Promise<boolean | undefined> {
+        try {
+            const { isPrimary, position } = await options.queryRole(endpoint.id);
+            if (position !== undefined) {
+                primaries.recordPosition(endpoint, position);
+            }
+            return isPrimary;
+        }
+        catch {
+            return undefined;
+        }
+    }
+
     async function queryOthers(endpoint: EndpointRecord): Promise<boolean> {
         const others = directory.endpointsOf(endpoint.group).filter(other => other.id !== endpoint.id);
-        const answers = await Promise.all(others.map(({ id }) => options.queryIsPrimary(id).catch(() => undefined)));
-        const hasNoOtherPrimary = others.length > 0 && answers.every(isPrimary => isPrimary === false);
+        const answers = await Promise.all(others.map(queryIsPrimary));
+        const hasNoOtherPrimary = others.length > 0 && answers.every(isPrimary => isPrimary === false)
+            && !primaries.isSuperseded(endpoint);
         options.metrics.countPrimaryVerification(hasNoOtherPrimary);
         if (hasNoOtherPrimary) {
             logReliance(endpoint, RelianceReason.QueriedEndpoints);
@@ -104,5 +151,5 @@
         return hasNoOtherPrimary;
     }
 
-    return { isVerified, verify };
+    return { isVerified, wasVerified, verify };
 }
--- a/src/primaries/createPrimaryVerification/test.ts
+++ b/src/primaries/createPrimaryVerification/test.ts
@@ -5,21 +5,26 @@
 import { createPopulatedDirectory } from "../../testing/createPopulatedDirectory/index.js";
 import { primaryConstants } from "../constants.js";
 import { createPrimaries } from "../createPrimaries/index.js";
+import type { EndpointRole } from "../types/EndpointRole.js";
 import { createPrimaryVerification } from "./index.js";
 
 const primary = createEndpointRecord({ id: "i-1", isPrimary: true });
 
-function createSite(queryIsPrimary: (endpointId: string) => Promise<boolean | undefined>) {
+function createSite(
+    queryIsPrimary: (endpointId: string) => Promise<boolean | undefined>,
+    position?: EndpointRole["position"],
+) {
     const clock = createManualClock();
     const replicas = ["i-2", "i-3"].map(id => createEndpointRecord({ id }));
     const directory = createPopulatedDirectory(clock, [primary, ...replicas]);
     const primaries = createPrimaries(clock, directory, () => {});
     const state = { hasLease: true };
     const verification = createPrimaryVerification({
+        clock,
         directory,
         primaries,
         hasLease: () => state.hasLease,
-        queryIsPrimary,
+        queryRole: async id => ({ isPrimary: await queryIsPrimary(id), position }),
         metrics: { countPrimaryVerification: () => {} },
         log: () => {},
     });
@@ -86,17 +91,45 @@
 
     it("does not rely on a query that was sent before the call", async () => {
         const answers: ((isPrimary: boolean) => void)[] = [];
-        const { verification } = createSite(() => new Promise(resolve => answers.push(resolve)));
+        const { clock, verification } = createSite(() => new Promise(resolve => answers.push(resolve)));
         const before = verification.verify(primary);
-        await Promise.resolve();
+        await clock.advance(0);
         const after = verification.verify(primary);
         const shared = verification.verify(primary);
         answers.splice(0).forEach(answer => answer(false));
         assert.equal(await before, true);
-        await new Promise(resolve => setImmediate(resolve));
+        await clock.advance(primaryConstants.querySpacingMilliseconds);
         assert.equal(answers.length, 2);
         answers.splice(0).forEach(answer => answer(true));
         assert.equal(await after, false);
         assert.equal(await shared, false);
     });
+
+    it("does not verify a primary while the log of another endpoint has a newer term", async () => {
+        const { clock, primaries, verification } = createSite(async () => false, { term: 3, entry: 9 });
+        primaries.recordPosition(primary, { term: 2, entry: 8 });
+        assert.equal(await verification.verify(primary), false);
+        await clock.advance(primaryConstants.disqualifiedMilliseconds);
+        primaries.recordPosition(primary, { term: 3, entry: 10 });
+        assert.equal(await verification.verify(primary), true);
+    });
+
+    it("allows a write to a primary that was verified recently, and queries no more often than the spacing", async () => {
+        let queries = 0;
+        const { clock, verification } = createSite(async () => {
+            queries += 1;
+            return false;
+        });
+        assert.equal(verification.wasVerified(primary), false);
+        assert.equal(await verification.verify(primary), true);
+        assert.ok(verification.wasVerified(primary));
+        const next = verification.verify(primary);
+        await clock.advance(primaryConstants.querySpacingMilliseconds - 1);
+        assert.equal(queries, 2);
+        await clock.advance(1);
+        assert.equal(queries, 4);
+        assert.equal(await next, true);
+        await clock.advance(primaryConstants.recentVerificationMilliseconds);
+        assert.equal(verification.wasVerified(primary), false);
+    });
 });
--- a/src/primaries/types/PrimaryVerification.ts
+++ b/src/primaries/types/PrimaryVerification.ts
@@ -4,6 +4,10 @@
 export interface PrimaryVerification {
     /** Whether the endpoint is verified without a query. */
     isVerified(endpoint: EndpointRecord): boolean;
+    /**
+     * Whether a query verified the endpoint recently: a write may be sent to it. Its answer has to be verified again.
+     */
+    wasVerified(endpoint: EndpointRecord): boolean;
     /**
      * Queries the other endpoints of the group whether one of them is the primary. Resolves with true when none was at
      * a time after the call, so that the endpoint was the primary in everything it did before the call.
--- a/src/promotions/createEndpointProbe/index.ts
+++ b/src/promotions/createEndpointProbe/index.ts
@@ -4,7 +4,7 @@
 import type { Placement } from "../../placement/types/Placement.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { promotionConstants } from "../constants.js";
-import { queryIsPrimary } from "../queryIsPrimary/index.js";
+import { queryEndpointRole } from "../queryEndpointRole/index.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
 
 /** Options of `createEndpointProbe`. */
@@ -41,7 +41,7 @@
             return true;
         }
         try {
-            const isPrimary = await queryIsPrimary(control.run, endpointId);
+            const { isPrimary } = await queryEndpointRole(control.run, endpointId);
             const endpoint = directory.endpoint(endpointId);
             if (isPrimary === false && endpoint !== undefined) {
                 primaries.recordNotPrimary(endpoint);
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -16,7 +16,7 @@
 import { promotionConstants } from "../constants.js";
 import { orderStepDown } from "../orderStepDown/index.js";
 import { orderStepDownAboveTerm } from "../orderStepDownAboveTerm/index.js";
-import { queryIsPrimary } from "../queryIsPrimary/index.js";
+import { queryEndpointRole } from "../queryEndpointRole/index.js";
 import { readEndpointStatus } from "../readEndpointStatus/index.js";
 import type { CandidateStatus } from "../types/CandidateStatus.js";
 import { ChangeReason } from "../types/ChangeReason.js";
@@ -262,8 +262,8 @@
         const deadline = clock.now() + promotionConstants.promotionTimeoutMilliseconds;
         while (clock.now() < deadline) {
             await clock.sleep(promotionConstants.pollingMilliseconds);
-            const isPrimary = await queryIsPrimary(control.runFromAnyVm, id).catch(() => false);
-            const status = isPrimary === true
+            const role = await queryEndpointRole(control.runFromAnyVm, id).catch(() => undefined);
+            const status = role?.isPrimary === true
                 ? await readEndpointStatus(control, id).catch(() => undefined)
                 : undefined;
             if (status?.isPrimary === true) {
--- a/src/promotions/queryIsPrimary/index.ts
+++ b/src/promotions/queryEndpointRole/index.ts
@@ -1,4 +1,5 @@
 import type { EndpointCommand } from "../../duty/types/EndpointCommand.js";
+import type { EndpointRole } from "../../primaries/types/EndpointRole.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
@@ -10,24 +11,27 @@
  *
  * @param run Sends statements to the endpoint.
  * @param endpointId The endpoint.
- * @returns Whether the endpoint is the primary; undefined when it refuses for another reason than not being the primary.
+ * @returns Whether the endpoint is the primary, if it told, and the end of its log.
  * @throws When the endpoint does not answer.
  *
  * @example
- * const isPrimary = await queryIsPrimary(control.run, "i-7");
+ * const { isPrimary } = await queryEndpointRole(control.run, "i-7");
  */
-export async function queryIsPrimary(
+export async function queryEndpointRole(
     run: (command: EndpointCommand) => Promise<readonly StatementAnswer[]>,
     endpointId: string,
-): Promise<boolean | undefined> {
+): Promise<EndpointRole> {
     const [begin] = await run({
         endpointId,
         statements: [{ kind: OutgoingKind.Begin, isReadOnly: false }, { kind: OutgoingKind.Rollback }],
         timeoutMilliseconds: promotionConstants.queryTimeoutMilliseconds,
     });
     if (begin === undefined) {
-        return undefined;
+        return {};
     }
-    const code = begin.failure?.code;
-    return code === undefined || (code === FailureCode.ReadOnly ? false : undefined);
+    const { failure, position } = begin;
+    if (failure !== undefined && failure.code !== FailureCode.ReadOnly) {
+        return { position };
+    }
+    return { isPrimary: failure === undefined, position };
 }
--- a/src/promotions/queryIsPrimary/test.ts
+++ b/src/promotions/queryEndpointRole/test.ts
@@ -2,17 +2,19 @@
 import { describe, it } from "node:test";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
-import { queryIsPrimary } from "./index.js";
+import { queryEndpointRole } from "./index.js";
 
 /** Queries an endpoint that refuses to begin a transaction with this code, or begins it. */
-const query = (code?: FailureCode) =>
-    queryIsPrimary(async () => [{
+const query = async (code?: FailureCode) => {
+    const { isPrimary } = await queryEndpointRole(async () => [{
         rows: [],
         state: SessionState.Idle,
         ...code === undefined ? {} : { failure: { code, description: "" } },
     }], "i-1");
+    return isPrimary;
+};
 
-describe("queryIsPrimary", () => {
+describe("queryEndpointRole", () => {
     it("tells a primary from a replica", async () => {
         assert.equal(await query(), true);
         assert.equal(await query(FailureCode.ReadOnly), false);
@@ -25,6 +27,6 @@
     });
 
     it("does not count an endpoint as a primary or a replica without an answer", async () => {
-        assert.equal(await queryIsPrimary(async () => [], "i-1"), undefined);
+        assert.deepEqual(await queryEndpointRole(async () => [], "i-1"), {});
     });
 });
--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -31,7 +31,7 @@
         directory,
         primaries: createPrimaries(clock, directory, () => {}),
         evidence: createPositionEvidence(),
-        verification: { isVerified: () => true, verify: async () => true },
+        verification: { isVerified: () => true, wasVerified: () => true, verify: async () => true },
         placement: {
             acquire: () => Promise.reject(new Error("no endpoint")),
             recordLagging: () => {},
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -33,7 +33,7 @@
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import type { PrimaryVerification } from "../../primaries/types/PrimaryVerification.js";
-import { queryIsPrimary } from "../../promotions/queryIsPrimary/index.js";
+import { queryEndpointRole } from "../../promotions/queryEndpointRole/index.js";
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
@@ -172,6 +172,7 @@
         {
             name: ServiceName.PrimaryVerification,
             dependencies: [
+                ServiceName.Clock,
                 ServiceName.Directory,
                 ServiceName.Primaries,
                 ServiceName.Duty,
@@ -180,6 +181,7 @@
                 ServiceName.Logger,
             ],
             create: (
+                clock: Clock,
                 directory: Directory,
                 primaries: Primaries,
                 duty: Duty,
@@ -187,10 +189,11 @@
                 metrics: Metrics,
                 logger: Logger,
             ) => createPrimaryVerification({
+                clock,
                 directory,
                 primaries,
                 hasLease: duty.hasLease,
-                queryIsPrimary: endpointId => queryIsPrimary(control.run, endpointId),
+                queryRole: endpointId => queryEndpointRole(control.run, endpointId),
                 metrics,
                 log: logger.topic("primaries"),
             }),
