Let only the holder number announcements in the range of its token

Cause: each VM that heard of a new holder continued its own numbering in that holder's range. A former holder that was still busy with changes began and cancelled them with numbers of its successor: the successor's 'begun' had the same numbers and was ignored, also by itself, and the former holder's 'cancelled' ended its change while its order to promote was under way. Why it works: only the holder of a token numbers in its range, so whatever a former holder announced is older. A change announces under the token with which it began and nothing once that is lost; the new holder decides each group then.

--- a/src/duty/createAnnouncementDelivery/index.ts
+++ b/src/duty/createAnnouncementDelivery/index.ts
@@ -1,4 +1,6 @@
 import type { Clock } from "../../clock/types/Clock.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { createAnnouncements } from "../createAnnouncements/index.js";
 import type { Duty } from "../types/Duty.js";
@@ -14,6 +16,8 @@
     readonly leases: GrantedLeases;
     readonly view: Pick<FleetView, "otherVms">;
     readonly peerOf: (vm: VmIdentity) => VmPeer;
+    /** Token of this VM while it is the holder. */
+    readonly heldToken: () => number | undefined;
     readonly log: LogTopic;
 }
 
@@ -25,7 +29,7 @@
  * @returns Sends announcements, and waits for the leases of VMs that did not confirm one.
  *
  * @example
- * await delivery.waitForLeases(await delivery.announce({ group, phase: AnnouncementPhase.Begun, term }));
+ * await delivery.waitForLeases(await delivery.announce({ group, phase: AnnouncementPhase.Begun, term }, token));
  */
 export function createAnnouncementDelivery(
     options: AnnouncementDeliveryOptions,
@@ -33,7 +37,16 @@
     const { clock, announcements, leases, log } = options;
 
     return {
-        announce: async announcement => {
+        announce: async (announcement, token) => {
+            if (options.heldToken() !== token) {
+                throw createError(
+                    ErrorKind.Conflict,
+                    `This VM no longer holds the failover duty with token ${token}.`,
+                    {
+                        remedy: "The new holder decides which endpoint is the primary.",
+                    },
+                );
+            }
             const numbered = announcements.create(announcement);
             const recipients = leases.listPossibleVms(options.view.otherVms());
             const confirmed = await Promise.all(recipients.map(async vm => {
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -68,7 +68,7 @@
     const grantedLeases = createGrantedLeases(clock);
     const lease = createLease(clock);
     const verification = createHolderVerification({ ...options, vms, view, heldToken, applyHolder });
-    const delivery = createAnnouncementDelivery({ ...options, announcements, leases: grantedLeases, view });
+    const delivery = createAnnouncementDelivery({ ...options, announcements, leases: grantedLeases, view, heldToken });
     let knownHolder: DutyHolder | undefined;
     /** When the last renewal was sent that the holder answered. */
     let holderContactAt = -Infinity;
@@ -93,8 +93,8 @@
         const isSelf = heldToken() !== undefined;
         log("failover duty has a new holder", { holder: holder.name, token: holder.token, isSelf });
         failedRenewals = 0;
-        announcements.startToken(holder.token);
         if (isSelf) {
+            announcements.startToken(holder.token);
             vms.startToken(holder.token);
             if (holder.token > dutyConstants.firstToken) {
                 grantedLeases.startHolding(isFormerProcess);
--- a/src/duty/createDuty/test.ts
+++ b/src/duty/createDuty/test.ts
@@ -137,7 +137,7 @@
         const { fleet, holder, others } = await startFleet();
         fleet.cuts.add(`${holder}>${others[0]}`);
         const change = { group: "orders", phase: AnnouncementPhase.Begun, term: 2 };
-        const unconfirmed = await fleet.dutyOf(holder).announce(change);
+        const unconfirmed = await fleet.dutyOf(holder).announce(change, 1);
         assert.deepEqual(unconfirmed.map(({ name }) => name), [others[0]]);
         await fleet.clock.advance(stabilizationMilliseconds);
         assert.equal(fleet.announcementsOf(others[0]!).length, 1);
@@ -148,9 +148,9 @@
         const { fleet, holder, others } = await startFleet();
         const link = `${holder}>${others[0]}`;
         fleet.cuts.add(link);
-        await fleet.dutyOf(holder).announce({ group: "orders", phase: AnnouncementPhase.Begun, term: 2 });
+        await fleet.dutyOf(holder).announce({ group: "orders", phase: AnnouncementPhase.Begun, term: 2 }, 1);
         fleet.cuts.delete(link);
-        await fleet.dutyOf(holder).announce({ group: "stock", phase: AnnouncementPhase.Begun, term: 2 });
+        await fleet.dutyOf(holder).announce({ group: "stock", phase: AnnouncementPhase.Begun, term: 2 }, 1);
         await fleet.clock.advance(stabilizationMilliseconds);
         const groups = fleet.announcementsOf(others[0]!).map(({ group }) => group);
         assert.deepEqual(groups.sort(), ["orders", "stock"]);
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -36,8 +36,11 @@
      * holder did can take effect.
      */
     waitForLeases(vms: readonly VmIdentity[]): Promise<void>;
-    /** Sends an announcement to the VMs that may have a lease; resolves with those that did not confirm it. */
-    announce(announcement: Omit<Announcement, "sequence">): Promise<readonly VmIdentity[]>;
+    /**
+     * Sends an announcement to the VMs that may have a lease; resolves with those that did not confirm it. Fails with
+     * `Conflict`, and announces nothing, when this VM is no longer the holder with this token.
+     */
+    announce(announcement: Omit<Announcement, "sequence">, token: number): Promise<readonly VmIdentity[]>;
     /** Answers another VM's renewal, as the holder or as a relay. */
     answerRenewal(renewal: Renewal): RenewalAnswer;
     /** Reads the recorded holder from the store for another VM; undefined when there is no record. */
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -68,11 +68,12 @@
         const isOrdered = primaries.isChangeUnfinished(group) || !duty.isGranting();
         const startedAt = clock.now();
         log("change of the primary starts", { group, from: currentPrimary?.id, reason, term });
-        const unconfirmedVms = await duty.announce({ group, phase: AnnouncementPhase.Begun, term });
+        const token = heldToken();
+        const unconfirmedVms = await duty.announce({ group, phase: AnnouncementPhase.Begun, term }, token);
         const change: Change = { group, currentPrimary, reason, term, unconfirmedVms, isOrdered };
         try {
             const promoted = await changePrimary(change);
-            await duty.announce({ group, phase: AnnouncementPhase.Finished, ...promoted });
+            await duty.announce({ group, phase: AnnouncementPhase.Finished, ...promoted }, token);
             const tookMilliseconds = Math.round(clock.now() - startedAt);
             log("change of the primary is complete", {
                 group,
@@ -83,19 +84,29 @@
             });
         }
         catch (error) {
-            if (change.isOrdered) {
+            if (change.isOrdered || duty.heldToken() !== token) {
                 log("end of the change of the primary is unknown; no lease vouches for a primary until it is settled", {
                     group,
                     term,
                 });
             }
             else {
-                await duty.announce({ group, phase: AnnouncementPhase.Cancelled, term });
+                await duty.announce({ group, phase: AnnouncementPhase.Cancelled, term }, token);
             }
             throw error;
         }
     };
 
+    function heldToken(): number {
+        const token = duty.heldToken();
+        if (token === undefined) {
+            throw createError(ErrorKind.Conflict, "This VM does not hold the failover duty.", {
+                remedy: "The holder changes the primary.",
+            });
+        }
+        return token;
+    }
+
     /** A change in progress. */
     interface Change {
         readonly group: string;
--- a/src/promotions/createPrimaryDecision/index.ts
+++ b/src/promotions/createPrimaryDecision/index.ts
@@ -68,6 +68,7 @@
     }
 
     return async group => {
+        const token = duty.heldToken();
         await duty.waitForFormerOrders();
         const endpoints = directory.endpointsOf(group);
         const statuses = await Promise.all(endpoints.map(queryStatus));
@@ -85,7 +86,7 @@
             claimants: claims.map(({ endpoint }) => endpoint.id),
             unresponsive,
         };
-        if (winner === undefined) {
+        if (winner === undefined || token === undefined) {
             log("no endpoint claims to be the primary", inputs);
             return PrimaryDecision.NoPrimary;
         }
@@ -96,7 +97,7 @@
         }
         log("primary is decided by the highest term", inputs);
         await Promise.all(losers.map(loser => orderClaimantToStepDown(loser, term)));
-        await duty.announce({ group, phase: AnnouncementPhase.Finished, term, endpointId: id });
+        await duty.announce({ group, phase: AnnouncementPhase.Finished, term, endpointId: id }, token);
         return PrimaryDecision.Decided;
     };
 }
