Announce a promoted endpoint that led before only once the order has taken effect

Cause: the holder waited until the endpoint that it had ordered to be promoted leads. When only the old claimant answered, it was ordered itself, and led already. Evidence: two new tests of the coordinator failed on the code before (announced with term 1 where its promotion gives 3). Why it works: an endpoint that led before the order is announced with a higher term; or with the same one, if the order was answered and longer ago than a promotion takes, because the platform leaves the present primary unchanged.

--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -35,12 +35,10 @@
     /** Hosts that the holder asks at most to read its record while the store does not answer it. */
     maximumRecordReaders: 3,
     /**
-     * Time after a takeover after which an order to promote that the previous holder gave last has taken effect, in
-     * milliseconds: its verification, the longest way of the order and the promotion together.
+     * Time after which an order to promote that the previous holder gave last has taken effect, in milliseconds, from the
+     * takeover, or from the start of this process when the previous holder was an earlier process of this VM: its verification, the longest way of the order and the promotion together.
      */
     formerOrdersMilliseconds: 4_000,
-    /** The same for the last order of an earlier process of this VM, from the start of this one, in milliseconds. */
-    formerProcessMilliseconds: 3_200,
     /** Time for which a verification of the holder in the store remains valid, in milliseconds. */
     verifiedMilliseconds: 1_800,
     /** The holder also counts as verified while every known VM had contact with it this recently, in milliseconds. */
--- a/src/duty/createGrantedLeases/index.ts
+++ b/src/duty/createGrantedLeases/index.ts
@@ -33,9 +33,7 @@
         mayGrant = false;
         // An earlier process of this VM had ended when this one started.
         formerLeasesEndAt = (isFormerProcess ? startedAt : clock.now() + verifiedMilliseconds) + leaseMilliseconds;
-        formerOrdersEndAt = isFormerProcess
-            ? startedAt + dutyConstants.formerProcessMilliseconds
-            : clock.now() + dutyConstants.formerOrdersMilliseconds;
+        formerOrdersEndAt = (isFormerProcess ? startedAt : clock.now()) + dutyConstants.formerOrdersMilliseconds;
     }
 
     function hasFormerLeases(): boolean {
--- a/src/duty/createGrantedLeases/test.ts
+++ b/src/duty/createGrantedLeases/test.ts
@@ -6,7 +6,7 @@
 import { dutyConstants } from "../constants.js";
 import { createGrantedLeases } from "./index.js";
 
-const { leaseMilliseconds, verifiedMilliseconds, formerOrdersMilliseconds, formerProcessMilliseconds } = dutyConstants;
+const { leaseMilliseconds, verifiedMilliseconds, formerOrdersMilliseconds } = dutyConstants;
 const [host, other] = ["vm-1", "vm-2"].map(name => createVmIdentity(name)) as [
     ReturnType<typeof createVmIdentity>,
     ReturnType<typeof createVmIdentity>,
@@ -28,7 +28,6 @@
         const { maximumVerificationMilliseconds, orderTimeoutMilliseconds, promotionEffectMilliseconds } =
             promotionConstants;
         const orderMilliseconds = orderTimeoutMilliseconds + promotionEffectMilliseconds;
-        assert.ok(formerProcessMilliseconds >= orderMilliseconds);
         assert.ok(formerOrdersMilliseconds >= maximumVerificationMilliseconds + orderMilliseconds);
         assert.ok(formerOrdersMilliseconds >= verifiedMilliseconds + leaseMilliseconds);
     });
@@ -39,8 +38,8 @@
         await clock.advance(leaseMilliseconds);
         leases.startHolding(true);
         leases.startGranting();
-        assert.equal(leases.endOfLeases([]), formerProcessMilliseconds);
-        await clock.advance(formerProcessMilliseconds - leaseMilliseconds - 1);
+        assert.equal(leases.endOfLeases([]), formerOrdersMilliseconds);
+        await clock.advance(formerOrdersMilliseconds - leaseMilliseconds - 1);
         assert.equal(leases.isGranting(), false);
         await clock.advance(1);
         assert.ok(leases.isGranting());
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -16,12 +16,12 @@
 import { promotionConstants } from "../constants.js";
 import { orderStepDown } from "../orderStepDown/index.js";
 import { orderStepDownAboveTerm } from "../orderStepDownAboveTerm/index.js";
-import { queryEndpointRole } from "../queryEndpointRole/index.js";
 import { readEndpointStatus } from "../readEndpointStatus/index.js";
 import type { CandidateStatus } from "../types/CandidateStatus.js";
 import { ChangeReason } from "../types/ChangeReason.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
 import type { PromotionOrders } from "../types/PromotionOrders.js";
+import { waitForPromotion } from "../waitForPromotion/index.js";
 
 /** Options of `createPrimaryChange`. */
 interface PrimaryChangeOptions {
@@ -137,8 +137,8 @@
             received: successor.status.received,
             logEnd,
         });
-        await promote(change, successor.endpoint);
-        const term = await waitForPrimary(successor.endpoint);
+        const isAnswered = await promote(change, successor.endpoint);
+        const term = await waitForPromotion(successor, { clock, control, isAnswered });
         if (logEnd === undefined) {
             listOtherPrimaries(change, successor.endpoint).forEach(other => void stepDownInBackground(other, term));
         }
@@ -239,7 +239,8 @@
         return status && { endpoint, status };
     }
 
-    async function promote(change: Change, { id: endpointId }: EndpointRecord): Promise<void> {
+    /** Orders the promotion; returns whether the order was answered. */
+    async function promote(change: Change, { id: endpointId }: EndpointRecord): Promise<boolean> {
         const { group } = change;
         const sinceVerification = startElapsedTimer(clock);
         const fencingToken = await duty.verify();
@@ -253,6 +254,7 @@
         change.isOrdered = true;
         try {
             await orders.promote({ group, endpointId, holderName: options.vmName, fencingToken });
+            return true;
         }
         catch (error) {
             const { kind, message } = toTypedError(error);
@@ -265,28 +267,7 @@
                 endpoint: endpointId,
                 reason: message,
             });
+            return false;
         }
     }
-
-    /** Waits until an endpoint is the primary; returns the term in which it leads. */
-    async function waitForPrimary({ id }: EndpointRecord): Promise<number> {
-        const deadline = clock.now() + promotionConstants.promotionTimeoutMilliseconds;
-        while (clock.now() < deadline) {
-            await clock.sleep(promotionConstants.pollingMilliseconds);
-            const role = await queryEndpointRole(control.runFromAnyVm, id).catch(() => undefined);
-            const status = role?.isPrimary === true
-                ? await readEndpointStatus(control, id).catch(() => undefined)
-                : undefined;
-            if (status?.isPrimary === true) {
-                return status.term;
-            }
-        }
-        throw createError(
-            ErrorKind.DeadlineExceeded,
-            `Endpoint ${id} did not become the primary in time after its promotion.`,
-            {
-                remedy: "The change is attempted again.",
-            },
-        );
-    }
 }
--- a/src/promotions/createPromotionCoordinator/test.ts
+++ b/src/promotions/createPromotionCoordinator/test.ts
@@ -94,6 +94,39 @@
         await site.coordinator.stop();
     });
 
+    it("announces no claimant before its promotion has taken effect", async () => {
+        const promotionMilliseconds = 600;
+        const site = createPromotionSite({
+            promote: async (_id, makePrimary) => void site.clock.sleep(promotionMilliseconds).then(makePrimary),
+        });
+        site.isolatedIds.add("i-1");
+        site.makePrimary("i-2");
+        site.primaries.beginChange(site.group, 2);
+        site.register("i-2", { isPrimary: false });
+        ["i-2", "i-3"].forEach(id => site.unreachableIds.add(id));
+        await site.coordinator.start();
+        await site.clock.advance(settlementMilliseconds + 2_000);
+        const finished = site.announcements().filter(({ phase }) => phase === Finished);
+        assert.deepEqual(finished.map(({ endpointId, term }) => ({ endpointId, term })), [{
+            endpointId: "i-1",
+            term: 3,
+        }]);
+        await site.coordinator.stop();
+    });
+
+    it("announces a claimant whose term an answered order leaves unchanged only after the time of a promotion", async () => {
+        const site = createPromotionSite({ promote: async () => {} });
+        site.primaries.beginChange(site.group, 2);
+        ["i-2", "i-3"].forEach(id => site.unreachableIds.add(id));
+        await site.coordinator.start();
+        await site.clock.advance(settlementMilliseconds + promotionConstants.promotionEffectMilliseconds);
+        assert.deepEqual(site.phases(), [Begun]);
+        await site.clock.advance(1_000);
+        assert.deepEqual(site.phases(), [Begun, Finished]);
+        assert.equal(site.announcements().at(-1)?.term, 1);
+        await site.coordinator.stop();
+    });
+
     it("changes the primary again when no endpoint can settle an unfinished change", async () => {
         const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
         site.primaries.beginChange(site.group, 2);
