Acknowledge no commit whose own term is below the newest

Cause: the term in which the endpoint leads now was compared, not the one of the commit. Evidence: the new test of attemptStatement failed on the code before; a second one guards writes inside a transaction, whose answers may carry a position of the old term. Why it works: the position in the answer to a commit carries the term of that commit. Below the newest known term, another endpoint led at the time, so the outcome is unknown, whatever vouches for the endpoint since.

--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -3,6 +3,7 @@
 import { alignSession } from "../../placement/alignSession/index.js";
 import { AccessMode } from "../../statements/types/AccessMode.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
+import { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { createFailure } from "../createFailure/index.js";
 import { recordAnswer } from "../recordAnswer/index.js";
@@ -55,9 +56,15 @@
             return classifyLoss(callerStatement, "the endpoint refused a statement that prepares the connection");
         }
         const attempt = classifyAnswer(callerStatement, connection, answer, services);
-        return attempt.outcome.failure === undefined && !await isReplicaOrVerifiedPrimary(connection, services)
-            ? classifyLoss(callerStatement, "the endpoint could not be verified as the primary after it answered")
-            : attempt;
+        if (attempt.outcome.failure !== undefined) {
+            return attempt;
+        }
+        if (isCommitOfOlderTerm(callerStatement, connection, answer, services)) {
+            return classifyLoss(callerStatement, "the endpoint committed in an older term than the newest");
+        }
+        return await isReplicaOrVerifiedPrimary(connection, services)
+            ? attempt
+            : classifyLoss(callerStatement, "the endpoint could not be verified as the primary after it answered");
     }
     catch (error) {
         connection.discard();
@@ -89,6 +96,17 @@
     return !isPrimary || services.verification.isVerified(endpoint) || await services.verification.verify(endpoint);
 }
 
+/** Whether a commit has a term below the newest: another endpoint then led, also if this one has been promoted since. */
+function isCommitOfOlderTerm(
+    { mode }: CallerStatement,
+    { endpoint }: EligibleConnection["connection"],
+    { state, position }: StatementAnswer,
+    { primaries }: SessionServices,
+): boolean {
+    const isCommit = mode === AccessMode.Write && state === SessionState.Idle;
+    return isCommit && position !== undefined && position.term < primaries.termOf(endpoint.group);
+}
+
 /** Classifies a missing answer: a read may be retried, a write may have run. */
 function classifyLoss({ mode }: CallerStatement, description: string): Attempt {
     return mode === AccessMode.Read
--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -57,7 +57,7 @@
         discard: () => {},
     };
     const run = () => attemptStatement(statement, { connection, leastPosition: undefined }, 500, services);
-    return { run, connection, exchanges: () => exchanges };
+    return { run, services, connection, exchanges: () => exchanges };
 }
 
 describe("attemptStatement", () => {
@@ -70,6 +70,22 @@
         assert.equal(connection.pooled.values.size, 0);
     });
 
+    it("reports an unknown outcome for a commit in a term below the newest, also of an endpoint that leads in that one", async () => {
+        for (const [term, code] of [[2, FailureCode.OutcomeUnknown], [3, undefined]] as const) {
+            const answer = { position: { term, entry: 7 } };
+            const { run, services } = createAttempt(AccessMode.Write, [true, true], answer);
+            services.primaries.finishChange(endpoint.group, endpoint.id, 3);
+            assert.equal((await run()).outcome.failure?.code, code);
+        }
+    });
+
+    it("accepts a write in a transaction at a new primary whose log has no entry of its term", async () => {
+        const answer = { state: SessionState.InTransaction, position: { term: 2, entry: 7 } };
+        const { run, services } = createAttempt(AccessMode.Write, [true, true], answer);
+        services.primaries.finishChange(endpoint.group, endpoint.id, 3);
+        assert.equal((await run()).outcome.failure, undefined);
+    });
+
     it("reports an unknown outcome when the endpoint may have been superseded during the write", async () => {
         const attempt = await createAttempt(AccessMode.Write, [true, false], {}).run();
         assert.equal(attempt.kind, AttemptKind.Final);
