--- /dev/null
+++ b/src/model/types/SettlementRules.ts
@@ -0,0 +1,15 @@
+/** Rules of a change of the primary whose end is unknown; a search may leave one out. */
+export interface SettlementRules {
+    /** Nothing is settled or begun again before each order has taken effect or never will. */
+    readonly waitsForOrders: boolean;
+    /** A change is not cancelled while an earlier one of the group has an unknown end. */
+    readonly cancelsNoUnknownEnd: boolean;
+    /** The endpoint settled on has the highest term that any endpoint reports. */
+    readonly requiresHighestTerm: boolean;
+    /** All other endpoints have answered that they do not lead. */
+    readonly requiresAllAnswers: boolean;
+    /** The end of a change is announced once the successor reports a higher term than before the order. */
+    readonly requiresNewTerm: boolean;
+    /** A lease vouches for no commit whose term is below that of the announced end. */
+    readonly comparesTermOfCommit: boolean;
+}
