Search the settlement with a lost record, and with a promotion after each unknown end

Seen: an endpoint that led before is taken for the effect of the order to promote it, without a lost order; a holder that has lost the promoted endpoint's record settles on the old primary although all others answered.

--- a/src/model/listSettlementSteps/index.ts
+++ b/src/model/listSettlementSteps/index.ts
@@ -79,18 +79,18 @@
     }
     if (phase === SettlementPhase.Ordered) {
         const { isOrdered, isPrimary, term } = endpoints[successor]!;
-        const hasNewTerm = !rules.requiresNewTerm || term > state.termBeforeOrder;
         const unknown = { ...state, phase: SettlementPhase.Unknown, hasUnknownEnd: true };
         yield { name: "end of the change stays unknown", state: unknown };
         if (isOrdered) {
             const refused = withEndpoint(state, successor, { isOrdered: false });
             yield { name: "order is refused", state: failChange(refused, rules) };
         }
-        else if (isPrimary && hasNewTerm) {
+        // An endpoint that led before may be seen to lead although the order has not taken effect.
+        if (isPrimary && (!rules.requiresNewTerm || term > state.termBeforeOrder)) {
             yield { name: `${successor} is seen to lead`, state: finishChange(state, successor) };
         }
     }
-    if (maySettle(state, rules)) {
+    if (maySettle(state, rules) && !rules.settlesByPromotion) {
         for (const index of listSettleable(state, rules)) {
             yield { name: `holder settles on ${index}`, state: finishChange(state, index) };
         }
@@ -115,11 +115,11 @@
     return { ...state, announcement, phase: SettlementPhase.Serving, hasUnknownEnd: false };
 }
 
-/** Lists the endpoints that the holder may settle on; an endpoint that may be silent is no obstacle. */
+/** Lists the endpoints that the holder may settle on; one that may be silent, or that it does not list, is no obstacle. */
 function listSettleable({ endpoints }: SettlementState, rules: SettlementRules): readonly number[] {
     return [...endpoints.keys()].filter(index => {
         const { isPrimary, term } = endpoints[index]!;
-        const others = endpoints.filter((_other, otherIndex) => otherIndex !== index);
+        const others = endpoints.filter((other, otherIndex) => otherIndex !== index && other.isListed);
         const hasRival = others.some(other => other.isPrimary);
         const hasHigherTerm = others.some(other => other.term > term);
         return isPrimary && !(rules.requiresAllAnswers && hasRival)
@@ -128,7 +128,7 @@
 }
 
 function* listEndpointSteps(state: SettlementState): Generator<SettlementStep> {
-    for (const [index, { isOrdered, isPrimary, term }] of state.endpoints.entries()) {
+    for (const [index, { isOrdered, isPrimary, term, isListed }] of state.endpoints.entries()) {
         if (isOrdered) {
             const next = highestTerm(state) + 1;
             const promoted = { isPrimary: true, isOrdered: false, term: next };
@@ -136,6 +136,9 @@
             const lost = withEndpoint(state, index, { isOrdered: false });
             yield { name: `order to promote ${index} is lost`, state: lost };
         }
+        if (state.scope.mayLoseRecord && index === 1 && isListed) {
+            yield { name: `record of ${index} vanishes`, state: withEndpoint(state, index, { isListed: false }) };
+        }
         const mayStepDown = term < highestTerm(state)
             || state.phase === SettlementPhase.Announced && index !== state.successor;
         if (isPrimary && mayStepDown) {
--- a/src/model/searchSettlement/test.ts
+++ b/src/model/searchSettlement/test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { SettlementRules } from "../types/SettlementRules.js";
+import type { SettlementScope } from "../types/SettlementScope.js";
 import { searchSettlement } from "./index.js";
 
-const rules: SettlementRules = {
+const neededRules = {
     waitsForOrders: true,
     cancelsNoUnknownEnd: true,
     requiresHighestTerm: true,
@@ -11,18 +12,41 @@
     requiresNewTerm: true,
     comparesTermOfCommit: true,
 };
+const rules: SettlementRules = { ...neededRules, settlesByPromotion: false };
+const withAllRecords: SettlementScope = { mayLoseRecord: false };
+const withLostRecord: SettlementScope = { mayLoseRecord: true };
 
 describe("searchSettlement", () => {
     it("finds no acknowledged write that a superseded endpoint committed", context => {
-        const { states, violation } = searchSettlement(rules);
+        const { states, violation } = searchSettlement(rules, withAllRecords);
         assert.equal(violation, undefined);
         assert.ok(states > 50_000, `${states} states`);
         context.diagnostic(`${states} states`);
     });
 
-    for (const rule of Object.keys(rules) as (keyof SettlementRules)[]) {
+    for (const rule of Object.keys(neededRules) as (keyof SettlementRules)[]) {
         it(`finds one without the rule ${rule}`, () => {
-            assert.notEqual(searchSettlement({ ...rules, [rule]: false }).violation, undefined);
+            assert.notEqual(searchSettlement({ ...rules, [rule]: false }, withAllRecords).violation, undefined);
         });
     }
+
+    it("finds one when the holder settles by answers and has lost the record of the promoted endpoint", () => {
+        assert.notEqual(searchSettlement(rules, withLostRecord).violation, undefined);
+    });
+
+    it("finds none with a lost record when an unknown end is always followed by another promotion", context => {
+        const { states, violation } = searchSettlement({ ...rules, settlesByPromotion: true }, withLostRecord);
+        assert.equal(violation, undefined);
+        assert.ok(states > 50_000, `${states} states`);
+        context.diagnostic(`${states} states`);
+    });
+
+    it("settles by promotion without any need for the endpoints' answers", () => {
+        const withoutAnswers = { requiresAllAnswers: false, requiresHighestTerm: false };
+        const { violation } = searchSettlement(
+            { ...rules, ...withoutAnswers, settlesByPromotion: true },
+            withLostRecord,
+        );
+        assert.equal(violation, undefined);
+    });
 });
--- a/src/model/searchSuccession/index.ts
+++ b/src/model/searchSuccession/index.ts
@@ -8,7 +8,7 @@
 import type { SuccessionState } from "../types/SuccessionState.js";
 import { WritePhase } from "../types/WritePhase.js";
 
-const replica = { isPrimary: false, term: 1, isOrdered: false };
+const replica = { isPrimary: false, term: 1, isOrdered: false, isListed: true };
 const firstAnnouncement = { sequence: 0, phase: AnnouncementPhase.Finished, endpoint: 0, term: 1 };
 
 const initialState: SuccessionState = {
--- a/src/model/types/SettlementEndpoint.ts
+++ b/src/model/types/SettlementEndpoint.ts
@@ -4,4 +4,6 @@
     readonly term: number;
     /** Whether an order to promote it may still take effect. */
     readonly isOrdered: boolean;
+    /** Whether the holder knows the endpoint's record. */
+    readonly isListed: boolean;
 }
--- a/src/model/types/SettlementRules.ts
+++ b/src/model/types/SettlementRules.ts
@@ -12,4 +12,6 @@
     readonly requiresNewTerm: boolean;
     /** A lease vouches for no commit whose term is below that of the announced end. */
     readonly comparesTermOfCommit: boolean;
+    /** A change with an unknown end is always followed by another promotion, whatever the endpoints answer. */
+    readonly settlesByPromotion: boolean;
 }
--- /dev/null
+++ b/src/model/types/SettlementScope.ts
@@ -0,0 +1,5 @@
+/** What a search of the model of the settlement covers. */
+export interface SettlementScope {
+    /** Whether the record of the second endpoint may vanish from the holder's directory. */
+    readonly mayLoseRecord: boolean;
+}
--- a/src/model/types/SettlementState.ts
+++ b/src/model/types/SettlementState.ts
@@ -1,6 +1,7 @@
 import type { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
 import type { SettlementEndpoint } from "./SettlementEndpoint.js";
 import type { SettlementPhase } from "./SettlementPhase.js";
+import type { SettlementScope } from "./SettlementScope.js";
 import type { WritePhase } from "./WritePhase.js";
 
 /** An announcement of the holder. */
@@ -15,6 +16,8 @@
 
 /** A state of the model of the settlement: three endpoints, a holder whose changes may fail, a VM with a write. */
 export interface SettlementState {
+    /** What the search covers; the same in all states. */
+    readonly scope: SettlementScope;
     readonly endpoints: readonly SettlementEndpoint[];
     readonly phase: SettlementPhase;
     /** Number of changes that have begun. */
