Let the holder settle on the highest claimant once all endpoints have answered

Seen: the model asked that no other endpoint claims to lead, the program asks only that none does so with a higher term.

--- a/src/model/types/SettlementRules.ts
+++ b/src/model/types/SettlementRules.ts
@@ -6,7 +6,7 @@
     readonly cancelsNoUnknownEnd: boolean;
     /** The endpoint settled on has the highest term that any endpoint reports. */
     readonly requiresHighestTerm: boolean;
-    /** All other endpoints have answered that they do not lead. */
+    /** All other endpoints have answered, and none of them leads with a higher term. */
     readonly requiresAllAnswers: boolean;
     /** The end of a change is announced once the successor reports a higher term than before the order. */
     readonly requiresNewTerm: boolean;
