Let an order to promote the present primary change nothing in the model of the settlement

Seen: the platform answers an order for the endpoint that leads already without a new term, so a holder that waits for a higher term would never learn the end of such a change.

--- a/src/model/searchSettlement/index.ts
+++ b/src/model/searchSettlement/index.ts
@@ -18,6 +18,7 @@
         changes: 0,
         successor: 0,
         termBeforeOrder: 0,
+        isOrderAnswered: false,
         hasUnknownEnd: false,
         announcement: firstAnnouncement,
         received: firstAnnouncement,
@@ -37,7 +38,7 @@
  * @returns The number of visited states, and the steps to a violation if there is one.
  *
  * @example
- * searchSettlement(rules, { mayLoseRecord: false }).violation; // => undefined
+ * searchSettlement(rules, { changes: 2, mayLoseRecord: false }).violation; // => undefined
  */
 export function searchSettlement(rules: SettlementRules, scope: SettlementScope): ReturnType<typeof searchStates> {
     return searchStates({
--- a/src/model/types/SettlementRules.ts
+++ b/src/model/types/SettlementRules.ts
@@ -14,4 +14,6 @@
     readonly comparesTermOfCommit: boolean;
     /** A change with an unknown end is always followed by another promotion, whatever the endpoints answer. */
     readonly settlesByPromotion: boolean;
+    /** An unchanged term is accepted of an endpoint whose order was answered, once the order would have taken effect. */
+    readonly acceptsAnsweredOrder: boolean;
 }
--- a/src/model/types/SettlementState.ts
+++ b/src/model/types/SettlementState.ts
@@ -25,6 +25,8 @@
     readonly successor: number;
     /** Term that the successor reported before its promotion was ordered. */
     readonly termBeforeOrder: number;
+    /** Whether the platform has answered the last order: it takes effect, or the endpoint already leads. */
+    readonly isOrderAnswered: boolean;
     /** Whether an earlier change has an unknown end. */
     readonly hasUnknownEnd: boolean;
     /** The holder's newest announcement. */
