--- a/src/site/constants.ts
+++ b/src/site/constants.ts
@@ -1,6 +1,9 @@
 /** Constants of the launcher of test sites. */
 export const siteConstants = {
     host: "127.0.0.1",
+    /** First and last port of sites, below the ports that Linux and macOS choose themselves. */
+    firstPort: 10_000,
+    lastPort: 32_767,
     pollingMilliseconds: 25,
     startTimeoutMilliseconds: 30_000,
     primariesTimeoutMilliseconds: 20_000,
--- a/src/site/planSite/index.ts
+++ b/src/site/planSite/index.ts
@@ -1,6 +1,6 @@
 import type { Address } from "../../network/types/Address.js";
 import { siteConstants } from "../constants.js";
-import { findFreePorts } from "../findFreePorts/index.js";
+import { reservePorts } from "../reservePorts/index.js";
 import type { SiteDescription } from "../types/SiteDescription.js";
 import type { SiteEndpoint } from "../types/SiteEndpoint.js";
 import type { SitePlan } from "../types/SitePlan.js";
@@ -11,10 +11,11 @@
 const portsPerProcess = 2;
 
 /**
- * Assigns a name, an availability zone and ports to every process of a site.
+ * Assigns a name, an availability zone and reserved ports to every process of a site.
  *
  * @param description The site.
  * @returns The site with all its addresses.
+ * @throws TarragonpostError of kind `Unexpected` when too few ports are free.
  *
  * @example
  * const plan = await planSite(describeSmallSite(7));
@@ -25,7 +26,9 @@
     );
     const vmZones = zones.flatMap(zone => Array.from({ length: zone.vmCount }, () => zone));
     const endpointCount = zones.length * description.databases.length;
-    const ports = await findFreePorts(platformPortCount + portsPerProcess * (vmZones.length + endpointCount));
+    const processCount = vmZones.length + endpointCount;
+    const reservation = await reservePorts(platformPortCount + portsPerProcess * processCount);
+    const ports = [...reservation.ports];
 
     function allocateAddress(availabilityZone: string): Address {
         return { host: siteConstants.host, port: ports.pop() ?? 0, availabilityZone };
@@ -50,6 +53,7 @@
     }));
     return {
         description,
+        reservation,
         platform: allocateAddress(platformZone),
         platformAdmin: allocateAddress(platformZone),
         network: allocateAddress(platformZone),
--- a/src/site/startSite/index.ts
+++ b/src/site/startSite/index.ts
@@ -54,6 +54,7 @@
     async function stop(): Promise<void> {
         await Promise.all([...processes.values()].reverse().map(stopProcess));
         await rm(folder, { recursive: true, force: true });
+        await plan.reservation.release();
     }
 
     async function restart(name: string): Promise<void> {
--- a/src/site/types/Site.ts
+++ b/src/site/types/Site.ts
@@ -13,6 +13,6 @@
     findProcess(name: string): SiteProcess;
     /** Starts a program of the site again with the same settings. */
     restart(name: string): Promise<void>;
-    /** Stops every process by its process id and removes the site's folder. */
+    /** Stops every process by its process id, removes the site's folder and releases its ports. */
     stop(): Promise<void>;
 }
--- a/src/soak/startSoakSite/index.ts
+++ b/src/soak/startSoakSite/index.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import type { Clock } from "../../clock/types/Clock.js";
 import { createPlatformStandIn } from "../../platform/standIns/createPlatformStandIn/index.js";
+import { reservePorts } from "../../site/reservePorts/index.js";
 import { createRoute } from "../../testing/createRoute/index.js";
 import { soakConstants } from "../constants.js";
 import { createFaultyProxy } from "../createFaultyProxy/index.js";
@@ -11,6 +12,8 @@
 import type { FaultyProxy } from "../types/FaultyProxy.js";
 import type { SoakSite } from "../types/SoakSite.js";
 
+const portsPerVm = 3;
+
 /**
  * Starts the site of a soak test: the platform stand-in in this process, VMs as processes, and links between them.
  *
@@ -63,13 +66,23 @@
 
     changeConfiguration();
     const indices = Array.from({ length: vmCount }, (_, index) => index);
-    const vms = await Promise.all(indices.map(index => startSoakVm({ index, platform, folder, clock })));
+    const { ports, release } = await reservePorts(portsPerVm * vmCount);
+    const vms = await Promise.all(indices.map(index =>
+        startSoakVm({
+            index,
+            ports: ports.slice(index * portsPerVm, (index + 1) * portsPerVm),
+            platform,
+            folder,
+            clock,
+        })
+    ));
 
     async function stop(): Promise<void> {
         await Promise.all(vms.map(vm => vm.terminate("SIGTERM")));
         [...endpointLinks, ...vms.flatMap(vm => [vm.callerLink, vm.storeLink])].forEach(link => link.stop());
         platform.stop();
         await rm(folder, { recursive: true, force: true });
+        await release();
     }
 
     return { platform, vms, endpointLinks, changeConfiguration, stop };
--- a/src/soak/startSoakVm/index.ts
+++ b/src/soak/startSoakVm/index.ts
@@ -4,7 +4,6 @@
 import { encodeVmSettings } from "../../platform/standIns/encodeVmSettings/index.js";
 import { queryReadiness } from "../../platform/standIns/queryReadiness/index.js";
 import type { PlatformStandIn } from "../../platform/standIns/types/PlatformStandIn.js";
-import { findFreePorts } from "../../site/findFreePorts/index.js";
 import { startProcess } from "../../site/startProcess/index.js";
 import { SiteBinary } from "../../site/types/SiteBinary.js";
 import type { SiteProcess } from "../../site/types/SiteProcess.js";
@@ -17,6 +16,8 @@
 interface SoakVmOptions {
     /** Number of the VM. */
     readonly index: number;
+    /** Reserved ports for callers, readiness and peers. */
+    readonly ports: readonly number[];
     readonly platform: PlatformStandIn;
     /** Folder for the settings file of the VM. */
     readonly folder: string;
@@ -30,17 +31,17 @@
  * Starts one VM of the soak test: the real program as a separate process, with its own address on the loopback
  * interface and links that can be disturbed.
  *
- * @param options Number of the VM, the platform and the folder for its settings file.
+ * @param options Number and ports of the VM, the platform and the folder for its settings file.
  * @returns The VM; its process has been started and may not be ready yet.
  *
  * @example
- * const vm = await startSoakVm({ index: 0, platform, folder, clock });
+ * const vm = await startSoakVm({ index: 0, ports, platform, folder, clock });
  */
-export async function startSoakVm({ index, platform, folder, clock }: SoakVmOptions): Promise<SoakVm> {
+export async function startSoakVm({ index, ports, platform, folder, clock }: SoakVmOptions): Promise<SoakVm> {
     const name = `vm-${index + 1}`;
     const host = chooseHost(index);
     const availabilityZone = soakConstants.zones[index % soakConstants.zones.length]!;
-    const [callerPort, readinessPort, peerPort] = await findFreePorts(3);
+    const [callerPort, readinessPort, peerPort] = ports;
     const storeLink = await createFaultyProxy("127.0.0.1", platform.store.port, clock);
     const callerLink = await createFaultyProxy(host, callerPort!, clock);
     const addressOf = (port: number, at = host) => ({ host: at, port, availabilityZone });
--- a/src/testing/startVm/index.ts
+++ b/src/testing/startVm/index.ts
@@ -2,7 +2,7 @@
 import type { Kernel } from "../../kernel/types/Kernel.js";
 import { queryReadiness } from "../../platform/standIns/queryReadiness/index.js";
 import type { PlatformStandIn } from "../../platform/standIns/types/PlatformStandIn.js";
-import { findFreePorts } from "../../site/findFreePorts/index.js";
+import { reservePorts } from "../../site/reservePorts/index.js";
 import { listVmServices } from "../../vm/listVmServices/index.js";
 import type { VmSettings } from "../../vm/types/VmSettings.js";
 import { createVmSettings } from "../createVmSettings/index.js";
@@ -34,7 +34,7 @@
  * const vm = await startVm("vm-1", platform);
  */
 export async function startVm(name: string, platform: PlatformStandIn, options: VmOptions = {}): Promise<StartedVm> {
-    const [callerPort, readinessPort, peerPort] = await findFreePorts(3);
+    const { ports: [callerPort, readinessPort, peerPort], release } = await reservePorts(3);
     const addressOf = (port: number) => ({ host: "127.0.0.1", port, availabilityZone: "a" });
     const settings = createVmSettings({
         name,
@@ -59,6 +59,9 @@
         kernel,
         logLines,
         isReady: () => queryReadiness(readinessPort!),
-        stop: kernel.stop,
+        stop: async () => {
+            await kernel.stop();
+            await release();
+        },
     };
 }
