End the start of a test site at once when one of its processes has failed

The start now ends with the name and the output of the process that failed. With a watch that only waits, as before, the tests of createExitWatch fail.

--- a/src/site/startSite/index.ts
+++ b/src/site/startSite/index.ts
@@ -6,6 +6,7 @@
 import type { LoadTarget } from "../../load/types/LoadTarget.js";
 import type { Address } from "../../network/types/Address.js";
 import { siteConstants } from "../constants.js";
+import { createExitWatch } from "../createExitWatch/index.js";
 import { createSiteConfiguration } from "../createSiteConfiguration/index.js";
 import { listProgramSettings } from "../listProgramSettings/index.js";
 import { planSite } from "../planSite/index.js";
@@ -40,14 +41,14 @@
     const folder = await mkdtemp(join(tmpdir(), "tarragonpost-site-"));
     const programs = listProgramSettings(plan);
     const processes = new Map<string, SiteProcess>();
-    const unexpectedExits: string[] = [];
+    const exits = createExitWatch();
 
     async function start(program: SiteProgram): Promise<void> {
         const settingsFile = join(folder, `${program.name}.jsonc`);
         await writeFile(settingsFile, JSON.stringify(program.settings, undefined, 4));
         const started = startProcess(program.name, program.binary, { settingsFile });
         processes.set(program.name, started);
-        void started.exited.then(outcome => unexpectedExits.push(...describeFailure(started, outcome)));
+        exits.watch(started);
         await waitForReadiness(started, (program.settings as { listen: Address; }).listen);
     }
 
@@ -77,21 +78,14 @@
         await Promise.all(others.map(start));
         await writeOperatorSettings(plan, folder);
         await submitPatch(plan, createSiteConfiguration(plan, target), { against: 0, folder });
-        await waitForPrimaries(plan);
-        await waitForService(target);
+        await exits.waitFor(waitForPrimaries(plan));
+        await exits.waitFor(waitForService(target));
     }
     catch (error) {
         await stop();
         throw error;
     }
-    return { plan, target, folder, unexpectedExits, findProcess, restart, stop };
-}
-
-/** Returns one line for a process that exited with a non-zero code; none after a signal or a graceful stop. */
-function describeFailure(exitedProcess: SiteProcess, outcome: string): string[] {
-    const hasFailed = /^[1-9]/.test(outcome);
-    const output = exitedProcess.output().slice(-siteConstants.reportedOutputCharacters);
-    return hasFailed ? [`${exitedProcess.name} exited with ${outcome}: ${output}`] : [];
+    return { plan, target, folder, unexpectedExits: exits.unexpectedExits, findProcess, restart, stop };
 }
 
 async function writeOperatorSettings(plan: SitePlan, folder: string): Promise<void> {
