--- a/src/testing/createSimulatedEndpoints/index.ts
+++ b/src/testing/createSimulatedEndpoints/index.ts
@@ -71,6 +71,12 @@
         history.push({ kind: HistoryEventKind.Promotion, at: clock.now(), group, endpointId: id, term });
     }
 
+    /** Whether the endpoint leads and has not stepped down. */
+    function isPresentPrimary(id: string): boolean {
+        const { group, isPrimary } = get(id);
+        return isPrimary && leaders.get(group)!.id === id;
+    }
+
     function tick(): void {
         endpointsByGroup.forEach(members => replicateLogs(members, network, clock.now()));
         endpoints.forEach(register);
@@ -119,10 +125,11 @@
         ids: [...endpoints.keys()],
         get,
         leaderOf: group => leaders.get(group)!.id,
+        isPresentPrimary,
         run,
         promote: id => {
             const endpoint = get(id);
-            if (endpoint.isRunning && leaders.get(endpoint.group)!.id !== id) {
+            if (endpoint.isRunning && !isPresentPrimary(id)) {
                 lead(endpoint);
             }
         },
@@ -132,13 +139,10 @@
         recover: id => {
             const endpoint = get(id);
             if (!endpoint.isRunning) {
-                const isPrimary = endpoint.isPrimary && leaders.get(endpoint.group)!.id === id;
+                const isPrimary = isPresentPrimary(id);
                 const startedAt = Math.floor(clock.now()) + 1;
                 Object.assign(endpoint, { isRunning: true, isPrimary, heldTerm: 0, startedAt });
             }
         },
-        setPosition: (id, position) => {
-            get(id).position = position;
-        },
     };
 }
--- a/src/testing/createSimulatedPlatform/index.ts
+++ b/src/testing/createSimulatedPlatform/index.ts
@@ -44,7 +44,7 @@
                 remedy: "Choose another endpoint.",
             });
         }
-        if (endpoints.leaderOf(endpoints.get(endpointId).group) !== endpointId) {
+        if (!endpoints.isPresentPrimary(endpointId)) {
             clock.startTimer(promotionMilliseconds, () => endpoints.promote(endpointId));
         }
     }
--- /dev/null
+++ b/src/testing/types/FleetFaultKind.ts
@@ -0,0 +1,31 @@
+/** Kinds of faults that are drawn in a simulation. */
+export enum FleetFaultKind {
+    /** The links between some VMs and the others are cut, in one direction or both. */
+    VmPartition = "VmPartition",
+    /** The links between some VMs and an endpoint are cut. */
+    EndpointCut = "EndpointCut",
+    /** All VMs but one are cut off from an endpoint, and calls to that VM are lost. */
+    HiddenPrimary = "HiddenPrimary",
+    /** An endpoint is cut off from the other endpoints of its group. */
+    ReplicationCut = "ReplicationCut",
+    /** An endpoint is cut off from the store. */
+    RegistrationCut = "RegistrationCut",
+    /** The links between some VMs and the store are cut. */
+    StoreCut = "StoreCut",
+    /** The store refuses some VMs. */
+    StoreRefusal = "StoreRefusal",
+    /** The store refuses all calls. */
+    StoreOutage = "StoreOutage",
+    /** Some calls between VMs, or their answers, are lost or late. */
+    FaultyCalls = "FaultyCalls",
+    /** Orders to promote arrive late, or their answers are lost. */
+    FaultyOrders = "FaultyOrders",
+    /** Some VMs are killed and start again. */
+    VmRestart = "VmRestart",
+    /** The holder of the failover duty is killed and starts again. */
+    HolderRestart = "HolderRestart",
+    /** An endpoint is killed and starts again with its log. */
+    EndpointCrash = "EndpointCrash",
+    /** An endpoint reports that it is leaving, ends, and starts again. */
+    EndpointLeaving = "EndpointLeaving",
+}
--- a/src/testing/types/SimulatedEndpoints.ts
+++ b/src/testing/types/SimulatedEndpoints.ts
@@ -1,4 +1,3 @@
-import type { LogPosition } from "../../statements/types/LogPosition.js";
 import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import type { SimulatedEndpoint } from "./SimulatedEndpoint.js";
@@ -9,6 +8,8 @@
     get(id: string): SimulatedEndpoint;
     /** Id of the endpoint whose promotion took effect last. */
     leaderOf(group: string): string;
+    /** Whether the endpoint leads its group and has not stepped down. */
+    isPresentPrimary(id: string): boolean;
     /** Executes statements at an endpoint, outside any earlier transaction. */
     run(id: string, statements: readonly OutgoingStatement[]): readonly StatementAnswer[];
     /** Lets an order to promote take effect. */
@@ -16,6 +17,4 @@
     crash(id: string): void;
     /** Starts a crashed endpoint again, with its log. */
     recover(id: string): void;
-    /** Sets the position of an endpoint's log, for the state that a test starts with. */
-    setPosition(id: string, position: LogPosition): void;
 }
