--- a/src/testing/createSimulatedEndpoints/index.ts
+++ b/src/testing/createSimulatedEndpoints/index.ts
@@ -136,6 +136,9 @@
         crash: id => {
             get(id).isRunning = false;
         },
+        reset: id => {
+            Object.assign(get(id), { isPrimary: false, term: 1, position: { term: 1, entry: 0 } });
+        },
         recover: id => {
             const endpoint = get(id);
             if (!endpoint.isRunning) {
--- a/src/testing/drawFleetFaults/index.ts
+++ b/src/testing/drawFleetFaults/index.ts
@@ -24,6 +24,7 @@
 
 const maximumOrderDelayMilliseconds = 2_500;
 const maximumCallDelayMilliseconds = 600;
+const maximumLinkDelayMilliseconds = 250;
 const maximumDurationMilliseconds = 6_000;
 const lossProbability = 0.4;
 const stepProbability = 0.5;
@@ -96,6 +97,25 @@
         fleet.network.addRule(({ procedure }) =>
             procedure === "promote" ? drawCallFault(random, maximumOrderDelayMilliseconds) : undefined
         ),
+    [FleetFaultKind.FaultyStoreCalls]: (fleet, random) => {
+        const names = drawVms(fleet, random);
+        return fleet.network.addRule(({ from, to }) =>
+            to === "store" && names.includes(from) && random.next() < lossProbability
+                ? drawCallFault(random, maximumOrderDelayMilliseconds)
+                : undefined
+        );
+    },
+    [FleetFaultKind.SlowLinks]: (fleet, random) => {
+        const names = drawVms(fleet, random);
+        return fleet.network.addRule(({ from, to }) =>
+            names.includes(from) || names.includes(to)
+                ? {
+                    requestDelayMilliseconds: random.next() * maximumLinkDelayMilliseconds,
+                    answerDelayMilliseconds: random.next() * maximumLinkDelayMilliseconds,
+                }
+                : undefined
+        );
+    },
     [FleetFaultKind.VmRestart]: (fleet, random) => restartVms(fleet, drawVms(fleet, random)),
     [FleetFaultKind.HolderRestart]: fleet => restartVms(fleet, fleet.holders()),
     [FleetFaultKind.EndpointCrash]: (fleet, random) => {
@@ -103,6 +123,14 @@
         fleet.endpoints.crash(id);
         return () => fleet.endpoints.recover(id);
     },
+    [FleetFaultKind.EndpointReset]: (fleet, random) => {
+        const id = drawEndpoint(fleet, random);
+        fleet.endpoints.crash(id);
+        return () => {
+            fleet.endpoints.reset(id);
+            fleet.endpoints.recover(id);
+        };
+    },
     [FleetFaultKind.EndpointLeaving]: (fleet, random) => {
         const endpoint = fleet.endpoints.get(drawEndpoint(fleet, random));
         endpoint.isLeaving = true;
--- a/src/testing/explorePrimaryFleet/index.ts
+++ b/src/testing/explorePrimaryFleet/index.ts
@@ -13,6 +13,8 @@
     readonly idleGroups: readonly string[];
 }
 
+/** With eight VMs in one zone, some are no hosts. */
+const vmCounts = [3, 4, 5, 6, 8, 8];
 const firstFailureAt = 3_000;
 const failureIntervalMilliseconds = 5_000;
 const maximumFailures = 4;
@@ -38,7 +40,7 @@
 ): Promise<ExplorationFindings> {
     const random = createRandomSource(seed);
     const fleet = createPrimaryFleet({
-        vmCount: 3 + random.nextInteger(6),
+        vmCount: vmCounts[random.nextInteger(vmCounts.length)]!,
         zoneCount: 1 + random.nextInteger(3),
         seed,
         log: (message, fields) => log(JSON.stringify({ message, ...fields })),
--- a/src/testing/types/FleetFaultKind.ts
+++ b/src/testing/types/FleetFaultKind.ts
@@ -18,6 +18,10 @@
     StoreOutage = "StoreOutage",
     /** Some calls between VMs, or their answers, are lost or late. */
     FaultyCalls = "FaultyCalls",
+    /** Some calls of VMs to the store are lost or executed late, or their answers are lost. */
+    FaultyStoreCalls = "FaultyStoreCalls",
+    /** All calls from and to some VMs are late. */
+    SlowLinks = "SlowLinks",
     /** Orders to promote arrive late, or their answers are lost. */
     FaultyOrders = "FaultyOrders",
     /** Some VMs are killed and start again. */
@@ -26,6 +30,8 @@
     HolderRestart = "HolderRestart",
     /** An endpoint is killed and starts again with its log. */
     EndpointCrash = "EndpointCrash",
+    /** An endpoint is killed and starts again without its log. */
+    EndpointReset = "EndpointReset",
     /** An endpoint reports that it is leaving, ends, and starts again. */
     EndpointLeaving = "EndpointLeaving",
 }
--- a/src/testing/types/SimulatedEndpoints.ts
+++ b/src/testing/types/SimulatedEndpoints.ts
@@ -15,6 +15,8 @@
     /** Lets an order to promote take effect. */
     promote(id: string): void;
     crash(id: string): void;
+    /** Drops the log of a crashed endpoint, which then is no primary any more. */
+    reset(id: string): void;
     /** Starts a crashed endpoint again, with its log. */
     recover(id: string): void;
 }
