Fit the warm-up and a test of the simulated fleet to the merged parts

The warm-up of the build reserves its ports as sites do, and a replaced holder names the token under which it announces.

--- a/.ci/warmUpNode.ts
+++ b/.ci/warmUpNode.ts
@@ -13,7 +13,7 @@
 import { createPlatformStandIn } from "../src/platform/standIns/createPlatformStandIn/index.js";
 import { encodeVmSettings } from "../src/platform/standIns/encodeVmSettings/index.js";
 import { queryReadiness } from "../src/platform/standIns/queryReadiness/index.js";
-import { findFreePorts } from "../src/site/findFreePorts/index.js";
+import { reservePorts } from "../src/site/reservePorts/index.js";
 import { createRoute } from "../src/testing/createRoute/index.js";
 import { createVmSettings } from "../src/testing/createVmSettings/index.js";
 
@@ -33,7 +33,7 @@
 ]);
 
 async function start(name: string, host: string, argument: readonly string[]) {
-    const [callerPort, readinessPort, peerPort] = await findFreePorts(3) as [number, number, number];
+    const { ports: [callerPort = 0, readinessPort = 0, peerPort = 0] } = await reservePorts(3);
     const addressOf = (port: number, at = host) => ({ host: at, port, availabilityZone: "a" });
     mkdirSync(folder, { recursive: true });
     const settingsFile = `${folder}/${name}.toml`;
--- a/src/testing/primaryScenarios/deposedHolder/test.ts
+++ b/src/testing/primaryScenarios/deposedHolder/test.ts
@@ -14,7 +14,7 @@
         fleet.dutyOf(replaced).applyHolder(holder);
 
         const decision = { group: "orders", phase: AnnouncementPhase.Finished, term: 1, endpointId: "i-1" };
-        const announcing = fleet.dutyOf(replaced).announce(decision).catch(() => {});
+        const announcing = fleet.dutyOf(replaced).announce(decision, 1).catch(() => {});
         await fleet.clock.advance(1_000);
         await announcing;
 
