Compare the term of a commit after its verification too

Cause: the term of the commit was compared before the other endpoints were queried, and not with what they said. Evidence: the new test of attemptStatement failed on the code before. Why it works: the comparison is the last step before the acknowledgement, with nothing awaited in between. Result: tests of callerSessions pass.

--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -59,12 +59,13 @@
         if (attempt.outcome.failure !== undefined) {
             return attempt;
         }
-        if (isCommitOfOlderTerm(callerStatement, connection, answer, services)) {
-            return classifyLoss(callerStatement, "the endpoint committed in an older term than the newest");
+        if (!await isReplicaOrVerifiedPrimary(connection, services)) {
+            return classifyLoss(callerStatement, "the endpoint could not be verified as the primary after it answered");
         }
-        return await isReplicaOrVerifiedPrimary(connection, services)
-            ? attempt
-            : classifyLoss(callerStatement, "the endpoint could not be verified as the primary after it answered");
+        // The verification may have found a newer term.
+        return isCommitOfOlderTerm(callerStatement, connection, answer, services)
+            ? classifyLoss(callerStatement, "the endpoint committed in an older term than the newest")
+            : attempt;
     }
     catch (error) {
         connection.discard();
--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -79,6 +79,19 @@
         }
     });
 
+    it("reports an unknown outcome when the verification after a commit finds a newer term", async () => {
+        const { run, services } = createAttempt(AccessMode.Write, [], { position: { term: 1, entry: 7 } });
+        let isSent = false;
+        services.verification.verify = async () => {
+            if (isSent) {
+                services.primaries.finishChange(endpoint.group, endpoint.id, 3);
+            }
+            isSent = true;
+            return true;
+        };
+        assert.equal((await run()).outcome.failure?.code, FailureCode.OutcomeUnknown);
+    });
+
     it("accepts a write in a transaction at a new primary whose log has no entry of its term", async () => {
         const answer = { state: SessionState.InTransaction, position: { term: 2, entry: 7 } };
         const { run, services } = createAttempt(AccessMode.Write, [true, true], answer);
