Measure a holder's verification by the wall clock too

Callers: none seen. Cause: the age of the verification was measured by the monotonic clock alone. Why it works: the longer of both times counts, as for leases and orders.

--- a/src/duty/createHolderVerification/index.ts
+++ b/src/duty/createHolderVerification/index.ts
@@ -1,3 +1,4 @@
+import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { RecordStore } from "../../directory/types/RecordStore.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
@@ -50,6 +51,7 @@
 export function createHolderVerification(options: HolderVerificationOptions): HolderVerification {
     const { clock, self, vms, heldToken, log } = options;
     let verifiedAt = -Infinity;
+    let sinceVerification = (): number => Infinity;
     /** When this VM replaced another holder; a holder that replaced none knows all VMs that ever called one. */
     let tookOverAt = -Infinity;
     let isStoreAnswering = true;
@@ -92,6 +94,7 @@
 
     async function verify(): Promise<number | undefined> {
         const requestedAt = clock.now();
+        const sinceRequest = startElapsedTimer(clock);
         try {
             const holder = await readHolder();
             if (holder !== undefined) {
@@ -99,6 +102,7 @@
             }
             if (heldToken() !== undefined) {
                 verifiedAt = requestedAt;
+                sinceVerification = sinceRequest;
             }
             return heldToken();
         }
@@ -113,7 +117,7 @@
     }
 
     function isCertain(): boolean {
-        const isVerified = clock.now() - verifiedAt < dutyConstants.verifiedMilliseconds;
+        const isVerified = sinceVerification() < dutyConstants.verifiedMilliseconds;
         const isCertainNow = heldToken() !== undefined && (isVerified || isInContactWithAll());
         if (isCertainNow !== wasCertain) {
             wasCertain = isCertainNow;
@@ -125,6 +129,7 @@
     return {
         startHolding: () => {
             verifiedAt = -Infinity;
+            sinceVerification = () => Infinity;
             tookOverAt = clock.now();
         },
         verify,
