Order a promotion only under the token with which its change began

Cause: the order was given with the token that the VM held at that moment. Evidence: the new test of createPrimaryChange failed on the code before. Why it works: the verification before the order has to return the token with which the change was announced. Result: tests of promotions pass.

--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -70,7 +70,7 @@
         log("change of the primary starts", { group, from: currentPrimary?.id, reason, term });
         const token = heldToken();
         const unconfirmedVms = await duty.announce({ group, phase: AnnouncementPhase.Begun, term }, token);
-        const change: Change = { group, currentPrimary, reason, term, unconfirmedVms, isOrdered };
+        const change: Change = { group, currentPrimary, reason, term, token, unconfirmedVms, isOrdered };
         try {
             const promoted = await changePrimary(change);
             await duty.announce({ group, phase: AnnouncementPhase.Finished, ...promoted }, token);
@@ -114,6 +114,8 @@
         readonly reason: ChangeReason;
         /** Expected term: one above the highest that this VM has observed, which may be below the endpoints' own. */
         readonly term: number;
+        /** Token with which the change was begun. */
+        readonly token: number;
         /** VMs that may still send to the current primary. */
         readonly unconfirmedVms: readonly VmIdentity[];
         /** Whether a promotion may have been ordered, by this change or an earlier one, and take effect at any moment. */
@@ -244,7 +246,7 @@
         const { group } = change;
         const sinceVerification = startElapsedTimer(clock);
         const fencingToken = await duty.verify();
-        if (fencingToken === undefined || sinceVerification() > promotionConstants.maximumVerificationMilliseconds) {
+        if (fencingToken !== change.token || sinceVerification() > promotionConstants.maximumVerificationMilliseconds) {
             throw createError(ErrorKind.Conflict, "This VM could not verify in time that it holds the failover duty.", {
                 remedy: "The holder attempts the change again.",
             });
--- a/src/promotions/createPrimaryChange/test.ts
+++ b/src/promotions/createPrimaryChange/test.ts
@@ -73,6 +73,20 @@
         assert.equal(site.primaries.isChangeUnfinished(site.group), false);
     });
 
+    it("orders nothing for a change that it began before it lost the failover duty and won it again", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        let token = 4;
+        site.duty.heldToken = () => token;
+        site.duty.verify = async () => token;
+        site.duty.waitForLeases = async () => {
+            token = 6;
+        };
+        const change = site.changePrimary(site.group, site.primary(), ChangeReason.Unreachable).catch(() => {});
+        await site.clock.advance(changeMilliseconds);
+        await change;
+        assert.deepEqual(site.orderedIds, []);
+    });
+
     it("orders nothing when the VM was suspended after it had verified that it holds the duty", async () => {
         const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
         const { maximumVerificationMilliseconds } = promotionConstants;
