--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -190,7 +190,8 @@
             await clock.sleep(promotionConstants.stepDownPauseMilliseconds, options.signal);
             // It may still be unreachable; a log line reports when it answered, or that it never did.
             const answer = await orderStepDown(control, id, term).catch(() => undefined);
-            if (answer !== undefined) {
+            const status = answer?.replicaStatus;
+            if (answer !== undefined && status !== undefined && (!status.isPrimary || status.term > term)) {
                 log("superseded primary answered the order to step down", {
                     endpoint: id,
                     term,
--- a/src/promotions/createPrimaryChange/test.ts
+++ b/src/promotions/createPrimaryChange/test.ts
@@ -87,6 +87,22 @@
         assert.deepEqual(site.orderedIds, []);
     });
 
+    it("orders a superseded primary to step down again after it was too busy for the order", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        site.isolatedIds.add("i-1");
+        site.unreachableIds.add("i-1");
+        const change = site.changePrimary(site.group, site.primary(), ChangeReason.Unreachable);
+        await site.clock.advance(changeMilliseconds);
+        await change;
+        site.unreachableIds.delete("i-1");
+        site.busyIds.add("i-1");
+        await site.clock.advance(2 * promotionConstants.stepDownPauseMilliseconds);
+        assert.ok(site.endpoints.get("i-1")!.isPrimary);
+        site.busyIds.delete("i-1");
+        await site.clock.advance(2 * promotionConstants.stepDownPauseMilliseconds);
+        assert.equal(site.endpoints.get("i-1")!.isPrimary, false);
+    });
+
     it("orders nothing when the VM was suspended after it had verified that it holds the duty", async () => {
         const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
         const { maximumVerificationMilliseconds } = promotionConstants;
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -36,6 +36,8 @@
 
 const group = "orders";
 const endpointIds = ["i-1", "i-2", "i-3"];
+/** Statements for which an endpoint needs a slot. */
+const slotKinds: ReadonlySet<OutgoingKind> = new Set([OutgoingKind.ReadStatus, OutgoingKind.StepDown]);
 
 /**
  * Creates the holder of the failover duty with one group of three endpoints in memory, for tests of its changes.
@@ -58,6 +60,8 @@
     const orderedIds: string[] = [];
     /** Endpoints that no VM reaches. */
     const unreachableIds = new Set<string>();
+    /** Endpoints that refuse what needs a slot. */
+    const busyIds = new Set<string>();
     /** Endpoints that do not hear of a promotion. */
     const isolatedIds = new Set<string>();
     let isGranting = options.isNewHolder !== true;
@@ -90,6 +94,9 @@
 
     function execute(endpointId: string, statement: OutgoingStatement): StatementAnswer {
         const { isPrimary, term } = endpoints.get(endpointId)!;
+        if (busyIds.has(endpointId) && slotKinds.has(statement.kind)) {
+            return { rows: [], state: SessionState.Idle, failure: { code: FailureCode.Busy, description: "" } };
+        }
         if (statement.kind === OutgoingKind.StepDown && isPrimary && term < statement.term) {
             setRole(endpointId, { isPrimary: false, term });
         }
@@ -175,6 +182,7 @@
         orderedIds,
         unreachableIds,
         isolatedIds,
+        busyIds,
         endpoints,
         makePrimary,
         register,
