Let the holder learn terms from its probes, and judge an unchanged term by a status read late enough

Callers: a group whose announced term is below one that other VMs have seen was served by queries until the next takeover, since a holder that sends no statements to the group never saw the term. A status read before the time of a promotion had passed could be accepted after it.

--- a/src/promotions/createEndpointProbe/index.ts
+++ b/src/promotions/createEndpointProbe/index.ts
@@ -41,8 +41,11 @@
             return true;
         }
         try {
-            const { isPrimary } = await queryEndpointRole(control.run, endpointId);
+            const { isPrimary, position } = await queryEndpointRole(control.run, endpointId);
             const endpoint = directory.endpoint(endpointId);
+            if (position !== undefined && endpoint !== undefined) {
+                primaries.recordPosition(endpoint, position);
+            }
             if (isPrimary === false && endpoint !== undefined) {
                 primaries.recordNotPrimary(endpoint);
             }
--- a/src/promotions/waitForPromotion/index.ts
+++ b/src/promotions/waitForPromotion/index.ts
@@ -35,6 +35,7 @@
     const deadline = orderedAt + promotionConstants.promotionTimeoutMilliseconds;
     while (clock.now() < deadline) {
         await clock.sleep(promotionConstants.pollingMilliseconds);
+        const hasTakenEffect = clock.now() - orderedAt >= promotionConstants.promotionEffectMilliseconds;
         const role = await queryEndpointRole(control.runFromAnyVm, id).catch(() => undefined);
         const status = role?.isPrimary === true
             ? await readEndpointStatus(control, id).catch(() => undefined)
@@ -43,7 +44,6 @@
             continue;
         }
         const isNewTerm = !before.isPrimary || status.term > before.term;
-        const hasTakenEffect = clock.now() - orderedAt >= promotionConstants.promotionEffectMilliseconds;
         if (isNewTerm || isAnswered && hasTakenEffect) {
             return status.term;
         }
