--- a/src/primaries/constants.ts
+++ b/src/primaries/constants.ts
@@ -7,9 +7,7 @@
      * unknown, in milliseconds; no lease vouches for it then.
      */
     changeExpiryMilliseconds: 4_000,
-    /** Least time between two queries whether another endpoint than a known primary leads, in milliseconds. */
-    querySpacingMilliseconds: 50,
-    /** Time for which a write may be sent to a primary that such a query verified, in milliseconds. */
+    /** Time for which a write may be sent to a primary after a query of the other endpoints verified it, in milliseconds. */
     recentVerificationMilliseconds: 500,
     /** Most answers kept as evidence of a primary's log position, per group. */
     maximumEvidencePerGroup: 64,
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -34,8 +34,6 @@
     running?: Promise<boolean>;
     /** Not yet begun; new callers share it. */
     waiting?: Promise<boolean>;
-    /** When the last query was sent. */
-    queriedAt: number;
     /** When the last query was sent that verified the endpoint. */
     verifiedAt: number;
 }
@@ -81,7 +79,7 @@
     function pendingOf({ id }: EndpointRecord): PendingVerifications {
         let pending = pendingByEndpoint.get(id);
         if (pending === undefined) {
-            pending = { queriedAt: -Infinity, verifiedAt: -Infinity };
+            pending = { verifiedAt: -Infinity };
             pendingByEndpoint.set(id, pending);
         }
         return pending;
@@ -99,14 +97,9 @@
         }
         const previous = pending.running ?? Promise.resolve(true);
         const verification = previous.then(async () => {
-            const pause = pending.queriedAt + primaryConstants.querySpacingMilliseconds - clock.now();
-            if (pause > 0) {
-                await clock.sleep(pause);
-            }
             pending.waiting = undefined;
             pending.running = verification;
-            pending.queriedAt = clock.now();
-            const { queriedAt } = pending;
+            const queriedAt = clock.now();
             const hasNoOtherPrimary = await queryOthers(endpoint);
             if (hasNoOtherPrimary) {
                 pending.verifiedAt = queriedAt;
--- a/src/promotions/createPromotionCoordinator/test.ts
+++ b/src/promotions/createPromotionCoordinator/test.ts
@@ -39,6 +39,43 @@
         await site.coordinator.stop();
     });
 
+    it("lets a new holder grant leases although no endpoint of one group answers or can be promoted", async () => {
+        const site = createPromotionSite({ isNewHolder: true, promote: async (_id, makePrimary) => makePrimary() });
+        for (const id of ["i-1", "i-2", "i-3"]) {
+            site.register(id, { isLeaving: true });
+            site.unreachableIds.add(id);
+        }
+        await site.coordinator.start();
+        await site.clock.advance(5_000);
+        assert.ok(site.isGranting());
+        assert.ok(site.primaries.isChangeUnfinished(site.group));
+        await site.coordinator.stop();
+    });
+
+    it("decides on a primary as a new holder although replicas are too busy to report their status", async () => {
+        const site = createPromotionSite({ isNewHolder: true, promote: async (_id, makePrimary) => makePrimary() });
+        ["i-2", "i-3"].forEach(id => site.busyIds.add(id));
+        await site.coordinator.start();
+        await site.clock.advance(3 * checkIntervalMilliseconds);
+        assert.deepEqual(site.phases(), [Finished]);
+        assert.ok(site.isGranting());
+        await site.coordinator.stop();
+    });
+
+    it("keeps a primary with synchronous replicas as a new holder although one of them does not answer", async () => {
+        const site = createPromotionSite({
+            isNewHolder: true,
+            synchronousReplicas: 1,
+            promote: async (_id, makePrimary) => makePrimary(),
+        });
+        site.unreachableIds.add("i-3");
+        await site.coordinator.start();
+        await site.clock.advance(2_000);
+        assert.deepEqual(site.phases(), [Begun, Finished]);
+        assert.equal(site.primaries.primaryOf(site.group)?.id, "i-1");
+        await site.coordinator.stop();
+    });
+
     it("cancels no change as a new holder that has not announced the primary", async () => {
         const site = createPromotionSite({
             isNewHolder: true,
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -24,6 +24,8 @@
     readonly promote: (endpointId: string, makePrimary: () => void) => Promise<void>;
     /** Term of the group at the start, which the holder has not observed; 1 when left out. */
     readonly term?: number;
+    /** Number of synchronous replicas of the group; none when left out. */
+    readonly synchronousReplicas?: number;
     /** Whether the holder has just replaced another one. */
     readonly isNewHolder?: boolean;
 }
