Let no single group keep a new holder from granting leases

Cause: leases waited for a decision on every group; a busy endpoint counted as one that does not answer; and all three endpoints had to answer where the primary was itself one of the candidates.

--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -222,12 +222,13 @@
         }
     }
 
-    async function findBestCandidate({ group, currentPrimary }: Change): Promise<CandidateStatus | undefined> {
+    async function findBestCandidate({ group, currentPrimary, reason }: Change): Promise<CandidateStatus | undefined> {
         const others = directory.endpointsOf(group).filter(endpoint => endpoint.id !== currentPrimary?.id);
         const remaining = others.filter(endpoint => !endpoint.isLeaving);
         const statuses = await Promise.all(remaining.map(queryStatus));
         return chooseSuccessor(statuses.filter(candidate => candidate !== undefined), {
-            replicas: others.length,
+            // An undecided primary is one of the candidates.
+            replicas: reason === ChangeReason.Undecided ? others.length - 1 : others.length,
             synchronousReplicas: directory.groupSettings(group)?.synchronousReplicas ?? 0,
             preferredRegion: currentPrimary && options.regionsByZone[currentPrimary.address.availabilityZone],
             regionsByZone: options.regionsByZone,
--- a/src/promotions/createPrimaryDecision/index.ts
+++ b/src/promotions/createPrimaryDecision/index.ts
@@ -5,6 +5,7 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { ReplicaStatus } from "../../statements/types/ReplicaStatus.js";
 import { orderStepDown } from "../orderStepDown/index.js";
+import { queryEndpointRole } from "../queryEndpointRole/index.js";
 import { readEndpointStatus } from "../readEndpointStatus/index.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
 import { PrimaryDecision } from "../types/PrimaryDecision.js";
@@ -19,8 +20,11 @@
     readonly log: LogTopic;
 }
 
+/** What an endpoint says of its role. */
+type Claim = Pick<ReplicaStatus, "isPrimary" | "term">;
+
 /** An endpoint that claims to be the primary, and its term. */
-interface Claim {
+interface Claimant {
     readonly endpoint: EndpointRecord;
     readonly term: number;
 }
@@ -41,9 +45,15 @@
 export function createPrimaryDecision(options: PrimaryDecisionOptions): (group: string) => Promise<PrimaryDecision> {
     const { directory, duty, control, log } = options;
 
-    async function queryStatus({ id }: EndpointRecord): Promise<ReplicaStatus | undefined> {
+    /** Queries the role of an endpoint; one that has no slot for its status still tells whether it is a replica. */
+    async function queryClaim({ id }: EndpointRecord): Promise<Claim | undefined> {
         try {
-            return await readEndpointStatus(control, id);
+            const status = await readEndpointStatus(control, id);
+            if (status !== undefined) {
+                return status;
+            }
+            const { isPrimary, position } = await queryEndpointRole(control.runFromAnyVm, id);
+            return isPrimary === false ? { isPrimary, term: position?.term ?? 0 } : undefined;
         }
         catch (error) {
             log("endpoint did not answer which endpoint is the primary", {
@@ -54,7 +64,7 @@
         }
     }
 
-    async function orderClaimantToStepDown({ endpoint }: Claim, term: number): Promise<void> {
+    async function orderClaimantToStepDown({ endpoint }: Claimant, term: number): Promise<void> {
         try {
             await orderStepDown(control, endpoint.id, term);
         }
@@ -71,19 +81,19 @@
         const token = duty.heldToken();
         await duty.waitForFormerOrders();
         const endpoints = directory.endpointsOf(group);
-        const statuses = await Promise.all(endpoints.map(queryStatus));
-        const claims: Claim[] = endpoints.flatMap((endpoint, index) =>
-            statuses[index]?.isPrimary === true ? [{ endpoint, term: statuses[index].term }] : []
+        const claims = await Promise.all(endpoints.map(queryClaim));
+        const claimants: Claimant[] = endpoints.flatMap((endpoint, index) =>
+            claims[index]?.isPrimary === true ? [{ endpoint, term: claims[index].term }] : []
         );
-        const [winner, ...losers] = claims.sort((left, right) => right.term - left.term);
-        const unresponsive = endpoints.filter((_endpoint, index) => statuses[index] === undefined).map(({ id }) => id);
-        const highestTerm = Math.max(options.termOf(group), ...statuses.map(status => status?.term ?? 0));
+        const [winner, ...losers] = claimants.sort((left, right) => right.term - left.term);
+        const unresponsive = endpoints.filter((_endpoint, index) => claims[index] === undefined).map(({ id }) => id);
+        const highestTerm = Math.max(options.termOf(group), ...claims.map(claim => claim?.term ?? 0));
         const inputs = {
             group,
             endpoint: winner?.endpoint.id,
             term: winner?.term,
             highestTerm,
-            claimants: claims.map(({ endpoint }) => endpoint.id),
+            claimants: claimants.map(({ endpoint }) => endpoint.id),
             unresponsive,
         };
         if (winner === undefined || token === undefined) {
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
 import type { Duty } from "../../duty/types/Duty.js";
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import type { VmPeer } from "../../duty/types/VmPeer.js";
@@ -37,6 +38,8 @@
     isBusy: boolean;
     /** Whether this holder has announced the primary, or that it is being changed. */
     isConfirmed: boolean;
+    /** When the group was first seen without a claimant by a new holder. */
+    unclaimedSince?: number;
     missingSince?: number;
     /** When the group was first seen with a change whose end is unknown. */
     unfinishedSince?: number;
@@ -101,6 +104,7 @@
             }
             watch.unfinishedSince = undefined;
             if (!await replaceFailedPrimary(group, watch) && isUnconfirmed(watch) && !await settle(group, watch)) {
+                await announceUnclaimed(group, watch);
                 await clock.sleep(promotionConstants.retryMilliseconds, end.signal);
             }
         }
@@ -118,6 +122,16 @@
         return !hasConfirmedAll && !watch.isConfirmed;
     }
 
+    /** Announces a group without a claimant as being changed, so that the other groups need not wait for its primary. */
+    async function announceUnclaimed(group: string, watch: GroupWatch): Promise<void> {
+        watch.unclaimedSince ??= clock.now();
+        const token = duty.heldToken();
+        if (token !== undefined && clock.now() - watch.unclaimedSince >= promotionConstants.settlementMilliseconds) {
+            await duty.announce({ group, phase: AnnouncementPhase.Begun, term: primaries.termOf(group) + 1 }, token);
+            watch.isConfirmed = true;
+        }
+    }
+
     /** Changes the primary if it has to be replaced; returns whether it had to. */
     async function replaceFailedPrimary(group: string, watch: GroupWatch): Promise<boolean> {
         const primary = primaries.primaryOf(group);
--- a/src/testing/createPopulatedDirectory/index.ts
+++ b/src/testing/createPopulatedDirectory/index.ts
@@ -12,17 +12,22 @@
  *
  * @param clock Source of time.
  * @param records The endpoints.
+ * @param synchronousReplicas Number of synchronous replicas of the group.
  * @returns The directory.
  *
  * @example
  * const directory = createPopulatedDirectory(clock, [createEndpointRecord({ isPrimary: true })]);
  */
-export function createPopulatedDirectory(clock: Clock, records: readonly EndpointRecord[]): Directory {
+export function createPopulatedDirectory(
+    clock: Clock,
+    records: readonly EndpointRecord[],
+    synchronousReplicas = 0,
+): Directory {
     const directory = createDirectory(clock, () => {});
     directory.applyRoutingTable({
         version: 1,
         routes: [createRoute()],
-        groups: [{ group: "orders", connectionLimit, synchronousReplicas: 0 }],
+        groups: [{ group: "orders", connectionLimit, synchronousReplicas }],
         idleTransactionMilliseconds,
     });
     directory.applyEndpoints({
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -56,7 +56,7 @@
     const endpoints = new Map<string, SiteEndpoint>(
         endpointIds.map(id => [id, { isPrimary: id === "i-1", term: options.term ?? 1 }]),
     );
-    const directory = createPopulatedDirectory(clock, records);
+    const directory = createPopulatedDirectory(clock, records, options.synchronousReplicas);
     const primaries = createPrimaries(clock, directory, () => {});
     const announcements: Announcement[] = [];
     const orderedIds: string[] = [];
