Show that a holder without callers never replaces an announced primary that has stepped down

Only replicas start again without their logs in the exploration now, because primaries come back with theirs.

--- a/src/testing/createPrimaryFleet/index.ts
+++ b/src/testing/createPrimaryFleet/index.ts
@@ -18,6 +18,8 @@
     readonly zoneCount?: number;
     readonly groups?: readonly string[];
     readonly seed?: number;
+    /** Whether callers write through a VM at the moment; when left out, they always do. */
+    readonly hasCallers?: (vmName: string) => boolean;
     /** Receives the log lines of all VMs, with the time of the simulation. */
     readonly log?: LogTopic;
 }
@@ -37,7 +39,14 @@
  * assert.deepEqual(findStaleWrites(fleet.history), []);
  */
 export function createPrimaryFleet(options: PrimaryFleetOptions = {}) {
-    const { vmCount = 5, zoneCount = 2, groups = ["orders", "stock"], seed = 1, log = () => {} } = options;
+    const {
+        vmCount = 5,
+        zoneCount = 2,
+        groups = ["orders", "stock"],
+        seed = 1,
+        hasCallers = () => true,
+        log = () => {},
+    } = options;
     const clock = createManualClock();
     const random = createRandomSource(seed);
     const zones = zoneNames.slice(0, zoneCount);
@@ -56,6 +65,7 @@
         platform: createSimulatedPlatform({ clock, endpoints, history }),
         groups,
         history,
+        hasCallers,
         findVm: name => vms.get(name),
         log: (message, fields) => log(message, { at: clock.now(), ...fields }),
     };
--- a/src/testing/drawFleetFaults/index.ts
+++ b/src/testing/drawFleetFaults/index.ts
@@ -124,7 +124,8 @@
         return () => fleet.endpoints.recover(id);
     },
     [FleetFaultKind.EndpointReset]: (fleet, random) => {
-        const id = drawEndpoint(fleet, random);
+        const replicas = fleet.endpoints.ids.filter(id => !fleet.endpoints.isPresentPrimary(id));
+        const id = replicas[random.nextInteger(replicas.length)]!;
         fleet.endpoints.crash(id);
         return () => {
             fleet.endpoints.reset(id);
--- a/src/testing/runSimulatedWriter/index.ts
+++ b/src/testing/runSimulatedWriter/index.ts
@@ -95,7 +95,8 @@
 
     while (vm.isRunning) {
         await clock.sleep(pauseMilliseconds);
-        if (hosts.hostOf(group) === undefined && pendingWrites < maximumPendingWrites) {
+        const isServing = environment.hasCallers(vm.name) && hosts.hostOf(group) === undefined;
+        if (isServing && pendingWrites < maximumPendingWrites) {
             void writeOnce();
         }
     }
--- a/src/testing/types/FleetFaultKind.ts
+++ b/src/testing/types/FleetFaultKind.ts
@@ -30,7 +30,7 @@
     HolderRestart = "HolderRestart",
     /** An endpoint is killed and starts again with its log. */
     EndpointCrash = "EndpointCrash",
-    /** An endpoint is killed and starts again without its log. */
+    /** A replica is killed and starts again without its log. */
     EndpointReset = "EndpointReset",
     /** An endpoint reports that it is leaving, ends, and starts again. */
     EndpointLeaving = "EndpointLeaving",
--- a/src/testing/types/SimulatedEnvironment.ts
+++ b/src/testing/types/SimulatedEnvironment.ts
@@ -16,6 +16,8 @@
     readonly platform: ReturnType<typeof createSimulatedPlatform>;
     readonly groups: readonly string[];
     readonly history: HistoryEvent[];
+    /** Whether callers write through a VM at the moment. */
+    readonly hasCallers: (vmName: string) => boolean;
     /** Returns the running process of a VM; undefined while it is down. */
     readonly findVm: (name: string) => SimulatedVm | undefined;
     /** Receives the log lines of all VMs. */
