--- a/src/testing/createPrimaryFleet/index.ts
+++ b/src/testing/createPrimaryFleet/index.ts
@@ -90,6 +90,17 @@
         }
     }
 
+    /** Suspends the process of a VM for a time; it does not notice until it continues. */
+    function suspend(name: string, milliseconds: number): void {
+        const vm = vms.get(name);
+        if (vm !== undefined) {
+            vm.suspension = clock.sleep(milliseconds);
+            void vm.suspension.then(() => {
+                vm.suspension = undefined;
+            });
+        }
+    }
+
     return {
         clock,
         random,
@@ -101,6 +112,7 @@
         history,
         start,
         kill,
+        suspend,
         vmOf: (name: string) => vms.get(name)!,
         /** The VMs that hold the failover duty, as far as they know. */
         holders: () => [...vms.values()].filter(({ duty }) => duty.heldToken() !== undefined).map(({ name }) => name),
--- a/src/testing/createProcessNetwork/index.ts
+++ b/src/testing/createProcessNetwork/index.ts
@@ -1,32 +1,29 @@
 import type { SimulatedNetwork } from "../types/SimulatedNetwork.js";
 
 /**
- * Creates the network as one simulated process uses it: once the process was killed, it receives no more answers. The
- * calls that it has sent still arrive.
+ * Creates the network as one simulated process uses it: a suspended process receives answers later, and a killed one none.
+ * The calls that it has sent still arrive.
  *
  * @param network The network.
- * @param isRunning Whether the process runs.
+ * @param waitForProcess Resolves when the process runs; never once it was killed.
  * @returns The network of the process.
  *
  * @example
- * const processNetwork = createProcessNetwork(network, () => isRunning);
+ * const processNetwork = createProcessNetwork(network, waitForProcess);
  */
-export function createProcessNetwork(network: SimulatedNetwork, isRunning: () => boolean): SimulatedNetwork {
-    async function waitWhileKilled(): Promise<void> {
-        if (!isRunning()) {
-            await new Promise<never>(() => {});
-        }
-    }
-
+export function createProcessNetwork(
+    network: SimulatedNetwork,
+    waitForProcess: () => Promise<void>,
+): SimulatedNetwork {
     return {
         ...network,
         send: async (call, execute) => {
-            await waitWhileKilled();
+            await waitForProcess();
             try {
                 return await network.send(call, execute);
             }
             finally {
-                await waitWhileKilled();
+                await waitForProcess();
             }
         },
     };
--- a/src/testing/createSimulatedPeers/index.ts
+++ b/src/testing/createSimulatedPeers/index.ts
@@ -26,13 +26,14 @@
     const { network, findVm } = environment;
     const context: PeerContext = { peerName: vmName, peerZone: "", connectionEnd: new AbortController().signal };
 
-    function execute(to: string, procedure: string, input: unknown): unknown {
+    async function execute(to: string, procedure: string, input: unknown): Promise<unknown> {
         const vm = findVm(to);
         if (vm === undefined) {
             throw new Error(`${to} is not running`);
         }
+        await vm.waitForProcess();
         const procedures = createProcedures(vm.router, context);
-        return procedures[procedure]!(structuredClone(input));
+        return await procedures[procedure]!(structuredClone(input));
     }
 
     function createCall(to: string, procedure: string): ProcedureCall {
--- a/src/testing/drawFleetFaults/index.ts
+++ b/src/testing/drawFleetFaults/index.ts
@@ -117,6 +117,11 @@
         );
     },
     [FleetFaultKind.VmRestart]: (fleet, random) => restartVms(fleet, drawVms(fleet, random)),
+    [FleetFaultKind.VmSuspension]: (fleet, random) => {
+        const names = random.next() < 0.6 ? fleet.holders() : drawVms(fleet, random);
+        names.forEach(name => fleet.suspend(name, random.next() ** 2 * maximumDurationMilliseconds));
+        return () => {};
+    },
     [FleetFaultKind.HolderRestart]: fleet => restartVms(fleet, fleet.holders()),
     [FleetFaultKind.EndpointCrash]: (fleet, random) => {
         const id = drawEndpoint(fleet, random);
--- a/src/testing/startSimulatedVm/index.ts
+++ b/src/testing/startSimulatedVm/index.ts
@@ -29,11 +29,16 @@
  */
 export function startSimulatedVm(options: SimulatedVmOptions): SimulatedVm {
     const { name, availabilityZone, seed } = options;
-    const isRunning = (): boolean => vm.isRunning;
-    const clock = createProcessClock(options.environment.clock, isRunning);
+    const waitForProcess = async (): Promise<void> => {
+        await vm.suspension;
+        if (!vm.isRunning) {
+            await new Promise<never>(() => {});
+        }
+    };
+    const clock = createProcessClock(options.environment.clock, waitForProcess);
     const environment = {
         ...options.environment,
-        network: createProcessNetwork(options.environment.network, isRunning),
+        network: createProcessNetwork(options.environment.network, waitForProcess),
     };
     const settings = createVmSettings({
         name,
@@ -45,6 +50,8 @@
         name,
         clock,
         isRunning: true,
+        suspension: undefined,
+        waitForProcess,
         kernel,
         duty: kernel.get<Duty>(ServiceName.Duty),
         primaries: kernel.get<Primaries>(ServiceName.Primaries),
--- a/src/testing/types/FleetFaultKind.ts
+++ b/src/testing/types/FleetFaultKind.ts
@@ -26,6 +26,8 @@
     FaultyOrders = "FaultyOrders",
     /** Some VMs are killed and start again. */
     VmRestart = "VmRestart",
+    /** The processes of some VMs, often of the holder of the failover duty, are suspended. */
+    VmSuspension = "VmSuspension",
     /** The holder of the failover duty is killed and starts again. */
     HolderRestart = "HolderRestart",
     /** An endpoint is killed and starts again with its log. */
--- a/src/testing/types/SimulatedVm.ts
+++ b/src/testing/types/SimulatedVm.ts
@@ -10,6 +10,10 @@
     /** Clock of the process; it stands still for the process once it was killed. */
     readonly clock: Clock;
     isRunning: boolean;
+    /** Resolves at the end of the suspension of the process; undefined while it is not suspended. */
+    suspension: Promise<void> | undefined;
+    /** Resolves when the process runs; never once it was killed. */
+    waitForProcess(): Promise<void>;
     readonly kernel: Kernel;
     readonly duty: Duty;
     readonly primaries: Primaries;
