Replace an announced primary that has stepped down while nobody leads

Cause: an endpoint that says that it is not the primary is disqualified for 250 ms; after that it was the announced primary again, and the time without a known primary started anew, so it never reached the second after which one is promoted. Why it works: the time without a primary starts anew only after a second in which one was known throughout.

--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -41,6 +41,8 @@
     /** When the group was first seen without a claimant by a new holder. */
     unclaimedSince?: number;
     missingSince?: number;
+    /** When the group was last seen without a known primary. */
+    missingAt?: number;
     /** When the group was first seen with a change whose end is unknown. */
     unfinishedSince?: number;
 }
@@ -207,10 +209,14 @@
     ): Promise<ChangeReason | undefined> {
         if (primary === undefined) {
             watch.missingSince ??= clock.now();
+            watch.missingAt = clock.now();
             const isMissingTooLong = clock.now() - watch.missingSince >= promotionConstants.missingPrimaryMilliseconds;
             return isMissingTooLong ? ChangeReason.Missing : undefined;
         }
-        watch.missingSince = undefined;
+        // An endpoint that refused to be the primary counts as the announced one again until its next answer.
+        if (clock.now() - (watch.missingAt ?? -Infinity) >= promotionConstants.missingPrimaryMilliseconds) {
+            watch.missingSince = undefined;
+        }
         if (primary.isLeaving) {
             const hasSuccessor = directory.endpointsOf(group).some(other =>
                 other.id !== primary.id && !other.isLeaving
