Count no contact with other VMs from before a suspension

Callers: none seen. Cause: the times of contact are measured by the monotonic clock, which may stop while a VM is suspended. Why it works: the time by which the clocks differ since the last verification counts as a suspension.

--- a/src/duty/createHolderVerification/index.ts
+++ b/src/duty/createHolderVerification/index.ts
@@ -58,7 +58,10 @@
     let wasCertain = false;
 
     function isInContactWithAll(): boolean {
+        // The times of contact do not count a suspension of this VM.
+        const suspendedMilliseconds = sinceVerification() - (clock.now() - verifiedAt);
         return verifiedAt >= tookOverAt + dutyConstants.completeListMilliseconds
+            && suspendedMilliseconds < dutyConstants.contactWithAllMilliseconds
             && vms.isHolderInContactWithAll(dutyConstants.contactWithAllMilliseconds);
     }
 
