Take no term in a replica's refusal for one in which it leads

Callers: none seen. The probe of the holder, since it records positions, took the position in a refusal for one of the primary. Why it works: the refusal is recorded first.

--- a/src/promotions/createEndpointProbe/index.ts
+++ b/src/promotions/createEndpointProbe/index.ts
@@ -43,12 +43,12 @@
         try {
             const { isPrimary, position } = await queryEndpointRole(control.run, endpointId);
             const endpoint = directory.endpoint(endpointId);
-            if (position !== undefined && endpoint !== undefined) {
-                primaries.recordPosition(endpoint, position);
-            }
             if (isPrimary === false && endpoint !== undefined) {
                 primaries.recordNotPrimary(endpoint);
             }
+            if (position !== undefined && endpoint !== undefined) {
+                primaries.recordPosition(endpoint, position);
+            }
             return true;
         }
         catch (error) {
