Let a lease vouch for no other endpoint than the announced one

Cause: without the announced endpoint's record the registered one is the known primary, and the lease vouched for it. Evidence: two new tests, of createPrimaryVerification and of the coordinator, failed on the code before. Why it works: a lease vouches only for the announced endpoint once there is one; while that has no record, the end of a change counts as unknown, so the holder decides which endpoint is the primary.

--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -130,9 +130,15 @@
 
     /** Whether a change is under way, or has taken place, whose end was not announced to this VM. */
     function isChangeUnfinished(group: string): boolean {
-        const state = stateOf(group);
-        const isAnnouncedOutdated = state.announced !== undefined && state.announced.term < state.term;
-        return state.isChangeUnfinished || isAnnouncedOutdated;
+        const { announced, term, isChangeUnfinished: isUnfinished } = stateOf(group);
+        const isOutdated = announced !== undefined
+            && (announced.term < term || directory.endpoint(announced.endpointId) === undefined);
+        return isUnfinished || isOutdated;
+    }
+
+    function isOtherAnnounced({ id, group }: EndpointRecord): boolean {
+        const { announced } = stateOf(group);
+        return announced !== undefined && announced.endpointId !== id;
     }
 
     function recordNotPrimary(endpoint: EndpointRecord): void {
@@ -190,6 +196,7 @@
         hasPrimaryConflict,
         isChangeUnfinished,
         isSuperseded,
+        isOtherAnnounced,
         termOf: group => stateOf(group).term,
         recordPosition,
         recordNotPrimary,
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -60,6 +60,7 @@
             && !primaries.hasPrimaryConflict(endpoint.group)
             && !primaries.isChangeUnfinished(endpoint.group)
             && !primaries.isSuperseded(endpoint)
+            && !primaries.isOtherAnnounced(endpoint)
             && primaries.primaryOf(endpoint.group)?.id === endpoint.id;
         if (isVouchedFor) {
             logReliance(endpoint, RelianceReason.Lease);
--- a/src/primaries/createPrimaryVerification/test.ts
+++ b/src/primaries/createPrimaryVerification/test.ts
@@ -122,4 +122,14 @@
         await clock.advance(primaryConstants.recentVerificationMilliseconds);
         assert.equal(verification.wasVerified(primary), false);
     });
+
+    it("relies on no lease for another endpoint than the announced one, also when that has no record or refuses", () => {
+        for (const announcedId of ["i-2", "i-9"]) {
+            const { primaries, verification } = createSite(async () => false);
+            primaries.finishChange("orders", announcedId, 2);
+            primaries.recordNotPrimary(createEndpointRecord({ id: announcedId }));
+            assert.equal(primaries.primaryOf("orders")?.id, primary.id);
+            assert.equal(verification.isVerified(primary), false);
+        }
+    });
 });
--- a/src/primaries/types/Primaries.ts
+++ b/src/primaries/types/Primaries.ts
@@ -8,14 +8,16 @@
     /** Whether several endpoints are registered as the primary and no announcement of the newest term decides. */
     hasPrimaryConflict(group: string): boolean;
     /**
-     * Whether a change of primary was announced and neither its end nor its cancellation, or a term above that of the
-     * announced primary was observed: another endpoint may lead, so no lease vouches for the known primary.
+     * Whether a change of primary was announced and neither its end nor its cancellation, or the announced primary has no
+     * record any more or a lower term than observed: another endpoint may lead, so no lease vouches for the known primary.
      */
     isChangeUnfinished(group: string): boolean;
     /** Whether a term above the one in which an endpoint is known to lead was observed in its group. */
     isSuperseded(endpoint: EndpointRecord): boolean;
     /** Highest term observed in a group; 0 before the first. */
     termOf(group: string): number;
+    /** Whether another endpoint was announced as the primary of its group. */
+    isOtherAnnounced(endpoint: EndpointRecord): boolean;
     /** Records the log position in an endpoint's answer. */
     recordPosition(endpoint: EndpointRecord, position: LogPosition): void;
     /** Records that an endpoint refused a statement because it is not the primary. */
--- a/src/promotions/createPromotionCoordinator/test.ts
+++ b/src/promotions/createPromotionCoordinator/test.ts
@@ -119,6 +119,17 @@
         await site.coordinator.stop();
     });
 
+    it("decides on a primary when the announced one has no record any more", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        site.primaries.finishChange(site.group, "i-9", 2);
+        await site.coordinator.start();
+        await site.clock.advance(settlementMilliseconds + 2_000);
+        const { phase, endpointId, term = 0 } = site.announcements().at(-1)!;
+        assert.equal(phase, Finished);
+        assert.ok(term >= 2, `${endpointId} in term ${term}`);
+        await site.coordinator.stop();
+    });
+
     it("starts a new term when an endpoint that may have been promoted does not answer", async () => {
         const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
         site.primaries.beginChange(site.group, 2);
