--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -97,7 +97,7 @@
     return !isPrimary || services.verification.isVerified(endpoint) || await services.verification.verify(endpoint);
 }
 
-/** Whether a commit has a term below the newest: another endpoint then led, also if this one has been promoted since. */
+/** Whether a commit has a term below the newest; another endpoint then led, even if this one was promoted since. */
 function isCommitOfOlderTerm(
     { mode }: CallerStatement,
     { endpoint }: EligibleConnection["connection"],
--- a/src/clock/startElapsedTimer/index.ts
+++ b/src/clock/startElapsedTimer/index.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "../types/Clock.js";
 
 /**
- * Starts to measure the time since now. The monotonic clock may stop while the machine is suspended and the wall clock may
- * be set back, so the longer of the two times counts.
+ * Starts to measure the time since now. The monotonic clock may stop while the VM is suspended and the wall clock may be
+ * set back, so the longer of the two times counts.
  *
  * @param clock Source of monotonic and wall time.
  * @returns A function that returns the time since the call, in milliseconds.
--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -35,8 +35,9 @@
     /** Hosts that the holder asks at most to read its record while the store does not answer it. */
     maximumRecordReaders: 3,
     /**
-     * Time after which an order to promote that the previous holder gave last has taken effect, in milliseconds, from the
-     * takeover, or from the start of this process when the previous holder was an earlier process of this VM: its verification, the longest way of the order and the promotion together.
+     * Time after a takeover after which the last order to promote of the previous holder has taken effect, in milliseconds:
+     * its verification, the order's longest way and the promotion together. If the previous holder was an earlier process
+     * of this VM, the time starts with this process.
      */
     formerOrdersMilliseconds: 4_000,
     /** Time for which a verification of the holder in the store remains valid, in milliseconds. */
--- a/src/duty/createGrantedLeases/test.ts
+++ b/src/duty/createGrantedLeases/test.ts
@@ -25,9 +25,9 @@
     });
 
     it("counts an order of the previous holder as pending for longer than it may take", () => {
-        const { maximumVerificationMilliseconds, orderTimeoutMilliseconds, promotionEffectMilliseconds } =
+        const { maximumVerificationMilliseconds, orderTimeoutMilliseconds, longestPromotionMilliseconds } =
             promotionConstants;
-        const orderMilliseconds = orderTimeoutMilliseconds + promotionEffectMilliseconds;
+        const orderMilliseconds = orderTimeoutMilliseconds + longestPromotionMilliseconds;
         assert.ok(formerOrdersMilliseconds >= maximumVerificationMilliseconds + orderMilliseconds);
         assert.ok(formerOrdersMilliseconds >= verifiedMilliseconds + leaseMilliseconds);
     });
--- a/src/duty/createLease/index.ts
+++ b/src/duty/createLease/index.ts
@@ -14,7 +14,7 @@
 /**
  * Creates a lease that starts before the renewal is sent, so that delays only shorten it.
  *
- * The monotonic clock may stop while the machine is suspended, so the lease must not have expired by the wall clock
+ * The monotonic clock may stop while the VM is suspended, so the lease must not have expired by the wall clock
  * either. A wall clock that is set forward only ends the lease until the next renewal.
  *
  * @param clock Source of monotonic and wall time.
--- a/src/duty/types/GrantedLeases.ts
+++ b/src/duty/types/GrantedLeases.ts
@@ -3,8 +3,8 @@
 /** The leases that the holder of the failover duty has granted. */
 export interface GrantedLeases {
     /**
-     * Begins a new record when this VM replaces another holder, or the holder that an earlier process of this VM was; no
-     * lease may be granted yet.
+     * Begins a new record when this VM replaces another holder, or an earlier process of itself; no lease may be granted
+     * yet.
      */
     startHolding(isFormerProcess: boolean): void;
     /** Allows leases, once every order of the previous holder has taken effect: the primary of each group is known. */
--- a/src/model/types/DeliveryState.ts
+++ b/src/model/types/DeliveryState.ts
@@ -30,7 +30,7 @@
     readonly isConfirmed: boolean;
     /** What the VM has received. */
     readonly vm: DeliveryReceiver;
-    /** What the relay of the VM's zone has received. */
+    /** What the relay of the VM's availability zone has received. */
     readonly relay: DeliveryReceiver;
     readonly hasLease: boolean;
     /** Whether the VM's lease was granted after the change had been announced. */
--- a/src/primaries/constants.ts
+++ b/src/primaries/constants.ts
@@ -7,7 +7,7 @@
      * unknown, in milliseconds; no lease vouches for it then.
      */
     changeExpiryMilliseconds: 4_000,
-    /** Time for which a write may be sent to a primary after a query of the other endpoints verified it, in milliseconds. */
+    /** Time for which a write may be sent to a primary that a query has verified, in milliseconds. */
     recentVerificationMilliseconds: 500,
     /** Most answers kept as evidence of a primary's log position, per group. */
     maximumEvidencePerGroup: 64,
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -39,9 +39,9 @@
 }
 
 /**
- * Creates the verification of primaries. A VM with a lease is notified of each change of primary before it takes
- * effect. A VM without one queries all other endpoints of the group, since only one of those can have been promoted; the log of each
- * also tells whether a newer term has begun.
+ * Creates the verification of primaries. A VM with a lease is notified of each change of primary before it takes effect. A
+ * VM without one queries all other endpoints of the group, since only one of those can have been promoted; the log of
+ * each also tells whether a newer term has begun.
  *
  * @param options Clock, directory, known primaries, state of the lease, and function that queries endpoints.
  * @returns The verification.
--- a/src/promotions/constants.ts
+++ b/src/promotions/constants.ts
@@ -19,7 +19,7 @@
     /** No promotion is ordered when the verification before it took longer than this, in milliseconds. */
     maximumVerificationMilliseconds: 500,
     /** Time after which an order to promote that has been received has taken effect, in milliseconds. */
-    promotionEffectMilliseconds: 1_000,
+    longestPromotionMilliseconds: 1_000,
     /** Time that the promoted endpoint has to become the primary, in milliseconds. */
     promotionTimeoutMilliseconds: 3_500,
     /**
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -118,7 +118,7 @@
         readonly token: number;
         /** VMs that may still send to the current primary. */
         readonly unconfirmedVms: readonly VmIdentity[];
-        /** Whether a promotion may have been ordered, by this change or an earlier one, and take effect at any moment. */
+        /** Whether an order to promote, of this change or an earlier one, may take effect at any moment. */
         isOrdered: boolean;
     }
 
--- a/src/promotions/createPrimaryDecision/index.ts
+++ b/src/promotions/createPrimaryDecision/index.ts
@@ -30,8 +30,8 @@
 }
 
 /**
- * Creates the decision which endpoint of a group is the primary, when several claim to be it or when the end of a change
- * is unknown.
+ * Creates the decision which endpoint of a group is the primary, for when several claim to be it or the end of a change is
+ * unknown.
  *
  * The endpoint with the highest term is the primary if no other endpoint can lead in a higher one: all others answered,
  * and nobody knows a higher term. The other claimants are ordered to step down, and the primary is announced.
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -147,8 +147,8 @@
     }
 
     /**
-     * Whether the primary may be decided: at once in a conflict, and otherwise when a change whose end is unknown has
-     * lasted so long that an order to promote has taken effect, or will not.
+     * Whether the primary may be decided: at once, unless the end of a change is unknown, which has to last so long that an
+     * order to promote has taken effect, or will not.
      */
     function isSettlementDue(group: string, watch: GroupWatch): boolean {
         if (!primaries.isChangeUnfinished(group)) {
--- a/src/promotions/createPromotionCoordinator/test.ts
+++ b/src/promotions/createPromotionCoordinator/test.ts
@@ -167,7 +167,7 @@
         site.primaries.beginChange(site.group, 2);
         ["i-2", "i-3"].forEach(id => site.unreachableIds.add(id));
         await site.coordinator.start();
-        await site.clock.advance(settlementMilliseconds + promotionConstants.promotionEffectMilliseconds);
+        await site.clock.advance(settlementMilliseconds + promotionConstants.longestPromotionMilliseconds);
         assert.deepEqual(site.phases(), [Begun]);
         await site.clock.advance(1_000);
         assert.deepEqual(site.phases(), [Begun, Finished]);
--- a/src/promotions/orderStepDown/index.ts
+++ b/src/promotions/orderStepDown/index.ts
@@ -4,8 +4,8 @@
 import type { EndpointControl } from "../types/EndpointControl.js";
 
 /**
- * Orders an endpoint, through any VM that can reach it, to stop being the primary of an older term. An endpoint whose own
- * term is not older ignores the order.
+ * Orders an endpoint, through any VM that can reach it, to stop being the primary of an older term. An endpoint ignores
+ * the order if its own term is not older.
  *
  * @param control Sends the order to the endpoint.
  * @param endpointId The endpoint.
--- a/src/promotions/orderStepDownAboveTerm/index.ts
+++ b/src/promotions/orderStepDownAboveTerm/index.ts
@@ -3,8 +3,8 @@
 import type { EndpointControl } from "../types/EndpointControl.js";
 
 /**
- * Orders the current primary to step down before another endpoint is promoted. An endpoint ignores an order whose term is
- * not above its own; it is then ordered once more, with a term above the one that it reported.
+ * Orders the current primary to step down before another endpoint is promoted. An endpoint ignores an order whose term
+ * is not above its own; it is then ordered once more, with a term above the one that it reported.
  *
  * @param control Sends the order to the endpoint.
  * @param endpointId The endpoint.
--- a/src/promotions/waitForPromotion/index.ts
+++ b/src/promotions/waitForPromotion/index.ts
@@ -35,7 +35,7 @@
     const deadline = orderedAt + promotionConstants.promotionTimeoutMilliseconds;
     while (clock.now() < deadline) {
         await clock.sleep(promotionConstants.pollingMilliseconds);
-        const hasTakenEffect = clock.now() - orderedAt >= promotionConstants.promotionEffectMilliseconds;
+        const hasTakenEffect = clock.now() - orderedAt >= promotionConstants.longestPromotionMilliseconds;
         const role = await queryEndpointRole(control.runFromAnyVm, id).catch(() => undefined);
         const status = role?.isPrimary === true
             ? await readEndpointStatus(control, id).catch(() => undefined)
@@ -43,8 +43,8 @@
         if (status?.isPrimary !== true) {
             continue;
         }
-        const isNewTerm = !before.isPrimary || status.term > before.term;
-        if (isNewTerm || isAnswered && hasTakenEffect) {
+        const isPromoted = !before.isPrimary || status.term > before.term;
+        if (isPromoted || isAnswered && hasTakenEffect) {
             return status.term;
         }
     }
--- a/src/testing/startSimulatedVm/index.ts
+++ b/src/testing/startSimulatedVm/index.ts
@@ -21,7 +21,7 @@
 /**
  * Starts the program of a VM of a simulation, without its servers for callers.
  *
- * @param options Name and zone of the VM, the seed, and the environment.
+ * @param options Name and availability zone of the VM, the seed, and the environment.
  * @returns The running program.
  *
  * @example
