Log the eras of the platform's store, and let the stand-ins restore a copy

The logs could not tell in which history of the store a revision was assigned, nor whether a record was ignored as older. The adapter now reads the header Store-Era (0 without it; an unreadable one is a failed call), records carry era, revision and the number of the endpoint's report, and there are lines for a feed that finds the store restored, for an ignored record, and for a record of the holder that does not name the VM that verifies itself; tarragonpost_store_restores_total counts restores. No decision uses any of it yet.

--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -7,6 +7,7 @@
 import type { GroupSettings } from "../types/GroupSettings.js";
 import type { Route } from "../types/Route.js";
 import type { RoutingTable } from "../types/RoutingTable.js";
+import type { StoreVersion } from "../types/StoreVersion.js";
 
 /**
  * Creates the directory of the endpoints and routes that a VM knows.
@@ -28,8 +29,8 @@
     const missingSince = new Map<string, number>();
     /** Last revisions of removed endpoints' records, so that older data from another VM does not add them again. */
     const removedRevisions = new Map<string, number>();
-    /** Revisions at which records were missing, to be sent to other VMs; the newest last. */
-    const removals = new Map<string, number>();
+    /** Versions of the store at which records were missing, to be sent to other VMs; the newest last. */
+    const removals = new Map<string, StoreVersion>();
     let highestRevision = 0;
     /** Revision of the store up to which this VM has read all records itself. */
     let completeRevision = 0;
@@ -40,27 +41,27 @@
 
     function applyEndpoints(update: FeedUpdate<EndpointRecord>): void {
         const changed = new Set<string>();
-        const isFromOtherVm = update.revision === undefined;
+        const isFromOtherVm = update.version === undefined;
         // A VM that knows of a removal also sends the record, which is then removed after the usual delay.
         const removedNames = new Set(update.changes.filter(({ item }) => item === undefined).map(({ name }) => name));
-        for (const { name, revision, item, problem } of update.changes) {
+        for (const { name, era, revision, item, problem } of update.changes) {
             if (problem !== undefined) {
-                log("record of an endpoint cannot be decoded", { endpoint: name, revision, problem });
+                log("record of an endpoint cannot be decoded", { endpoint: name, era, revision, problem });
             }
             if (item !== undefined && (!isFromOtherVm || removedNames.has(name) || !isGone(item))) {
                 storeRecord(item, changed);
             }
             else if (item === undefined && (problem === undefined || endpoints.has(name))) {
-                markMissing(name, revision, changed);
+                markMissing(name, { era, revision }, changed);
             }
         }
         if (update.isSnapshot) {
             const listed = new Set(update.changes.map(change => change.name));
             for (const id of [...endpoints.keys()].filter(known => !listed.has(known))) {
-                markMissing(id, update.revision, changed);
+                markMissing(id, update.version, changed);
             }
         }
-        completeRevision = Math.max(completeRevision, update.revision ?? 0);
+        completeRevision = Math.max(completeRevision, update.version?.revision ?? 0);
         notify(changed);
     }
 
@@ -72,37 +73,51 @@
     function storeRecord(record: EndpointRecord, changed: Set<string>): void {
         const known = endpoints.get(record.id);
         if (record.revision <= (removedRevisions.get(record.id) ?? 0)) {
+            logIgnored(record, removedRevisions.get(record.id));
             return;
         }
         highestRevision = Math.max(highestRevision, record.revision);
         if (known !== undefined && known.revision >= record.revision) {
+            logIgnored(record, known.revision);
             return;
         }
         missingSince.delete(record.id);
         endpoints.set(record.id, record);
         changed.add(record.group);
-        const { id, group, isLeaving, isPrimary, startedAt, revision, address: { availabilityZone } } = record;
+        const { id, group, isLeaving, isPrimary, startedAt, reportNumber, era, revision } = record;
         log("endpoint record changed", {
             endpoint: id,
             group,
-            availabilityZone,
+            availabilityZone: record.address.availabilityZone,
             isLeaving,
             isPrimary,
             startedAt,
+            reportNumber,
+            era,
             revision,
         });
     }
 
-    function markMissing(id: string, revision: number | undefined, changed: Set<string>): void {
+    /** A record that is known already is no news, and comes with each update of another VM. */
+    function logIgnored({ id, era, revision, reportNumber }: EndpointRecord, knownRevision: number | undefined): void {
+        if (knownRevision !== revision) {
+            log("older record of an endpoint ignored", { endpoint: id, era, revision, knownRevision, reportNumber });
+        }
+    }
+
+    function markMissing(id: string, version: StoreVersion | undefined, changed: Set<string>): void {
+        const revision = version?.revision;
         const known = endpoints.get(id);
         if (known === undefined || (revision !== undefined && known.revision > revision) || missingSince.has(id)) {
             return;
         }
-        recordRemoval(id, revision ?? known.revision);
+        recordRemoval(id, version ?? known);
         log("record of an endpoint is missing from the store", {
             endpoint: id,
             group: known.group,
             wasLeaving: known.isLeaving,
+            era: version?.era,
+            revision,
         });
         if (known.isLeaving) {
             remove(known, changed);
@@ -112,10 +127,10 @@
         void removeAfterDelay(known, missingSince.get(id)!);
     }
 
-    function recordRemoval(id: string, revision: number): void {
+    function recordRemoval(id: string, { era, revision }: StoreVersion): void {
         highestRevision = Math.max(highestRevision, revision);
         removals.delete(id);
-        removals.set(id, revision);
+        removals.set(id, { era, revision });
         const oldest = removals.keys().next().value;
         if (removals.size > directoryConstants.maximumRemovals && oldest !== undefined) {
             removals.delete(oldest);
@@ -182,7 +197,7 @@
         endpointsOf: group => [...endpoints.values()].filter(endpoint => endpoint.group === group),
         groups: () => [...new Set([...endpoints.values()].map(endpoint => endpoint.group))],
         records: () => [...endpoints.values()],
-        removals: () => [...removals].map(([id, revision]) => ({ id, revision })),
+        removals: () => [...removals].map(([id, version]) => ({ id, ...version })),
         onChange: listener => listeners.push(listener),
     };
 }
--- a/src/directory/createDirectory/test.ts
+++ b/src/directory/createDirectory/test.ts
@@ -36,29 +36,29 @@
     it("keeps an endpoint that registers again before it is treated as leaving", async () => {
         const clock = createManualClock();
         const directory = createPopulatedDirectory(clock, [createEndpointRecord()]);
-        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", revision: 2, item: undefined }] });
+        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 2, item: undefined }] });
         await clock.advance(directoryConstants.missingRecordMilliseconds - 1);
         const item = createEndpointRecord({ revision: 3 });
-        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", revision: 3, item }] });
+        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 3, item }] });
         await clock.advance(directoryConstants.missingRecordMilliseconds + directoryConstants.leavingMilliseconds);
         assert.equal(directory.endpoint("i-1")?.isLeaving, false);
     });
 
     it("does not add a removed endpoint again from an older record", () => {
         const directory = createPopulatedDirectory(createManualClock(), [createEndpointRecord({ isLeaving: true })]);
-        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", revision: 2, item: undefined }] });
+        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 2, item: undefined }] });
         assert.equal(directory.endpoint("i-1"), undefined);
         const item = createEndpointRecord();
-        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", revision: 1, item }] });
+        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 1, item }] });
         assert.equal(directory.endpoint("i-1"), undefined);
     });
 
     it("does not add an endpoint that another VM still knows, but that was missing when this VM read the store", () => {
         const directory = createPopulatedDirectory(createManualClock(), []);
-        directory.applyEndpoints({ isSnapshot: true, revision: 20, changes: [] });
+        directory.applyEndpoints({ isSnapshot: true, version: { era: 0, revision: 20 }, changes: [] });
         const apply = (revision: number): void => {
             const item = createEndpointRecord({ revision });
-            directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", revision, item }] });
+            directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision, item }] });
         };
         apply(7);
         assert.equal(directory.endpoint("i-1"), undefined);
@@ -69,11 +69,11 @@
     it("gives an endpoint the usual delay that another VM knows as missing", async () => {
         const clock = createManualClock();
         const directory = createPopulatedDirectory(clock, []);
-        directory.applyEndpoints({ isSnapshot: true, revision: 20, changes: [] });
+        directory.applyEndpoints({ isSnapshot: true, version: { era: 0, revision: 20 }, changes: [] });
         const item = createEndpointRecord({ revision: 7 });
         directory.applyEndpoints({
             isSnapshot: false,
-            changes: [{ name: "i-1", revision: 7, item }, { name: "i-1", revision: 12, item: undefined }],
+            changes: [{ name: "i-1", era: 0, revision: 7, item }, { name: "i-1", era: 0, revision: 12, item: undefined }],
         });
         assert.equal(directory.endpoint("i-1")?.isLeaving, false);
         await clock.advance(directoryConstants.missingRecordMilliseconds);
@@ -84,7 +84,7 @@
         const directory = createPopulatedDirectory(createManualClock(), [createEndpointRecord()]);
         directory.applyEndpoints({
             isSnapshot: false,
-            changes: [{ name: "i-9", revision: 4, item: undefined, problem: "no address" }],
+            changes: [{ name: "i-9", era: 0, revision: 4, item: undefined, problem: "no address" }],
         });
         assert.deepEqual(directory.endpointsOf("orders").map(({ id }) => id), ["i-1"]);
     });
--- a/src/directory/createDirectoryFollower/index.ts
+++ b/src/directory/createDirectoryFollower/index.ts
@@ -20,7 +20,7 @@
     readonly policy: WatchPolicy;
     /** Records each answer of the store. */
     readonly freshness: Pick<StoreFreshness, "recordAnswer">;
-    readonly metrics: Pick<Metrics, "countStoreFailure">;
+    readonly metrics: Pick<Metrics, "countStoreFailure" | "countStoreRestore">;
     readonly log: LogTopic;
 }
 
@@ -70,6 +70,16 @@
                 }
                 isReachable = true;
             },
+            onRestored: (previous, { era, revision }) => {
+                options.metrics.countStoreRestore();
+                log("platform's store was restored from a copy", {
+                    feed: name,
+                    era,
+                    revision,
+                    previousEra: previous.era,
+                    previousRevision: previous.revision,
+                });
+            },
         });
         for await (const update of updates) {
             apply(update);
--- a/src/directory/followFeed/index.ts
+++ b/src/directory/followFeed/index.ts
@@ -4,6 +4,7 @@
 import { directoryConstants } from "../constants.js";
 import type { Feed } from "../types/Feed.js";
 import type { FeedUpdate } from "../types/FeedUpdate.js";
+import type { StoreVersion } from "../types/StoreVersion.js";
 
 /** Options of `followFeed`. */
 interface FollowFeedOptions {
@@ -19,6 +20,8 @@
     onFailure(error: Error): void;
     /** Called after each answered call. */
     onAnswer(): void;
+    /** Called when the store was restored from a copy since its last answer. */
+    onRestored(previous: StoreVersion, current: StoreVersion): void;
 }
 
 /**
@@ -42,7 +45,8 @@
             maximumMilliseconds: directoryConstants.maximumRetryMilliseconds,
         });
     let pauses = createPauses();
-    let revision: number | undefined;
+    let version: StoreVersion | undefined;
+    let answeredVersion: StoreVersion | undefined;
     let hasFailed = false;
 
     /** Requests a prompt answer after a failure, since a long watch would notice a still unresponsive store late. */
@@ -50,22 +54,30 @@
         return hasFailed ? directoryConstants.retryWatchMilliseconds : options.watchMilliseconds();
     }
 
+    function reportRestore(current: StoreVersion | undefined): void {
+        if (current !== undefined && answeredVersion !== undefined && current.era !== answeredVersion.era) {
+            options.onRestored(answeredVersion, current);
+        }
+        answeredVersion = current ?? answeredVersion;
+    }
+
     while (!signal.aborted) {
-        if (revision !== undefined && options.isNeeded?.() === false) {
+        if (version !== undefined && options.isNeeded?.() === false) {
             await clock.sleep(directoryConstants.watchPollingMilliseconds, signal);
             continue;
         }
         try {
-            const isSnapshot = revision === undefined;
-            const batch = revision === undefined
+            const isSnapshot = version === undefined;
+            const batch = version === undefined
                 ? await feed.list()
-                : await feed.waitForChanges(revision, waitMilliseconds());
+                : await feed.waitForChanges(version.revision, waitMilliseconds());
             options.onAnswer();
             hasFailed = false;
             pauses = createPauses();
-            revision = batch?.revision;
-            if (batch !== undefined && (isSnapshot || batch.changes.length > 0)) {
-                yield { isSnapshot, changes: batch.changes, revision: batch.revision };
+            version = batch && { era: batch.era, revision: batch.revision };
+            reportRestore(version);
+            if (batch !== undefined && version !== undefined && (isSnapshot || batch.changes.length > 0)) {
+                yield { isSnapshot, changes: batch.changes, version };
             }
         }
         catch (error) {
--- a/src/directory/followFeed/test.ts
+++ b/src/directory/followFeed/test.ts
@@ -7,6 +7,7 @@
 import { followFeed } from "./index.js";
 
 const watchMilliseconds = 1_800;
+const version = { era: 1, revision: 1 };
 
 describe("followFeed", () => {
     it("requests a prompt answer after a failure, and lists again when the history was dropped", async () => {
@@ -17,7 +18,7 @@
         const feed: Feed<string> = {
             list: async () => {
                 calls.push("list");
-                return { changes: [{ name: "main", revision: 1, item: `list ${calls.length}` }], revision: 1 };
+                return { changes: [{ name: "main", ...version, item: `list ${calls.length}` }], ...version };
             },
             waitForChanges: async (_revision, waitMilliseconds) => {
                 calls.push(`watch ${waitMilliseconds}`);
@@ -25,7 +26,7 @@
                 if (watches === 1) {
                     throw new Error("no answer in time");
                 }
-                return watches === 2 ? { changes: [], revision: 1 } : undefined;
+                return watches === 2 ? { changes: [], ...version } : undefined;
             },
         };
         const updates = followFeed(feed, {
@@ -35,6 +36,7 @@
             watchMilliseconds: () => watchMilliseconds,
             onFailure: () => {},
             onAnswer: () => {},
+            onRestored: () => {},
         });
         assert.equal((await updates.next()).value?.isSnapshot, true);
         const second = updates.next();
--- a/src/directory/types/EndpointRecord.ts
+++ b/src/directory/types/EndpointRecord.ts
@@ -1,7 +1,8 @@
 import type { Address } from "../../network/types/Address.js";
+import type { StoreVersion } from "./StoreVersion.js";
 
-/** An endpoint's registration in the platform's store. */
-export interface EndpointRecord {
+/** An endpoint's registration in the platform's store, with the version of the store at which it changed last. */
+export interface EndpointRecord extends StoreVersion {
     readonly id: string;
     /** The group of endpoints that hold copies of the same log. */
     readonly group: string;
@@ -16,6 +17,6 @@
     readonly warmingMilliseconds: number;
     /** Unix milliseconds of its start; distinguishes successive processes with the same id. */
     readonly startedAt: number;
-    /** Revision of the platform's store at which the record changed last. */
-    readonly revision: number;
+    /** Number of the report in which the endpoint registered this; counted anew after its start. */
+    readonly reportNumber: number;
 }
--- a/src/directory/types/FeedChange.ts
+++ b/src/directory/types/FeedChange.ts
@@ -1,8 +1,8 @@
-/** One object of a feed after a change. */
-export interface FeedChange<Item> {
+import type { StoreVersion } from "./StoreVersion.js";
+
+/** One object of a feed after a change, with the version of the store at which the object changed. */
+export interface FeedChange<Item> extends StoreVersion {
     readonly name: string;
-    /** Revision of the store at which the object changed. */
-    readonly revision: number;
     /** The decoded object; undefined when it was deleted or cannot be decoded. */
     readonly item: Item | undefined;
     /** Why the object cannot be decoded; undefined when it was decoded or deleted. */
--- a/src/duty/applyDirectoryUpdate/index.ts
+++ b/src/duty/applyDirectoryUpdate/index.ts
@@ -19,8 +19,8 @@
         directory.applyEndpoints({
             isSnapshot: false,
             changes: [
-                ...endpoints.map(item => ({ name: item.id, revision: item.revision, item })),
-                ...removals.map(({ id, revision }) => ({ name: id, revision, item: undefined })),
+                ...endpoints.map(item => ({ name: item.id, era: item.era, revision: item.revision, item })),
+                ...removals.map(({ id, era, revision }) => ({ name: id, era, revision, item: undefined })),
             ],
         });
     }
--- a/src/duty/createHolderVerification/index.ts
+++ b/src/duty/createHolderVerification/index.ts
@@ -1,6 +1,7 @@
 import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { RecordStore } from "../../directory/types/RecordStore.js";
+import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { dutyConstants } from "../constants.js";
 import type { DutyHolder } from "../types/DutyHolder.js";
@@ -69,6 +70,7 @@
         try {
             const record = await options.records.read(dutyConstants.recordName);
             isStoreAnswering = true;
+            logUnexpectedRecord(record);
             return record?.content as DutyHolder | undefined;
         }
         catch (error) {
@@ -77,6 +79,19 @@
         }
     }
 
+    function logUnexpectedRecord(record: VersionedRecord | undefined): void {
+        const recorded = record?.content as DutyHolder | undefined;
+        if (recorded?.token !== heldToken() || recorded?.incarnation !== self.incarnation) {
+            log("store records another holder than this VM", {
+                holder: recorded?.name,
+                recordedToken: recorded?.token,
+                token: heldToken(),
+                era: record?.era,
+                revision: record?.revision,
+            });
+        }
+    }
+
     /** Has some of the hosts that called this VM last read the record. */
     function readThroughOthers(): Promise<DutyHolder | undefined> {
         const contactAt = ({ name }: VmIdentity): number => vms.lastContactAt(name) ?? -Infinity;
--- a/src/duty/createHolderVerification/test.ts
+++ b/src/duty/createHolderVerification/test.ts
@@ -16,7 +16,7 @@
                     sleep: async () => {},
                     startTimer: () => () => {},
                 },
-                records: { read: async () => ({ content: holder, revision: 1 }) },
+                records: { read: async () => ({ content: holder, era: 0, revision: 1 }) },
                 self,
                 vms: { isHolderInContactWithAll: () => isInContactWithAll, lastContactAt: () => undefined },
                 view: { hostVms: () => [] },
--- a/src/duty/createRenewalExchange/test.ts
+++ b/src/duty/createRenewalExchange/test.ts
@@ -58,7 +58,7 @@
     return { clock, holder, member, renew };
 }
 
-const removal = { isSnapshot: false, changes: [{ name: "i-1", revision: 9, item: undefined }] };
+const removal = { isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 9, item: undefined }] };
 
 describe("createRenewalExchange", () => {
     it("sends removals of records to a VM that does not watch the store", () => {
@@ -82,7 +82,7 @@
         const { holder, member, renew } = createPair();
         holder.directory.applyEndpoints(removal);
         const item = createEndpointRecord({ revision: 12 });
-        holder.directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", revision: 12, item }] });
+        holder.directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 12, item }] });
         renew();
         assert.equal(member.directory.endpoint("i-1")?.revision, 12);
     });
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -6,6 +6,8 @@
 
 const address = z.object({ host: z.string(), port: z.number(), availabilityZone: z.string() });
 const vm = z.object({ name: z.string(), address, capacity: z.number().positive(), incarnation: z.string() });
+/** Fields of a version of the platform's store. */
+const storeVersion = { era: z.number(), revision: z.number() };
 const position = z.object({ term: z.number(), entry: z.number() });
 const routingTable = z.object({
     version: z.number(),
@@ -34,7 +36,8 @@
     isPrimary: z.boolean(),
     warmingMilliseconds: z.number(),
     startedAt: z.number(),
-    revision: z.number(),
+    reportNumber: z.number(),
+    ...storeVersion,
 });
 const announcement = z.object({
     sequence: z.number(),
@@ -65,7 +68,7 @@
         members: z.array(vm).optional(),
         routingTable: routingTable.optional(),
         endpoints: z.array(endpoint).optional(),
-        removals: z.array(z.object({ id: z.string(), revision: z.number() })).optional(),
+        removals: z.array(z.object({ id: z.string(), ...storeVersion })).optional(),
         newsAgeMilliseconds: z.number().optional(),
     }),
     token: z.number(),
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -50,6 +50,11 @@
         help: "Calls to the platform's store that failed.",
         registers,
     });
+    const storeRestores = new Counter({
+        name: "tarragonpost_store_restores_total",
+        help: "Times that a feed found the platform's store restored from a copy.",
+        registers,
+    });
     const primaryChanges = new Counter({
         name: "tarragonpost_primary_changes_total",
         help: "Changes of a primary made by this VM, by outcome.",
@@ -72,6 +77,7 @@
         countAcquisitionTimeout: () => acquisitionTimeouts.inc(),
         countConnection: failure => connections.inc({ outcome: failure ?? success }),
         countStoreFailure: () => storeFailures.inc(),
+        countStoreRestore: () => storeRestores.inc(),
         countPrimaryChange: isSuccessful => primaryChanges.inc({ outcome: isSuccessful ? success : "Failure" }),
         countPrimaryVerification: isVerified =>
             primaryVerifications.inc({ outcome: isVerified ? "Confirmed" : "Unconfirmed" }),
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -14,6 +14,8 @@
     countConnection(failure?: ErrorKind): void;
     /** Counts a failed call to the platform's store. */
     countStoreFailure(): void;
+    /** Counts that a feed found the platform's store restored from a copy. */
+    countStoreRestore(): void;
     /** Counts an attempt of this VM to change a primary. */
     countPrimaryChange(isSuccessful: boolean): void;
     /** Counts a verification of a primary at the other endpoints, needed because this VM holds no lease. */
--- a/src/platform/createHttpClient/index.ts
+++ b/src/platform/createHttpClient/index.ts
@@ -16,6 +16,8 @@
 /** Answer to an HTTP request. */
 interface HttpAnswer {
     readonly status: number;
+    /** Header fields by lower-case name. */
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
     readonly content: unknown;
 }
 
@@ -75,7 +77,7 @@
                 mayHaveTakenEffect = gatewayStatuses.has(response.statusCode);
                 throw new Error(`status ${response.statusCode}`);
             }
-            return { status: response.statusCode, content: parseBody(text) };
+            return { status: response.statusCode, headers: response.headers, content: parseBody(text) };
         }
         catch (cause) {
             const code = (cause as { readonly code?: string; }).code ?? "";
--- a/src/platform/createStoreClient/index.ts
+++ b/src/platform/createStoreClient/index.ts
@@ -4,11 +4,13 @@
 import type { FeedChange } from "../../directory/types/FeedChange.js";
 import type { PlatformStore } from "../../directory/types/PlatformStore.js";
 import type { RoutingTable } from "../../directory/types/RoutingTable.js";
+import type { StoreVersion } from "../../directory/types/StoreVersion.js";
 import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { Address } from "../../network/types/Address.js";
 import { createHttpClient } from "../createHttpClient/index.js";
+import { decodeStoreEra } from "../decodeStoreEra/index.js";
 import { decodeEndpointRecord } from "../decodeEndpointRecord/index.js";
 import { decodeRoutingTable } from "../decodeRoutingTable/index.js";
 import { storedObjectSchema } from "../storedObjectSchema.js";
@@ -20,7 +22,7 @@
 }
 
 /** Decodes an object's content. */
-type Decoder<Item> = (name: string, revision: number, content: unknown) => Item;
+type Decoder<Item> = (name: string, version: StoreVersion, content: unknown) => Item;
 
 const pageSchema = z.object({ items: z.array(z.unknown()), hasMore: z.boolean(), asOf: z.number() });
 const changesSchema = z.object({
@@ -56,10 +58,16 @@
         });
     }
 
+    function createRestoredError(path: string): Error {
+        return createError(ErrorKind.PlatformUnavailable, `The store was restored from a copy while it listed ${path}.`, {
+            remedy: "List again.",
+        });
+    }
+
     function createFeed<Item>(kind: string, decode: Decoder<Item>): Feed<Item> {
         async function list() {
             const changes: FeedChange<Item>[] = [];
-            let revision: number | undefined;
+            let version: StoreVersion | undefined;
             for (let after: string | undefined = ""; after !== undefined;) {
                 const path: string = `${pathOf(kind)}${after === "" ? "" : `?after=${encodeURIComponent(after)}`}`;
                 const answer = await client.call({ method: "GET", path, timeoutMilliseconds });
@@ -67,12 +75,16 @@
                     throw createStatusError(path, answer.status);
                 }
                 const page = pageSchema.parse(answer.content);
-                changes.push(...page.items.flatMap(item => decodeChange(item, false, decode)));
+                const era = decodeStoreEra(answer.headers);
+                changes.push(...page.items.flatMap(item => decodeChange(item, { era, isDeleted: false, decode })));
                 // A watch from the first page's revision also reports the changes made between two pages.
-                revision ??= page.asOf;
+                version ??= { era, revision: page.asOf };
+                if (version.era !== era) {
+                    throw createRestoredError(path);
+                }
                 after = page.hasMore ? changes.at(-1)?.name : undefined;
             }
-            return { changes, revision: revision ?? 0 };
+            return { changes, ...version! };
         }
 
         async function waitForChanges(revision: number, waitMilliseconds: number) {
@@ -89,8 +101,12 @@
                 throw createStatusError(path, answer.status);
             }
             const { events, asOf } = changesSchema.parse(answer.content);
+            const era = decodeStoreEra(answer.headers);
             return {
-                changes: events.flatMap(event => decodeChange(event.object, event.deleted, decode)),
+                changes: events.flatMap(({ object, deleted: isDeleted }) =>
+                    decodeChange(object, { era, isDeleted, decode })
+                ),
+                era,
                 revision: asOf,
             };
         }
@@ -119,7 +135,7 @@
         return toRecord(path, await client.call({ method: "PUT", path, body, timeoutMilliseconds }));
     }
 
-    function toRecord(path: string, answer: { readonly status: number; readonly content: unknown; }): VersionedRecord {
+    function toRecord(path: string, answer: Awaited<ReturnType<typeof client.call>>): VersionedRecord {
         if (answer.status === 409 || answer.status === 404) {
             throw createError(ErrorKind.Conflict, `${path} was created, changed or removed by another writer.`, {
                 remedy: "Read the object again.",
@@ -129,34 +145,42 @@
             throw createStatusError(path, answer.status);
         }
         const { meta, spec } = storedObjectSchema.parse(answer.content);
-        return { revision: meta.revision, content: spec };
+        return { era: decodeStoreEra(answer.headers), revision: meta.revision, content: spec };
     }
 
     return {
         endpoints: createFeed<EndpointRecord>(objectKinds.endpoints, decodeEndpointRecord),
         routingTables: createFeed<RoutingTable>(
             objectKinds.configuration,
-            (_name, _revision, content) => decodeRoutingTable(content),
+            (_name, _version, content) => decodeRoutingTable(content),
         ),
         records: { read, create, replace },
         stop: client.stop,
     };
 }
 
+/** How to decode an object. */
+interface ChangeDecoding<Item> {
+    /** Era of the store in the answer that holds the object. */
+    readonly era: number;
+    readonly isDeleted: boolean;
+    readonly decode: Decoder<Item>;
+}
+
 /** Decodes one object; returns no change when the object has no readable name or revision. */
-function decodeChange<Item>(object: unknown, isDeleted: boolean, decode: Decoder<Item>): FeedChange<Item>[] {
+function decodeChange<Item>(object: unknown, { era, isDeleted, decode }: ChangeDecoding<Item>): FeedChange<Item>[] {
     const outcome = storedObjectSchema.safeParse(object);
     if (!outcome.success) {
         return [];
     }
     const { meta: { name, revision }, spec } = outcome.data;
     if (isDeleted) {
-        return [{ name, revision, item: undefined }];
+        return [{ name, era, revision, item: undefined }];
     }
     try {
-        return [{ name, revision, item: decode(name, revision, spec) }];
+        return [{ name, era, revision, item: decode(name, { era, revision }, spec) }];
     }
     catch (error) {
-        return [{ name, revision, item: undefined, problem: (error as Error).message }];
+        return [{ name, era, revision, item: undefined, problem: (error as Error).message }];
     }
 }
--- a/src/platform/decodeEndpointRecord/index.ts
+++ b/src/platform/decodeEndpointRecord/index.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { StoreVersion } from "../../directory/types/StoreVersion.js";
 import { parseAddress } from "../parseAddress/index.js";
 
 /** Content of an object of the kind `servers`. */
@@ -12,21 +13,22 @@
     coldLeftMs: z.number().optional(),
     dbRole: z.enum(["primary", "replica"]),
     born: z.number().optional(),
+    seq: z.number().optional(),
 });
 
 /**
  * Decodes the record with which an endpoint registers itself.
  *
  * @param id Name of the object, which is the endpoint's id.
- * @param revision Revision of the object.
+ * @param version Version of the store at which the object changed.
  * @param content Content of the object, written by the endpoint or by another writer.
  * @returns The endpoint.
  * @throws Error that describes the invalid fields.
  *
  * @example
- * const endpoint = decodeEndpointRecord("i-7f3a", 530, content);
+ * const endpoint = decodeEndpointRecord("i-7f3a", { era: 1, revision: 530 }, content);
  */
-export function decodeEndpointRecord(id: string, revision: number, content: unknown): EndpointRecord {
+export function decodeEndpointRecord(id: string, version: StoreVersion, content: unknown): EndpointRecord {
     const entry = contentSchema.parse(content);
     return {
         id,
@@ -37,6 +39,7 @@
         isPrimary: entry.dbRole === "primary",
         warmingMilliseconds: entry.coldLeftMs ?? 0,
         startedAt: entry.born ?? 0,
-        revision,
+        reportNumber: entry.seq ?? 0,
+        ...version,
     };
 }
--- a/src/platform/standIns/createStoreStandIn/index.ts
+++ b/src/platform/standIns/createStoreStandIn/index.ts
@@ -11,11 +11,14 @@
 
 /** A change of an object. */
 interface StandInEvent {
+    /** Time of the change, in milliseconds. */
+    readonly at: number;
     readonly kind: string;
     readonly object: StandInObject;
     readonly deleted: boolean;
 }
 
+const firstRevision = 1;
 const compacted = 410;
 const conflict = 409;
 const notFound = 404;
@@ -32,8 +35,10 @@
 export async function createStoreStandIn(): Promise<StoreStandIn> {
     const objectsByKind = new Map<string, Map<string, StandInObject>>();
     const pendingWatches = new Set<() => void>();
+    /** All changes, also those that watches no longer get. */
     let events: StandInEvent[] = [];
-    let revision = 1;
+    let era = 1;
+    let revision = firstRevision;
     let compactedAt = 0;
 
     const server: Server = createServer((request, response) => {
@@ -49,9 +54,17 @@
         remove,
         read: (kind, name) => objectsOf(kind).get(name)?.spec,
         compact: () => {
-            events = [];
             compactedAt = revision;
         },
+        restoreCopy: ageMilliseconds => {
+            const copiedAt = performance.now() - ageMilliseconds;
+            events = events.filter(({ at }) => at <= copiedAt);
+            objectsByKind.clear();
+            events.forEach(applyEvent);
+            revision = events.at(-1)?.object.meta.revision ?? firstRevision;
+            era += 1;
+            pendingWatches.forEach(checkEvents => checkEvents());
+        },
         stop: () => {
             server.close();
             server.closeAllConnections();
@@ -72,8 +85,7 @@
         revision += 1;
         const createRev = objectsOf(kind).get(name)?.meta.createRev ?? revision;
         const object = { meta: { name, revision, createRev }, spec };
-        objectsOf(kind).set(name, object);
-        publish({ kind, object, deleted: false });
+        publish({ at: performance.now(), kind, object, deleted: false });
         return object;
     }
 
@@ -81,13 +93,24 @@
         const object = objectsOf(kind).get(name);
         if (object !== undefined) {
             revision += 1;
-            objectsOf(kind).delete(name);
-            publish({ kind, object: { ...object, meta: { ...object.meta, revision } }, deleted: true });
+            const removed = { ...object, meta: { ...object.meta, revision } };
+            publish({ at: performance.now(), kind, object: removed, deleted: true });
+        }
+    }
+
+    function applyEvent({ kind, object, deleted }: StandInEvent): void {
+        const objects = objectsOf(kind);
+        if (deleted) {
+            objects.delete(object.meta.name);
+        }
+        else {
+            objects.set(object.meta.name, object);
         }
     }
 
     function publish(event: StandInEvent): void {
         events.push(event);
+        applyEvent(event);
         pendingWatches.forEach(checkEvents => checkEvents());
     }
 
@@ -118,7 +141,7 @@
         else if (!watch) {
             answer(response, 200, { items: [...objectsOf(kind).values()], hasMore: false, asOf: revision });
         }
-        else if (Number(watch) < compactedAt) {
+        else if (Number(watch) < compactedAt || Number(watch) > revision) {
             answer(response, compacted, {});
         }
         else {
@@ -172,6 +195,10 @@
             answer(response, conflict, current);
             return;
         }
+        if (method === "PUT" && current === undefined) {
+            answer(response, notFound, {});
+            return;
+        }
         const object = put(kind, target, content.spec);
         if (store.mode === StoreMode.LosingAnswers) {
             response.destroy();
@@ -181,7 +208,7 @@
     }
 
     function answer(response: ServerResponse, status: number, content: unknown): void {
-        response.writeHead(status, { "content-type": "application/json" });
+        response.writeHead(status, { "content-type": "application/json", "store-era": `${era}` });
         response.end(JSON.stringify(content));
     }
 }
--- a/src/platform/standIns/types/StoreStandIn.ts
+++ b/src/platform/standIns/types/StoreStandIn.ts
@@ -12,5 +12,7 @@
     read(kind: string, name: string): unknown;
     /** Discards the history; watches from an earlier revision are then answered with status 410. */
     compact(): void;
+    /** Restores the store from a copy of this age: it loses all later changes, and begins a new era. */
+    restoreCopy(ageMilliseconds: number): void;
     stop(): void;
 }
--- a/src/primaries/createPrimaries/test.ts
+++ b/src/primaries/createPrimaries/test.ts
@@ -15,7 +15,7 @@
     const primaries = createPrimaries(clock, directory, () => {});
     const register = (id: string, isPrimary: boolean, revision: number): void => {
         const item = createEndpointRecord({ id, isPrimary, revision });
-        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: id, revision, item }] });
+        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: id, era: 0, revision, item }] });
     };
     return { clock, directory, primaries, register };
 }
--- a/src/testing/createEndpointRecord/index.ts
+++ b/src/testing/createEndpointRecord/index.ts
@@ -19,6 +19,8 @@
         isPrimary: false,
         warmingMilliseconds: 0,
         startedAt: 1,
+        reportNumber: 1,
+        era: 0,
         revision: 1,
         ...changes,
     };
--- a/src/testing/createMemoryRecords/index.ts
+++ b/src/testing/createMemoryRecords/index.ts
@@ -32,7 +32,7 @@
             throw createError(ErrorKind.Conflict, `Record ${name} has changed.`, { remedy: "Read the record again." });
         }
         revision += 1;
-        const record = { revision, content };
+        const record = { era: 0, revision, content };
         objects.set(name, record);
         return record;
     }
--- a/src/testing/createPopulatedDirectory/index.ts
+++ b/src/testing/createPopulatedDirectory/index.ts
@@ -32,7 +32,7 @@
     });
     directory.applyEndpoints({
         isSnapshot: true,
-        changes: records.map(item => ({ name: item.id, revision: item.revision, item })),
+        changes: records.map(item => ({ name: item.id, era: item.era, revision: item.revision, item })),
     });
     return directory;
 }
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -72,7 +72,7 @@
     function register(id: string, changes: Partial<EndpointRecord>): void {
         revision += 1;
         const item = { ...directory.endpoint(id)!, ...changes, revision };
-        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: id, revision, item }] });
+        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: id, era: 0, revision, item }] });
     }
 
     function setRole(id: string, role: SiteEndpoint): void {
--- a/src/testing/createSimulatedEndpoints/index.ts
+++ b/src/testing/createSimulatedEndpoints/index.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../clock/types/Clock.js";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { replicateLogs } from "../replicateLogs/index.js";
@@ -56,6 +57,7 @@
             position: { term: 1, entry: 0 },
             heldTerm: 0,
             reportedAt: 0,
+            reportNumber: 0,
         }));
     }
 
@@ -85,33 +87,45 @@
 
     /** Reports changes to the store at once, and otherwise now and then that the endpoint is alive. */
     function register(endpoint: SimulatedEndpoint): void {
-        const { id, group, availabilityZone, isPrimary, isLeaving, startedAt } = endpoint;
         const now = clock.now();
-        const isReporting = endpoint.isRunning && store.isAvailable && network.isConnected(id, "store");
-        const state = JSON.stringify({ isPrimary, isLeaving, startedAt });
-        if (isReporting && (state !== endpoint.registered || now - endpoint.reportedAt >= reportMilliseconds)) {
-            endpoint.reportedAt = now;
-            if (state !== endpoint.registered) {
-                endpoint.registered = state;
-                const address = { host: id, port: 1, availabilityZone };
-                store.putEndpoint({
-                    id,
-                    group,
-                    address,
-                    slots: 8,
-                    isLeaving,
-                    isPrimary,
-                    warmingMilliseconds: 0,
-                    startedAt,
-                });
-            }
+        const isReporting = endpoint.isRunning && store.isAvailable && network.isConnected(endpoint.id, "store");
+        const state = describeState(endpoint);
+        if (isReporting && (state !== endpoint.reported || now - endpoint.reportedAt >= reportMilliseconds)) {
+            endpoint.reportNumber = endpoint.reportedStart === endpoint.startedAt ? endpoint.reportNumber + 1 : 1;
+            Object.assign(endpoint, { reportedAt: now, reported: state, reportedStart: endpoint.startedAt });
+            report(endpoint);
+        }
+        else if (store.isAvailable && now - endpoint.reportedAt > silenceMilliseconds) {
+            endpoint.reported = undefined;
+            store.removeEndpoint(endpoint.id);
         }
-        else if (endpoint.registered !== undefined && now - endpoint.reportedAt > silenceMilliseconds) {
-            endpoint.registered = undefined;
-            store.removeEndpoint(id);
+    }
+
+    /** Writes the record, unless nothing but the number of the report has changed. */
+    function report(endpoint: SimulatedEndpoint): void {
+        const { id, group, availabilityZone, isPrimary, isLeaving, startedAt, reportNumber } = endpoint;
+        const known = store.findEndpoint(id);
+        if (known === undefined || describeState(known) !== describeState(endpoint)) {
+            store.putEndpoint({
+                id,
+                group,
+                address: { host: id, port: 1, availabilityZone },
+                slots: 8,
+                isLeaving,
+                isPrimary,
+                warmingMilliseconds: 0,
+                startedAt,
+                reportNumber,
+            });
         }
     }
 
+    function describeState(
+        { isPrimary, isLeaving, startedAt }: Pick<EndpointRecord, "isPrimary" | "isLeaving" | "startedAt">,
+    ): string {
+        return JSON.stringify({ isPrimary, isLeaving, startedAt });
+    }
+
     function run(id: string, statements: readonly OutgoingStatement[]): readonly StatementAnswer[] {
         const endpoint = get(id);
         return runAtEndpoint(endpoint, statements, writeId => {
--- a/src/testing/createSimulatedStoreClient/index.ts
+++ b/src/testing/createSimulatedStoreClient/index.ts
@@ -67,22 +67,25 @@
         });
     }
 
-    const table = { name: "routing", revision: 1, item: routingTable };
+    const createTable = () => ({ name: "routing", ...store.version(), item: routingTable });
     return {
         endpoints: {
-            list: () => read("list", () => ({ changes: store.listEndpoints(), revision: store.revision() })),
+            list: () => read("list", () => ({ changes: store.listEndpoints(), ...store.version() })),
             waitForChanges: (revision, waitMilliseconds) =>
                 read("watch", async () => {
+                    if (revision > store.version().revision) {
+                        return undefined;
+                    }
                     await store.waitForChange(revision, waitMilliseconds);
-                    return { changes: store.listChangesAfter(revision), revision: store.revision() };
+                    return { changes: store.listChangesAfter(revision), ...store.version() };
                 }, waitMilliseconds),
         },
         routingTables: {
-            list: () => read("list", () => ({ changes: [table], revision: store.revision() })),
-            waitForChanges: (revision, waitMilliseconds) =>
+            list: () => read("list", () => ({ changes: [createTable()], ...store.version() })),
+            waitForChanges: (_revision, waitMilliseconds) =>
                 read("watch", async () => {
                     await store.waitForChange(Infinity, waitMilliseconds);
-                    return { changes: [], revision };
+                    return { changes: [], ...store.version() };
                 }, waitMilliseconds),
         },
         records: {
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -145,6 +145,7 @@
         countAcquisitionTimeout: ignore,
         countConnection: ignore,
         countStoreFailure: ignore,
+        countStoreRestore: ignore,
         countPrimaryChange: ignore,
         countPrimaryVerification: ignore,
         registerGauge: ignore,
--- a/src/testing/types/SimulatedEndpoint.ts
+++ b/src/testing/types/SimulatedEndpoint.ts
@@ -18,8 +18,12 @@
     heldTerm: number;
     /** Since when a superseded primary reaches its successor; undefined while it does not. */
     reachesSuccessorSince?: number;
-    /** What the store last received from the endpoint. */
-    registered?: string;
+    /** What the endpoint reported last; undefined after a silence. */
+    reported?: string | undefined;
+    /** Start of the process that reported last. */
+    reportedStart?: number;
+    /** Number of the last report; counted anew after a start. */
+    reportNumber: number;
     /** When the store last received a report of the endpoint. */
     reportedAt: number;
 }
