--- a/src/directory/createDirectory/test.ts
+++ b/src/directory/createDirectory/test.ts
@@ -36,7 +36,10 @@
     it("keeps an endpoint that registers again before it is treated as leaving", async () => {
         const clock = createManualClock();
         const directory = createPopulatedDirectory(clock, [createEndpointRecord()]);
-        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 2, item: undefined }] });
+        directory.applyEndpoints({
+            isSnapshot: false,
+            changes: [{ name: "i-1", era: 0, revision: 2, item: undefined }],
+        });
         await clock.advance(directoryConstants.missingRecordMilliseconds - 1);
         const item = createEndpointRecord({ revision: 3 });
         directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 3, item }] });
@@ -46,7 +49,10 @@
 
     it("does not add a removed endpoint again from an older record", () => {
         const directory = createPopulatedDirectory(createManualClock(), [createEndpointRecord({ isLeaving: true })]);
-        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 2, item: undefined }] });
+        directory.applyEndpoints({
+            isSnapshot: false,
+            changes: [{ name: "i-1", era: 0, revision: 2, item: undefined }],
+        });
         assert.equal(directory.endpoint("i-1"), undefined);
         const item = createEndpointRecord();
         directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 1, item }] });
@@ -73,7 +79,12 @@
         const item = createEndpointRecord({ revision: 7 });
         directory.applyEndpoints({
             isSnapshot: false,
-            changes: [{ name: "i-1", era: 0, revision: 7, item }, { name: "i-1", era: 0, revision: 12, item: undefined }],
+            changes: [{ name: "i-1", era: 0, revision: 7, item }, {
+                name: "i-1",
+                era: 0,
+                revision: 12,
+                item: undefined,
+            }],
         });
         assert.equal(directory.endpoint("i-1")?.isLeaving, false);
         await clock.advance(directoryConstants.missingRecordMilliseconds);
--- a/src/platform/createStoreClient/index.ts
+++ b/src/platform/createStoreClient/index.ts
@@ -10,9 +10,9 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { Address } from "../../network/types/Address.js";
 import { createHttpClient } from "../createHttpClient/index.js";
-import { decodeStoreEra } from "../decodeStoreEra/index.js";
 import { decodeEndpointRecord } from "../decodeEndpointRecord/index.js";
 import { decodeRoutingTable } from "../decodeRoutingTable/index.js";
+import { decodeStoreEra } from "../decodeStoreEra/index.js";
 import { storedObjectSchema } from "../storedObjectSchema.js";
 
 /** Options of `createStoreClient`. */
@@ -59,9 +59,13 @@
     }
 
     function createRestoredError(path: string): Error {
-        return createError(ErrorKind.PlatformUnavailable, `The store was restored from a copy while it listed ${path}.`, {
-            remedy: "List again.",
-        });
+        return createError(
+            ErrorKind.PlatformUnavailable,
+            `The store was restored from a copy while it listed ${path}.`,
+            {
+                remedy: "List again.",
+            },
+        );
     }
 
     function createFeed<Item>(kind: string, decode: Decoder<Item>): Feed<Item> {
