--- a/src/testing/drawFleetFaults/index.ts
+++ b/src/testing/drawFleetFaults/index.ts
@@ -26,6 +26,7 @@
 const maximumCallDelayMilliseconds = 600;
 const maximumLinkDelayMilliseconds = 250;
 const maximumDurationMilliseconds = 6_000;
+const maximumCopyAgeMilliseconds = 15_000;
 const lossProbability = 0.4;
 const stepProbability = 0.5;
 const maximumFaultsPerFailure = 5;
@@ -85,6 +86,14 @@
             fleet.store.isAvailable = true;
         };
     },
+    [FleetFaultKind.StoreRestore]: (fleet, random) => {
+        fleet.store.isAvailable = false;
+        const ageMilliseconds = random.next() * maximumCopyAgeMilliseconds;
+        return () => {
+            fleet.store.restoreCopy(ageMilliseconds);
+            fleet.store.isAvailable = true;
+        };
+    },
     [FleetFaultKind.FaultyCalls]: (fleet, random) => {
         const names = drawVms(fleet, random);
         return fleet.network.addRule(({ to }) =>
--- a/src/testing/startSimulatedVm/index.ts
+++ b/src/testing/startSimulatedVm/index.ts
@@ -1,3 +1,4 @@
+import type { Directory } from "../../directory/types/Directory.js";
 import type { Duty } from "../../duty/types/Duty.js";
 import { createKernel } from "../../kernel/createKernel/index.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
@@ -53,6 +54,7 @@
         suspension: undefined,
         waitForProcess,
         kernel,
+        directory: kernel.get<Directory>(ServiceName.Directory),
         duty: kernel.get<Duty>(ServiceName.Duty),
         primaries: kernel.get<Primaries>(ServiceName.Primaries),
         router: kernel.get<Pick<SimulatedVm, "router">>(ServiceName.TransportServer).router,
--- a/src/testing/types/FleetFaultKind.ts
+++ b/src/testing/types/FleetFaultKind.ts
@@ -16,6 +16,8 @@
     StoreRefusal = "StoreRefusal",
     /** The store refuses all calls. */
     StoreOutage = "StoreOutage",
+    /** The store is restored from a copy some seconds old, after an outage. */
+    StoreRestore = "StoreRestore",
     /** Some calls between VMs, or their answers, are lost or late. */
     FaultyCalls = "FaultyCalls",
     /** Some calls of VMs to the store are lost or executed late, or their answers are lost. */
--- a/src/testing/types/SimulatedVm.ts
+++ b/src/testing/types/SimulatedVm.ts
@@ -1,5 +1,6 @@
 import type { AnyTRPCRouter } from "@trpc/server";
 import type { Clock } from "../../clock/types/Clock.js";
+import type { Directory } from "../../directory/types/Directory.js";
 import type { Duty } from "../../duty/types/Duty.js";
 import type { Kernel } from "../../kernel/types/Kernel.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
@@ -15,6 +16,7 @@
     /** Resolves when the process runs; never once it was killed. */
     waitForProcess(): Promise<void>;
     readonly kernel: Kernel;
+    readonly directory: Directory;
     readonly duty: Duty;
     readonly primaries: Primaries;
     readonly router: AnyTRPCRouter;
--- a/src/vm/listVmServices/test.ts
+++ b/src/vm/listVmServices/test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import type { Directory } from "../../directory/types/Directory.js";
 import { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
+import { ServiceName } from "../../kernel/types/ServiceName.js";
 import { createCallerStandIn } from "../../platform/standIns/createCallerStandIn/index.js";
 import { createPlatformStandIn } from "../../platform/standIns/createPlatformStandIn/index.js";
 import type { CallerStandIn } from "../../platform/standIns/types/CallerStandIn.js";
@@ -18,6 +20,8 @@
     createRoute({ database: "browse", guarantee: ReadGuarantee.BoundedStaleness }),
 ];
 
+const changesOfSlots = 8;
+
 /** Starts the platform and one VM that is ready. */
 async function startSite() {
     const platform = await createPlatformStandIn({
@@ -151,6 +155,52 @@
     });
 });
 
+/** Raises the revision of the store by changes of an endpoint's number of slots. */
+function changeSlots({ store }: PlatformStandIn): void {
+    for (let slots = 1; slots <= changesOfSlots; slots += 1) {
+        store.put("servers", "i-9", {
+            service: "other",
+            addr: "127.0.0.1:1",
+            zone: "a",
+            slots,
+            state: "ready",
+            dbRole: "replica",
+        });
+    }
+}
+
+describe("a VM whose store is restored from a copy", () => {
+    it("serves a database that was added at a revision which the store had assigned before", async () => {
+        const site = await startSite();
+        try {
+            const { store } = site.platform;
+            const directory = site.vm.kernel.get<Directory>(ServiceName.Directory);
+            const copiedAt = performance.now();
+            changeSlots(site.platform);
+            site.platform.configure(8, routes);
+            await waitUntilTrue(
+                "the VM has heard of all changes",
+                () => directory.endpoint("i-9")?.slots === changesOfSlots && directory.routingVersion() === 8,
+            );
+            store.mode = StoreMode.Busy;
+            store.restoreCopy(performance.now() - copiedAt);
+            site.platform.configure(9, [...routes, createRoute({ database: "added" })]);
+            changeSlots(site.platform);
+            changeSlots(site.platform);
+            store.mode = StoreMode.Serving;
+            await waitUntilTrue(
+                "the added database is served",
+                async () =>
+                    (await createCallerStandIn(site.vm.settings.callerAddress.port, "added")).opening.failure
+                        === undefined,
+            );
+        }
+        finally {
+            await site.stop();
+        }
+    });
+});
+
 describe("a VM whose primary is replaced", () => {
     it("replaces a leaving primary without losing or refusing a write", async () => {
         const site = await startSite();
