List a feed again when a watch was answered in another era of the store

Callers saw: a database that the operator had added was refused for good (CONFIG), if the restored store had passed the revision of the watch before it answered: only a watch from a revision that the store has not reached gets 410. Cause: a watch continued from a revision of another history. A watch's answer now counts only if its era is that of its revision; any other answer, like a dropped history, brings nothing up to date and the feed is listed anew. It does not count as an answer for the freshness of the data either, which it did.

--- a/src/directory/followFeed/index.ts
+++ b/src/directory/followFeed/index.ts
@@ -18,14 +18,15 @@
     readonly signal: AbortSignal;
     /** Called after each failed call. */
     onFailure(error: Error): void;
-    /** Called after each answered call. */
+    /** Called after each call whose answer brings this VM up to date. */
     onAnswer(): void;
     /** Called when the store was restored from a copy since its last answer. */
     onRestored(previous: StoreVersion, current: StoreVersion): void;
 }
 
 /**
- * Follows a feed: lists it, then watches it for changes, and lists it again when the store has dropped the history.
+ * Follows a feed: lists it, then watches it for changes, and lists it again when the store has dropped the history or was
+ * restored from a copy.
  *
  * @param feed The feed.
  * @param options Clock, randomness of the backoff, signal that ends the generator, and listeners.
@@ -71,13 +72,18 @@
             const batch = version === undefined
                 ? await feed.list()
                 : await feed.waitForChanges(version.revision, waitMilliseconds());
-            options.onAnswer();
             hasFailed = false;
             pauses = createPauses();
-            version = batch && { era: batch.era, revision: batch.revision };
-            reportRestore(version);
-            if (batch !== undefined && version !== undefined && (isSnapshot || batch.changes.length > 0)) {
-                yield { isSnapshot, changes: batch.changes, version };
+            reportRestore(batch);
+            // A revision of another era says nothing about the changes that this VM lacks.
+            const isComplete = batch !== undefined && (version === undefined || batch.era === version.era);
+            version = isComplete ? { era: batch.era, revision: batch.revision } : undefined;
+            if (!isComplete) {
+                continue;
+            }
+            options.onAnswer();
+            if (isSnapshot || batch.changes.length > 0) {
+                yield { isSnapshot, changes: batch.changes, version: { era: batch.era, revision: batch.revision } };
             }
         }
         catch (error) {
--- a/src/directory/followFeed/test.ts
+++ b/src/directory/followFeed/test.ts
@@ -52,4 +52,43 @@
             "list",
         ]);
     });
+
+    it("lists again when a watch was answered by a restored store, which has passed the revision of the watch", async () => {
+        const clock = createManualClock();
+        const end = new AbortController();
+        const restores: string[] = [];
+        let answers = 0;
+        let isRestored = false;
+        const feed: Feed<string> = {
+            list: async () => {
+                const current = isRestored ? { era: 2, revision: 40 } : { era: 1, revision: 30 };
+                return { changes: [{ name: "main", ...current, item: `era ${current.era}` }], ...current };
+            },
+            waitForChanges: async () => {
+                if (isRestored) {
+                    end.abort();
+                }
+                isRestored = true;
+                return { changes: [], era: 2, revision: 40 };
+            },
+        };
+        const updates = followFeed(feed, {
+            clock,
+            random: createRandomSource(1),
+            signal: end.signal,
+            watchMilliseconds: () => watchMilliseconds,
+            onFailure: () => {},
+            onAnswer: () => {
+                answers += 1;
+            },
+            onRestored: (previous, current) => restores.push(`${previous.era} to ${current.era}`),
+        });
+        assert.equal((await updates.next()).value?.changes[0]?.item, "era 1");
+        const update = (await updates.next()).value;
+        assert.deepEqual([update?.isSnapshot, update?.changes[0]?.item], [true, "era 2"]);
+        assert.deepEqual(restores, ["1 to 2"]);
+        // The watch of the previous era brought nothing up to date.
+        assert.equal(answers, 2);
+        end.abort();
+    });
 });
