Order what is known of endpoints by the era of the store, and by the endpoints' own reports

Cause: records, removals and whole lists were compared by revision, in the directory and between VMs, so that all that a restored store said counted as old until it had passed the former height. Versions of the store are now eras with revisions, compared as such in the directory, between VMs and for disqualified primaries. Within an era the later version holds the newer report; between eras the endpoint's own order decides (its start, then the number of its report), so an endpoint that is leaving, or has left, is not in use again because a copy still holds it as serving. One that was dropped for its silence is taken back from the copy.

--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -1,6 +1,9 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { compareReports } from "../compareReports/index.js";
+import { compareStoreVersions } from "../compareStoreVersions/index.js";
 import { directoryConstants } from "../constants.js";
+import { mergeEndpointRecords } from "../mergeEndpointRecords/index.js";
 import type { Directory } from "../types/Directory.js";
 import type { EndpointRecord } from "../types/EndpointRecord.js";
 import type { FeedUpdate } from "../types/FeedUpdate.js";
@@ -9,10 +12,13 @@
 import type { RoutingTable } from "../types/RoutingTable.js";
 import type { StoreVersion } from "../types/StoreVersion.js";
 
+const noVersion: StoreVersion = { era: 0, revision: 0 };
+
 /**
  * Creates the directory of the endpoints and routes that a VM knows.
  *
- * A routing table or an endpoint's record is replaced only by a newer version, whichever process it comes from. An
+ * A routing table is replaced only by one that the operator numbered higher, and an endpoint's record only by a newer one,
+ * whichever process it comes from and whatever the store has lost meanwhile. An
  * endpoint whose record is missing from the store is removed after a delay, or at once if it was leaving.
  *
  * @param clock Source of time.
@@ -27,13 +33,13 @@
     const endpoints = new Map<string, EndpointRecord>();
     /** When records were found missing, by endpoint id. */
     const missingSince = new Map<string, number>();
-    /** Last revisions of removed endpoints' records, so that older data from another VM does not add them again. */
-    const removedRevisions = new Map<string, number>();
+    /** Last records of removed endpoints, so that older data from another VM or of a copy does not add them again. */
+    const removedRecords = new Map<string, EndpointRecord>();
     /** Versions of the store at which records were missing, to be sent to other VMs; the newest last. */
     const removals = new Map<string, StoreVersion>();
-    let highestRevision = 0;
-    /** Revision of the store up to which this VM has read all records itself. */
-    let completeRevision = 0;
+    let highestVersion: StoreVersion = noVersion;
+    /** Version of the store up to which this VM has read all records itself. */
+    let completeVersion: StoreVersion = noVersion;
     const listeners: ((groups: ReadonlySet<string>) => void)[] = [];
     let table: RoutingTable | undefined;
     let routes = new Map<string, Route>();
@@ -61,24 +67,38 @@
                 markMissing(id, update.version, changed);
             }
         }
-        completeRevision = Math.max(completeRevision, update.version?.revision ?? 0);
+        completeVersion = newerOf(completeVersion, update.version ?? noVersion);
+        highestVersion = newerOf(highestVersion, completeVersion);
         notify(changed);
     }
 
     /** Whether another VM sent a record that was already missing when this VM read the store. */
-    function isGone({ id, revision }: EndpointRecord): boolean {
-        return !endpoints.has(id) && revision <= completeRevision;
+    function isGone(record: EndpointRecord): boolean {
+        return !endpoints.has(record.id) && compareStoreVersions(record, completeVersion) <= 0;
+    }
+
+    /** Whether a record says no more than was known of its endpoint when it was removed. */
+    function isOfRemovedEndpoint(record: EndpointRecord): boolean {
+        const removed = removedRecords.get(record.id);
+        if (removed === undefined) {
+            return false;
+        }
+        const isFromLaterEra = record.era > removed.era;
+        return isFromLaterEra
+            ? removed.isLeaving && compareReports(record, removed) <= 0
+            : compareStoreVersions(record, removed) <= 0;
     }
 
-    function storeRecord(record: EndpointRecord, changed: Set<string>): void {
-        const known = endpoints.get(record.id);
-        if (record.revision <= (removedRevisions.get(record.id) ?? 0)) {
-            logIgnored(record, removedRevisions.get(record.id));
+    function storeRecord(received: EndpointRecord, changed: Set<string>): void {
+        const known = endpoints.get(received.id);
+        if (isOfRemovedEndpoint(received)) {
+            logIgnored(received, removedRecords.get(received.id));
             return;
         }
-        highestRevision = Math.max(highestRevision, record.revision);
-        if (known !== undefined && known.revision >= record.revision) {
-            logIgnored(record, known.revision);
+        highestVersion = newerOf(highestVersion, received);
+        const record = known === undefined ? received : mergeEndpointRecords(known, received);
+        if (record === known) {
+            logIgnored(received, known);
             return;
         }
         missingSince.delete(record.id);
@@ -99,16 +119,26 @@
     }
 
     /** A record that is known already is no news, and comes with each update of another VM. */
-    function logIgnored({ id, era, revision, reportNumber }: EndpointRecord, knownRevision: number | undefined): void {
-        if (knownRevision !== revision) {
-            log("older record of an endpoint ignored", { endpoint: id, era, revision, knownRevision, reportNumber });
+    function logIgnored({ id, era, revision, reportNumber }: EndpointRecord, known: EndpointRecord | undefined): void {
+        if (known?.era !== era || known.revision !== revision) {
+            log("older record of an endpoint ignored", {
+                endpoint: id,
+                era,
+                revision,
+                reportNumber,
+                knownEra: known?.era,
+                knownRevision: known?.revision,
+                knownReportNumber: known?.reportNumber,
+            });
         }
     }
 
     function markMissing(id: string, version: StoreVersion | undefined, changed: Set<string>): void {
-        const revision = version?.revision;
         const known = endpoints.get(id);
-        if (known === undefined || (revision !== undefined && known.revision > revision) || missingSince.has(id)) {
+        if (known === undefined || missingSince.has(id)) {
+            return;
+        }
+        if (version !== undefined && compareStoreVersions(known, version) > 0) {
             return;
         }
         recordRemoval(id, version ?? known);
@@ -117,7 +147,7 @@
             group: known.group,
             wasLeaving: known.isLeaving,
             era: version?.era,
-            revision,
+            revision: version?.revision,
         });
         if (known.isLeaving) {
             remove(known, changed);
@@ -128,7 +158,7 @@
     }
 
     function recordRemoval(id: string, { era, revision }: StoreVersion): void {
-        highestRevision = Math.max(highestRevision, revision);
+        highestVersion = newerOf(highestVersion, { era, revision });
         removals.delete(id);
         removals.set(id, { era, revision });
         const oldest = removals.keys().next().value;
@@ -158,7 +188,7 @@
     function remove(record: EndpointRecord, changed: Set<string>): void {
         missingSince.delete(record.id);
         endpoints.delete(record.id);
-        removedRevisions.set(record.id, record.revision);
+        removedRecords.set(record.id, record);
         changed.add(record.group);
         log("endpoint removed", { endpoint: record.id, group: record.group });
     }
@@ -188,7 +218,7 @@
     return {
         applyEndpoints,
         applyRoutingTable,
-        highestRevision: () => highestRevision,
+        highestVersion: () => highestVersion,
         routingVersion: () => table?.version ?? 0,
         routingTable: () => table,
         routeOf: database => routes.get(database),
@@ -201,3 +231,8 @@
         onChange: listener => listeners.push(listener),
     };
 }
+
+function newerOf(left: StoreVersion, right: StoreVersion): StoreVersion {
+    const { era, revision } = compareStoreVersions(left, right) >= 0 ? left : right;
+    return { era, revision };
+}
--- a/src/directory/createDirectory/test.ts
+++ b/src/directory/createDirectory/test.ts
@@ -5,6 +5,7 @@
 import { createPopulatedDirectory } from "../../testing/createPopulatedDirectory/index.js";
 import { createRoute } from "../../testing/createRoute/index.js";
 import { directoryConstants } from "../constants.js";
+import type { EndpointRecord } from "../types/EndpointRecord.js";
 
 describe("createDirectory", () => {
     it("applies only newer routing tables, whichever process they come from", () => {
@@ -99,4 +100,54 @@
         });
         assert.deepEqual(directory.endpointsOf("orders").map(({ id }) => id), ["i-1"]);
     });
+
+    it("takes what the restored store says although its revisions are lower", () => {
+        const directory = createPopulatedDirectory(createManualClock(), []);
+        const apply = (record: EndpointRecord): void =>
+            directory.applyEndpoints({
+                isSnapshot: false,
+                version: record,
+                changes: [{ name: record.id, era: record.era, revision: record.revision, item: record }],
+            });
+        apply(createEndpointRecord({ era: 1, revision: 30, reportNumber: 4 }));
+        apply(createEndpointRecord({ era: 2, revision: 9, reportNumber: 11, isLeaving: true }));
+        assert.equal(directory.endpoint("i-1")?.isLeaving, true);
+        apply(createEndpointRecord({ id: "i-2", era: 2, revision: 10 }));
+        assert.ok(directory.endpoint("i-2") !== undefined);
+        assert.deepEqual(directory.highestVersion(), { era: 2, revision: 10 });
+    });
+
+    it("does not use a leaving endpoint again that the restored store holds as serving", () => {
+        const directory = createPopulatedDirectory(createManualClock(), []);
+        const list = (...records: readonly EndpointRecord[]): void =>
+            directory.applyEndpoints({
+                isSnapshot: true,
+                version: { era: records[0]!.era, revision: 50 },
+                changes: records.map(item => ({ name: item.id, era: item.era, revision: item.revision, item })),
+            });
+        const known = [
+            createEndpointRecord({ era: 1, revision: 30, reportNumber: 8, isLeaving: true }),
+            createEndpointRecord({ id: "i-2", era: 1, revision: 31, reportNumber: 8, isLeaving: true }),
+        ];
+        list(...known);
+        directory.applyEndpoints({
+            isSnapshot: false,
+            version: { era: 1, revision: 32 },
+            changes: [{ name: "i-2", era: 1, revision: 32, item: undefined }],
+        });
+        list(...known.map(record => ({ ...record, era: 2, revision: 4, reportNumber: 1, isLeaving: false })));
+        assert.equal(directory.endpoint("i-1")?.isLeaving, true);
+        assert.equal(directory.endpoint("i-2"), undefined);
+    });
+
+    it("keeps an endpoint that the store has dropped in an earlier era, when another VM reports that removal", async () => {
+        const clock = createManualClock();
+        const directory = createPopulatedDirectory(clock, [createEndpointRecord({ era: 2, revision: 4 })]);
+        directory.applyEndpoints({
+            isSnapshot: false,
+            changes: [{ name: "i-1", era: 1, revision: 32, item: undefined }],
+        });
+        await clock.advance(directoryConstants.missingRecordMilliseconds + directoryConstants.leavingMilliseconds);
+        assert.equal(directory.endpoint("i-1")?.isLeaving, false);
+    });
 });
--- a/src/directory/types/Directory.ts
+++ b/src/directory/types/Directory.ts
@@ -4,6 +4,7 @@
 import type { RecordRemoval } from "./RecordRemoval.js";
 import type { Route } from "./Route.js";
 import type { RoutingTable } from "./RoutingTable.js";
+import type { StoreVersion } from "./StoreVersion.js";
 
 /** The endpoints and routes that a VM knows. */
 export interface Directory {
@@ -13,8 +14,8 @@
     applyRoutingTable(table: RoutingTable): boolean;
     /** Version of the routing table in force; 0 before the first. */
     routingVersion(): number;
-    /** Highest known revision of an endpoint's record or of its removal. */
-    highestRevision(): number;
+    /** Newest version of the store that this VM knows of, from an endpoint's record, a removal or a whole list. */
+    highestVersion(): StoreVersion;
     routingTable(): RoutingTable | undefined;
     routeOf(database: string): Route | undefined;
     groupSettings(group: string): GroupSettings | undefined;
--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../clock/types/Clock.js";
+import { compareStoreVersions } from "../../directory/compareStoreVersions/index.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { StoreFreshness } from "../../directory/types/StoreFreshness.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
@@ -29,7 +30,7 @@
 }
 
 /** Versions of the directory that a VM has. */
-type KnownVersions = Pick<DirectoryUpdate, "routingVersion" | "endpointRevision">;
+type KnownVersions = Pick<DirectoryUpdate, "routingVersion" | "endpointVersion">;
 
 /** State of the failover duty that a VM reports when it answers a renewal. */
 type HolderState = Pick<RenewalAnswer, "isHolder" | "isCertain" | "holder">;
@@ -87,12 +88,12 @@
 
     /** Creates an update with the state that another VM lacks, or with versions only while its versions are unknown. */
     function createUpdate(known: KnownVersions | undefined): DirectoryUpdate {
-        const versions = { routingVersion: directory.routingVersion(), endpointRevision: directory.highestRevision() };
+        const versions = { routingVersion: directory.routingVersion(), endpointVersion: directory.highestVersion() };
         if (known === undefined) {
             return versions;
         }
         const lacksRoutes = versions.routingVersion > known.routingVersion;
-        const lacksEndpoints = versions.endpointRevision > known.endpointRevision;
+        const lacksEndpoints = compareStoreVersions(versions.endpointVersion, known.endpointVersion) > 0;
         return {
             ...versions,
             ...lacksRoutes ? { routingTable: directory.routingTable() } : {},
@@ -102,8 +103,8 @@
     }
 
     function applyAnswer(renewal: Renewal, answer: RenewalAnswer, sentAt: number): void {
-        const { routingVersion, endpointRevision } = answer;
-        answerer = { incarnation: target?.incarnation ?? "", versions: { routingVersion, endpointRevision } };
+        const { routingVersion, endpointVersion } = answer;
+        answerer = { incarnation: target?.incarnation ?? "", versions: { routingVersion, endpointVersion } };
         applyDirectoryUpdate(directory, answer);
         if (answer.newsAgeMilliseconds !== undefined) {
             freshness.applyAge(answer.newsAgeMilliseconds, sentAt);
--- a/src/duty/createRenewalExchange/test.ts
+++ b/src/duty/createRenewalExchange/test.ts
@@ -67,7 +67,7 @@
         assert.equal(holder.directory.endpoint("i-1"), undefined);
         renew();
         assert.equal(member.directory.endpoint("i-1"), undefined);
-        assert.equal(member.directory.highestRevision(), 9);
+        assert.deepEqual(member.directory.highestVersion(), { era: 0, revision: 9 });
     });
 
     it("sends the holder the state that a VM has read from the store", () => {
@@ -87,6 +87,28 @@
         assert.equal(member.directory.endpoint("i-1")?.revision, 12);
     });
 
+    it("sends endpoints of the restored store to a VM that knows a higher revision of an earlier era", () => {
+        const { holder, member, renew } = createPair();
+        const item = createEndpointRecord({ era: 2, revision: 3, reportNumber: 5, slots: 7 });
+        member.directory.applyEndpoints({
+            isSnapshot: false,
+            changes: [{
+                name: "i-9",
+                era: 1,
+                revision: 90,
+                item: createEndpointRecord({ id: "i-9", revision: 90, era: 1 }),
+            }],
+        });
+        renew();
+        holder.directory.applyEndpoints({
+            isSnapshot: false,
+            version: { era: 2, revision: 3 },
+            changes: [{ name: "i-1", era: 2, revision: 3, item }],
+        });
+        renew();
+        assert.equal(member.directory.endpoint("i-1")?.slots, 7);
+    });
+
     it("sends the age of the data read from the store", async () => {
         const { clock, holder, member, renew } = createPair();
         holder.freshness.recordAnswer("endpoints");
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -62,7 +62,7 @@
         isLeaving: z.boolean(),
         hasHeardHolder: z.boolean(),
         routingVersion: z.number(),
-        endpointRevision: z.number(),
+        endpointVersion: z.object(storeVersion),
         vmListVersion: z.number(),
         announcementSequence: z.number(),
         members: z.array(vm).optional(),
--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../clock/types/Clock.js";
+import { compareStoreVersions } from "../../directory/compareStoreVersions/index.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
@@ -20,10 +21,9 @@
     announced?: { readonly endpointId: string; readonly term: number; };
 }
 
-/** Marks an endpoint as not being the primary, although its record says so. */
+/** Marks an endpoint as not being the primary, although its record says so; a newer record ends it. */
 interface Disqualification {
-    /** Revision of the record; a newer record ends the disqualification. */
-    readonly revision: number;
+    readonly record: EndpointRecord;
     readonly until: number;
 }
 
@@ -80,17 +80,18 @@
         const termOf = ({ id }: EndpointRecord): number => termsAsPrimary.get(id) ?? 0;
         return directory.endpointsOf(group)
             .filter(endpoint => endpoint.isPrimary && !isDisqualified(endpoint))
-            .sort((left, right) => termOf(right) - termOf(left) || right.revision - left.revision)[0];
+            .sort((left, right) => termOf(right) - termOf(left) || compareStoreVersions(right, left))[0];
     }
 
     function isDisqualified(endpoint: EndpointRecord): boolean {
         const disqualification = disqualifications.get(endpoint.id);
-        return disqualification !== undefined && disqualification.revision >= endpoint.revision
+        return disqualification !== undefined && compareStoreVersions(disqualification.record, endpoint) >= 0
             && clock.now() < disqualification.until;
     }
 
-    function disqualify({ id, group, revision }: EndpointRecord): void {
-        disqualifications.set(id, { revision, until: clock.now() + primaryConstants.disqualifiedMilliseconds });
+    function disqualify(record: EndpointRecord): void {
+        const { id, group } = record;
+        disqualifications.set(id, { record, until: clock.now() + primaryConstants.disqualifiedMilliseconds });
         // The disqualification expires by itself; listeners that wait for a primary have to be notified then.
         void clock.sleep(primaryConstants.disqualifiedMilliseconds + 1).then(() => notify(group));
     }
