Take the fencing token from the version of the holder's record

Cause: the token was the record's number plus one, and the record went back; numbers of announcements and of the list of VMs lay in ranges of the token, so they would have been given twice as well. A holder whose record was lost counted as verified by a record that named another VM with a lower token. A restarted holder took the copy of its own record for the last one and did not wait for the holder that had followed it. The token is now the version of the record, era before revision, in one number: the store assigns no version twice, also when a late write lands at a revision that was assigned again. A holder is verified only by a record with its own token, creates the record again when it is lost, and waits for a predecessor's leases and orders unless it knows that there was none: at the first start of the installation, after an earlier process of itself by a record that was written in this era, or while it was in contact with all other VMs throughout. What holders number carries their token beside a count.

--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -2,8 +2,10 @@
 export const dutyConstants = {
     /** Name of the object in the platform's store that records the holder. */
     recordName: "failover",
-    /** Fencing token of the first holder. */
-    firstToken: 1,
+    /** Revisions of the store that belong to one era, in fencing tokens. */
+    revisionsPerEra: 2 ** 42,
+    /** Lower than any number that a holder assigns. */
+    noHolderNumber: { token: 0, count: 0 },
     /** Interval at which a host sends a renewal to the holder, in milliseconds; it needs a lease all the time. */
     renewalMilliseconds: 300,
     /** Interval at which any other VM sends a renewal to a relay, in milliseconds. */
@@ -53,10 +55,6 @@
      * milliseconds: any VM that was alive and not in contact would have taken over by then.
      */
     completeListMilliseconds: 6_000,
-    /** Size of the range of announcement sequence numbers that belongs to one token. */
-    announcementsPerToken: 1_000_000,
-    /** Size of the range of versions of the list of VMs that belongs to one token. */
-    versionsPerToken: 1_000_000,
     /** Interval at which the holder verifies itself in the store, in milliseconds. */
     verificationIntervalMilliseconds: 600,
     /** Shared by the VMs of one installation; access control relies on the platform's private network. */
--- a/src/duty/createAnnouncements/index.ts
+++ b/src/duty/createAnnouncements/index.ts
@@ -1,10 +1,13 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { chooseHigherNumber } from "../chooseHigherNumber/index.js";
+import { compareHolderNumbers } from "../compareHolderNumbers/index.js";
 import { dutyConstants } from "../constants.js";
 import type { Announcement } from "../types/Announcement.js";
+import type { HolderNumber } from "../types/HolderNumber.js";
 
 /** Newest announcement of each group known to a VM. */
 interface Announcements {
-    /** Starts the range of sequence numbers that belongs to a new token. */
+    /** Starts the sequence numbers of this VM as the holder with this token. */
     startToken(token: number): void;
     /** Assigns the next sequence number to an announcement of this VM, and applies it. */
     create(announcement: Omit<Announcement, "sequence">): Announcement;
@@ -16,9 +19,9 @@
      * Sequence number up to which this VM has the newest announcement of each group. An announcement that reached it
      * outside a renewal does not count, because an earlier one of another group may have been lost.
      */
-    completeSequence(): number;
+    completeSequence(): HolderNumber;
     /** Lists the newest announcement of each group, if its sequence number is higher than the given one. */
-    listAfter(sequence: number): readonly Announcement[];
+    listAfter(sequence: HolderNumber): readonly Announcement[];
 }
 
 /**
@@ -29,35 +32,36 @@
  * @returns The announcements; none is known yet.
  *
  * @example
- * announcements.apply({ sequence: 1_000_001, group: "orders", phase: AnnouncementPhase.Begun, term: 4 });
+ * announcements.apply({ sequence: { token: 1, count: 1 }, group: "orders", phase: AnnouncementPhase.Begun, term: 4 });
  */
 export function createAnnouncements(onNew: (announcement: Announcement) => void, log: LogTopic): Announcements {
     const newest = new Map<string, Announcement>();
-    let latestSequence = 0;
-    let completeSequence = 0;
-    let lastOwnSequence = 0;
+    let latestSequence: HolderNumber = dutyConstants.noHolderNumber;
+    let completeSequence: HolderNumber = dutyConstants.noHolderNumber;
+    let lastOwnSequence: HolderNumber = dutyConstants.noHolderNumber;
 
     function apply(announcement: Announcement): void {
         const { sequence, group, phase, term, endpointId } = announcement;
-        const knownSequence = newest.get(group)?.sequence ?? 0;
-        if (sequence < knownSequence) {
+        const knownSequence = newest.get(group)?.sequence ?? dutyConstants.noHolderNumber;
+        const order = compareHolderNumbers(sequence, knownSequence);
+        if (order < 0) {
             log("older announcement ignored", { group, phase, sequence, knownSequence });
         }
-        if (sequence <= knownSequence) {
+        if (order <= 0) {
             return;
         }
         log("announcement applied", { group, phase, sequence, latestSequence, term, endpoint: endpointId });
         newest.set(announcement.group, announcement);
-        latestSequence = Math.max(latestSequence, announcement.sequence);
+        latestSequence = chooseHigherNumber(latestSequence, sequence);
         onNew(announcement);
     }
 
     return {
         startToken: token => {
-            lastOwnSequence = token * dutyConstants.announcementsPerToken;
+            lastOwnSequence = { token, count: 0 };
         },
         create: announcement => {
-            lastOwnSequence += 1;
+            lastOwnSequence = { ...lastOwnSequence, count: lastOwnSequence.count + 1 };
             const numbered = { ...announcement, sequence: lastOwnSequence };
             apply(numbered);
             return numbered;
@@ -65,9 +69,10 @@
         apply,
         applyAnswer: answered => {
             answered.forEach(apply);
-            completeSequence = Math.max(completeSequence, ...answered.map(({ sequence }) => sequence));
+            completeSequence = answered.map(({ sequence }) => sequence).reduce(chooseHigherNumber, completeSequence);
         },
         completeSequence: () => completeSequence,
-        listAfter: sequence => [...newest.values()].filter(announcement => announcement.sequence > sequence),
+        listAfter: sequence =>
+            [...newest.values()].filter(announcement => compareHolderNumbers(announcement.sequence, sequence) > 0),
     };
 }
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -10,14 +10,19 @@
 import { createFleetView } from "../createFleetView/index.js";
 import { createGrantedLeases } from "../createGrantedLeases/index.js";
 import { createHolderVerification } from "../createHolderVerification/index.js";
+import { createKnownHolder } from "../createKnownHolder/index.js";
 import { createLease } from "../createLease/index.js";
 import { createRelayedMembers } from "../createRelayedMembers/index.js";
 import { createRenewalExchange } from "../createRenewalExchange/index.js";
 import { createTakeover } from "../createTakeover/index.js";
 import { createVmList } from "../createVmList/index.js";
+import { readOrCreateRecord } from "../readOrCreateRecord/index.js";
+import { toDutyHolder } from "../toDutyHolder/index.js";
 import type { Announcement } from "../types/Announcement.js";
 import type { Duty } from "../types/Duty.js";
 import type { DutyHolder } from "../types/DutyHolder.js";
+import type { HolderChange } from "../types/HolderChange.js";
+import { Predecessor } from "../types/Predecessor.js";
 import type { Renewal } from "../types/Renewal.js";
 import type { RenewalAnswer } from "../types/RenewalAnswer.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
@@ -33,6 +38,8 @@
     readonly freshness: StoreFreshness;
     /** This VM. */
     readonly self: VmIdentity;
+    /** Whether the whole installation starts for the first time, so that there was no holder before. */
+    readonly isFirstStart: boolean;
     /** Returns the client for calls to another VM. */
     readonly peerOf: (vm: VmIdentity) => VmPeer;
     /** Called with each new announcement. */
@@ -45,7 +52,8 @@
 /**
  * Creates a VM's part in the failover duty: its holder is the only VM that may change primaries.
  *
- * One object of the store records the holder; a VM that replaces it at its revision is the holder with a higher token.
+ * One object of the store records the holder; a VM that replaces it at its revision is the holder. The version of the record
+ * is the fencing token, which rises also when the store is restored from a copy: the era comes before the revision.
  * VMs that hold connections to endpoints need a lease, and send the holder several renewals a second. The other VMs of
  * a zone send fewer renewals, to a relay: one of the hosts of their zone. A host whose renewals are not answered, and
  * that finds no other host in contact with the holder, takes over; any other VM does so only much later. The holder
@@ -65,41 +73,42 @@
     const announcements = createAnnouncements(options.onAnnouncement, log);
     const exchange = createRenewalExchange({ ...options, vms, members: createRelayedMembers(clock), announcements });
     const attemptTakeover = createTakeover({ ...options, view, signal: end.signal });
+    const known = createKnownHolder(self, handleNewHolder, log);
+    const { heldToken } = known;
     const grantedLeases = createGrantedLeases(clock);
     const lease = createLease(clock);
-    const verification = createHolderVerification({ ...options, vms, view, heldToken, applyHolder });
+    const verification = createHolderVerification({
+        ...options,
+        vms,
+        view,
+        heldToken,
+        applyHolder: known.apply,
+        onRecordMissing: () => {
+            isRecordMissing = true;
+        },
+    });
     const delivery = createAnnouncementDelivery({ ...options, announcements, leases: grantedLeases, view, heldToken });
-    let knownHolder: DutyHolder | undefined;
     /** When the last renewal was sent that the holder answered. */
     let holderContactAt = -Infinity;
     const startedAt = clock.now();
     /** When the last renewal was sent that the holder or a relay answered. */
     let answeredAt = startedAt;
     let failedRenewals = 0;
+    let isRecordMissing = false;
     let isLeaving = false;
-    let isStopping = false;
-
-    function heldToken(): number | undefined {
-        const isHeld = knownHolder !== undefined && knownHolder.incarnation === self.incarnation && !isStopping;
-        return isHeld ? knownHolder!.token : undefined;
-    }
 
-    function applyHolder(holder: DutyHolder): void {
-        if (knownHolder !== undefined && holder.token <= knownHolder.token) {
+    function handleNewHolder({ wasSelf, isSelf, token, predecessor }: HolderChange): void {
+        failedRenewals = 0;
+        if (!isSelf) {
             return;
         }
-        const isFormerProcess = knownHolder?.name === self.name && holder.token === knownHolder.token + 1;
-        knownHolder = holder;
-        const isSelf = heldToken() !== undefined;
-        log("failover duty has a new holder", { holder: holder.name, token: holder.token, isSelf });
-        failedRenewals = 0;
-        if (isSelf) {
-            announcements.startToken(holder.token);
-            vms.startToken(holder.token);
-            if (holder.token > dutyConstants.firstToken) {
-                grantedLeases.startHolding(isFormerProcess);
-                verification.startHolding();
-            }
+        announcements.startToken(token);
+        vms.startToken(token);
+        // None of the VMs with which this one was in contact throughout can have been the holder meanwhile.
+        const hasStayed = wasSelf && verification.isInContactWithAll();
+        if (predecessor !== Predecessor.None && !hasStayed) {
+            grantedLeases.startHolding(predecessor === Predecessor.OwnFormerProcess);
+            verification.startHolding();
         }
     }
 
@@ -116,20 +125,24 @@
 
     /** Returns the pause before the next iteration, in milliseconds. */
     async function runIteration(): Promise<number> {
-        if (knownHolder === undefined) {
+        const holder = known.holder();
+        if (holder === undefined) {
             await readOrCreateHolder();
             return 0;
         }
         if (heldToken() !== undefined) {
             await verification.verify();
+            if (isRecordMissing) {
+                await readOrCreateHolder();
+            }
             return dutyConstants.verificationIntervalMilliseconds;
         }
-        if (knownHolder.name === self.name || isTakeoverDue()) {
-            await takeOver(knownHolder);
+        if (holder.name === self.name || isTakeoverDue()) {
+            await takeOver(holder);
             return dutyConstants.retryMilliseconds * random.next();
         }
         const wasHost = isHost();
-        await renew(chooseTarget(knownHolder));
+        await renew(chooseTarget(holder));
         if (failedRenewals > 0) {
             return dutyConstants.renewalRetryMilliseconds;
         }
@@ -141,14 +154,16 @@
     }
 
     async function readOrCreateHolder(): Promise<void> {
-        const record = await records.read(dutyConstants.recordName)
-            ?? await records.create(dutyConstants.recordName, { ...self, token: dutyConstants.firstToken });
-        applyHolder(record.content as DutyHolder);
+        // A restored store may have lost the record of a holder that still acts.
+        const isFirst = options.isFirstStart && known.holder() === undefined;
+        const { holder, isCreated } = await readOrCreateRecord(records, self, options.directory.highestVersion().era);
+        isRecordMissing = false;
+        known.apply(holder, isFirst && isCreated ? Predecessor.None : Predecessor.Unknown);
     }
 
     /** Whether this VM holds connections to endpoints; not before it knows the other VMs of its zone. */
     function isHost(): boolean {
-        return vms.version() > 0 && view.isHost();
+        return vms.isKnown() && view.isHost();
     }
 
     function isTakeoverDue(): boolean {
@@ -156,13 +171,13 @@
             return false;
         }
         // The holder counts other VMs as in contact while a relay hears them, so they leave the takeover to the hosts.
-        const isOrdinaryVm = vms.version() > 0 && !view.isHost();
+        const isOrdinaryVm = vms.isKnown() && !view.isHost();
         return !isOrdinaryVm || clock.now() - answeredAt >= dutyConstants.relayedTakeoverMilliseconds;
     }
 
     /** Chooses the VM that gets the next renewal: the next relay after each failure, and the holder after all relays. */
     function chooseTarget(holder: DutyHolder): VmIdentity {
-        const targets = vms.version() === 0 || view.isHost() ? [holder] : [...view.relays(), holder];
+        const targets = !vms.isKnown() || view.isHost() ? [holder] : [...view.relays(), holder];
         return targets[failedRenewals % targets.length]!;
     }
 
@@ -192,7 +207,7 @@
     /** Starts the lease that the holder granted; a log line reports a lease after a time without one. */
     function startLease({ name }: VmIdentity, { announcementSequence }: Renewal): void {
         if (!lease.isHeld()) {
-            log("lease obtained", { holder: name, token: knownHolder?.token, announcementSequence });
+            log("lease obtained", { holder: name, token: known.holder()?.token, announcementSequence });
         }
         lease.grant();
     }
@@ -202,53 +217,41 @@
             isHost: isHost(),
             isLeaving,
             hasHeardHolder: failedRenewals === 0 && holderContactAt > -Infinity,
-            token: knownHolder?.token ?? 0,
+            token: known.holder()?.token ?? 0,
         });
     }
 
     /** Fails when the answer is older than what this VM knows, or when the presumed holder no longer is the holder. */
     function checkAnswer(target: VmIdentity, { isHolder, holder }: RenewalAnswer): void {
-        const known = knownHolder!;
+        const presumed = known.holder()!;
         const token = holder?.token ?? 0;
-        if (target.name === known.name && !isHolder && token <= known.token) {
+        if (target.name === presumed.name && !isHolder && token <= presumed.token) {
             failedRenewals = dutyConstants.maximumFailedRenewals;
             throw new Error("the queried VM is no longer the holder");
         }
-        if (holder === undefined || token < known.token) {
-            throw new Error(`the queried VM knows only an older holder, token ${token} before ${known.token}`);
+        if (holder === undefined || token < presumed.token) {
+            throw new Error(`the queried VM knows only an older holder, token ${token} before ${presumed.token}`);
         }
-        applyHolder(holder);
+        known.apply(holder);
     }
 
     /** Attempts to become the holder, unless another host is in contact with the current one. */
     async function takeOver(holder: DutyHolder): Promise<void> {
-        const { record, isHolderAlive } = await attemptTakeover(holder);
-        if (isHolderAlive === true) {
+        const result = await attemptTakeover(holder);
+        if (result.isHolderAlive === true) {
             failedRenewals = 0;
             return;
         }
-        if (record === undefined) {
+        if (result.isRecordMissing === true) {
             await readOrCreateHolder();
             return;
         }
-        applyHolder(record.content as DutyHolder);
-        if (heldToken() !== undefined) {
-            notifyOfTakeover();
-        }
-    }
-
-    /** Notifies the hosts; the other VMs learn of the new holder from their relays. */
-    function notifyOfTakeover(): void {
-        for (const vm of view.hostVms().filter(({ name }) => name !== self.name)) {
-            options.peerOf(vm).notifyOfHolder(knownHolder!).catch((error: unknown) => {
-                log("VM could not be notified of the new holder", { vm: vm.name, reason: (error as Error).message });
-            });
-        }
+        known.apply(result.holder!, result.predecessor);
     }
 
     function answerRenewal(renewal: Renewal): RenewalAnswer {
         const isHolder = heldToken() !== undefined;
-        const state = { isHolder, isCertain: isCertain(), holder: knownHolder };
+        const state = { isHolder, isCertain: isCertain(), holder: known.holder() };
         if (isHolder) {
             grantedLeases.recordContact(renewal.vm, state.isCertain && renewal.isHost);
         }
@@ -261,7 +264,7 @@
     }
 
     function hasHolderContact(token: number): boolean {
-        return knownHolder?.token === token
+        return known.holder()?.token === token
             && failedRenewals === 0
             && clock.now() - holderContactAt < dutyConstants.holderContactMilliseconds;
     }
@@ -270,7 +273,7 @@
         heldToken,
         verify: verification.verify,
         otherVms: view.otherVms,
-        hostVms: () => vms.version() === 0 ? unknownVms : view.hostVms(),
+        hostVms: () => !vms.isKnown() ? unknownVms : view.hostVms(),
         isHost,
         isInContact: () => heldToken() !== undefined || failedRenewals === 0 && answeredAt > startedAt,
         hasLease: () => heldToken() === undefined ? lease.isHeld() : isCertain(),
@@ -278,16 +281,19 @@
         startGranting: grantedLeases.startGranting,
         ...delivery,
         answerRenewal,
-        readHolder: async () => (await records.read(dutyConstants.recordName))?.content as DutyHolder | undefined,
+        readHolder: async () => {
+            const record = await records.read(dutyConstants.recordName);
+            return record && toDutyHolder(record);
+        },
         hasHolderContact,
-        applyHolder,
+        applyHolder: holder => known.apply(holder),
         applyAnnouncement: announcements.apply,
         leave: () => {
             isLeaving = true;
         },
         start: async () => void runRenewalLoop(),
         stop: async () => {
-            isStopping = true;
+            known.release();
             end.abort();
         },
     };
--- a/src/duty/createHolderVerification/index.ts
+++ b/src/duty/createHolderVerification/index.ts
@@ -1,9 +1,9 @@
 import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { RecordStore } from "../../directory/types/RecordStore.js";
-import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { dutyConstants } from "../constants.js";
+import { toDutyHolder } from "../toDutyHolder/index.js";
 import type { DutyHolder } from "../types/DutyHolder.js";
 import type { FleetView } from "../types/FleetView.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
@@ -23,6 +23,8 @@
     readonly heldToken: () => number | undefined;
     /** Applies the holder that the store records. */
     readonly applyHolder: (holder: DutyHolder) => void;
+    /** Called when the store has no record of a holder. */
+    readonly onRecordMissing: () => void;
     readonly log: LogTopic;
 }
 
@@ -34,6 +36,8 @@
     verify(): Promise<number | undefined>;
     /** Whether no other VM can have become the holder and changed a primary. */
     isCertain(): boolean;
+    /** Whether all other VMs had recent contact with this one, so that none of them can have become the holder. */
+    isInContactWithAll(): boolean;
 }
 
 /**
@@ -70,8 +74,7 @@
         try {
             const record = await options.records.read(dutyConstants.recordName);
             isStoreAnswering = true;
-            logUnexpectedRecord(record);
-            return record?.content as DutyHolder | undefined;
+            return record && toDutyHolder(record);
         }
         catch (error) {
             isStoreAnswering = false;
@@ -79,19 +82,6 @@
         }
     }
 
-    function logUnexpectedRecord(record: VersionedRecord | undefined): void {
-        const recorded = record?.content as DutyHolder | undefined;
-        if (recorded?.token !== heldToken() || recorded?.incarnation !== self.incarnation) {
-            log("store records another holder than this VM", {
-                holder: recorded?.name,
-                recordedToken: recorded?.token,
-                token: heldToken(),
-                era: record?.era,
-                revision: record?.revision,
-            });
-        }
-    }
-
     /** Has some of the hosts that called this VM last read the record. */
     function readThroughOthers(): Promise<DutyHolder | undefined> {
         const contactAt = ({ name }: VmIdentity): number => vms.lastContactAt(name) ?? -Infinity;
@@ -113,16 +103,9 @@
     async function verify(): Promise<number | undefined> {
         const requestedAt = clock.now();
         const sinceRequest = startElapsedTimer(clock);
+        let holder: DutyHolder | undefined;
         try {
-            const holder = await readHolder();
-            if (holder !== undefined) {
-                options.applyHolder(holder);
-            }
-            if (heldToken() !== undefined) {
-                verifiedAt = requestedAt;
-                sinceVerification = sinceRequest;
-            }
-            return heldToken();
+            holder = await readHolder();
         }
         catch (error) {
             const hasContact = isInContactWithAll();
@@ -132,6 +115,20 @@
             });
             return hasContact ? heldToken() : undefined;
         }
+        if (holder === undefined) {
+            log("record of the holder is missing from the store", { token: heldToken() });
+            options.onRecordMissing();
+            return undefined;
+        }
+        options.applyHolder(holder);
+        // The store may have answered from before it was restored, and another VM may have read it before this one.
+        if (holder.token !== heldToken()) {
+            log("store records another holder than this VM", { ...holder, heldToken: heldToken() });
+            return undefined;
+        }
+        verifiedAt = requestedAt;
+        sinceVerification = sinceRequest;
+        return holder.token;
     }
 
     function isCertain(): boolean {
@@ -152,5 +149,6 @@
         },
         verify,
         isCertain,
+        isInContactWithAll,
     };
 }
--- a/src/duty/createHolderVerification/test.ts
+++ b/src/duty/createHolderVerification/test.ts
@@ -16,13 +16,14 @@
                     sleep: async () => {},
                     startTimer: () => () => {},
                 },
-                records: { read: async () => ({ content: holder, era: 0, revision: 1 }) },
+                records: { read: async () => ({ content: self, era: 0, revision: holder.token }) },
                 self,
                 vms: { isHolderInContactWithAll: () => isInContactWithAll, lastContactAt: () => undefined },
                 view: { hostVms: () => [] },
                 peerOf: () => assert.fail("no other VM is known"),
                 heldToken: () => holder.token,
                 applyHolder: () => {},
+                onRecordMissing: () => {},
                 log: () => {},
             });
             assert.equal(await verification.verify(), holder.token);
--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -4,6 +4,7 @@
 import type { StoreFreshness } from "../../directory/types/StoreFreshness.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { applyDirectoryUpdate } from "../applyDirectoryUpdate/index.js";
+import { compareHolderNumbers } from "../compareHolderNumbers/index.js";
 import { dutyConstants } from "../constants.js";
 import type { createAnnouncements } from "../createAnnouncements/index.js";
 import type { Announcement } from "../types/Announcement.js";
@@ -80,7 +81,7 @@
             ...state,
             vm: self,
             // A list of one zone is no start for the changes of all zones.
-            vmListVersion: state.isHost && !hasVmsOfAllZones ? 0 : vms.version(),
+            vmListVersion: state.isHost && !hasVmsOfAllZones ? dutyConstants.noHolderNumber : vms.version(),
             announcementSequence: announcements.completeSequence(),
             ...unreported === undefined ? {} : { members: unreported },
         };
@@ -149,8 +150,9 @@
 
     /** A relay sends nothing beyond what it has completely: the sender would count an announcement it lacks as known. */
     function listAnnouncements({ announcementSequence }: Renewal, { isHolder }: HolderState): readonly Announcement[] {
-        const limit = isHolder ? Infinity : announcements.completeSequence();
-        return announcements.listAfter(announcementSequence).filter(({ sequence }) => sequence <= limit);
+        const unknown = announcements.listAfter(announcementSequence);
+        const limit = announcements.completeSequence();
+        return isHolder ? unknown : unknown.filter(({ sequence }) => compareHolderNumbers(sequence, limit) <= 0);
     }
 
     function recordSender(renewal: Renewal, isHolder: boolean): void {
--- a/src/duty/createRenewalExchange/test.ts
+++ b/src/duty/createRenewalExchange/test.ts
@@ -6,6 +6,7 @@
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createPopulatedDirectory } from "../../testing/createPopulatedDirectory/index.js";
 import { createVmIdentity } from "../../testing/createVmIdentity/index.js";
+import { compareHolderNumbers } from "../compareHolderNumbers/index.js";
 import { createAnnouncements } from "../createAnnouncements/index.js";
 import { createRelayedMembers } from "../createRelayedMembers/index.js";
 import { createVmList } from "../createVmList/index.js";
@@ -153,9 +154,9 @@
         renew(relay);
         renew(ordinary);
         const known = ordinary.vms.version();
-        assert.ok(relay.vms.version() < known);
+        assert.ok(compareHolderNumbers(relay.vms.version(), known) < 0);
         renew(ordinary, relay, false);
-        assert.equal(ordinary.vms.version(), known);
+        assert.deepEqual(ordinary.vms.version(), known);
         assert.equal(ordinary.vms.list().length, 3);
     });
 });
--- a/src/duty/createTakeover/index.ts
+++ b/src/duty/createTakeover/index.ts
@@ -1,10 +1,15 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { RecordStore } from "../../directory/types/RecordStore.js";
 import type { VersionedRecord } from "../../directory/types/VersionedRecord.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { dutyConstants } from "../constants.js";
+import { toDutyHolder } from "../toDutyHolder/index.js";
 import type { DutyHolder } from "../types/DutyHolder.js";
 import type { FleetView } from "../types/FleetView.js";
+import { Predecessor } from "../types/Predecessor.js";
+import type { RecordedHolder } from "../types/RecordedHolder.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
 import type { VmPeer } from "../types/VmPeer.js";
 
@@ -23,8 +28,11 @@
 
 /** Result of an attempt to become the holder. */
 interface TakeoverResult {
-    /** The newest record of the holder; undefined when the record is missing or the holder stays. */
-    readonly record?: VersionedRecord;
+    /** The holder by the newest record; undefined when the record is missing or the holder stays. */
+    readonly holder?: DutyHolder;
+    /** The holder that this VM has replaced. */
+    readonly predecessor?: Predecessor;
+    readonly isRecordMissing?: boolean;
     /** Whether another VM is in contact with the holder, which stays. */
     readonly isHolderAlive?: boolean;
 }
@@ -39,7 +47,7 @@
  * @returns Attempts to replace the given holder.
  *
  * @example
- * const { record } = await attemptTakeover(knownHolder);
+ * const { holder } = await attemptTakeover(knownHolder);
  */
 export function createTakeover(options: TakeoverOptions): (holder: DutyHolder) => Promise<TakeoverResult> {
     const { clock, records, self, view, log } = options;
@@ -57,24 +65,52 @@
         return inContact.find(name => name !== undefined);
     }
 
+    /** Notifies the hosts of this VM as the holder; the other VMs learn of it from their relays. */
+    function notifyHosts(holder: DutyHolder): void {
+        for (const vm of view.hostVms().filter(({ name }) => name !== self.name)) {
+            options.peerOf(vm).notifyOfHolder(holder).catch((error: unknown) => {
+                log("VM could not be notified of the new holder", { vm: vm.name, reason: (error as Error).message });
+            });
+        }
+    }
+
+    /** A record that was not written in this era is a copy, and may not be the last that there was. */
+    function findPredecessor({ content, era }: VersionedRecord, replaced: VersionedRecord): Predecessor {
+        const { name, writtenInEra } = content as RecordedHolder;
+        return name === self.name && writtenInEra === era && replaced.era === era
+            ? Predecessor.OwnFormerProcess
+            : Predecessor.Unknown;
+    }
+
     return async holder => {
         await clock.sleep(rank(holder) * dutyConstants.rankDelayMilliseconds, options.signal);
         const record = await records.read(dutyConstants.recordName);
-        if (record === undefined || (record.content as DutyHolder).token > holder.token) {
-            return { record };
+        if (record === undefined) {
+            return { isRecordMissing: true };
+        }
+        const recorded = toDutyHolder(record);
+        if (recorded.token > holder.token) {
+            if (recorded.incarnation === self.incarnation) {
+                notifyHosts(recorded);
+            }
+            return { holder: recorded };
+        }
+        if (recorded.token < holder.token) {
+            throw createError(ErrorKind.PlatformUnavailable, "The store answered from before it was restored.", {
+                remedy: "Read the record again.",
+            });
         }
         const vmInContact = holder.name === self.name ? undefined : await findVmInContact(holder);
         if (vmInContact !== undefined) {
             log("another VM is in contact with the holder; no takeover", { holder: holder.name, vm: vmInContact });
             return { isHolderAlive: true };
         }
-        log("attempts to take over the failover duty", { from: holder.name, token: holder.token + 1 });
-        return {
-            record: await records.replace(
-                dutyConstants.recordName,
-                { ...self, token: holder.token + 1 },
-                record.revision,
-            ),
-        };
+        const { era, revision } = record;
+        log("attempts to take over the failover duty", { from: holder.name, token: holder.token, era, revision });
+        const content: RecordedHolder = { ...self, writtenInEra: era };
+        const replaced = await records.replace(dutyConstants.recordName, content, revision);
+        const newHolder = toDutyHolder(replaced);
+        notifyHosts(newHolder);
+        return { holder: newHolder, predecessor: findPredecessor(record, replaced) };
     };
 }
--- a/src/duty/createVmList/index.ts
+++ b/src/duty/createVmList/index.ts
@@ -1,5 +1,8 @@
 import type { Clock } from "../../clock/types/Clock.js";
+import { chooseHigherNumber } from "../chooseHigherNumber/index.js";
+import { compareHolderNumbers } from "../compareHolderNumbers/index.js";
 import { dutyConstants } from "../constants.js";
+import type { HolderNumber } from "../types/HolderNumber.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
 import type { VmList } from "../types/VmList.js";
 import type { VmListUpdate } from "../types/VmListUpdate.js";
@@ -9,7 +12,7 @@
     readonly vm: VmIdentity;
     isLive: boolean;
     /** Version of the list at which the VM, or whether it is alive, changed last. */
-    changedVersion: number;
+    changedVersion: HolderNumber;
     /** When the VM last called this one. */
     contactAt: number | undefined;
     /** When this VM last learned that the VM is alive. */
@@ -34,9 +37,9 @@
     const listed = new Map<string, ListedVm>();
     /** Members that each relay reported last. */
     const membersByRelay = new Map<string, readonly VmIdentity[]>();
-    let version = 0;
+    let version: HolderNumber = dutyConstants.noHolderNumber;
     /** Changes up to this version cannot be told apart, so a VM with an older version gets the whole list. */
-    let snapshotVersion = 0;
+    let snapshotVersion: HolderNumber = dutyConstants.noHolderNumber;
     let refreshedAt = -Infinity;
     let live: readonly VmIdentity[] = [];
     /** Time up to which no VM of `live` can have become silent for too long. */
@@ -46,7 +49,13 @@
         return entry.isLive ? Math.max(entry.seenAt, refreshedAt) : entry.seenAt;
     }
 
-    function markChanged(entry: ListedVm, isLive: boolean, changedVersion: number): void {
+    /** Assigns the next version to a change. */
+    function nextVersion(): HolderNumber {
+        version = { ...version, count: version.count + 1 };
+        return version;
+    }
+
+    function markChanged(entry: ListedVm, isLive: boolean, changedVersion: HolderNumber): void {
         entry.seenAt = seenAt(entry);
         entry.isLive = isLive;
         entry.changedVersion = changedVersion;
@@ -60,7 +69,7 @@
             entry = {
                 vm,
                 isLive: false,
-                changedVersion: 0,
+                changedVersion: dutyConstants.noHolderNumber,
                 contactAt: undefined,
                 seenAt: clock.now(),
                 holderContactAt: -Infinity,
@@ -68,8 +77,7 @@
             listed.set(vm.name, entry);
         }
         if (!entry.isLive) {
-            version += 1;
-            markChanged(entry, true, version);
+            markChanged(entry, true, nextVersion());
         }
         entry.seenAt = clock.now();
         return entry;
@@ -106,8 +114,7 @@
         const entry = listed.get(name);
         membersByRelay.delete(name);
         if (entry?.isLive === true) {
-            version += 1;
-            markChanged(entry, false, version);
+            markChanged(entry, false, nextVersion());
             // A VM that is stopping never becomes the holder.
             entry.holderContactAt = Infinity;
         }
@@ -123,11 +130,10 @@
             const silence = now - seenAt(entry);
             if (silence > removalMilliseconds) {
                 listed.delete(name);
-                snapshotVersion = Math.max(snapshotVersion, entry.changedVersion);
+                snapshotVersion = chooseHigherNumber(snapshotVersion, entry.changedVersion);
             }
             else if (entry.isLive && silence > contactTimeoutMilliseconds) {
-                version += 1;
-                markChanged(entry, false, version);
+                markChanged(entry, false, nextVersion());
             }
         }
         const liveEntries = [...listed.values()].filter(({ isLive }) => isLive);
@@ -136,14 +142,14 @@
         return live;
     }
 
-    function createUpdate(knownVersion: number, availabilityZone?: string): VmListUpdate | undefined {
+    function createUpdate(knownVersion: HolderNumber, availabilityZone?: string): VmListUpdate | undefined {
         list();
-        if (knownVersion >= version) {
+        if (compareHolderNumbers(knownVersion, version) >= 0) {
             return undefined;
         }
-        const isSnapshot = knownVersion < snapshotVersion;
+        const isSnapshot = compareHolderNumbers(knownVersion, snapshotVersion) < 0;
         const changed = [...listed.values()].filter(({ vm, changedVersion }) =>
-            (isSnapshot || changedVersion > knownVersion)
+            (isSnapshot || compareHolderNumbers(changedVersion, knownVersion) > 0)
             && (availabilityZone === undefined || vm.address.availabilityZone === availabilityZone)
         );
         return {
@@ -155,7 +161,7 @@
     }
 
     function applyUpdate(update: VmListUpdate): boolean {
-        if (update.version < version) {
+        if (compareHolderNumbers(update.version, version) < 0) {
             return false;
         }
         const names = new Set(update.vms.map(({ name }) => name));
@@ -186,7 +192,7 @@
 
     return {
         startToken: token => {
-            version = Math.max(version, token * dutyConstants.versionsPerToken);
+            version = chooseHigherNumber(version, { token, count: 0 });
             snapshotVersion = version;
         },
         recordContact,
@@ -194,6 +200,7 @@
         remove,
         list,
         version: () => version,
+        isKnown: () => compareHolderNumbers(version, dutyConstants.noHolderNumber) > 0,
         createUpdate,
         applyUpdate,
         refresh: () => {
--- a/src/duty/createVmList/test.ts
+++ b/src/duty/createVmList/test.ts
@@ -63,7 +63,7 @@
         vms.startToken(1);
         vms.recordContact(createVmIdentity("vm-1"), true);
         vms.recordContact(createVmIdentity("vm-2", { availabilityZone: "b" }), true);
-        assert.deepEqual(vms.createUpdate(0, "b")!.vms.map(({ name }) => name), ["vm-2"]);
+        assert.deepEqual(vms.createUpdate({ token: 0, count: 0 }, "b")!.vms.map(({ name }) => name), ["vm-2"]);
     });
 
     it("applies updates like the list that they come from, and refuses older ones", () => {
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -39,8 +39,10 @@
     reportNumber: z.number(),
     ...storeVersion,
 });
+/** Schema of a number that a holder assigned. */
+const holderNumber = z.object({ token: z.number(), count: z.number() });
 const announcement = z.object({
-    sequence: z.number(),
+    sequence: holderNumber,
     group: z.string(),
     phase: z.enum(AnnouncementPhase),
     term: z.number(),
@@ -63,8 +65,8 @@
         hasHeardHolder: z.boolean(),
         routingVersion: z.number(),
         endpointVersion: z.object(storeVersion),
-        vmListVersion: z.number(),
-        announcementSequence: z.number(),
+        vmListVersion: holderNumber,
+        announcementSequence: holderNumber,
         members: z.array(vm).optional(),
         routingTable: routingTable.optional(),
         endpoints: z.array(endpoint).optional(),
--- a/src/duty/types/Renewal.ts
+++ b/src/duty/types/Renewal.ts
@@ -1,4 +1,5 @@
 import type { DirectoryUpdate } from "./DirectoryUpdate.js";
+import type { HolderNumber } from "./HolderNumber.js";
 import type { VmIdentity } from "./VmIdentity.js";
 
 /** Request that a VM regularly sends to the holder of the failover duty, or to a relay of its availability zone. */
@@ -11,9 +12,9 @@
     /** Whether the holder answered the previous renewal of this VM. */
     readonly hasHeardHolder: boolean;
     /** Version of the list of VMs known to the sender. */
-    readonly vmListVersion: number;
+    readonly vmListVersion: HolderNumber;
     /** Sequence number up to which the sender has the newest announcement of each group. */
-    readonly announcementSequence: number;
+    readonly announcementSequence: HolderNumber;
     /** The VMs whose renewals the sender answers; left out when the holder already has this list. */
     readonly members?: readonly VmIdentity[];
 }
--- a/src/duty/types/VmList.ts
+++ b/src/duty/types/VmList.ts
@@ -1,3 +1,4 @@
+import type { HolderNumber } from "./HolderNumber.js";
 import type { VmIdentity } from "./VmIdentity.js";
 import type { VmListUpdate } from "./VmListUpdate.js";
 
@@ -13,9 +14,11 @@
     remove(name: string): void;
     /** The VMs that are alive; the same array as long as the list does not change. */
     list(): readonly VmIdentity[];
-    version(): number;
+    version(): HolderNumber;
+    /** Whether this VM has had any list. */
+    isKnown(): boolean;
     /** Creates the update for a VM that has a version of the list, or of its part for one availability zone. */
-    createUpdate(knownVersion: number, availabilityZone?: string): VmListUpdate | undefined;
+    createUpdate(knownVersion: HolderNumber, availabilityZone?: string): VmListUpdate | undefined;
     /** Applies an update from the holder or from a relay; returns false and changes nothing if it is older. */
     applyUpdate(update: VmListUpdate): boolean;
     /** Records that the sender of the last update still has this list. */
--- a/src/platform/readVmSettings/index.ts
+++ b/src/platform/readVmSettings/index.ts
@@ -15,6 +15,7 @@
     nodeName: z.string().min(1),
     zone: z.string(),
     region: z.string(),
+    bootstrap: z.boolean().default(false),
     zones: z.record(z.string(), z.string()).default({}),
     listen: z.object({ front: z.string(), ready: z.string(), control: z.string() }),
     limits: z.object({ cpuShare: z.number().positive(), cores: z.number().positive() }).default({
@@ -59,6 +60,7 @@
         availabilityZone: fields.zone,
         region: fields.region,
         regionsByZone: fields.zones,
+        isFirstStart: fields.bootstrap,
         callerAddress: addressOf(fields.listen.front),
         readinessAddress: addressOf(fields.listen.ready),
         peerAddress: addressOf(fields.listen.control),
--- a/src/platform/standIns/encodeVmSettings/index.ts
+++ b/src/platform/standIns/encodeVmSettings/index.ts
@@ -19,6 +19,7 @@
         zone: settings.availabilityZone,
         region: settings.region,
         zones: settings.regionsByZone,
+        bootstrap: settings.isFirstStart,
         listen: {
             front: formatAddress(settings.callerAddress),
             ready: formatAddress(settings.readinessAddress),
--- a/src/soak/startSoakVm/index.ts
+++ b/src/soak/startSoakVm/index.ts
@@ -50,6 +50,7 @@
         availabilityZone,
         region: "north",
         regionsByZone: Object.fromEntries(soakConstants.zones.map(zone => [zone, "north"])),
+        isFirstStart: true,
         callerAddress: addressOf(callerPort!),
         readinessAddress: addressOf(readinessPort!),
         peerAddress: addressOf(peerPort!),
@@ -63,9 +64,10 @@
     const unexpectedExits: string[] = [];
     const outputs: (() => string)[] = [];
     let running: SiteProcess | undefined;
+    let isFirstStart = true;
 
     function rewriteSettings(): void {
-        writeFileSync(settingsFile, encodeVmSettings(settings));
+        writeFileSync(settingsFile, encodeVmSettings({ ...settings, isFirstStart }));
     }
 
     function start(): void {
@@ -88,6 +90,8 @@
         const kill = setTimeout(() => ending?.signal("SIGKILL"), settings.graceMilliseconds);
         await ending?.exited;
         clearTimeout(kill);
+        isFirstStart = false;
+        rewriteSettings();
     }
 
     rewriteSettings();
--- a/src/testing/createDutyFleet/index.ts
+++ b/src/testing/createDutyFleet/index.ts
@@ -96,6 +96,7 @@
             directory: createPopulatedDirectory(clock, []),
             freshness: createStoreFreshness(clock),
             self: identity,
+            isFirstStart: true,
             peerOf: vm => peerOf(name, vm),
             onAnnouncement: announcement => announcements.push(announcement),
             log: () => {},
--- a/src/testing/createPrimaryFleet/index.ts
+++ b/src/testing/createPrimaryFleet/index.ts
@@ -48,6 +48,7 @@
         log = () => {},
     } = options;
     const clock = createManualClock();
+    const startedAt = clock.now();
     const random = createRandomSource(seed);
     const zones = zoneNames.slice(0, zoneCount);
     const history: HistoryEvent[] = [];
@@ -77,7 +78,13 @@
             return;
         }
         const availabilityZone = zones[names.indexOf(name) % zones.length]!;
-        const vm = startSimulatedVm({ name, availabilityZone, seed: random.nextInteger(2 ** 32), environment });
+        const vm = startSimulatedVm({
+            name,
+            availabilityZone,
+            seed: random.nextInteger(2 ** 32),
+            isFirstStart: clock.now() === startedAt,
+            environment,
+        });
         vms.set(name, vm);
         groups.forEach(group => void runSimulatedWriter(vm, group, environment));
     }
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -138,7 +138,7 @@
         waitForFormerOrders: async () => {},
         waitForLeases: async () => {},
         announce: async (announcement: Omit<Announcement, "sequence">) => {
-            const numbered = { ...announcement, sequence: announcements.length + 1 };
+            const numbered = { ...announcement, sequence: { token: 1, count: announcements.length + 1 } };
             announcements.push(numbered);
             applyAnnouncement(primaries, numbered);
             return [];
--- a/src/testing/createVmSettings/index.ts
+++ b/src/testing/createVmSettings/index.ts
@@ -16,6 +16,7 @@
         availabilityZone: "a",
         region: "north",
         regionsByZone: { a: "north", b: "north", c: "south" },
+        isFirstStart: true,
         callerAddress: addressOf(1),
         readinessAddress: addressOf(2),
         peerAddress: addressOf(3),
--- a/src/testing/primaryScenarios/deposedHolder/test.ts
+++ b/src/testing/primaryScenarios/deposedHolder/test.ts
@@ -18,7 +18,12 @@
         await fleet.clock.advance(1_000);
         await announcing;
 
-        const beginning = { sequence: 9_000_001, group: "orders", phase: AnnouncementPhase.Begun, term: 2 };
+        const beginning = {
+            sequence: { token: 9, count: 1 },
+            group: "orders",
+            phase: AnnouncementPhase.Begun,
+            term: 2,
+        };
         fleet.dutyOf(replaced).applyAnnouncement(beginning);
         assert.deepEqual(fleet.announcementsOf(replaced), [beginning]);
     });
--- a/src/testing/primaryScenarios/restoredStore/test.ts
+++ b/src/testing/primaryScenarios/restoredStore/test.ts
@@ -13,6 +13,15 @@
     fleet.store.isAvailable = true;
 }
 
+/** Advances the simulation until a result is there. */
+async function advanceUntil<Result>(
+    fleet: ReturnType<typeof createPrimaryFleet>,
+    result: Promise<Result>,
+): Promise<Result> {
+    await fleet.clock.advance(1_000);
+    return await result;
+}
+
 describe("a store that is restored from a copy", () => {
     it("leads to no fencing token that was used before the restore, although no VM remembers it", async () => {
         const fleet = createPrimaryFleet({ groups: ["orders"] });
@@ -69,4 +78,54 @@
         }
         assert.deepEqual(findStaleWrites(fleet.history), []);
     });
+
+    it("takes no lease from callers' VMs while the holder keeps its record and its contact with all others", async () => {
+        const fleet = createPrimaryFleet();
+        await fleet.clock.advance(10_000);
+        const holder = fleet.holders()[0]!;
+        const token = fleet.vmOf(holder).duty.heldToken()!;
+        await restoreStore(fleet, 5_000);
+        for (let step = 0; step < 50; step += 1) {
+            await fleet.clock.advance(100);
+            assert.ok(fleet.names.every(name => fleet.vmOf(name).duty.hasLease()), `at ${fleet.clock.now()} ms`);
+        }
+        assert.deepEqual(fleet.holders(), [holder]);
+        assert.ok(fleet.vmOf(holder).duty.heldToken()! > token);
+    });
+
+    it("leaves one holder with a higher token when the record of the holder is lost", async () => {
+        const fleet = createPrimaryFleet();
+        await fleet.clock.advance(4_000);
+        const token = fleet.vmOf(fleet.holders()[0]!).duty.heldToken()!;
+        await restoreStore(fleet, 20_000);
+        await fleet.clock.advance(3_000);
+        assert.equal(fleet.holders().length, 1);
+        const { duty } = fleet.vmOf(fleet.holders()[0]!);
+        assert.ok(duty.heldToken()! > token);
+        assert.equal(await advanceUntil(fleet, duty.verify()), duty.heldToken());
+        fleet.endpoints.crash("orders-1");
+        await fleet.clock.advance(8_000);
+        assert.notEqual(fleet.endpoints.leaderOf("orders"), "orders-1");
+        assert.deepEqual(findTokenFaults(fleet.history), []);
+        assert.deepEqual(findStaleWrites(fleet.history), []);
+    });
+
+    it("gives no token twice when a late write replaces the record at a revision that was assigned twice", async () => {
+        const fleet = createPrimaryFleet({ groups: ["orders"] });
+        await fleet.clock.advance(4_000);
+        const [first, late] = fleet.names.filter(name => !fleet.holders().includes(name));
+        const lost = fleet.store.readRecord("failover")!;
+        await restoreStore(fleet, 20_000);
+        await fleet.clock.advance(2_000);
+        const { revision } = fleet.store.readRecord("failover")!;
+        const tokens = fleet.names.map(name => fleet.vmOf(name).duty.heldToken()).filter(token => token !== undefined);
+        fleet.store.writeRecord("failover", { ...lost.content as object, name: late, incarnation: first }, revision);
+        await fleet.clock.advance(12_000);
+        const next = fleet.vmOf(fleet.holders()[0]!).duty.heldToken()!;
+        assert.ok(tokens.every(token => token < next));
+        fleet.endpoints.crash(fleet.endpoints.leaderOf("orders"));
+        await fleet.clock.advance(8_000);
+        assert.deepEqual(findTokenFaults(fleet.history), []);
+        assert.deepEqual(findIdleGroups(fleet.history, fleet.groups, fleet.clock.now() - 2_000), []);
+    });
 });
--- a/src/testing/startSimulatedVm/index.ts
+++ b/src/testing/startSimulatedVm/index.ts
@@ -16,6 +16,8 @@
     readonly availabilityZone: string;
     /** Seed of the randomness of this run of the program. */
     readonly seed: number;
+    /** Whether the whole simulation starts. */
+    readonly isFirstStart: boolean;
     readonly environment: SimulatedEnvironment;
 }
 
@@ -29,7 +31,7 @@
  * const vm = startSimulatedVm({ name: "vm-1", availabilityZone: "a", seed: 1, environment });
  */
 export function startSimulatedVm(options: SimulatedVmOptions): SimulatedVm {
-    const { name, availabilityZone, seed } = options;
+    const { name, availabilityZone, seed, isFirstStart } = options;
     const waitForProcess = async (): Promise<void> => {
         await vm.suspension;
         if (!vm.isRunning) {
@@ -44,6 +46,7 @@
     const settings = createVmSettings({
         name,
         availabilityZone,
+        isFirstStart,
         peerAddress: { host: name, port: 1, availabilityZone },
     });
     const kernel = createKernel(listSimulatedServices({ environment, settings, clock, seed }));
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -92,6 +92,7 @@
                 records: store.records,
                 directory,
                 freshness,
+                isFirstStart: settings.isFirstStart,
                 self: { name, address: peerAddress, capacity, incarnation: `${random.nextInteger(2 ** 32)}` },
                 peerOf: createVmPeers(peers, clock),
                 onAnnouncement: announcement => applyAnnouncement(primaries, announcement),
--- a/src/vm/types/VmSettings.ts
+++ b/src/vm/types/VmSettings.ts
@@ -8,6 +8,8 @@
     readonly region: string;
     /** The region of each availability zone. */
     readonly regionsByZone: Readonly<Record<string, string>>;
+    /** Whether the whole installation starts for the first time. */
+    readonly isFirstStart: boolean;
     /** Address on which the VM accepts callers. */
     readonly callerAddress: Address;
     /** Address on which the VM answers the platform's readiness probe. */
