Refuse an unknown database only once the other VMs' routes are known

By reading, and shown by a test of the sessions that fails without it: a VM that starts after the store was restored, and before what it lost was written again, takes the older routing table and refuses databases that its neighbours serve. A session for a database without a route now waits until another VM has answered a renewal, which carries newer routes, or until the process is 1.5 s old; known databases are served at once, as before. The gauges of a VM moved to a function of their own.

--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -18,6 +18,8 @@
     readonly graceMilliseconds: number;
     /** Forwards sessions to other VMs; when left out, this VM serves all sessions itself. */
     readonly forwarding?: SessionForwarding;
+    /** Whether this VM knows the routes that other VMs know; not at once after its start. */
+    readonly hasNewestRoutes: () => boolean;
 }
 
 /** A command with the time at which it was received. */
@@ -141,6 +143,7 @@
                 });
                 return undefined;
             }
+            await waitForRoute(command.database);
             if (directory.routeOf(command.database) === undefined) {
                 log("session refused", { database: command.database, version: directory.routingVersion() });
                 connection.refuse({
@@ -163,6 +166,16 @@
             });
         }
 
+        /** A store that was restored may not hold a route yet that the other VMs know. */
+        function waitForRoute(database: string): Promise<boolean> {
+            const hasRoute = (): boolean => directory.routeOf(database) !== undefined;
+            return waitForCondition(() => hasRoute() || options.hasNewestRoutes(), {
+                clock,
+                timeoutMilliseconds: callerSessionConstants.directoryWaitMilliseconds,
+                pollingMilliseconds: callerSessionConstants.directoryPollingMilliseconds,
+            });
+        }
+
         function reportUnreadable(command: CallerCommand | undefined): void {
             if (command?.kind === CallerCommandKind.Unreadable) {
                 log("caller sent an unreadable command", { reason: command.reason });
--- a/src/callerSessions/createCallerSessions/test.ts
+++ b/src/callerSessions/createCallerSessions/test.ts
@@ -23,9 +23,12 @@
     statement: { kind: StatementKind.Read, text: "READ a" },
 };
 
-function createSite() {
+function createSite(hasNewestRoutes = () => true) {
     const clock = createManualClock();
-    const sessions = createCallerSessions(createSessionServices(clock, []), { graceMilliseconds });
+    const sessions = createCallerSessions(createSessionServices(clock, []), {
+        graceMilliseconds,
+        hasNewestRoutes,
+    });
 
     async function open(database = "shop") {
         const sent: string[] = [];
@@ -100,4 +103,20 @@
         assert.equal(sent[0], `refused ${FailureCode.UnknownDatabase}`);
         assert.equal(sent.at(-1), "closed");
     });
+
+    it("refuses a database that may be missing from a restored store only once other VMs' routes are known", async () => {
+        let hasNewestRoutes = false;
+        const { clock, open } = createSite(() => hasNewestRoutes);
+        const { sent } = await open("unknown");
+        await clock.advance(500);
+        assert.deepEqual(sent, []);
+        hasNewestRoutes = true;
+        await clock.advance(callerSessionConstants.directoryPollingMilliseconds);
+        assert.equal(sent[0], `refused ${FailureCode.UnknownDatabase}`);
+    });
+
+    it("opens a session for a known database although other VMs' routes are not known", async () => {
+        const { sent } = await createSite(() => false).open();
+        assert.deepEqual(sent, [`ready ${SessionState.Idle}`]);
+    });
 });
--- a/src/vm/constants.ts
+++ b/src/vm/constants.ts
@@ -2,4 +2,6 @@
 export const vmConstants = {
     /** Least number of VMs assumed to share an endpoint's connections; applies while fewer are known. */
     minimumAssumedVms: 8,
+    /** Time after its start in which a VM has exchanged routes with any other VM that answers, in milliseconds. */
+    routeExchangeMilliseconds: 1_500,
 } as const;
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -38,11 +38,13 @@
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { vmConstants } from "../constants.js";
+import { createRouteFreshness } from "../createRouteFreshness/index.js";
 import { createSettingsReload } from "../createSettingsReload/index.js";
 import { createVmServer } from "../createVmServer/index.js";
 import { listDutyServices } from "../listDutyServices/index.js";
 import { listForwardingServices } from "../listForwardingServices/index.js";
 import { openEndpoint } from "../openEndpoint/index.js";
+import { registerVmGauges } from "../registerVmGauges/index.js";
 import type { VmSettings } from "../types/VmSettings.js";
 
 /** Options of `listVmServices`. */
@@ -209,6 +211,7 @@
                 ServiceName.PrimaryVerification,
                 ServiceName.Placement,
                 ServiceName.SessionForwarding,
+                ServiceName.Duty,
                 ServiceName.Metrics,
                 ServiceName.Logger,
             ],
@@ -221,6 +224,7 @@
                 verification: PrimaryVerification,
                 placement: Placement,
                 forwarding: SessionForwarding,
+                duty: Duty,
                 metrics: Metrics,
                 logger: Logger,
             ) => {
@@ -240,7 +244,11 @@
                 };
                 return createCallerSessions(
                     { ...shared, renewal: createEvidenceRenewal(shared) },
-                    { graceMilliseconds: settings.graceMilliseconds, forwarding },
+                    {
+                        graceMilliseconds: settings.graceMilliseconds,
+                        forwarding,
+                        hasNewestRoutes: createRouteFreshness(clock, duty),
+                    },
                 );
             },
         },
@@ -263,17 +271,7 @@
                 duty: Duty,
                 logger: Logger,
             ) => {
-                metrics.registerGauge(
-                    "tarragonpost_hosted_sessions",
-                    "Open sessions of other VMs' callers.",
-                    sessionHost.count,
-                );
-                metrics.registerGauge("tarragonpost_sessions", "Open sessions.", sessions.count);
-                metrics.registerGauge(
-                    "tarragonpost_lease_held",
-                    "1 with a lease on the primaries.",
-                    () => duty.hasLease() ? 1 : 0,
-                );
+                registerVmGauges(metrics, { sessions, sessionHost, duty });
                 const { host } = settings.callerAddress;
                 return createMetricsServer({ host, port: options.metricsPort, metrics, log: logger.topic("metrics") });
             },
