--- a/src/platform/standIns/createPlatformStandIn/index.ts
+++ b/src/platform/standIns/createPlatformStandIn/index.ts
@@ -22,6 +22,8 @@
 }
 
 const connectionLimit = 21;
+/** Time after which endpoints report to the store again, in milliseconds. */
+const reportMilliseconds = 1_000;
 const idleTransactionMilliseconds = 3_000;
 
 /**
@@ -40,6 +42,9 @@
     const promotionOrders: PromotionOrder[] = [];
     const discardedEntries: LogEntry[] = [];
     const leavingIds = new Set<string>();
+    const unregisteredIds = new Set<string>();
+    let configuration: unknown;
+    let reportNumber = 0;
     const endpoints = await Promise.all(zones.map((_zone, index) =>
         createEndpointStandIn({
             id: `i-${index + 1}`,
@@ -74,6 +79,8 @@
     }
 
     function register(endpoint: EndpointStandIn): void {
+        unregisteredIds.delete(endpoint.id);
+        reportNumber += 1;
         store.put("servers", endpoint.id, {
             service: group,
             addr: `127.0.0.1:${registeredPorts.get(endpoint)}`,
@@ -83,11 +90,19 @@
             state: leavingIds.has(endpoint.id) ? "draining" : "ready",
             coldLeftMs: 0,
             dbRole: endpoint.isPrimary ? "primary" : "replica",
-            seq: 1,
+            seq: reportNumber,
             born: 1,
         });
     }
 
+    /** Writes what the operator and the endpoints know to be missing from a restored store. */
+    function writeAgain(): void {
+        endpoints.filter(({ id }) => !unregisteredIds.has(id)).forEach(register);
+        if (configuration !== undefined) {
+            store.put("config", "main", configuration);
+        }
+    }
+
     function replicate(primary: EndpointStandIn, entry: LogEntry): void {
         for (const replica of endpoints.filter(endpoint => endpoint !== primary)) {
             setTimeout(() => receive(replica, primary, entry), replica.lagMilliseconds);
@@ -146,13 +161,23 @@
         executedStatements,
         promotionOrders,
         promotionPort: (promotionServer.address() as { port: number; }).port,
-        configure: (version, routes) => store.put("config", "main", encodeConfiguration(group, version, routes)),
+        configure: (version, routes) => {
+            configuration = encodeConfiguration(group, version, routes);
+            store.put("config", "main", configuration);
+        },
+        restoreStore: ageMilliseconds => {
+            store.restoreCopy(ageMilliseconds);
+            setTimeout(writeAgain, reportMilliseconds);
+        },
         announceLeaving: endpoint => {
             leavingIds.add(endpoint.id);
             register(endpoint);
         },
         register,
-        unregister: endpoint => store.remove("servers", endpoint.id),
+        unregister: endpoint => {
+            unregisteredIds.add(endpoint.id);
+            store.remove("servers", endpoint.id);
+        },
         rejoin,
         findPrimary,
         discardedEntries,
--- a/src/platform/standIns/types/PlatformStandIn.ts
+++ b/src/platform/standIns/types/PlatformStandIn.ts
@@ -21,6 +21,11 @@
     register(endpoint: EndpointStandIn): void;
     /** Removes an endpoint's record, as the platform does with an unresponsive endpoint. */
     unregister(endpoint: EndpointStandIn): void;
+    /**
+     * Restores the store from a copy of this age. The operator and the endpoints write again what is missing, about a second
+     * later; the VMs' own records stay lost.
+     */
+    restoreStore(ageMilliseconds: number): void;
     /** Ends an endpoint's isolation; endpoints that are not isolated then follow the current primary. */
     rejoin(endpoint: EndpointStandIn): void;
     /** Returns the primary with the highest term. */
--- a/src/soak/constants.ts
+++ b/src/soak/constants.ts
@@ -28,6 +28,8 @@
     /** Minimum and maximum duration of a fault, in milliseconds. */
     minimumFaultMilliseconds: 100,
     maximumFaultMilliseconds: 4_000,
+    /** Age of the copy from which the store is restored, in milliseconds. */
+    copyAgeMilliseconds: 6_000,
     /** Delay of a link under a delay fault, in milliseconds. */
     linkDelayMilliseconds: 120,
     /** Replication lag of an endpoint under a lag fault, in milliseconds. */
--- a/src/soak/injectFault/index.ts
+++ b/src/soak/injectFault/index.ts
@@ -77,6 +77,13 @@
         site.platform.store.compact();
         return noCleanup;
     },
+    [FaultKind.StoreRestored]: ({ site }) => {
+        const endOutage = setStoreMode(site, StoreMode.Busy);
+        return async () => {
+            site.platform.restoreStore(soakConstants.copyAgeMilliseconds);
+            await endOutage();
+        };
+    },
     [FaultKind.EndpointKilled]: ({ site, endpoint }) => {
         if (endpoint.isIsolated) {
             return noCleanup;
--- a/src/soak/types/FaultKind.ts
+++ b/src/soak/types/FaultKind.ts
@@ -22,6 +22,8 @@
     StoreLosingAnswers = "StoreLosingAnswers",
     /** The store compacts its history of changes. */
     StoreCompacted = "StoreCompacted",
+    /** The store is away, and is restored from a copy some seconds old. */
+    StoreRestored = "StoreRestored",
     /** An endpoint is killed, and restarted later with its log. */
     EndpointKilled = "EndpointKilled",
     EndpointSilent = "EndpointSilent",
