--- a/src/model/searchTokens/index.ts
+++ b/src/model/searchTokens/index.ts
@@ -22,7 +22,7 @@
             revision: 0,
             record: noRecord,
             copy: { record: noRecord, revision: 0 },
-            writes: [null, null],
+            writes: [undefined, undefined],
             lastOrder: { token: 0, holder: 0 },
             isViolated: false,
         },
