Send endpoints to another VM once, also when the store was read at a version that no record has

The receiver now takes over the sender's version with the sender's records; removals of endpoints that the receiver does not know, which had this fault before, are sent once too. The new test fails without it.

--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -68,7 +68,7 @@
             }
         }
         completeVersion = newerOf(completeVersion, update.version ?? noVersion);
-        highestVersion = newerOf(highestVersion, completeVersion);
+        highestVersion = newerOf(newerOf(highestVersion, completeVersion), update.senderVersion ?? noVersion);
         notify(changed);
     }
 
--- a/src/directory/types/FeedUpdate.ts
+++ b/src/directory/types/FeedUpdate.ts
@@ -7,5 +7,7 @@
     readonly isSnapshot: boolean;
     /** Version of the store up to which the changes are complete; left out when another VM sent them. */
     readonly version?: StoreVersion;
+    /** Newest version of the store that the sending VM knows of; left out when the store sent the changes. */
+    readonly senderVersion?: StoreVersion;
     readonly changes: readonly FeedChange<Item>[];
 }
--- a/src/duty/applyDirectoryUpdate/index.ts
+++ b/src/duty/applyDirectoryUpdate/index.ts
@@ -11,13 +11,15 @@
  * applyDirectoryUpdate(directory, answer);
  */
 export function applyDirectoryUpdate(directory: Directory, update: DirectoryUpdate): void {
-    const { routingTable, endpoints, removals = [] } = update;
+    const { routingTable, endpoints, removals = [], endpointVersion } = update;
     if (routingTable !== undefined) {
         directory.applyRoutingTable(routingTable);
     }
     if (endpoints !== undefined) {
         directory.applyEndpoints({
             isSnapshot: false,
+            // All that the sender knows is in the update.
+            senderVersion: endpointVersion,
             changes: [
                 ...endpoints.map(item => ({ name: item.id, era: item.era, revision: item.revision, item })),
                 ...removals.map(({ id, era, revision }) => ({ name: id, era, revision, item: undefined })),
--- a/src/duty/createRenewalExchange/test.ts
+++ b/src/duty/createRenewalExchange/test.ts
@@ -110,6 +110,18 @@
         assert.equal(member.directory.endpoint("i-1")?.slots, 7);
     });
 
+    it("sends endpoints once when the sender has read the store at a version that no record has", () => {
+        const { holder, member, renew } = createPair();
+        const item = createEndpointRecord({ era: 2, revision: 3 });
+        holder.directory.applyEndpoints({
+            isSnapshot: true,
+            version: { era: 2, revision: 40 },
+            changes: [{ name: "i-1", era: 2, revision: 3, item }],
+        });
+        renew();
+        assert.deepEqual(member.directory.highestVersion(), holder.directory.highestVersion());
+    });
+
     it("sends the age of the data read from the store", async () => {
         const { clock, holder, member, renew } = createPair();
         holder.freshness.recordAnswer("endpoints");
