--- a/src/platform/standIns/createPlatformStandIn/index.ts
+++ b/src/platform/standIns/createPlatformStandIn/index.ts
@@ -174,6 +174,15 @@
             register(endpoint);
         },
         register,
+        registerUnused: (id, slots) =>
+            store.put("servers", id, {
+                service: "unused",
+                addr: "127.0.0.1:1",
+                zone: zones[0],
+                slots,
+                state: "ready",
+                dbRole: "replica",
+            }),
         unregister: endpoint => {
             unregisteredIds.add(endpoint.id);
             store.remove("servers", endpoint.id);
--- a/src/platform/standIns/types/PlatformStandIn.ts
+++ b/src/platform/standIns/types/PlatformStandIn.ts
@@ -21,6 +21,8 @@
     register(endpoint: EndpointStandIn): void;
     /** Removes an endpoint's record, as the platform does with an unresponsive endpoint. */
     unregister(endpoint: EndpointStandIn): void;
+    /** Registers an endpoint of another group that nobody can reach. */
+    registerUnused(id: string, slots: number): void;
     /**
      * Restores the store from a copy of this age. The operator and the endpoints write again what is missing, about a second
      * later; the VMs' own records stay lost.
--- a/src/vm/listVmServices/test.ts
+++ b/src/vm/listVmServices/test.ts
@@ -157,16 +157,9 @@
 });
 
 /** Raises the revision of the store by changes of an endpoint's number of slots. */
-function changeSlots({ store }: PlatformStandIn): void {
+function changeSlots(platform: PlatformStandIn): void {
     for (let slots = 1; slots <= changesOfSlots; slots += 1) {
-        store.put("servers", "i-9", {
-            service: "other",
-            addr: "127.0.0.1:1",
-            zone: "a",
-            slots,
-            state: "ready",
-            dbRole: "replica",
-        });
+        platform.registerUnused("i-9", slots);
     }
 }
 
