--- a/src/directory/followFeed/test.ts
+++ b/src/directory/followFeed/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { Clock } from "../../clock/types/Clock.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { directoryConstants } from "../constants.js";
@@ -9,6 +10,18 @@
 const watchMilliseconds = 1_800;
 const version = { era: 1, revision: 1 };
 
+function createOptions(clock: Clock, signal: AbortSignal): Parameters<typeof followFeed>[1] {
+    return {
+        clock,
+        random: createRandomSource(1),
+        signal,
+        watchMilliseconds: () => watchMilliseconds,
+        onFailure: () => {},
+        onAnswer: () => {},
+        onRestored: () => {},
+    };
+}
+
 describe("followFeed", () => {
     it("requests a prompt answer after a failure, and lists again when the history was dropped", async () => {
         const clock = createManualClock();
@@ -29,15 +42,7 @@
                 return watches === 2 ? { changes: [], ...version } : undefined;
             },
         };
-        const updates = followFeed(feed, {
-            clock,
-            random: createRandomSource(1),
-            signal: end.signal,
-            watchMilliseconds: () => watchMilliseconds,
-            onFailure: () => {},
-            onAnswer: () => {},
-            onRestored: () => {},
-        });
+        const updates = followFeed(feed, createOptions(clock, end.signal));
         assert.equal((await updates.next()).value?.isSnapshot, true);
         const second = updates.next();
         await clock.advance(directoryConstants.maximumRetryMilliseconds);
@@ -73,11 +78,7 @@
             },
         };
         const updates = followFeed(feed, {
-            clock,
-            random: createRandomSource(1),
-            signal: end.signal,
-            watchMilliseconds: () => watchMilliseconds,
-            onFailure: () => {},
+            ...createOptions(clock, end.signal),
             onAnswer: () => {
                 answers += 1;
             },
