--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec node "$(dirname "$0")/case.mjs"
--- a/review/standins/backend.mjs
+++ b/review/standins/backend.mjs
@@ -15,20 +15,23 @@
         heldTerm: 0,
         log: [],
         workMs: 1,
+        isDown: false,
+        isDeaf: false,
         position: () => backend.log.at(-1) ?? { term: 1, number: 0 },
     };
     const positionText = () => `${backend.position().term}.${backend.position().number}`;
+    /** Commits as the primary; resolves when as many replicas as the service asks for have received the commit. */
     function commit(writes) {
         const entry = { term: backend.term, number: backend.position().number + 1, writes };
         backend.log.push(entry);
-        onCommit(backend, entry);
+        return onCommit(backend, entry);
     }
     function readItem(item, pending) {
         const own = pending?.findLast(write => write.item === item);
         const committed = backend.log.findLast(entry => entry.writes.some(write => write.item === item));
         return (own ?? committed?.writes.findLast(write => write.item === item))?.data ?? "none";
     }
-    const server = createServer(socket => {
+    function serve(socket) {
         sockets.add(socket);
         socket.on("error", () => socket.destroy());
         socket.on("close", () => sockets.delete(socket));
@@ -101,7 +104,7 @@
             session.hasFailed = false;
             return succeed([], "-");
         }
-        function execute(messageId, text) {
+        async function execute(messageId, text) {
             const word = splitFields(text, 2)[0];
             const isWrite = word === "WRITE";
             const isPlain = session.transaction?.isReadOnly === false;
@@ -115,7 +118,7 @@
                 const ended = session.transaction;
                 session.transaction = undefined;
                 if ((ended?.writes.length ?? 0) > 0) {
-                    commit(ended.writes);
+                    await commit(ended.writes);
                 }
                 return succeed([], signature);
             }
@@ -125,7 +128,7 @@
             }
             const write = { item, data, id: messageId };
             if (session.transaction === undefined) {
-                commit([write]);
+                await commit([write]);
             }
             else {
                 session.transaction.writes.push(write);
@@ -203,13 +206,21 @@
                 void drain();
             }
         });
-    });
+    }
+    let server = createServer(serve);
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
     backend.port = server.address().port;
     backend.stop = () => {
+        backend.isDown = true;
         server.close();
         sockets.forEach(socket => socket.destroy());
     };
+    backend.restart = async () => {
+        server = createServer(serve);
+        server.listen(backend.port, "127.0.0.1");
+        await once(server, "listening");
+        backend.isDown = false;
+    };
     return backend;
 }
