--- a/review/standins/machine.mjs
+++ b/review/standins/machine.mjs
@@ -86,6 +86,7 @@
     const ports = [await findFreePort(host), await findFreePort(host), await findFreePort(host)];
     const machine = { name, host, zone, regions, ports, front: ports[0], starts: 0, ends: [], child: undefined, lastOutput: "" };
     let isStopping = false;
+    let isPlannedEnd = false;
     function start(isFirstStart) {
         const settings = join(folder, "node.toml");
         writeFileSync(settings, formatSettings(machine, platform, isFirstStart));
@@ -105,8 +106,11 @@
                 return;
             }
             const end = { machine: name, at: Date.now(), code, signal, output: machine.lastOutput };
-            machine.ends.push(end);
-            onEnd(end);
+            if (!isPlannedEnd) {
+                machine.ends.push(end);
+                onEnd(end);
+            }
+            isPlannedEnd = false;
             setTimeout(() => {
                 if (!isStopping) {
                     start(false);
@@ -142,6 +146,14 @@
             return 0;
         }
     };
+    /** Stops the program as planned: SIGTERM, SIGKILL after the grace time, and a start after that. */
+    machine.terminate = (graceMs = 6_000) => {
+        const { child } = machine;
+        isPlannedEnd = true;
+        child.kill("SIGTERM");
+        const kill = setTimeout(() => child.kill("SIGKILL"), graceMs);
+        child.once("exit", () => clearTimeout(kill));
+    };
     machine.stop = async () => {
         isStopping = true;
         const { child } = machine;
