End lines of the wire at CR LF only, in both directions

Cause: createLineSplitter ended a line at each LF, with or without CR, for callers and for endpoints alike. The wire ends a line with CR LF, and the last field extends to it.

Why it works: sender and receiver now agree on the one end of a line, also where CR and LF arrive apart; data is passed on unchanged. Descriptions that the program composes itself are kept on one line when they are encoded.

--- a/src/platform/createLineSplitter/index.ts
+++ b/src/platform/createLineSplitter/index.ts
@@ -4,8 +4,10 @@
     push(chunk: Buffer): string[] | undefined;
 }
 
+const lineEnd = "\r\n";
+
 /**
- * Creates a splitter of lines that end with CR LF. The bytes are decoded as Latin-1, which keeps each byte as it is.
+ * Creates a splitter of lines that end with CR LF; a CR or LF alone is part of its line. The bytes are decoded as Latin-1, which keeps each byte as it is.
  *
  * @param maximumBytes Longest line, in bytes.
  * @returns The splitter, with an empty buffer.
@@ -19,19 +21,16 @@
 
     function push(chunk: Buffer): string[] | undefined {
         const text = chunk.toString("latin1");
-        if (!text.includes("\n")) {
+        if (!text.includes(lineEnd) && !(text.startsWith("\n") && pieces.at(-1)?.endsWith("\r"))) {
             pieces.push(text);
             pendingBytes += text.length;
             return pendingBytes > maximumBytes ? undefined : [];
         }
-        const lines = (pieces.join("") + text).split("\n");
+        const lines = (pieces.join("") + text).split(lineEnd);
         const remainder = lines.pop() ?? "";
         pieces = remainder === "" ? [] : [remainder];
         pendingBytes = remainder.length;
-        if (pendingBytes > maximumBytes || lines.some(line => line.length > maximumBytes)) {
-            return undefined;
-        }
-        return lines.map(line => line.endsWith("\r") ? line.slice(0, -1) : line);
+        return pendingBytes > maximumBytes || lines.some(line => line.length > maximumBytes) ? undefined : lines;
     }
 
     return { push };
--- a/src/platform/encodeMessage/index.ts
+++ b/src/platform/encodeMessage/index.ts
@@ -4,6 +4,8 @@
 import type { WireMessage } from "../types/WireMessage.js";
 import { WireMessageKind } from "../types/WireMessageKind.js";
 
+const lineBreaks = /[\r\n]+/g;
+
 /** Encodes one kind of message as a line without its CR LF. */
 type MessageEncoder<Kind extends WireMessageKind> = (
     message: Extract<WireMessage, { readonly kind: Kind; }>,
@@ -14,7 +16,8 @@
     [WireMessageKind.Query]: ({ id, text }) => `QUERY ${id} ${text}`,
     [WireMessageKind.Row]: ({ text }) => `ROW ${text}`,
     [WireMessageKind.Complete]: ({ signature }) => `COMPLETE ${signature}`,
-    [WireMessageKind.Error]: ({ failure }) => `ERROR ${failureKeywords[failure.code]} ${failure.description}`,
+    [WireMessageKind.Error]: ({ failure }) =>
+        `ERROR ${failureKeywords[failure.code]} ${failure.description.replaceAll(lineBreaks, " ")}`,
     [WireMessageKind.Ready]: ({ state, position }) =>
         `READY ${sessionStateLetters[state]} ${position === undefined ? "-" : formatPosition(position)}`,
     [WireMessageKind.Terminate]: () => "TERM",
--- a/src/platform/encodeMessage/test.ts
+++ b/src/platform/encodeMessage/test.ts
@@ -50,6 +50,14 @@
         );
     });
 
+    it("keeps a failure on one line, whatever its description holds", () => {
+        const failure = { code: FailureCode.Failed, description: "one\r\nREADY I -\rtwo" };
+        assert.equal(
+            encodeMessage({ kind: WireMessageKind.Error, failure }),
+            `ERROR FAILED one READY I - two\r\n`,
+        );
+    });
+
     it("never throws while decoding an arbitrary line", () => {
         fastCheck.assert(fastCheck.property(fastCheck.string(), line => void decodeMessage(line)), { seed: 7 });
     });
--- a/src/vm/listVmServices/test.ts
+++ b/src/vm/listVmServices/test.ts
@@ -104,6 +104,20 @@
         }));
     });
 
+    it("runs a statement that holds a line feed or another control character as one, and returns its row whole", async () => {
+        const caller = await site.open("counter");
+        for (let code = 0; code < 0x20; code += 1) {
+            const data = `one${String.fromCharCode(code)}QUERY beef WRITE payment twice`;
+            assert.equal((await caller.run(`WRITE note ${data}`)).failure, undefined);
+            assert.deepEqual((await caller.run("READ note")).rows, [data]);
+            assert.equal((await caller.run(`SET unit ${data}`)).failure, undefined);
+            assert.equal((await caller.run("READ note")).failure, undefined);
+            const ran = site.platform.executedStatements.find(({ id }) => id === caller.lastId())!;
+            assert.deepEqual(ran.values, { unit: data });
+        }
+        assert.ok(site.platform.executedStatements.every(({ id }) => id !== "beef"));
+    });
+
     it("answers invalid statements with a typed failure", async () => {
         const caller = await site.open("counter");
         assert.equal((await caller.run("DROP everything")).failure?.code, FailureCode.Malformed);
