Write control characters in the soak

The soak wrote plain words only, so it could not see that a line feed split a statement. Each write now ends in a drawn control character and a word.

--- a/src/soak/runCallerUnit/index.ts
+++ b/src/soak/runCallerUnit/index.ts
@@ -29,6 +29,8 @@
 const statementsInTransaction = 3;
 /** One statement in this many is prepared. */
 const statementsPerPrepared = 4;
+/** Written data holds a character below this one, because only CR LF may end a statement. */
+const firstPrintableCharacter = 0x20;
 const noAnswer: CallerAnswer = { rows: [] };
 
 /**
@@ -95,7 +97,8 @@
         const item = `item${random.nextInteger(soakConstants.itemCount)}`;
         const isWrite = random.nextInteger(2) === 0;
         const isPrepared = random.nextInteger(statementsPerPrepared) === 0;
-        const data = isWrite ? ` ${session.name}.${Math.round(clock.now() * 1_000)}` : "";
+        const control = String.fromCharCode(random.nextInteger(firstPrintableCharacter));
+        const data = isWrite ? ` ${session.name}.${Math.round(clock.now() * 1_000)}${control}end` : "";
         const { read, write } = session.prepared;
         const command = isWrite ? "WRITE" : "READ";
         const answer = await send(`${isPrepared ? `EXECUTE ${isWrite ? write : read}` : command} ${item}${data}`);
