Answer every statement that was read before a stopping VM closes its session

Transactions that began 2.7 s after the signal were rolled back at 3.0 s without a word.

Cause: closeAll looked for idle sessions every 50 ms. A caller that sends its next statement within that pause was never seen idle, and nothing was ever refused during a stop.

Now the stop has phases (createGracefulStop): sessions close with the answer to their last statement; what comes too late to end is refused as not run; statements that wait for a connection are refused while their caller can still send them elsewhere; transactions get 0.65 of the grace time whenever they began, and their next statement is told that they were rolled back; what endpoints still run at 0.85 is answered truly: unknown if it may have taken effect, else aborted. A forwarded session is closed after its last answer, also when the host's end of the session arrives before it.

--- a/src/callerSessions/acquireConnection/index.ts
+++ b/src/callerSessions/acquireConnection/index.ts
@@ -50,7 +50,7 @@
 function acquireFrom(
     { route, session, expiresAt, excluded }: ConnectionRequest,
     needsPrimary: boolean,
-    { clock, placement }: SessionServices,
+    { clock, placement, stop }: SessionServices,
 ): Promise<AcquiredConnection> {
     const now = clock.now();
     return placement.acquire({
@@ -60,5 +60,6 @@
         expiresAt: now + callerSessionConstants.acquisitionShare * Math.max(expiresAt - now, 0),
         excluded,
         values: session.values,
+        signal: stop.waitsEnd,
     });
 }
--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -29,10 +29,20 @@
     evidenceTimeoutMilliseconds: 600,
     /** Time that idle sessions stay open during a stop, until new connections go to other VMs, in milliseconds. */
     idleCloseDelayMilliseconds: 2_300,
-    /** Share of the grace time after which open transactions are rolled back. */
-    transactionGraceShare: 0.5,
-    /** Share of the grace time after which all remaining sessions are closed. */
-    closeGraceShare: 0.85,
+    /** Share of the grace time after which idle sessions are closed at the latest. */
+    idleCloseGraceShare: 0.4,
+    /** Share of the grace time after which new sessions, statements and transactions are refused. */
+    refusalGraceShare: 0.45,
+    /** Share of the grace time after which statements that wait for a connection are refused. */
+    waitGraceShare: 0.6,
+    /** Share of the grace time after which open transactions are rolled back; callers are owed half. */
+    transactionGraceShare: 0.65,
+    /** Share of the grace time after which statements that endpoints still run are answered as unknown. */
+    answerGraceShare: 0.85,
+    /** Share of the grace time after which the stop waits for callers' connections no longer. */
+    closeGraceShare: 0.9,
+    /** Time that a connection has to send its first message during a stop, in milliseconds. */
+    stopOpenTimeoutMilliseconds: 500,
     /** Polling interval of the sessions during a stop, in milliseconds. */
     stopPollingMilliseconds: 50,
 } as const;
--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -1,8 +1,11 @@
 import type { SessionForwarding } from "../../forwarding/types/SessionForwarding.js";
+import { mayTakeEffect } from "../../statements/mayTakeEffect/index.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
+import type { StatementFailure } from "../../statements/types/StatementFailure.js";
+import { StatementKind } from "../../statements/types/StatementKind.js";
 import { createMailbox } from "../../waiting/createMailbox/index.js";
-import { waitForCondition } from "../../waiting/waitForCondition/index.js";
+import { admitSession } from "../admitSession/index.js";
 import { callerSessionConstants } from "../constants.js";
 import { createCallerSession } from "../createCallerSession/index.js";
 import type { CallerCommand } from "../types/CallerCommand.js";
@@ -11,6 +14,7 @@
 import type { CallerSession } from "../types/CallerSession.js";
 import type { CallerSessions } from "../types/CallerSessions.js";
 import type { SessionServices } from "../types/SessionServices.js";
+import { StopPhase } from "../types/StopPhase.js";
 
 /** Options of `createCallerSessions`. */
 interface CallerSessionsOptions {
@@ -22,6 +26,9 @@
     readonly hasNewestRoutes: () => boolean;
 }
 
+/** A statement of a caller. */
+type RunCommand = Extract<CallerCommand, { readonly kind: CallerCommandKind.Run; }>;
+
 /** A command with the time at which it was received. */
 interface ReceivedCommand {
     readonly command: CallerCommand;
@@ -30,18 +37,38 @@
 
 /** An open session. */
 interface OpenSession {
-    /** Whether a command is queued or running. */
-    isBusy: boolean;
+    readonly connection: CallerConnection;
+    readonly connectedAt: number;
+    /** Number of commands that are queued or running. */
+    unfinished: number;
+    /** The statement that is running. */
+    running: RunCommand | undefined;
+    /** Whether a statement was answered. */
+    hasAnswered: boolean;
+    /** Whether the stop has rolled back the session's transaction and reported it. */
+    isAborted: boolean;
+    /** Whether the end of the stop has answered all that the session had received. */
+    isCutOff: boolean;
     /** The caller's session; undefined until it is opened. */
     callerSession: CallerSession | undefined;
-    close(): void;
+    /** Removes the commands that are queued. */
+    drain(): readonly ReceivedCommand[];
 }
 
+const stopReason = "this VM is stopping";
+const notRun: StatementFailure = { code: FailureCode.Busy, description: stopReason };
+const aborted: StatementFailure = { code: FailureCode.Aborted, description: stopReason };
+const unknown: StatementFailure = {
+    code: FailureCode.OutcomeUnknown,
+    description: "this VM stopped before the endpoint had answered",
+};
+
 /**
  * Creates the callers' sessions of one VM, with one task per connection.
  *
  * During a graceful stop, sessions stay open until new connections go to other VMs; after that, each session is closed
- * as soon as it is idle. Open transactions have half of the grace time to end.
+ * with the answer to its last statement, or when it is idle. Transactions may end; what is received too late to end is
+ * refused as not run. Every statement that was read is answered before its connection is closed.
  *
  * @param services Services that run the statements.
  * @param options The grace time in milliseconds.
@@ -51,9 +78,8 @@
  * const listener = await listenForCallers(address, sessions.serve);
  */
 export function createCallerSessions(services: SessionServices, options: CallerSessionsOptions): CallerSessions {
-    const { clock, directory, log } = services;
+    const { clock, directory, stop, log } = services;
     const sessions = new Set<OpenSession>();
-    let stoppingSince: number | undefined;
 
     function serve(connection: CallerConnection): void {
         serveWith(connection, options.forwarding);
@@ -66,17 +92,21 @@
 
     function serveWith(connection: CallerConnection, forwarding: SessionForwarding | undefined): void {
         const commands = createMailbox<ReceivedCommand>(clock);
-        let unfinished = 0;
         const open: OpenSession = {
-            isBusy: false,
+            connection,
+            connectedAt: clock.now(),
+            unfinished: 0,
+            running: undefined,
+            hasAnswered: false,
+            isAborted: false,
+            isCutOff: false,
             callerSession: undefined,
-            close: () => connection.close(),
+            drain: commands.drain,
         };
         sessions.add(open);
         connection.onCommand(command => {
-            unfinished += 1;
-            open.isBusy = true;
-            if (unfinished > callerSessionConstants.maximumUnfinishedCommands) {
+            open.unfinished += 1;
+            if (open.unfinished > callerSessionConstants.maximumUnfinishedCommands) {
                 connection.close();
                 return;
             }
@@ -124,9 +154,26 @@
                     reportUnreadable(command);
                     return;
                 }
-                await session.handle({ id: command.id, statement: command.statement, receivedAt });
-                finishCommand();
+                await runStatement(session, command, receivedAt);
+                open.unfinished -= 1;
+                open.hasAnswered = true;
+                if (stop.phase() >= StopPhase.Draining && isIdle(open) && !isInTransaction(open)) {
+                    return;
+                }
+            }
+        }
+
+        async function runStatement(session: CallerSession, command: RunCommand, receivedAt: number): Promise<void> {
+            const refusal = findRefusal(open, command);
+            if (refusal !== undefined) {
+                log("statement refused: this VM is stopping", { id: command.id, code: refusal.code });
+                abort(open);
+                connection.sendFailure(refusal, SessionState.Idle);
+                return;
             }
+            open.running = command;
+            await session.handle({ id: command.id, statement: command.statement, receivedAt });
+            open.running = undefined;
         }
 
         async function openSession(): Promise<string | undefined> {
@@ -135,47 +182,16 @@
                 reportUnreadable(command);
                 return undefined;
             }
-            if (!await waitForRoutingTable()) {
-                log("session refused", { database: command.database, reason: "no routing table is known yet" });
-                connection.refuse({
-                    code: FailureCode.Busy,
-                    description: "this process has received no routing table yet",
-                });
-                return undefined;
-            }
-            await waitForRoute(command.database);
-            if (directory.routeOf(command.database) === undefined) {
-                log("session refused", { database: command.database, version: directory.routingVersion() });
-                connection.refuse({
-                    code: FailureCode.UnknownDatabase,
-                    description: "no route exists for this database",
-                });
+            const refusal = await admitSession(command.database, { ...services, ...options });
+            if (refusal !== undefined) {
+                connection.refuse(refusal);
                 return undefined;
             }
             connection.sendReady(SessionState.Idle, undefined);
-            finishCommand();
+            open.unfinished -= 1;
             return command.database;
         }
 
-        /** Waits for the first routing table: without one, every database would be refused as unknown. */
-        function waitForRoutingTable(): Promise<boolean> {
-            return waitForCondition(() => directory.routingVersion() > 0, {
-                clock,
-                timeoutMilliseconds: callerSessionConstants.directoryWaitMilliseconds,
-                pollingMilliseconds: callerSessionConstants.directoryPollingMilliseconds,
-            });
-        }
-
-        /** A store that was restored may not hold a route yet that the other VMs know. */
-        function waitForRoute(database: string): Promise<boolean> {
-            const hasRoute = (): boolean => directory.routeOf(database) !== undefined;
-            return waitForCondition(() => hasRoute() || options.hasNewestRoutes(), {
-                clock,
-                timeoutMilliseconds: callerSessionConstants.directoryWaitMilliseconds,
-                pollingMilliseconds: callerSessionConstants.directoryPollingMilliseconds,
-            });
-        }
-
         function reportUnreadable(command: CallerCommand | undefined): void {
             if (command?.kind === CallerCommandKind.Unreadable) {
                 log("caller sent an unreadable command", { reason: command.reason });
@@ -185,58 +201,100 @@
                 );
             }
         }
+    }
+
+    /** Returns the failure of a statement that the stop no longer lets run. */
+    function findRefusal(open: OpenSession, { statement }: RunCommand): StatementFailure | undefined {
+        const phase = stop.phase();
+        if (open.isAborted) {
+            return aborted;
+        }
+        if (!isInTransaction(open)) {
+            return phase >= StopPhase.Refusing ? notRun : undefined;
+        }
+        return phase >= StopPhase.Aborting && statement.kind !== StatementKind.Rollback ? aborted : undefined;
+    }
 
-        function finishCommand(): void {
-            unfinished -= 1;
-            open.isBusy = unfinished > 0;
+    /** Rolls back an open transaction for good; statements that the caller has sent on its behalf are not run. */
+    function abort(open: OpenSession): void {
+        if (isInTransaction(open)) {
+            open.isAborted = true;
+            open.callerSession?.end(stopReason);
         }
     }
 
     async function closeAll(): Promise<void> {
-        stoppingSince = clock.now();
-        const {
-            idleCloseDelayMilliseconds,
-            transactionGraceShare,
-            closeGraceShare,
-            stopPollingMilliseconds,
-        } = callerSessionConstants;
-        const grace = options.graceMilliseconds;
+        const { closeGraceShare, stopPollingMilliseconds } = callerSessionConstants;
+        const closesAt = clock.now() + closeGraceShare * options.graceMilliseconds;
         log("closing all sessions", { open: sessions.size });
-        let elapsed = 0;
-        while (elapsed < closeGraceShare * grace && (sessions.size > 0 || elapsed < idleCloseDelayMilliseconds)) {
+        stop.begin();
+        while (clock.now() < closesAt && (sessions.size > 0 || stop.phase() < StopPhase.Draining)) {
             await clock.sleep(stopPollingMilliseconds);
-            elapsed = clock.now() - stoppingSince;
-            if (elapsed >= transactionGraceShare * grace) {
-                forEachIdle(isInTransaction, endTransaction);
+            closeFinished();
+        }
+        log("end of the stop", { open: sessions.size });
+        sessions.forEach(({ connection }) => connection.close());
+    }
+
+    /** Closes the sessions that have nothing more to do in the present phase of the stop. */
+    function closeFinished(): void {
+        const phase = stop.phase();
+        for (const open of sessions) {
+            if (phase >= StopPhase.Ending) {
+                cutOff(open);
             }
-            if (elapsed >= idleCloseDelayMilliseconds) {
-                forEachIdle(session => !isInTransaction(session), session => session.close());
+            else if (phase >= StopPhase.Aborting && isIdle(open) && isInTransaction(open)) {
+                open.callerSession?.abandonTransaction(stopReason);
+            }
+            else if (phase >= StopPhase.Draining && isIdle(open) && !isInTransaction(open) && hasHadTime(open)) {
+                open.connection.close();
             }
         }
-        log("end of the stop; closing the sessions that are still open", { open: sessions.size });
-        sessions.forEach(session => session.close());
     }
 
-    function isInTransaction({ callerSession }: OpenSession): boolean {
-        return callerSession?.isInTransaction() === true;
+    /** Answers all that a session has received, and closes it. */
+    function cutOff(open: OpenSession): void {
+        if (open.isCutOff) {
+            return;
+        }
+        open.isCutOff = true;
+        const { connection, running } = open;
+        if (open.callerSession === undefined || isIdle(open) && isInTransaction(open)) {
+            // Not a complete answer: the caller is not waiting for a statement.
+            connection.refuse(open.callerSession === undefined ? notRun : aborted);
+        }
+        const wasInTransaction = isInTransaction(open);
+        if (running !== undefined) {
+            const state = wasInTransaction ? SessionState.InTransaction : SessionState.Idle;
+            const failure = mayTakeEffect(running.statement, state) ? unknown : aborted;
+            log("statement was still running at the end of the stop", { id: running.id, code: failure.code });
+            connection.sendFailure(failure, SessionState.Idle);
+        }
+        for (const { command } of open.drain()) {
+            if (command.kind === CallerCommandKind.Run) {
+                log("statement was still queued at the end of the stop", { id: command.id });
+                connection.sendFailure(wasInTransaction ? aborted : notRun, SessionState.Idle);
+            }
+        }
+        connection.close();
     }
 
-    function endTransaction(session: OpenSession): void {
-        session.callerSession?.abandonTransaction("this VM is stopping");
-        session.close();
+    function isInTransaction({ callerSession, isAborted }: OpenSession): boolean {
+        return !isAborted && callerSession?.isInTransaction() === true;
     }
 
-    function forEachIdle(isSelected: (session: OpenSession) => boolean, action: (session: OpenSession) => void): void {
-        for (const session of sessions) {
-            if (!session.isBusy && isSelected(session)) {
-                action(session);
-            }
-        }
+    /** Whether a session has answered a statement, or had enough time to send one. */
+    function hasHadTime({ hasAnswered, connectedAt }: OpenSession): boolean {
+        return hasAnswered || clock.now() - connectedAt >= callerSessionConstants.stopOpenTimeoutMilliseconds;
     }
 
     function describeWork(): readonly string[] {
-        return [`${sessions.size} sessions, ${[...sessions].filter(session => session.isBusy).length} of them busy`];
+        return [`${sessions.size} sessions, ${[...sessions].filter(open => !isIdle(open)).length} of them busy`];
     }
 
     return { serve, serveForwarded, count: () => sessions.size, closeAll, describeWork };
 }
+
+function isIdle({ unfinished }: OpenSession): boolean {
+    return unfinished === 0;
+}
--- a/src/callerSessions/retryAttempts/index.ts
+++ b/src/callerSessions/retryAttempts/index.ts
@@ -20,7 +20,7 @@
  * Attempts a statement with backoff until an attempt is final, the time limit has passed or no attempts are left.
  *
  * @param options The time limit, and the function that makes an attempt.
- * @param services Clock, source of randomness and metrics.
+ * @param services Clock, source of randomness, metrics, and the stop, after whose end of waits nothing is retried.
  * @returns The outcome of the last attempt.
  *
  * @example
@@ -28,9 +28,9 @@
  */
 export async function retryAttempts(
     options: RetryAttemptsOptions,
-    services: Pick<SessionServices, "clock" | "random" | "metrics">,
+    services: Pick<SessionServices, "clock" | "random" | "metrics" | "stop">,
 ): Promise<StatementOutcome> {
-    const { clock, random, metrics } = services;
+    const { clock, random, metrics, stop } = services;
     let last = createFailure(FailureCode.Busy, "no endpoint can serve the statement now");
     for (const pause of createRetryPauses(random)) {
         const { kind, outcome } = await options.attempt(last);
@@ -40,7 +40,7 @@
         last = outcome;
         metrics.countRetry(outcome.failure?.code);
         options.onRetryable(outcome);
-        if (clock.now() + pause >= options.expiresAt) {
+        if (clock.now() + pause >= options.expiresAt || stop.waitsEnd.aborted) {
             break;
         }
         await clock.sleep(pause);
--- a/src/callerSessions/retryAttempts/test.ts
+++ b/src/callerSessions/retryAttempts/test.ts
@@ -5,6 +5,7 @@
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createFailure } from "../createFailure/index.js";
+import { createGracefulStop } from "../createGracefulStop/index.js";
 import type { Attempt } from "../types/Attempt.js";
 import { AttemptKind } from "../types/AttemptKind.js";
 import { retryAttempts } from "./index.js";
@@ -16,6 +17,7 @@
     const clock = createManualClock();
     const remaining = [...attempts];
     const seen = { attempts: 0, retryable: 0 };
+    const stop = createGracefulStop(clock, 6_000);
     const outcome = retryAttempts({
         expiresAt,
         attempt: async () => {
@@ -25,8 +27,8 @@
         onRetryable: () => {
             seen.retryable += 1;
         },
-    }, { clock, random: createRandomSource(1), metrics: createMetrics() });
-    return { clock, seen, outcome };
+    }, { clock, random: createRandomSource(1), metrics: createMetrics(), stop });
+    return { clock, seen, outcome, stop };
 }
 
 describe("retryAttempts", () => {
@@ -42,4 +44,14 @@
         assert.equal((await outcome).failure?.code, FailureCode.Busy);
         assert.deepEqual(seen, { attempts: 1, retryable: 1 });
     });
+
+    it("starts no further attempt once a stop has ended the waits", async () => {
+        const { clock, seen, outcome, stop } = createSite([], 20_000);
+        stop.begin();
+        await clock.advance(3_650);
+        assert.equal((await outcome).failure?.code, FailureCode.Busy);
+        const { attempts } = seen;
+        await clock.advance(1_000);
+        assert.equal(seen.attempts, attempts);
+    });
 });
--- a/src/callerSessions/types/SessionServices.ts
+++ b/src/callerSessions/types/SessionServices.ts
@@ -8,6 +8,7 @@
 import type { PrimaryVerification } from "../../primaries/types/PrimaryVerification.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import type { EvidenceRenewal } from "./EvidenceRenewal.js";
+import type { GracefulStop } from "./GracefulStop.js";
 import type { PreparedNames } from "./PreparedNames.js";
 
 /** The services that callers' sessions need. */
@@ -21,6 +22,7 @@
     readonly placement: Placement;
     readonly renewal: EvidenceRenewal;
     readonly preparedNames: PreparedNames;
+    readonly stop: GracefulStop;
     readonly metrics: Metrics;
     readonly log: LogTopic;
 }
--- a/src/forwarding/createForwardedSession/index.ts
+++ b/src/forwarding/createForwardedSession/index.ts
@@ -5,9 +5,9 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { TypedError } from "../../errors/types/TypedError.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { mayTakeEffect } from "../../statements/mayTakeEffect/index.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
-import { mayTakeEffect } from "../mayTakeEffect/index.js";
 import type { ForwardedAnswer } from "../types/ForwardedAnswer.js";
 import type { HostedSession } from "../types/HostedSession.js";
 
@@ -52,10 +52,14 @@
     let local: CallerSession | undefined;
     let isBusy = false;
     let hasAnswered = false;
-    hosted.onClose(closeWhenIdle);
+    let isClosedByHost = false;
+    hosted.onClose(() => {
+        isClosedByHost = true;
+        closeWhenIdle();
+    });
 
     function closeWhenIdle(): void {
-        if (!isBusy) {
+        if (isClosedByHost && !isBusy && local === undefined) {
             log("host closed a session; the caller's connection is closed", { database, host: hostName, state });
             connection.close();
         }
@@ -76,6 +80,8 @@
             await handleLostHost(received, toTypedError(error));
         }
         isBusy = false;
+        // The host may report that it has closed the session before its last answer arrives.
+        closeWhenIdle();
     }
 
     async function handleLostHost(received: ReceivedStatement, error: TypedError): Promise<void> {
--- a/src/forwarding/createForwardedSession/test.ts
+++ b/src/forwarding/createForwardedSession/test.ts
@@ -77,6 +77,15 @@
         assert.equal(session.isInTransaction(), true);
     });
 
+    it("closes the caller's connection after the last answer when the host's end of the session arrives first", async () => {
+        const site = createSite(() => {
+            site.closeHosted();
+            return answerWith(SessionState.Idle);
+        });
+        await site.run(read);
+        assert.deepEqual(site.events.slice(-2), ["success Idle", "closed"]);
+    });
+
     it("serves the caller at this VM when the host has certainly not run the first statement", async () => {
         for (const kind of [Unreachable, NotFound]) {
             const { events, session, run } = createSite(() => failWith(kind));
--- a/src/forwarding/createHostLink/index.ts
+++ b/src/forwarding/createHostLink/index.ts
@@ -1,10 +1,10 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { mayTakeEffect } from "../../statements/mayTakeEffect/index.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import { forwardingConstants } from "../constants.js";
-import { mayTakeEffect } from "../mayTakeEffect/index.js";
 import type { ForwardedAnswer } from "../types/ForwardedAnswer.js";
 import type { ForwardingClient } from "../types/ForwardingClient.js";
 import type { HostedSession } from "../types/HostedSession.js";
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -139,6 +139,7 @@
         const waiter = createWaiter<AcquiredConnection>({
             clock,
             timeoutMilliseconds: request.expiresAt - clock.now(),
+            signal: request.signal,
             onTimeout: () => {
                 waiting.splice(waiting.indexOf(entry), 1);
             },
--- a/src/placement/types/PlacementRequest.ts
+++ b/src/placement/types/PlacementRequest.ts
@@ -8,6 +8,8 @@
     readonly priority: number;
     /** Time after which the request is refused, on the process's clock in milliseconds. */
     readonly expiresAt: number;
+    /** Ends the wait; the request is then refused. */
+    readonly signal?: AbortSignal;
     /** Ids of endpoints that are not used, because an earlier attempt failed there. */
     readonly excluded: ReadonlySet<string>;
     /** Session values that the connection needs; a connection that already has them is preferred. */
--- a/src/forwarding/mayTakeEffect/index.ts
+++ b/src/statements/mayTakeEffect/index.ts
@@ -1,6 +1,6 @@
-import { SessionState } from "../../statements/types/SessionState.js";
-import type { Statement } from "../../statements/types/Statement.js";
-import { StatementKind } from "../../statements/types/StatementKind.js";
+import { SessionState } from "../types/SessionState.js";
+import type { Statement } from "../types/Statement.js";
+import { StatementKind } from "../types/StatementKind.js";
 
 /** Statements that may change data outside a transaction. */
 const effectsOutsideTransaction: Partial<Record<StatementKind, true>> = {
--- a/src/forwarding/mayTakeEffect/test.ts
+++ b/src/statements/mayTakeEffect/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { SessionState } from "../../statements/types/SessionState.js";
-import { StatementKind } from "../../statements/types/StatementKind.js";
+import { SessionState } from "../types/SessionState.js";
+import { StatementKind } from "../types/StatementKind.js";
 import { mayTakeEffect } from "./index.js";
 
 const write = { kind: StatementKind.Write, text: "WRITE a b" } as const;
--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -1,3 +1,4 @@
+import { createGracefulStop } from "../../callerSessions/createGracefulStop/index.js";
 import { createPreparedNames } from "../../callerSessions/createPreparedNames/index.js";
 import type { SessionServices } from "../../callerSessions/types/SessionServices.js";
 import type { Clock } from "../../clock/types/Clock.js";
@@ -8,6 +9,8 @@
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createPopulatedDirectory } from "../createPopulatedDirectory/index.js";
 
+const graceMilliseconds = 6_000;
+
 /**
  * Creates the services of callers' sessions for tests: no connection is available, and primaries are verified.
  *
@@ -41,6 +44,7 @@
         },
         renewal: { renew: async () => {}, renewIfOld: () => {} },
         preparedNames: createPreparedNames(),
+        stop: createGracefulStop(clock, graceMilliseconds),
         metrics: createMetrics(),
         log: () => {},
         ...changes,
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -1,5 +1,6 @@
 import { createCallerSessions } from "../../callerSessions/createCallerSessions/index.js";
 import { createEvidenceRenewal } from "../../callerSessions/createEvidenceRenewal/index.js";
+import { createGracefulStop } from "../../callerSessions/createGracefulStop/index.js";
 import { createPreparedNames } from "../../callerSessions/createPreparedNames/index.js";
 import type { CallerSessions } from "../../callerSessions/types/CallerSessions.js";
 import { createSystemClock } from "../../clock/createSystemClock/index.js";
@@ -239,6 +240,7 @@
                     verification,
                     placement,
                     preparedNames,
+                    stop: createGracefulStop(clock, settings.graceMilliseconds),
                     metrics,
                     log,
                 };
