Hand over the failover duty before its holder stops, with no change under way

Cause: a VM that got SIGTERM kept the duty, began changes of primaries and exited in the middle of one. Its successor cannot know what was ordered and waits 4 s before it grants leases or changes anything.

Now a stopping VM begins no change, finishes the one under way, ends its part as the holder and names its successor in the record of the holder, at the revision of its own token. If the end of each order is known, the record says so, in the era of the store in which it is written; the successor then grants leases as soon as it has confirmed the primaries, and waits only for leases that were granted (1 s) before it changes one.

Why it works: the part as the holder ends before the record is written, so at no time do two act; a lost answer, a conflict or a restored store leave the successor with the long wait that any takeover has.

The tests of the hand-over, the departure and the coordinator's stop use calls that the code before does not have, so they fail there.

--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -2,6 +2,8 @@
 import type { Directory } from "../../directory/types/Directory.js";
 import type { RecordStore } from "../../directory/types/RecordStore.js";
 import type { StoreFreshness } from "../../directory/types/StoreFreshness.js";
+import { toTypedError } from "../../errors/toTypedError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { dutyConstants } from "../constants.js";
@@ -9,6 +11,7 @@
 import { createAnnouncements } from "../createAnnouncements/index.js";
 import { createFleetView } from "../createFleetView/index.js";
 import { createGrantedLeases } from "../createGrantedLeases/index.js";
+import { createHandOver } from "../createHandOver/index.js";
 import { createHolderVerification } from "../createHolderVerification/index.js";
 import { createKnownHolder } from "../createKnownHolder/index.js";
 import { createLease } from "../createLease/index.js";
@@ -16,6 +19,7 @@
 import { createRenewalExchange } from "../createRenewalExchange/index.js";
 import { createTakeover } from "../createTakeover/index.js";
 import { createVmList } from "../createVmList/index.js";
+import { findAnsweredHolder } from "../findAnsweredHolder/index.js";
 import { readOrCreateRecord } from "../readOrCreateRecord/index.js";
 import { toDutyHolder } from "../toDutyHolder/index.js";
 import type { Announcement } from "../types/Announcement.js";
@@ -88,6 +92,7 @@
         },
     });
     const delivery = createAnnouncementDelivery({ ...options, announcements, leases: grantedLeases, view, heldToken });
+    const handOver = createHandOver({ ...options, known, vms, view, leases: grantedLeases, signal: end.signal });
     /** When the last renewal was sent that the holder answered. */
     let holderContactAt = -Infinity;
     const startedAt = clock.now();
@@ -107,7 +112,7 @@
         // None of the VMs with which this one was in contact throughout can have been the holder meanwhile.
         const hasStayed = wasSelf && verification.isInContactWithAll();
         if (predecessor !== Predecessor.None && !hasStayed) {
-            grantedLeases.startHolding(predecessor === Predecessor.OwnFormerProcess);
+            grantedLeases.startHolding(predecessor);
             verification.startHolding();
         }
     }
@@ -137,6 +142,9 @@
             }
             return dutyConstants.verificationIntervalMilliseconds;
         }
+        if (holder.name === self.name && isLeaving) {
+            return dutyConstants.retryMilliseconds;
+        }
         if (holder.name === self.name || isTakeoverDue()) {
             await takeOver(holder);
             return dutyConstants.retryMilliseconds * random.next();
@@ -187,7 +195,7 @@
             lease.prepare();
             const renewal = createRenewal(target);
             const answer = await options.peerOf(target).renew(renewal);
-            checkAnswer(target, answer);
+            known.apply(findAnsweredHolder(known.holder()!, target, answer));
             answeredAt = sentAt;
             failedRenewals = 0;
             exchange.applyAnswer(renewal, answer, sentAt);
@@ -199,8 +207,10 @@
             }
         }
         catch (error) {
-            failedRenewals += 1;
-            log("lease renewal failed", { target: target.name, failedRenewals, reason: (error as Error).message });
+            const { message: reason, kind } = toTypedError(error);
+            // The queried VM answered that it is not the holder, so there is nothing to wait for.
+            failedRenewals = kind === ErrorKind.Conflict ? dutyConstants.maximumFailedRenewals : failedRenewals + 1;
+            log("lease renewal failed", { target: target.name, failedRenewals, reason });
         }
     }
 
@@ -221,20 +231,6 @@
         });
     }
 
-    /** Fails when the answer is older than what this VM knows, or when the presumed holder no longer is the holder. */
-    function checkAnswer(target: VmIdentity, { isHolder, holder }: RenewalAnswer): void {
-        const presumed = known.holder()!;
-        const token = holder?.token ?? 0;
-        if (target.name === presumed.name && !isHolder && token <= presumed.token) {
-            failedRenewals = dutyConstants.maximumFailedRenewals;
-            throw new Error("the queried VM is no longer the holder");
-        }
-        if (holder === undefined || token < presumed.token) {
-            throw new Error(`the queried VM knows only an older holder, token ${token} before ${presumed.token}`);
-        }
-        known.apply(holder);
-    }
-
     /** Attempts to become the holder, unless another host is in contact with the current one. */
     async function takeOver(holder: DutyHolder): Promise<void> {
         const result = await attemptTakeover(holder);
@@ -291,6 +287,7 @@
         leave: () => {
             isLeaving = true;
         },
+        handOver,
         start: async () => void runRenewalLoop(),
         stop: async () => {
             known.release();
--- a/src/duty/createGrantedLeases/index.ts
+++ b/src/duty/createGrantedLeases/index.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import { dutyConstants } from "../constants.js";
 import type { GrantedLeases } from "../types/GrantedLeases.js";
+import { Predecessor } from "../types/Predecessor.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
 
 /** A lease and when it was granted. */
@@ -19,7 +20,7 @@
  * const vms = leases.listPossibleVms(otherVms);
  */
 export function createGrantedLeases(clock: Clock): GrantedLeases {
-    const { leaseMilliseconds, verifiedMilliseconds } = dutyConstants;
+    const { formerOrdersMilliseconds, leaseMilliseconds, verifiedMilliseconds } = dutyConstants;
     const startedAt = clock.now();
     const leases = new Map<string, GrantedLease>();
     /** Time at which the last lease of the previous holder has ended. */
@@ -28,12 +29,22 @@
     let formerOrdersEndAt = -Infinity;
     let mayGrant = true;
 
-    function startHolding(isFormerProcess: boolean): void {
+    function startHolding(predecessor: Predecessor): void {
+        const now = clock.now();
         leases.clear();
         mayGrant = false;
+        formerLeasesEndAt = lastLeaseAt(predecessor) + leaseMilliseconds;
+        formerOrdersEndAt = predecessor === Predecessor.HandedOver
+            ? now
+            : (predecessor === Predecessor.OwnFormerProcess ? startedAt : now) + formerOrdersMilliseconds;
+    }
+
+    /** Time after which a predecessor grants no lease. */
+    function lastLeaseAt(predecessor: Predecessor): number {
         // An earlier process of this VM had ended when this one started.
-        formerLeasesEndAt = (isFormerProcess ? startedAt : clock.now() + verifiedMilliseconds) + leaseMilliseconds;
-        formerOrdersEndAt = (isFormerProcess ? startedAt : clock.now()) + dutyConstants.formerOrdersMilliseconds;
+        return predecessor === Predecessor.OwnFormerProcess
+            ? startedAt
+            : clock.now() + (predecessor === Predecessor.HandedOver ? 0 : verifiedMilliseconds);
     }
 
     function hasFormerLeases(): boolean {
--- a/src/duty/createGrantedLeases/test.ts
+++ b/src/duty/createGrantedLeases/test.ts
@@ -4,6 +4,7 @@
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createVmIdentity } from "../../testing/createVmIdentity/index.js";
 import { dutyConstants } from "../constants.js";
+import { Predecessor } from "../types/Predecessor.js";
 import { createGrantedLeases } from "./index.js";
 
 const { leaseMilliseconds, verifiedMilliseconds, formerOrdersMilliseconds } = dutyConstants;
@@ -36,7 +37,7 @@
         const clock = createManualClock();
         const leases = createGrantedLeases(clock);
         await clock.advance(leaseMilliseconds);
-        leases.startHolding(true);
+        leases.startHolding(Predecessor.OwnFormerProcess);
         leases.startGranting();
         assert.equal(leases.endOfLeases([]), formerOrdersMilliseconds);
         await clock.advance(formerOrdersMilliseconds - leaseMilliseconds - 1);
@@ -49,14 +50,14 @@
         const clock = createManualClock();
         const leases = createGrantedLeases(clock);
         assert.ok(leases.isGranting());
-        leases.startHolding(false);
+        leases.startHolding(Predecessor.Unknown);
         leases.startGranting();
         assert.equal(leases.isGranting(), false);
         await clock.advance(formerOrdersMilliseconds - 1);
         assert.equal(leases.isGranting(), false);
         await clock.advance(1);
         assert.ok(leases.isGranting());
-        leases.startHolding(false);
+        leases.startHolding(Predecessor.Unknown);
         await clock.advance(formerOrdersMilliseconds);
         assert.equal(leases.isGranting(), false);
     });
@@ -64,7 +65,7 @@
     it("lists all VMs while the previous holder's leases may last", async () => {
         const clock = createManualClock();
         const leases = createGrantedLeases(clock);
-        leases.startHolding(false);
+        leases.startHolding(Predecessor.Unknown);
         assert.deepEqual(leases.listPossibleVms([host, other]), [host, other]);
         assert.equal(leases.endOfLeases([other]), formerOrdersMilliseconds);
         await clock.advance(verifiedMilliseconds + leaseMilliseconds - 1);
@@ -75,9 +76,19 @@
 
     it("waits for all former leases, because the new holder may not know all VMs that have one", () => {
         const leases = createGrantedLeases(createManualClock());
-        leases.startHolding(false);
+        leases.startHolding(Predecessor.Unknown);
         leases.recordContact(other, false);
         assert.equal(leases.endOfLeases([]), formerOrdersMilliseconds);
         assert.equal(leases.endOfLeases([other]), formerOrdersMilliseconds);
     });
+
+    it("waits for the leases of a holder that handed over, but for no order of it", async () => {
+        const clock = createManualClock();
+        const leases = createGrantedLeases(clock);
+        leases.startHolding(Predecessor.HandedOver);
+        assert.equal(leases.isGranting(), false);
+        leases.startGranting();
+        assert.ok(leases.isGranting());
+        assert.equal(leases.endOfLeases([]), leaseMilliseconds);
+    });
 });
--- a/src/duty/createKnownHolder/index.ts
+++ b/src/duty/createKnownHolder/index.ts
@@ -38,7 +38,10 @@
         return known !== undefined && known.incarnation === self.incarnation && !isReleased ? known.token : undefined;
     }
 
-    function apply(holder: DutyHolder, predecessor = Predecessor.Unknown): void {
+    function apply(
+        holder: DutyHolder,
+        predecessor = holder.isHandedOver === true ? Predecessor.HandedOver : Predecessor.Unknown,
+    ): void {
         if (known !== undefined && holder.token <= known.token) {
             return;
         }
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -75,7 +75,7 @@
     }),
     token: z.number(),
     endpointId: z.string(),
-    holder: vm.extend({ token: z.number() }),
+    holder: vm.extend({ token: z.number(), isHandedOver: z.boolean().optional() }),
     announcement,
     command: z.object({ endpointId: z.string(), statements: z.array(statement), timeoutMilliseconds: z.number() }),
 } as const;
--- a/src/duty/toDutyHolder/index.ts
+++ b/src/duty/toDutyHolder/index.ts
@@ -17,7 +17,7 @@
  * const { token } = toDutyHolder(await records.replace(recordName, self, revision));
  */
 export function toDutyHolder({ content, era, revision }: VersionedRecord): DutyHolder {
-    const { name, address, capacity, incarnation } = content as RecordedHolder;
+    const { name, address, capacity, incarnation, writtenInEra, isHandedOver } = content as RecordedHolder;
     const token = era * dutyConstants.revisionsPerEra + revision;
     if (revision >= dutyConstants.revisionsPerEra || !Number.isSafeInteger(token)) {
         throw createError(
@@ -26,5 +26,7 @@
             { remedy: "Set up a new store." },
         );
     }
-    return { name, address, capacity, incarnation, token };
+    const holder = { name, address, capacity, incarnation, token };
+    // In a restored store, others may have held the duty since the record was written.
+    return isHandedOver === true && writtenInEra === era ? { ...holder, isHandedOver } : holder;
 }
--- a/src/duty/toDutyHolder/test.ts
+++ b/src/duty/toDutyHolder/test.ts
@@ -17,4 +17,11 @@
         assert.throws(() => tokenOf(1, 2 ** 43), /too high/u);
         assert.throws(() => tokenOf(2 ** 20, 1), /too high/u);
     });
+
+    it("reports a hand-over only from a record that was written in the store's present era", () => {
+        const record = { ...content, writtenInEra: 1, isHandedOver: true };
+        assert.equal(toDutyHolder({ content: record, era: 1, revision: 7 }).isHandedOver, true);
+        assert.equal(toDutyHolder({ content: record, era: 2, revision: 7 }).isHandedOver, undefined);
+        assert.equal(toDutyHolder({ content, era: 0, revision: 7 }).isHandedOver, undefined);
+    });
 });
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -53,6 +53,11 @@
     applyAnnouncement(announcement: Announcement): void;
     /** Reports with the next renewals that this VM is about to stop, so that the others no longer choose it as a host. */
     leave(): void;
+    /**
+     * Hands the duty over to another VM, because this one stops; it stays the holder when no other VM is in contact or
+     * the store does not answer. With `hasKnownEnds`, the end of each order of this holder is known.
+     */
+    handOver(hasKnownEnds: boolean): Promise<void>;
     start(): Promise<void>;
     stop(): Promise<void>;
 }
--- a/src/duty/types/DutyHolder.ts
+++ b/src/duty/types/DutyHolder.ts
@@ -4,4 +4,6 @@
 export interface DutyHolder extends VmIdentity {
     /** Fencing token; grows with each new holder. */
     readonly token: number;
+    /** Whether the previous holder handed the duty over, and no order of it or of an earlier holder can take effect. */
+    readonly isHandedOver?: boolean;
 }
--- a/src/duty/types/GrantedLeases.ts
+++ b/src/duty/types/GrantedLeases.ts
@@ -1,3 +1,4 @@
+import type { Predecessor } from "./Predecessor.js";
 import type { VmIdentity } from "./VmIdentity.js";
 
 /** The leases that the holder of the failover duty has granted. */
@@ -6,7 +7,7 @@
      * Begins a new record when this VM replaces another holder, or an earlier process of itself; no lease may be granted
      * yet.
      */
-    startHolding(isFormerProcess: boolean): void;
+    startHolding(predecessor: Predecessor): void;
     /** Allows leases, once every order of the previous holder has taken effect: the primary of each group is known. */
     startGranting(): void;
     /** Whether leases may be granted. */
--- a/src/kernel/types/ServiceName.ts
+++ b/src/kernel/types/ServiceName.ts
@@ -16,6 +16,7 @@
     EndpointProbe = "EndpointProbe",
     EndpointRequests = "EndpointRequests",
     EndpointStandIn = "EndpointStandIn",
+    Departure = "Departure",
     EntryReporter = "EntryReporter",
     Events = "Events",
     Failover = "Failover",
--- a/src/promotions/constants.ts
+++ b/src/promotions/constants.ts
@@ -31,6 +31,12 @@
     retryMilliseconds: 400,
     /** Time for which an unreachable superseded primary is repeatedly ordered to step down, in milliseconds. */
     stepDownMilliseconds: 10_000,
+    /** Share of the grace time that a stopping VM has to finish a change and to hand over the failover duty. */
+    departureGraceShare: 0.85,
+    /** Polling interval of a stopping VM, in milliseconds. */
+    departurePollingMilliseconds: 50,
+    /** Time for which a stopping VM that has just become the holder tries to confirm the primaries, in milliseconds. */
+    confirmationMilliseconds: 1_000,
     /** Pause between two orders to a superseded primary to step down, in milliseconds. */
     stepDownPauseMilliseconds: 300,
 } as const;
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -12,6 +12,7 @@
 import type { createPrimaryChange } from "../createPrimaryChange/index.js";
 import { ChangeReason } from "../types/ChangeReason.js";
 import { PrimaryDecision } from "../types/PrimaryDecision.js";
+import type { PromotionCoordinator } from "../types/PromotionCoordinator.js";
 
 /** Options of `createPromotionCoordinator`. */
 interface PromotionCoordinatorOptions {
@@ -59,12 +60,15 @@
  * @example
  * await createPromotionCoordinator(options).start();
  */
-export function createPromotionCoordinator(options: PromotionCoordinatorOptions) {
+export function createPromotionCoordinator(options: PromotionCoordinatorOptions): PromotionCoordinator {
     const { clock, directory, primaries, duty, end, log } = options;
     const watches = new Map<string, GroupWatch>();
     let watchedToken: number | undefined;
     /** Whether the holder with this token has announced the primary of each group, or need not. */
     let hasConfirmedAll = false;
+    let isLeaving = false;
+    /** Number of changes under way. */
+    let changeCount = 0;
 
     async function runCheckLoop(): Promise<void> {
         while (!end.signal.aborted) {
@@ -138,7 +142,7 @@
     async function replaceFailedPrimary(group: string, watch: GroupWatch): Promise<boolean> {
         const primary = primaries.primaryOf(group);
         const reason = await findChangeReason(group, watch, primary);
-        if (reason === undefined) {
+        if (reason === undefined || isLeaving) {
             return false;
         }
         await changePrimary(group, watch, primary, reason);
@@ -164,6 +168,9 @@
      */
     async function settle(group: string, watch: GroupWatch): Promise<boolean> {
         const decision = await options.decidePrimary(group);
+        if (decision === PrimaryDecision.Undecided && isLeaving) {
+            return false;
+        }
         if (decision === PrimaryDecision.Undecided) {
             await changePrimary(group, watch, undefined, ChangeReason.Undecided);
         }
@@ -183,6 +190,7 @@
     ): Promise<void> {
         // Until its end is announced, no lease vouches for a primary of the group.
         watch.isConfirmed = true;
+        changeCount += 1;
         try {
             await options.changePrimary(group, primary, reason);
             options.metrics.countPrimaryChange(true);
@@ -191,6 +199,9 @@
             options.metrics.countPrimaryChange(false);
             throw error;
         }
+        finally {
+            changeCount -= 1;
+        }
     }
 
     function watchOf(group: string): GroupWatch {
@@ -252,6 +263,11 @@
     }
 
     return {
+        leave: () => {
+            isLeaving = true;
+        },
+        isChanging: () => changeCount > 0,
+        hasUnknownEnds: () => directory.groups().some(primaries.isChangeUnfinished),
         start: async (): Promise<void> => void runCheckLoop(),
         stop: async (): Promise<void> => end.abort(),
     };
--- a/src/promotions/createPromotionCoordinator/test.ts
+++ b/src/promotions/createPromotionCoordinator/test.ts
@@ -186,4 +186,21 @@
         assert.equal(site.primaries.isChangeUnfinished(site.group), false);
         await site.coordinator.stop();
     });
+
+    it("begins no change as a stopping holder, and finishes the one that has begun", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        await site.coordinator.start();
+        site.register("i-1", { isLeaving: true });
+        await site.clock.advance(200);
+        site.coordinator.leave();
+        assert.ok(site.coordinator.isChanging());
+        await site.clock.advance(1_500);
+        assert.deepEqual(site.phases(), [Begun, Finished]);
+        assert.equal(site.coordinator.isChanging(), false);
+        assert.equal(site.coordinator.hasUnknownEnds(), false);
+        site.register(site.primary().id, { isLeaving: true });
+        await site.clock.advance(1_500);
+        assert.deepEqual(site.phases(), [Begun, Finished]);
+        await site.coordinator.stop();
+    });
 });
--- a/src/testing/createPrimaryFleet/index.ts
+++ b/src/testing/createPrimaryFleet/index.ts
@@ -1,4 +1,6 @@
+import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Departure } from "../../promotions/types/Departure.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createManualClock } from "../createManualClock/index.js";
 import { createSimulatedEndpoints } from "../createSimulatedEndpoints/index.js";
@@ -97,6 +99,11 @@
         }
     }
 
+    /** Tells the process of a VM to stop. */
+    function stop(name: string): void {
+        vms.get(name)?.kernel.get<Departure>(ServiceName.Departure).begin();
+    }
+
     /** Suspends the process of a VM for a time; it does not notice until it continues. */
     function suspend(name: string, milliseconds: number): void {
         const vm = vms.get(name);
@@ -119,6 +126,7 @@
         history,
         start,
         kill,
+        stop,
         suspend,
         vmOf: (name: string) => vms.get(name)!,
         /** The VMs that hold the failover duty, as far as they know. */
--- a/src/testing/drawFleetFaults/index.ts
+++ b/src/testing/drawFleetFaults/index.ts
@@ -27,6 +27,9 @@
 const maximumLinkDelayMilliseconds = 250;
 const maximumDurationMilliseconds = 6_000;
 const maximumCopyAgeMilliseconds = 15_000;
+/** Interval between the stops of a series, and the longest time from the signal to the end of a process. */
+const stopIntervalMilliseconds = 1_100;
+const maximumStopMilliseconds = 6_000;
 const lossProbability = 0.4;
 const stepProbability = 0.5;
 const maximumFaultsPerFailure = 5;
@@ -132,6 +135,18 @@
         return () => {};
     },
     [FleetFaultKind.HolderRestart]: fleet => restartVms(fleet, fleet.holders()),
+    [FleetFaultKind.VmStop]: (fleet, random) => {
+        const names = [...new Set([...random.next() < 0.7 ? fleet.holders() : [], ...drawVms(fleet, random)])];
+        names.forEach((name, index) => {
+            const stopsAt = fleet.clock.now() + index * stopIntervalMilliseconds;
+            fleet.at(stopsAt, () => fleet.stop(name));
+            fleet.at(stopsAt + random.next() * maximumStopMilliseconds, () => {
+                fleet.kill(name);
+                fleet.start(name);
+            });
+        });
+        return () => {};
+    },
     [FleetFaultKind.EndpointCrash]: (fleet, random) => {
         const id = drawEndpoint(fleet, random);
         fleet.endpoints.crash(id);
--- a/src/testing/types/FleetFaultKind.ts
+++ b/src/testing/types/FleetFaultKind.ts
@@ -32,6 +32,8 @@
     VmSuspension = "VmSuspension",
     /** The holder of the failover duty is killed and starts again. */
     HolderRestart = "HolderRestart",
+    /** Some VMs, often the holder of the failover duty first, are stopped one after the other and start again. */
+    VmStop = "VmStop",
     /** An endpoint is killed and starts again with its log. */
     EndpointCrash = "EndpointCrash",
     /** A replica is killed and starts again without its log. */
--- a/src/vm/createVmServer/index.ts
+++ b/src/vm/createVmServer/index.ts
@@ -3,6 +3,7 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { listenForCallers } from "../../platform/listenForCallers/index.js";
 import { serveReadiness } from "../../platform/serveReadiness/index.js";
+import type { Departure } from "../../promotions/types/Departure.js";
 import type { VmSettings } from "../types/VmSettings.js";
 
 /** Options of `createVmServer`. */
@@ -10,8 +11,7 @@
     readonly settings: VmSettings;
     readonly sessions: CallerSessions;
     readonly directory: Directory;
-    /** Called when the VM starts to stop, before its sessions are closed. */
-    readonly onStopping: () => void;
+    readonly departure: Pick<Departure, "begin" | "finish">;
     readonly log: LogTopic;
 }
 
@@ -26,14 +26,14 @@
  * Creates the caller server and the readiness probe of a VM. The VM is ready for new connections once routes and
  * endpoints are known, and until it is stopped.
  *
- * @param options Settings, sessions, directory and log.
+ * @param options Settings, sessions, directory, departure from the failover duty, and log.
  * @returns The server, not listening yet.
  *
  * @example
- * await createVmServer({ settings, sessions, directory, log }).start();
+ * await createVmServer({ settings, sessions, directory, departure, log }).start();
  */
 export function createVmServer(options: VmServerOptions): VmServer {
-    const { settings, sessions, directory, log } = options;
+    const { settings, sessions, directory, departure, log } = options;
     const stopFunctions: (() => void)[] = [];
     let isStopping = false;
     let wasReady = false;
@@ -59,8 +59,8 @@
 
     async function stop(): Promise<void> {
         isStopping = true;
-        options.onStopping();
-        await sessions.closeAll();
+        departure.begin();
+        await Promise.all([sessions.closeAll(), departure.finish()]);
         stopFunctions.forEach(stopServer => stopServer());
     }
 
--- /dev/null
+++ b/src/vm/defineSessionService/index.ts
@@ -0,0 +1,84 @@
+import { createCallerSessions } from "../../callerSessions/createCallerSessions/index.js";
+import { createEvidenceRenewal } from "../../callerSessions/createEvidenceRenewal/index.js";
+import { createGracefulStop } from "../../callerSessions/createGracefulStop/index.js";
+import { createPreparedNames } from "../../callerSessions/createPreparedNames/index.js";
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Directory } from "../../directory/types/Directory.js";
+import type { Duty } from "../../duty/types/Duty.js";
+import type { SessionForwarding } from "../../forwarding/types/SessionForwarding.js";
+import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
+import { ServiceName } from "../../kernel/types/ServiceName.js";
+import type { Logger } from "../../logging/types/Logger.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
+import type { Placement } from "../../placement/types/Placement.js";
+import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
+import type { Primaries } from "../../primaries/types/Primaries.js";
+import type { PrimaryVerification } from "../../primaries/types/PrimaryVerification.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
+import { createRouteFreshness } from "../createRouteFreshness/index.js";
+import type { VmSettings } from "../types/VmSettings.js";
+
+/**
+ * Defines the service that serves callers' sessions.
+ *
+ * @param settings Settings of the VM.
+ * @returns The definition of the service, for a kernel.
+ *
+ * @example
+ * const definitions = [defineSessionService(settings), ...listForwardingServices(settings)];
+ */
+export function defineSessionService(settings: VmSettings): ServiceDefinition {
+    return {
+        name: ServiceName.CallerSessions,
+        dependencies: [
+            ServiceName.Clock,
+            ServiceName.Random,
+            ServiceName.Directory,
+            ServiceName.Primaries,
+            ServiceName.PositionEvidence,
+            ServiceName.PrimaryVerification,
+            ServiceName.Placement,
+            ServiceName.SessionForwarding,
+            ServiceName.Duty,
+            ServiceName.Metrics,
+            ServiceName.Logger,
+        ],
+        create: (
+            clock: Clock,
+            random: RandomSource,
+            directory: Directory,
+            primaries: Primaries,
+            evidence: PositionEvidence,
+            verification: PrimaryVerification,
+            placement: Placement,
+            forwarding: SessionForwarding,
+            duty: Duty,
+            metrics: Metrics,
+            logger: Logger,
+        ) => {
+            const log = logger.topic("sessions");
+            const preparedNames = createPreparedNames();
+            const shared = {
+                clock,
+                random,
+                directory,
+                primaries,
+                evidence,
+                verification,
+                placement,
+                preparedNames,
+                stop: createGracefulStop(clock, settings.graceMilliseconds),
+                metrics,
+                log,
+            };
+            return createCallerSessions(
+                { ...shared, renewal: createEvidenceRenewal(shared) },
+                {
+                    graceMilliseconds: settings.graceMilliseconds,
+                    forwarding,
+                    hasNewestRoutes: createRouteFreshness(clock, duty),
+                },
+            );
+        },
+    };
+}
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -22,12 +22,14 @@
 import { createPromotionClient } from "../../platform/createPromotionClient/index.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { promotionConstants } from "../../promotions/constants.js";
+import { createDeparture } from "../../promotions/createDeparture/index.js";
 import { createEndpointControl } from "../../promotions/createEndpointControl/index.js";
 import { createEndpointProbe } from "../../promotions/createEndpointProbe/index.js";
 import { createPrimaryChange } from "../../promotions/createPrimaryChange/index.js";
 import { createPrimaryDecision } from "../../promotions/createPrimaryDecision/index.js";
 import { createPromotionCoordinator } from "../../promotions/createPromotionCoordinator/index.js";
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
+import type { PromotionCoordinator } from "../../promotions/types/PromotionCoordinator.js";
 import type { PromotionOrders } from "../../promotions/types/PromotionOrders.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { createPeers } from "../../transport/createPeers/index.js";
@@ -233,5 +235,22 @@
                 });
             },
         },
+        {
+            name: ServiceName.Departure,
+            dependencies: [
+                ServiceName.Clock,
+                ServiceName.Duty,
+                ServiceName.PromotionCoordinator,
+                ServiceName.Logger,
+            ],
+            create: (clock: Clock, duty: Duty, coordinator: PromotionCoordinator, logger: Logger) =>
+                createDeparture({
+                    clock,
+                    duty,
+                    coordinator,
+                    graceMilliseconds: settings.graceMilliseconds,
+                    log: logger.topic("duty"),
+                }),
+        },
     ];
 }
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -1,7 +1,3 @@
-import { createCallerSessions } from "../../callerSessions/createCallerSessions/index.js";
-import { createEvidenceRenewal } from "../../callerSessions/createEvidenceRenewal/index.js";
-import { createGracefulStop } from "../../callerSessions/createGracefulStop/index.js";
-import { createPreparedNames } from "../../callerSessions/createPreparedNames/index.js";
 import type { CallerSessions } from "../../callerSessions/types/CallerSessions.js";
 import { createSystemClock } from "../../clock/createSystemClock/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
@@ -15,7 +11,6 @@
 import type { StoreFreshness } from "../../directory/types/StoreFreshness.js";
 import type { WatchPolicy } from "../../directory/types/WatchPolicy.js";
 import type { Duty } from "../../duty/types/Duty.js";
-import type { SessionForwarding } from "../../forwarding/types/SessionForwarding.js";
 import type { SessionHost } from "../../forwarding/types/SessionHost.js";
 import type { SessionHosts } from "../../forwarding/types/SessionHosts.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
@@ -26,22 +21,20 @@
 import { createMetricsServer } from "../../metrics/createMetricsServer/index.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
 import { createPlacement } from "../../placement/createPlacement/index.js";
-import type { Placement } from "../../placement/types/Placement.js";
 import { createStoreClient } from "../../platform/createStoreClient/index.js";
 import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
 import { createPrimaryVerification } from "../../primaries/createPrimaryVerification/index.js";
-import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
-import type { PrimaryVerification } from "../../primaries/types/PrimaryVerification.js";
 import { queryEndpointRole } from "../../promotions/queryEndpointRole/index.js";
+import type { Departure } from "../../promotions/types/Departure.js";
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { vmConstants } from "../constants.js";
-import { createRouteFreshness } from "../createRouteFreshness/index.js";
 import { createSettingsReload } from "../createSettingsReload/index.js";
 import { createVmServer } from "../createVmServer/index.js";
+import { defineSessionService } from "../defineSessionService/index.js";
 import { listDutyServices } from "../listDutyServices/index.js";
 import { listForwardingServices } from "../listForwardingServices/index.js";
 import { openEndpoint } from "../openEndpoint/index.js";
@@ -201,59 +194,7 @@
                 log: logger.topic("primaries"),
             }),
         },
-        {
-            name: ServiceName.CallerSessions,
-            dependencies: [
-                ServiceName.Clock,
-                ServiceName.Random,
-                ServiceName.Directory,
-                ServiceName.Primaries,
-                ServiceName.PositionEvidence,
-                ServiceName.PrimaryVerification,
-                ServiceName.Placement,
-                ServiceName.SessionForwarding,
-                ServiceName.Duty,
-                ServiceName.Metrics,
-                ServiceName.Logger,
-            ],
-            create: (
-                clock: Clock,
-                random: RandomSource,
-                directory: Directory,
-                primaries: Primaries,
-                evidence: PositionEvidence,
-                verification: PrimaryVerification,
-                placement: Placement,
-                forwarding: SessionForwarding,
-                duty: Duty,
-                metrics: Metrics,
-                logger: Logger,
-            ) => {
-                const log = logger.topic("sessions");
-                const preparedNames = createPreparedNames();
-                const shared = {
-                    clock,
-                    random,
-                    directory,
-                    primaries,
-                    evidence,
-                    verification,
-                    placement,
-                    preparedNames,
-                    stop: createGracefulStop(clock, settings.graceMilliseconds),
-                    metrics,
-                    log,
-                };
-                return createCallerSessions(
-                    { ...shared, renewal: createEvidenceRenewal(shared) },
-                    {
-                        graceMilliseconds: settings.graceMilliseconds,
-                        forwarding,
-                        hasNewestRoutes: createRouteFreshness(clock, duty),
-                    },
-                );
-            },
-        },
+        defineSessionService(settings),
         ...listForwardingServices(settings),
         ...listDutyServices(settings),
         { name: ServiceName.Metrics, dependencies: [], create: createMetrics },
@@ -292,9 +233,14 @@
         },
         {
             name: ServiceName.VmServer,
-            dependencies: [ServiceName.CallerSessions, ServiceName.Directory, ServiceName.Duty, ServiceName.Logger],
-            create: (sessions: CallerSessions, directory: Directory, duty: Duty, logger: Logger) =>
-                createVmServer({ settings, sessions, directory, onStopping: duty.leave, log: logger.topic("front") }),
+            dependencies: [
+                ServiceName.CallerSessions,
+                ServiceName.Directory,
+                ServiceName.Departure,
+                ServiceName.Logger,
+            ],
+            create: (sessions: CallerSessions, directory: Directory, departure: Departure, logger: Logger) =>
+                createVmServer({ settings, sessions, directory, departure, log: logger.topic("front") }),
         },
     ];
 }
