Count the quorum of synchronous replicas from members that stay after a loss

Cause: the number of replicas that a successor's quorum is counted from came from the directory, which forgets a lost endpoint after 6 s; one answer was then enough. A replica that starts anew without its log, and a new holder that never saw the lost one, lead to the same.

Now the holder keeps the members of groups with synchronous replicas, by id and start of the process, records them in the store for the next holder, and forgets an absent one only when enough others have received all that the primary had after the loss was known.

Why it works: every acknowledged commit is on as many members as syncReplicas says, so the answers of all but that many, plus one, hold it; a member drops out of the count only when the others hold all that it may have had.

--- a/src/promotions/constants.ts
+++ b/src/promotions/constants.ts
@@ -37,6 +37,12 @@
     departurePollingMilliseconds: 50,
     /** Time for which a stopping VM that has just become the holder tries to confirm the primaries, in milliseconds. */
     confirmationMilliseconds: 1_000,
+    /** Name of the object in the platform's store that records the members of groups. */
+    membersRecordName: "members",
+    /** Pause before the record of members is read or written again after a failure, in milliseconds. */
+    membersRetryMilliseconds: 400,
+    /** Interval at which a group with absent members is checked, in milliseconds. */
+    memberCheckMilliseconds: 500,
     /** Pause between two orders to a superseded primary to step down, in milliseconds. */
     stepDownPauseMilliseconds: 300,
 } as const;
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -20,6 +20,7 @@
 import type { CandidateStatus } from "../types/CandidateStatus.js";
 import { ChangeReason } from "../types/ChangeReason.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
+import type { GroupMembers } from "../types/GroupMembers.js";
 import type { PromotionOrders } from "../types/PromotionOrders.js";
 import { waitForPromotion } from "../waitForPromotion/index.js";
 
@@ -33,6 +34,7 @@
     /** Name of this VM. */
     readonly vmName: string;
     readonly regionsByZone: Readonly<Record<string, string>>;
+    readonly members: Pick<GroupMembers, "countOf">;
     /** The primaries known to this VM. */
     readonly primaries: Pick<Primaries, "isChangeUnfinished" | "termOf">;
     /** Ends background tasks. */
@@ -214,21 +216,24 @@
                 return best;
             }
             if (clock.now() >= deadline) {
-                throw createError(ErrorKind.Unreachable, `No endpoint of ${change.group} can be promoted.`, {
-                    remedy: "Start another endpoint of the group.",
+                const { group } = change;
+                throw createError(ErrorKind.Unreachable, `No endpoint of ${group} can be promoted.`, {
+                    remedy:
+                        "Start another endpoint of the group; with synchronous replicas, wait for those that may hold "
+                        + "acknowledged commits, or accept their loss by a configuration without synchronous replicas.",
+                    details: { group, members: options.members.countOf(group) },
                 });
             }
             await clock.sleep(promotionConstants.pollingMilliseconds);
         }
     }
 
-    async function findBestCandidate({ group, currentPrimary, reason }: Change): Promise<CandidateStatus | undefined> {
-        const others = directory.endpointsOf(group).filter(endpoint => endpoint.id !== currentPrimary?.id);
-        const remaining = others.filter(endpoint => !endpoint.isLeaving);
-        const statuses = await Promise.all(remaining.map(queryStatus));
+    async function findBestCandidate({ group, currentPrimary }: Change): Promise<CandidateStatus | undefined> {
+        const others = directory.endpointsOf(group)
+            .filter(({ id, isLeaving }) => id !== currentPrimary?.id && !isLeaving);
+        const statuses = await Promise.all(others.map(queryStatus));
         return chooseSuccessor(statuses.filter(candidate => candidate !== undefined), {
-            // An undecided primary is one of the candidates.
-            replicas: reason === ChangeReason.Undecided ? others.length - 1 : others.length,
+            replicas: (options.members.countOf(group) ?? Infinity) - 1,
             synchronousReplicas: directory.groupSettings(group)?.synchronousReplicas ?? 0,
             preferredRegion: currentPrimary && options.regionsByZone[currentPrimary.address.availabilityZone],
             regionsByZone: options.regionsByZone,
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -11,6 +11,7 @@
 import { promotionConstants } from "../constants.js";
 import type { createPrimaryChange } from "../createPrimaryChange/index.js";
 import { ChangeReason } from "../types/ChangeReason.js";
+import type { GroupMembers } from "../types/GroupMembers.js";
 import { PrimaryDecision } from "../types/PrimaryDecision.js";
 import type { PromotionCoordinator } from "../types/PromotionCoordinator.js";
 
@@ -30,6 +31,7 @@
     readonly changePrimary: ReturnType<typeof createPrimaryChange>;
     /** Decides which endpoint is the primary when several claim to be it, or when the end of a change is unknown. */
     readonly decidePrimary: (group: string) => Promise<PrimaryDecision>;
+    readonly members: Pick<GroupMembers, "update">;
     readonly metrics: Pick<Metrics, "countPrimaryChange">;
     readonly log: LogTopic;
 }
@@ -102,6 +104,7 @@
             return;
         }
         watch.isBusy = true;
+        options.members.update(group);
         try {
             if (primaries.hasPrimaryConflict(group) || primaries.isChangeUnfinished(group)) {
                 if (!isSettlementDue(group, watch) || await settle(group, watch)) {
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -1,10 +1,12 @@
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { RecordStore } from "../../directory/types/RecordStore.js";
 import { applyAnnouncement } from "../../duty/applyAnnouncement/index.js";
 import type { Announcement } from "../../duty/types/Announcement.js";
 import { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
 import type { Duty } from "../../duty/types/Duty.js";
 import type { EndpointCommand } from "../../duty/types/EndpointCommand.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import { createGroupMembers } from "../../promotions/createGroupMembers/index.js";
 import { createPrimaryChange } from "../../promotions/createPrimaryChange/index.js";
 import { createPrimaryDecision } from "../../promotions/createPrimaryDecision/index.js";
 import { createPromotionCoordinator } from "../../promotions/createPromotionCoordinator/index.js";
@@ -16,6 +18,7 @@
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { createEndpointRecord } from "../createEndpointRecord/index.js";
 import { createManualClock } from "../createManualClock/index.js";
+import { createMemoryRecords } from "../createMemoryRecords/index.js";
 import { createPopulatedDirectory } from "../createPopulatedDirectory/index.js";
 
 /** Options of `createPromotionSite`. */
@@ -28,12 +31,18 @@
     readonly synchronousReplicas?: number;
     /** Whether the holder has just replaced another one. */
     readonly isNewHolder?: boolean;
+    /** The platform's store, which another site may have used before. */
+    readonly records?: RecordStore;
+    /** Ids of endpoints that are lost before this site starts. */
+    readonly lostIds?: readonly string[];
 }
 
 /** An endpoint in memory. */
 interface SiteEndpoint {
     isPrimary: boolean;
     term: number;
+    /** Number of the last entry in its log. */
+    entry?: number;
 }
 
 const group = "orders";
@@ -52,11 +61,13 @@
  */
 export function createPromotionSite(options: PromotionSiteOptions) {
     const clock = createManualClock();
-    const records = endpointIds.map(id => createEndpointRecord({ id, isPrimary: id === "i-1" }));
+    const endpointRecords = endpointIds.filter(id => options.lostIds?.includes(id) !== true).map(id =>
+        createEndpointRecord({ id, isPrimary: id === "i-1" })
+    );
     const endpoints = new Map<string, SiteEndpoint>(
         endpointIds.map(id => [id, { isPrimary: id === "i-1", term: options.term ?? 1 }]),
     );
-    const directory = createPopulatedDirectory(clock, records, options.synchronousReplicas);
+    const directory = createPopulatedDirectory(clock, endpointRecords, options.synchronousReplicas);
     const primaries = createPrimaries(clock, directory, () => {});
     const announcements: Announcement[] = [];
     const orderedIds: string[] = [];
@@ -75,6 +86,13 @@
         directory.applyEndpoints({ isSnapshot: false, changes: [{ name: id, era: 0, revision, item }] });
     }
 
+    /** Removes the record of an endpoint that no VM reaches any more. */
+    function lose(id: string): void {
+        revision += 1;
+        unreachableIds.add(id);
+        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: id, era: 0, revision, item: undefined }] });
+    }
+
     function setRole(id: string, role: SiteEndpoint): void {
         endpoints.set(id, role);
         register(id, { isPrimary: role.isPrimary });
@@ -95,7 +113,7 @@
     }
 
     function execute(endpointId: string, statement: OutgoingStatement): StatementAnswer {
-        const { isPrimary, term } = endpoints.get(endpointId)!;
+        const { isPrimary, term, entry = 7 } = endpoints.get(endpointId)!;
         if (busyIds.has(endpointId) && slotKinds.has(statement.kind)) {
             return { rows: [], state: SessionState.Idle, failure: { code: FailureCode.Busy, description: "" } };
         }
@@ -103,7 +121,7 @@
             setRole(endpointId, { isPrimary: false, term });
         }
         const isRefused = statement.kind === OutgoingKind.Begin && !isPrimary;
-        const received = { term, entry: 7 };
+        const received = { term, entry };
         return {
             rows: [],
             state: SessionState.Idle,
@@ -147,8 +165,11 @@
     const control: EndpointControl = { run, runFromAnyVm: run };
     const end = new AbortController();
     const shared = { clock, directory, duty, control, log: () => {} };
+    const records = options.records ?? createMemoryRecords();
+    const members = createGroupMembers({ ...shared, primaries, records, heldToken: duty.heldToken });
     const changePrimary = createPrimaryChange({
         ...shared,
+        members,
         signal: end.signal,
         orders: {
             promote: async ({ endpointId }) => {
@@ -163,6 +184,7 @@
     });
     const coordinator = createPromotionCoordinator({
         ...shared,
+        members,
         end,
         primaries,
         probe: async id => !unreachableIds.has(id),
@@ -188,6 +210,7 @@
         endpoints,
         makePrimary,
         register,
+        lose,
         primary: () => directory.endpoint(findPrimaryId())!,
         isGranting: () => isGranting,
         announcements: (): readonly Announcement[] => announcements,
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -25,6 +25,7 @@
 import { createDeparture } from "../../promotions/createDeparture/index.js";
 import { createEndpointControl } from "../../promotions/createEndpointControl/index.js";
 import { createEndpointProbe } from "../../promotions/createEndpointProbe/index.js";
+import { createGroupMembers } from "../../promotions/createGroupMembers/index.js";
 import { createPrimaryChange } from "../../promotions/createPrimaryChange/index.js";
 import { createPrimaryDecision } from "../../promotions/createPrimaryDecision/index.js";
 import { createPromotionCoordinator } from "../../promotions/createPromotionCoordinator/index.js";
@@ -189,6 +190,7 @@
                 ServiceName.Peers,
                 ServiceName.Metrics,
                 ServiceName.Logger,
+                ServiceName.PlatformStore,
                 ServiceName.TransportServer,
             ],
             create: (
@@ -203,10 +205,21 @@
                 peers: Peers,
                 metrics: Metrics,
                 logger: Logger,
+                store: PlatformStore,
             ) => {
                 const log = logger.topic("promotions");
                 const end = new AbortController();
+                const members = createGroupMembers({
+                    clock,
+                    directory,
+                    primaries,
+                    records: store.records,
+                    control,
+                    heldToken: duty.heldToken,
+                    log,
+                });
                 const changePrimary = createPrimaryChange({
+                    members,
                     signal: end.signal,
                     clock,
                     directory,
@@ -228,6 +241,7 @@
                     probe,
                     connectedVms: hosts.otherHostsOf,
                     peerOf,
+                    members,
                     changePrimary,
                     decidePrimary: createPrimaryDecision({ directory, duty, control, termOf: primaries.termOf, log }),
                     metrics,
