--- a/src/platform/decodeEndpointRecord/index.ts
+++ b/src/platform/decodeEndpointRecord/index.ts
@@ -3,17 +3,21 @@
 import type { StoreVersion } from "../../directory/types/StoreVersion.js";
 import { parseAddress } from "../parseAddress/index.js";
 
+/** A word that is sent to endpoints as one field: with a blank or a line end, the rest would be read as other fields. */
+const word = z.string().regex(/^[^\s\p{Cc}]+$/u, "is not one word");
+const count = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
+
 /** Content of an object of the kind `servers`. */
 const contentSchema = z.object({
-    service: z.string().min(1),
+    service: word,
     addr: z.string(),
     zone: z.string(),
-    slots: z.number(),
+    slots: count,
     state: z.enum(["ready", "draining"]),
-    coldLeftMs: z.number().optional(),
+    coldLeftMs: count.optional(),
     dbRole: z.enum(["primary", "replica"]),
-    born: z.number().optional(),
-    seq: z.number().optional(),
+    born: count.int().optional(),
+    seq: count.int().optional(),
 });
 
 /**
@@ -31,7 +35,7 @@
 export function decodeEndpointRecord(id: string, version: StoreVersion, content: unknown): EndpointRecord {
     const entry = contentSchema.parse(content);
     return {
-        id,
+        id: word.parse(id),
         group: entry.service,
         address: parseAddress(entry.addr, entry.zone),
         slots: entry.slots,
