Follow the store after an update that cannot be applied or a page with an odd end

What callers might have seen: processes that end, or that follow the entries no more, because of one odd entry.

Cause: an error while an update was processed ended the task that follows the store, and, unhandled, the process. A list went on from the last readable object of a page, which may be of the page before. Any object of the kind config could put routes into force, not only the operator's.

Evidence: the test of createDirectoryFollower and 2 of 3 of createStoreClient failed on the code before; the one with nested, huge and unnamed entries passed there, too.

--- a/src/directory/createDirectoryFollower/index.ts
+++ b/src/directory/createDirectoryFollower/index.ts
@@ -30,6 +30,8 @@
     stop(): Promise<void>;
 }
 
+const maximumLoggedNames = 5;
+
 /**
  * Creates the tasks that keep the directory up to date with the platform's store.
  *
@@ -82,7 +84,17 @@
             },
         });
         for await (const update of updates) {
-            apply(update);
+            try {
+                apply(update);
+            }
+            catch (error) {
+                // One update that cannot be applied must not end the task: later ones would be missed.
+                log("an update from the platform's store could not be applied", {
+                    feed: name,
+                    names: update.changes.slice(0, maximumLoggedNames).map(change => change.name),
+                    reason: (error as Error).stack,
+                });
+            }
         }
     }
 
--- a/src/platform/createStoreClient/index.ts
+++ b/src/platform/createStoreClient/index.ts
@@ -30,7 +30,12 @@
     asOf: z.number(),
 });
 
+/** The part of an object that a list is continued with, even if the rest cannot be read. */
+const nameSchema = z.object({ meta: z.object({ name: z.string() }) });
+
 const objectKinds = { endpoints: "servers", configuration: "config", records: "tarragonpost" } as const;
+/** Name of the object that holds the operator's configuration. */
+const configurationName = "main";
 /** Status of the answer to a watch from a revision that the store has compacted. */
 const compactedStatus = 410;
 
@@ -86,7 +91,7 @@
                 if (version.era !== era) {
                     throw createRestoredError(path);
                 }
-                after = page.hasMore ? changes.at(-1)?.name : undefined;
+                after = page.hasMore ? nameSchema.safeParse(page.items.at(-1)).data?.meta.name : undefined;
             }
             return { changes, ...version! };
         }
@@ -156,13 +161,23 @@
         endpoints: createFeed<EndpointRecord>(objectKinds.endpoints, decodeEndpointRecord),
         routingTables: createFeed<RoutingTable>(
             objectKinds.configuration,
-            (_name, _version, content) => decodeRoutingTable(content),
+            (name, _version, content) => decodeOperatorTable(name, content),
         ),
         records: { read, create, replace },
         stop: client.stop,
     };
 }
 
+/** Decodes the operator's configuration; other objects of the kind are not the operator's. */
+function decodeOperatorTable(name: string, content: unknown): RoutingTable {
+    if (name !== configurationName) {
+        throw createError(ErrorKind.InvalidRequest, "Routes are taken from the operator's configuration only.", {
+            remedy: `Write them to ${objectKinds.configuration}/${configurationName}.`,
+        });
+    }
+    return decodeRoutingTable(content);
+}
+
 /** How to decode an object. */
 interface ChangeDecoding<Item> {
     /** Era of the store in the answer that holds the object. */
