Count as groups only those that the operator has configured

An entry of another writer with an unknown service counted as a group: a new holder of the failover duty waited 3 s for its primary before it granted leases, and hosts were assigned to it. The new test failed before.

--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -209,6 +209,10 @@
         return true;
     }
 
+    function isConfigured(group: string): boolean {
+        return groupsByName.has(group);
+    }
+
     function notify(changed: ReadonlySet<string>): void {
         if (changed.size > 0) {
             listeners.forEach(listener => listener(changed));
@@ -225,7 +229,8 @@
         groupSettings: group => groupsByName.get(group),
         endpoint: id => endpoints.get(id),
         endpointsOf: group => [...endpoints.values()].filter(endpoint => endpoint.group === group),
-        groups: () => [...new Set([...endpoints.values()].map(endpoint => endpoint.group))],
+        // A record of another writer may name a group that does not exist.
+        groups: () => [...new Set([...endpoints.values()].map(({ group }) => group))].filter(isConfigured),
         records: () => [...endpoints.values()],
         removals: () => [...removals].map(([id, version]) => ({ id, ...version })),
         onChange: listener => listeners.push(listener),
--- a/src/directory/createDirectory/test.ts
+++ b/src/directory/createDirectory/test.ts
@@ -150,4 +150,10 @@
         await clock.advance(directoryConstants.missingRecordMilliseconds + directoryConstants.leavingMilliseconds);
         assert.equal(directory.endpoint("i-1")?.isLeaving, false);
     });
+
+    it("lists no group that the operator has not configured", () => {
+        const records = [createEndpointRecord(), createEndpointRecord({ id: "i-9", group: "foreign" })];
+        const directory = createPopulatedDirectory(createManualClock(), records);
+        assert.deepEqual(directory.groups(), ["orders"]);
+    });
 });
