Replace an unreadable record of the holder, and write up odd entries

What callers might have seen: no VM could become the holder of the failover duty again after another writer had made its record unreadable, so no failed primary would have been replaced.

Cause: the content of the record was used unchecked; each attempt to read it failed. Now it is checked like a message between VMs, and an unreadable one stands for a holder that is no VM: any host replaces it, with a higher token and the wait after any takeover. Ports in messages between VMs are checked.

Evidence: the new test of createDuty failed on the code before.

--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -2,6 +2,8 @@
 export const dutyConstants = {
     /** Name of the object in the platform's store that records the holder. */
     recordName: "failover",
+    /** Stands for the holder while the record cannot be read; no VM is named so. */
+    unreadableHolderName: "",
     /** Revisions of the store that belong to one era, in fencing tokens. */
     revisionsPerEra: 2 ** 42,
     /** Lower than any number that a holder assigns. */
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -145,7 +145,8 @@
         if (holder.name === self.name && isLeaving) {
             return dutyConstants.retryMilliseconds;
         }
-        if (holder.name === self.name || isTakeoverDue()) {
+        const isUnreadable = holder.name === dutyConstants.unreadableHolderName && !isLeaving;
+        if (holder.name === self.name || isUnreadable || isTakeoverDue()) {
             await takeOver(holder);
             return dutyConstants.retryMilliseconds * random.next();
         }
--- a/src/duty/createDuty/test.ts
+++ b/src/duty/createDuty/test.ts
@@ -271,4 +271,17 @@
             assert.deepEqual(acrossZones, []);
         }
     });
+
+    it("elects a holder although another writer has made the record unreadable", async () => {
+        for (const content of [[], 7, "text", {}, { name: "vm-9", address: { host: "10.1.0.8", port: 99_999 } }]) {
+            const { fleet, holder } = await startFleet();
+            const { revision } = (await fleet.records.read(dutyConstants.recordName))!;
+            await fleet.records.replace(dutyConstants.recordName, content, revision);
+            await fleet.clock.advance(2 * stabilizationMilliseconds);
+            assert.equal(fleet.holders().length, 1, JSON.stringify(content));
+            assert.ok(fleet.dutyOf(fleet.holders()[0]!).heldToken()! > revision, holder);
+            await fleet.clock.advance(dutyConstants.formerOrdersMilliseconds);
+            assert.ok(names.every(name => fleet.dutyOf(name).hasLease()));
+        }
+    });
 });
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -4,7 +4,12 @@
 import { OutgoingKind } from "../statements/types/OutgoingKind.js";
 import { AnnouncementPhase } from "./types/AnnouncementPhase.js";
 
-const address = z.object({ host: z.string(), port: z.number(), availabilityZone: z.string() });
+const largestPort = 65_535;
+const address = z.object({
+    host: z.string(),
+    port: z.number().int().min(0).max(largestPort),
+    availabilityZone: z.string(),
+});
 const vm = z.object({ name: z.string(), address, capacity: z.number().positive(), incarnation: z.string() });
 /** Fields of a version of the platform's store. */
 const storeVersion = { era: z.number(), revision: z.number() };
@@ -75,6 +80,7 @@
     }),
     token: z.number(),
     endpointId: z.string(),
+    recordedHolder: vm.extend({ writtenInEra: z.number().optional(), isHandedOver: z.boolean().optional() }),
     holder: vm.extend({ token: z.number(), isHandedOver: z.boolean().optional() }),
     announcement,
     command: z.object({ endpointId: z.string(), statements: z.array(statement), timeoutMilliseconds: z.number() }),
--- a/src/vm/listVmServices/test.ts
+++ b/src/vm/listVmServices/test.ts
@@ -151,11 +151,30 @@
         assert.equal(countWrites(site.platform, "i-1", caller.lastId()), 1);
     });
 
-    it("ignores records that cannot be parsed", async () => {
-        site.platform.store.put("servers", "i-9", { service: 7 });
-        site.platform.store.put("servers", "i-8", "no record");
+    it("ignores records that cannot be used, also while they change or end, and hears of later ones", async () => {
+        const { store } = site.platform;
+        const sound = store.read("servers", "i-1") as Record<string, unknown>;
+        const changes = [{ slots: 1e300 }, { addr: "127.0.0.1:70000" }, { service: "orders\r\nQUERY - WRITE a b" }];
+        const odd = [{ service: 7 }, "no record", [], ...changes.map(change => ({ ...sound, ...change }))];
+        const directory = site.vm.kernel.get<Directory>(ServiceName.Directory);
+        for (const [index, content] of odd.entries()) {
+            store.put("servers", "odd", content);
+            store.put("tarragonpost", `odd-${index}`, content);
+            store.put("config", `odd-${index}`, content);
+            site.platform.registerUnused("later", index + 1);
+            await waitUntilTrue(
+                "the VM hears of the later record",
+                () => directory.endpoint("later")?.slots === index + 1,
+            );
+            if (index % 2 === 0) {
+                store.remove("servers", "odd");
+            }
+            assert.equal(directory.endpoint("odd"), undefined);
+        }
         const caller = await site.open("browse");
         assert.equal((await caller.run("READ a1")).failure, undefined);
+        const written = await (await site.open("counter")).run("WRITE a1 data");
+        assert.equal(written.failure, undefined);
     });
 
     it("puts a new configuration in force, and never an older one", async () => {
