--- a/src/promotions/createDeparture/index.ts
+++ b/src/promotions/createDeparture/index.ts
@@ -8,7 +8,7 @@
 /** Options of `createDeparture`. */
 interface DepartureOptions {
     readonly clock: Clock;
-    readonly duty: Pick<Duty, "heldToken" | "isGranting" | "leave" | "handOver">;
+    readonly duty: Pick<Duty, "heldToken" | "isGranting" | "otherVms" | "leave" | "handOver">;
     readonly coordinator: Pick<PromotionCoordinator, "leave" | "isChanging" | "hasUnknownEnds">;
     /** Time from the signal to stop until the process is killed. */
     readonly graceMilliseconds: number;
@@ -56,8 +56,12 @@
             && (duty.isGranting() || clock.now() - heldSince >= promotionConstants.confirmationMilliseconds);
     }
 
+    function isHandOverPossible(): boolean {
+        return duty.heldToken() !== undefined && duty.otherVms().length > 0;
+    }
+
     async function finish(): Promise<void> {
-        while (clock.now() < endsAt && (duty.heldToken() !== undefined || coordinator.isChanging())) {
+        while (clock.now() < endsAt && (isHandOverPossible() || coordinator.isChanging())) {
             await clock.sleep(promotionConstants.departurePollingMilliseconds, end.signal);
         }
         log("departure from the failover duty has ended", {
--- a/src/promotions/createDeparture/test.ts
+++ b/src/promotions/createDeparture/test.ts
@@ -1,20 +1,30 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
+import { createVmIdentity } from "../../testing/createVmIdentity/index.js";
 import { promotionConstants } from "../constants.js";
 import { createDeparture } from "./index.js";
 
+const otherVms: readonly VmIdentity[] = [createVmIdentity("vm-2")];
 const graceMilliseconds = 6_000;
 
 function createSite() {
     const clock = createManualClock();
-    const state = { token: 7 as number | undefined, isGranting: true, isChanging: false, hasUnknownEnds: false };
+    const state = {
+        token: 7 as number | undefined,
+        isGranting: true,
+        isChanging: false,
+        hasUnknownEnds: false,
+        otherVms,
+    };
     const events: string[] = [];
     const departure = createDeparture({
         clock,
         duty: {
             heldToken: () => state.token,
             isGranting: () => state.isGranting,
+            otherVms: () => state.otherVms,
             leave: () => void events.push("duty left"),
             handOver: async hasKnownEnds => {
                 events.push(`handed over, known ends: ${hasKnownEnds}`);
@@ -85,4 +95,14 @@
         assert.ok(isFinished);
         await departure.stop();
     });
+
+    it("waits for no hand-over when there is no other VM", async () => {
+        const { state, departure } = createSite();
+        state.otherVms = [];
+        state.isGranting = false;
+        departure.begin();
+        await departure.finish();
+        assert.equal(state.token, 7);
+        await departure.stop();
+    });
 });
