Test a VM that stops under callers that never pause, over real sockets

24 callers send their next statement with each answer while the VM gets its signal to stop. Each statement that an endpoint ran is answered, and a connection that ends without an answer ends within 200 ms of the statement.

--- /dev/null
+++ b/src/vm/createVmServer/test.ts
@@ -0,0 +1,63 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createCallerStandIn } from "../../platform/standIns/createCallerStandIn/index.js";
+import { createPlatformStandIn } from "../../platform/standIns/createPlatformStandIn/index.js";
+import { createRoute } from "../../testing/createRoute/index.js";
+import { startVm } from "../../testing/startVm/index.js";
+import { waitUntilTrue } from "../../testing/waitUntilTrue/index.js";
+
+const callerCount = 24;
+const graceMilliseconds = 2_000;
+/** A connection that ends this soon after a statement was sent may have crossed it on its way. */
+const crossingMilliseconds = 200;
+const statements = ["READ a", "WRITE a b", "BEGIN", "READ a", "WRITE c d", "COMMIT"];
+
+/** A statement whose connection ended before its answer. */
+interface UnansweredStatement {
+    readonly id: string;
+    readonly text: string;
+    /** Time from the statement to the end of its connection. */
+    readonly openMilliseconds: number;
+}
+
+/** Sends statements without a pause until the VM accepts no more connections; returns those without an answer. */
+async function runCaller(port: number): Promise<readonly UnansweredStatement[]> {
+    const unanswered: UnansweredStatement[] = [];
+    for (;;) {
+        const { caller, opening } = await createCallerStandIn(port, "counter");
+        if (opening.state === undefined) {
+            return unanswered;
+        }
+        for (let count = 0;; count += 1) {
+            const text = statements[count % statements.length]!;
+            const sentAt = performance.now();
+            const { state } = await caller.run(text);
+            if (state === undefined) {
+                const openMilliseconds = performance.now() - sentAt;
+                unanswered.push({ id: caller.lastId(), text, openMilliseconds });
+                break;
+            }
+        }
+    }
+}
+
+describe("createVmServer", () => {
+    it("answers each statement that it passed on, while it stops under callers that never pause", async () => {
+        const platform = await createPlatformStandIn({ group: "orders", zones: ["a", "b"], promotionMilliseconds: 60 });
+        platform.configure(7, [createRoute({ database: "counter" })]);
+        const vm = await startVm("vm-1", platform, { graceMilliseconds });
+        await waitUntilTrue("the VM is ready", vm.isReady);
+        const callers = Array.from({ length: callerCount }, () => runCaller(vm.settings.callerAddress.port));
+        await waitUntilTrue("the callers are served", () => platform.executedStatements.length > 10 * callerCount);
+        await vm.stop();
+        const unanswered = (await Promise.all(callers)).flat();
+        const executed = new Set(platform.executedStatements.map(({ id }) => id));
+        assert.deepEqual(
+            unanswered.filter(({ id, openMilliseconds }) =>
+                executed.has(id) || openMilliseconds >= crossingMilliseconds
+            ),
+            [],
+        );
+        platform.stop();
+    });
+});
