Model the hand-over of the failover duty

The model of a succession gets a step in which the former holder hands over, and its successor does not wait for orders. None of 2,944 states holds an acknowledged write that a superseded endpoint committed. Found without: a hand-over only between changes, after 1,833 states; the holder's part ended before, after 2,522; the four older rules after 1,962, 1,671, 1,806 and 1,430.

--- a/src/model/listSuccessionSteps/index.ts
+++ b/src/model/listSuccessionSteps/index.ts
@@ -26,6 +26,7 @@
  */
 export function* listSuccessionSteps(state: SuccessionState, rules: SuccessionRules): Generator<SuccessionStep> {
     yield* listFormerSteps(state);
+    yield* listTakeovers(state, rules);
     yield* listDecisions(state, rules);
     yield* listOrders(state, rules);
     yield* listEndpointSteps(state);
@@ -50,7 +51,7 @@
 }
 
 function* listFormerSteps(state: SuccessionState): Generator<SuccessionStep> {
-    const { former, current, lease, received } = state;
+    const { former, lease, received } = state;
     const { phase, announcement } = former;
     const sequence = announcement.sequence + 1;
     if (phase === ChangePhase.Serving) {
@@ -83,24 +84,40 @@
     if (former.isVerified) {
         yield { name: "former verification ends", state: withFormer(state, { isVerified: false }) };
     }
-    if (current.phase === SuccessionPhase.Absent) {
-        const undecided = withCurrent(state, { phase: SuccessionPhase.Undecided });
-        yield { name: "new holder takes over, knowing nothing of the change", state: undecided };
+}
+
+function* listTakeovers(state: SuccessionState, rules: SuccessionRules): Generator<SuccessionStep> {
+    const { phase, announcement } = state.former;
+    if (state.current.phase !== SuccessionPhase.Absent) {
+        return;
+    }
+    const undecided = withCurrent(state, { phase: SuccessionPhase.Undecided });
+    const successions = [{ name: "new holder takes over", next: undecided }];
+    const isBetweenChanges = phase === ChangePhase.Serving || phase === ChangePhase.Promoted;
+    if (isBetweenChanges || !rules.handsOverBetweenChanges) {
+        const ended = rules.endsBeforeHandOver
+            ? withFormer(undecided, { isVerified: false, phase: ChangePhase.Promoted })
+            : undecided;
+        successions.push({ name: "former holder hands over", next: withCurrent(ended, { isHandedOver: true }) });
+    }
+    for (const { name, next } of successions) {
+        yield { name: `${name}; the new one knows nothing of the change`, state: next };
         yield {
-            name: "new holder takes over, knowing the newest announcement",
-            state: withCurrent(undecided, { announcement }),
+            name: `${name}; the new one knows the newest announcement`,
+            state: withCurrent(next, { announcement }),
         };
     }
 }
 
-/** Whether the previous holder orders nothing more, and none of its orders may still take effect. */
-function areFormerOrdersOver({ former, endpoints }: SuccessionState): boolean {
-    return !former.isVerified && endpoints.every(({ isOrdered }) => !isOrdered);
+/** Whether the new holder takes it that the previous one orders nothing more, and no order of it may take effect. */
+function areFormerOrdersOver({ former, current, endpoints }: SuccessionState, rules: SuccessionRules): boolean {
+    return !rules.waitsForFormerOrders
+        || current.isHandedOver
+        || !former.isVerified && endpoints.every(({ isOrdered }) => !isOrdered);
 }
 
 function mayAct(state: SuccessionState, rules: SuccessionRules): boolean {
-    return state.current.phase === SuccessionPhase.Undecided
-        && (!rules.waitsForFormerOrders || areFormerOrdersOver(state));
+    return state.current.phase === SuccessionPhase.Undecided && areFormerOrdersOver(state, rules);
 }
 
 function nextSequence({ current }: SuccessionState): number {
@@ -186,7 +203,7 @@
         yield { name: "former holder grants a lease", state: grantLease(state, SuccessionLease.Former) };
     }
     const mayVouch = current.phase !== SuccessionPhase.Absent
-        && (!rules.waitsForFormerOrders || current.phase !== SuccessionPhase.Undecided || areFormerOrdersOver(state))
+        && (current.phase !== SuccessionPhase.Undecided || areFormerOrdersOver(state, rules))
         && (!rules.queriesBeforeVouching || current.phase === SuccessionPhase.Decided);
     if (mayVouch) {
         yield { name: "new holder grants a lease", state: grantLease(state, SuccessionLease.Current) };
--- a/src/model/searchSuccession/index.ts
+++ b/src/model/searchSuccession/index.ts
@@ -16,6 +16,7 @@
     former: { phase: ChangePhase.Serving, isVerified: true, announcement: firstAnnouncement },
     current: {
         phase: SuccessionPhase.Absent,
+        isHandedOver: false,
         target: 0,
         termBeforeOrder: 0,
         announcement: firstAnnouncement,
--- a/src/model/searchSuccession/test.ts
+++ b/src/model/searchSuccession/test.ts
@@ -8,6 +8,8 @@
     queriesBeforeVouching: true,
     changesIndefinite: true,
     countsFormerLeases: true,
+    handsOverBetweenChanges: true,
+    endsBeforeHandOver: true,
 };
 
 describe("searchSuccession", () => {
--- a/src/model/types/SuccessionRules.ts
+++ b/src/model/types/SuccessionRules.ts
@@ -8,4 +8,8 @@
     readonly changesIndefinite: boolean;
     /** A new holder orders nothing before the leases of the previous one have ended. */
     readonly countsFormerLeases: boolean;
+    /** A holder hands over, so that its successor need not wait for orders, only while none of its changes is under way. */
+    readonly handsOverBetweenChanges: boolean;
+    /** A holder gives no order and grants no lease after it has handed over. */
+    readonly endsBeforeHandOver: boolean;
 }
--- a/src/model/types/SuccessionState.ts
+++ b/src/model/types/SuccessionState.ts
@@ -27,6 +27,8 @@
     };
     readonly current: {
         readonly phase: SuccessionPhase;
+        /** Whether the previous holder has handed over. */
+        readonly isHandedOver: boolean;
         /** Endpoint that the new holder promotes. */
         readonly target: number;
         /** Highest term when the promotion was ordered. */
