--- a/src/soak/runSoakCaller/index.ts
+++ b/src/soak/runSoakCaller/index.ts
@@ -24,6 +24,8 @@
 
 /** Maximum number of units that a session runs before its caller reconnects. */
 const maximumUnitsPerSession = 60;
+/** One session in this many sends each statement as soon as it has the answer to the one before. */
+const sessionsPerRestless = 4;
 
 /**
  * Runs one caller: it opens sessions at random VMs, and uses each until it fails or has run its number of units.
@@ -47,6 +49,8 @@
     }
 
     async function useSession(session: SoakSession): Promise<void> {
+        const isRestless = random.nextInteger(sessionsPerRestless) === 0;
+        const maximumPause = isRestless ? 0 : soakConstants.maximumThinkTimeMilliseconds;
         for (
             let remainingUnits = 1 + random.nextInteger(maximumUnitsPerSession);
             remainingUnits > 0 && !signal.aborted;
@@ -57,7 +61,7 @@
             if (!isUsable) {
                 return;
             }
-            await clock.sleep(random.next() * soakConstants.maximumThinkTimeMilliseconds, signal);
+            await clock.sleep(random.next() * maximumPause, signal);
         }
     }
 
