--- a/src/duty/createHandOver/index.ts
+++ b/src/duty/createHandOver/index.ts
@@ -62,7 +62,7 @@
         const writtenInEra = Math.floor(token / dutyConstants.revisionsPerEra);
         const content: RecordedHolder = { ...successor, writtenInEra, isHandedOver };
         log("hands over the failover duty", { to: successor.name, token, isHandedOver });
-        while (!signal.aborted && !await isReplaced(content, revision)) {
+        while (!signal.aborted && !await replaceRecord(content, revision)) {
             await clock.sleep(retryMilliseconds, signal);
         }
     };
@@ -89,8 +89,8 @@
         return name === undefined ? undefined : hosts.get(name);
     }
 
-    /** Replaces the record; returns false when that may be attempted again. */
-    async function isReplaced(content: RecordedHolder, revision: number): Promise<boolean> {
+    /** Names the successor in the record; returns false when that may be attempted again. */
+    async function replaceRecord(content: RecordedHolder, revision: number): Promise<boolean> {
         try {
             const holder = toDutyHolder(await records.replace(recordName, content, revision));
             known.apply(holder);
--- a/src/promotions/createGroupMembers/index.ts
+++ b/src/promotions/createGroupMembers/index.ts
@@ -86,7 +86,7 @@
         return directory.groupSettings(group)?.synchronousReplicas ?? 0;
     }
 
-    /** Reads the record once for each token, and writes changes of the members. */
+    /** Merges the members with those of the record once for each token, and after each change. */
     async function synchronize(): Promise<void> {
         const token = options.heldToken();
         const isNeeded = token !== undefined && (loadedToken !== token || hasUnsavedChange);
@@ -95,7 +95,7 @@
         }
         isSynchronizing = true;
         try {
-            await load();
+            await mergeWithRecord();
             loadedToken = token;
         }
         catch (error) {
@@ -107,7 +107,7 @@
         isSynchronizing = false;
     }
 
-    async function load(): Promise<void> {
+    async function mergeWithRecord(): Promise<void> {
         const record = await records.read(membersRecordName);
         const known = recordSchema.safeParse(record?.content).data?.groups ?? {};
         if (loadedToken !== options.heldToken()) {
