Look after sessions until a stopping VM has done its other work

What callers might have seen: a holder of the failover duty whose sessions were closed at 2.3 s after the signal stays until its change of a primary is done. Sessions that were opened in that time were cut off with the process.

Cause: the stop of the sessions ended as soon as none was open; nobody looked after later ones, and new ones were still opened by other VMs after it.

Now the stop of the sessions lasts as long as the VM's other work, and no session is opened after it. Found by reading; of the two new tests both failed on the code before. A test that opens a session late now keeps the stop going by other work, since a stop that has ended opens none.

--- a/src/callerSessions/createCallerSessions/test.ts
+++ b/src/callerSessions/createCallerSessions/test.ts
@@ -126,7 +126,7 @@
     it("keeps idle sessions open until new connections go to other VMs, then closes them", async () => {
         const { clock, sessions, open } = createSite();
         const { sent, run } = await open();
-        const stopped = sessions.closeAll();
+        const stopped = sessions.closeAll(Promise.resolve());
         await clock.advance(callerSessionConstants.idleCloseDelayMilliseconds - 100);
         assert.equal(sent.includes("closed"), false);
         await run(read);
@@ -141,7 +141,7 @@
         const { clock, sessions, open } = createSite();
         const { sent, run } = await open();
         await run(begin);
-        const stopped = sessions.closeAll();
+        const stopped = sessions.closeAll(Promise.resolve());
         await clock.advance(graceMilliseconds / 2);
         assert.equal(sent.at(-1), `success ${SessionState.InTransaction}`);
         await clock.advance(1_000);
@@ -154,7 +154,7 @@
     it("lets a transaction end that began during the stop", async () => {
         const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 20));
         const { sent, run } = await open();
-        const stopped = sessions.closeAll();
+        const stopped = sessions.closeAll(Promise.resolve());
         await clock.advance(2_250);
         await run(begin);
         await clock.advance(1_000);
@@ -168,7 +168,7 @@
     it("closes a busy session with the answer to its statement, before its caller sends the next", async () => {
         const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 20));
         const { sent, run } = await open();
-        const stopped = sessions.closeAll();
+        const stopped = sessions.closeAll(Promise.resolve());
         const countAnswers = (): number => sent.filter(text => text.startsWith("success")).length;
         await run(read);
         for (let elapsed = 0; elapsed < graceMilliseconds && !sent.includes("closed"); elapsed += 1) {
@@ -187,7 +187,7 @@
     it("refuses a statement that only waits, so that its caller may send it elsewhere", async () => {
         const { clock, sessions, open } = createSite(undefined, createServicesWithoutConnection);
         const { sent, run } = await open();
-        const stopped = sessions.closeAll();
+        const stopped = sessions.closeAll(Promise.resolve());
         await clock.advance(2_000);
         await run(write);
         await clock.advance(2_000);
@@ -206,7 +206,7 @@
         it(`answers ${title} that an endpoint still runs at the end of the stop`, async () => {
             const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 60_000));
             const { sent, run } = await open();
-            const stopped = sessions.closeAll();
+            const stopped = sessions.closeAll(Promise.resolve());
             await clock.advance(2_000);
             for (const earlier of before) {
                 await run(earlier);
@@ -227,7 +227,7 @@
 
     it("serves the first statement of a session that is opened late, and refuses what comes too late to end", async () => {
         const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 20));
-        const stopped = sessions.closeAll();
+        const stopped = sessions.closeAll(clock.sleep(4_000));
         await clock.advance(2_500);
         const early = await open();
         await early.run(read);
@@ -243,6 +243,27 @@
         await stopped;
     });
 
+    it("looks after sessions that are opened while other work keeps the VM, and opens none after the stop", async () => {
+        const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 20));
+        const stopped = sessions.closeAll(clock.sleep(5_300));
+        await clock.advance(2_500);
+        const { sent, run } = await open();
+        await run(begin);
+        await clock.advance(2_700);
+        assert.deepEqual(sent.slice(2, 4), [`refused ${FailureCode.Aborted}`, "closed"]);
+        await clock.advance(200);
+        await stopped;
+        assert.equal((await open()).sent[0], `refused ${FailureCode.Busy}`);
+    });
+
+    it("opens no session after a stop that has ended early", async () => {
+        const { clock, sessions, open } = createSite();
+        const stopped = sessions.closeAll(Promise.resolve());
+        await clock.advance(2_400);
+        await stopped;
+        assert.equal((await open()).sent[0], `refused ${FailureCode.Busy}`);
+    });
+
     it("rolls back a transaction that is idle for too long, and reports it with the next statement", async () => {
         const { clock, open } = createSite();
         const { sent, run } = await open();
--- a/src/callerSessions/createGracefulStop/index.ts
+++ b/src/callerSessions/createGracefulStop/index.ts
@@ -42,11 +42,15 @@
     ];
     const waits = new AbortController();
     let begunAt: number | undefined;
+    let isFinished = false;
 
     function phase(): StopPhase {
         if (begunAt === undefined) {
             return StopPhase.Serving;
         }
+        if (isFinished) {
+            return StopPhase.Ending;
+        }
         const elapsed = clock.now() - begunAt;
         return phaseStarts.find(({ afterMilliseconds }) => elapsed >= afterMilliseconds)?.phase ?? StopPhase.Leaving;
     }
@@ -56,5 +60,9 @@
         clock.startTimer(waitGraceShare * graceMilliseconds, () => waits.abort());
     }
 
-    return { phase, waitsEnd: waits.signal, begin };
+    function finish(): void {
+        isFinished = true;
+    }
+
+    return { phase, waitsEnd: waits.signal, begin, finish };
 }
--- a/src/callerSessions/createSessionsStop/index.ts
+++ b/src/callerSessions/createSessionsStop/index.ts
@@ -15,7 +15,7 @@
 /** Options of `createSessionsStop`. */
 interface SessionsStopOptions {
     readonly clock: Clock;
-    readonly stop: Pick<GracefulStop, "phase" | "begin">;
+    readonly stop: Pick<GracefulStop, "phase" | "begin" | "finish">;
     /** The open sessions; each is removed when its connection is closed. */
     readonly sessions: ReadonlySet<OpenSession>;
     /** Time from the start of the stop until the process is killed. */
@@ -29,8 +29,11 @@
     refuse(open: OpenSession, command: RunCommand): StatementFailure | undefined;
     /** Whether a session has nothing more to do, after it has answered a statement. */
     isFinished(open: OpenSession): boolean;
-    /** Closes the sessions as they become idle; resolves when all are closed or the grace time has passed. */
-    closeAll(): Promise<void>;
+    /**
+     * Closes the sessions as they become idle. Resolves when all are closed and `otherWork` is done, or the grace time
+     * has passed; no session is opened afterwards.
+     */
+    closeAll(otherWork: Promise<void>): Promise<void>;
 }
 
 const stopReason = "this VM is stopping";
@@ -87,16 +90,22 @@
         return stop.phase() >= StopPhase.Draining && isIdle(open) && !isInTransaction(open);
     }
 
-    async function closeAll(): Promise<void> {
+    async function closeAll(otherWork: Promise<void>): Promise<void> {
+        let isWorking = true;
+        void otherWork.then(() => {
+            isWorking = false;
+        });
         const { closeGraceShare, stopPollingMilliseconds } = callerSessionConstants;
         const closesAt = clock.now() + closeGraceShare * options.graceMilliseconds;
         log("closing all sessions", { open: sessions.size });
         stop.begin();
-        while (clock.now() < closesAt && (sessions.size > 0 || stop.phase() < StopPhase.Draining)) {
+        const isUnfinished = (): boolean => sessions.size > 0 || isWorking || stop.phase() < StopPhase.Draining;
+        while (clock.now() < closesAt && isUnfinished()) {
             await clock.sleep(stopPollingMilliseconds);
             closeFinished();
         }
         log("end of the stop", { open: sessions.size });
+        stop.finish();
         sessions.forEach(({ connection }) => connection.close());
     }
 
--- a/src/callerSessions/types/CallerSessions.ts
+++ b/src/callerSessions/types/CallerSessions.ts
@@ -8,8 +8,11 @@
     serveForwarded(connection: CallerConnection): void;
     /** Number of open sessions. */
     count(): number;
-    /** Closes the sessions as they become idle; resolves when all are closed or the grace time has passed. */
-    closeAll(): Promise<void>;
+    /**
+     * Closes the sessions as they become idle. Resolves when all are closed and `otherWork` is done, or the grace time
+     * has passed; no session is opened afterwards.
+     */
+    closeAll(otherWork: Promise<void>): Promise<void>;
     /** Describes the open sessions that a stop still waits for. */
     describeWork(): readonly string[];
 }
--- a/src/callerSessions/types/GracefulStop.ts
+++ b/src/callerSessions/types/GracefulStop.ts
@@ -8,4 +8,6 @@
     readonly waitsEnd: AbortSignal;
     /** Starts the stop. */
     begin(): void;
+    /** Reaches the last phase before its time, because all sessions are closed. */
+    finish(): void;
 }
--- a/src/vm/createVmServer/index.ts
+++ b/src/vm/createVmServer/index.ts
@@ -60,7 +60,8 @@
     async function stop(): Promise<void> {
         isStopping = true;
         departure.begin();
-        await Promise.all([sessions.closeAll(), departure.finish()]);
+        // Callers connect until the process ends, so the sessions are looked after until all other work is done.
+        await sessions.closeAll(departure.finish());
         stopFunctions.forEach(stopServer => stopServer());
     }
 
