--- a/src/duty/createHandOver/index.ts
+++ b/src/duty/createHandOver/index.ts
@@ -6,8 +6,8 @@
 import { rankByRendezvous } from "../../ownership/rankByRendezvous/index.js";
 import { dutyConstants } from "../constants.js";
 import type { createKnownHolder } from "../createKnownHolder/index.js";
+import { notifyHosts } from "../notifyHosts/index.js";
 import { toDutyHolder } from "../toDutyHolder/index.js";
-import type { DutyHolder } from "../types/DutyHolder.js";
 import type { FleetView } from "../types/FleetView.js";
 import type { GrantedLeases } from "../types/GrantedLeases.js";
 import type { RecordedHolder } from "../types/RecordedHolder.js";
@@ -94,7 +94,7 @@
         try {
             const holder = toDutyHolder(await records.replace(recordName, content, revision));
             known.apply(holder);
-            options.view.hostVms().filter(({ name }) => name !== self.name).forEach(vm => notify(vm, holder));
+            notifyHosts(holder, options);
             return true;
         }
         catch (error) {
@@ -104,10 +104,4 @@
             return kind === ErrorKind.Conflict;
         }
     }
-
-    function notify(vm: VmIdentity, holder: DutyHolder): void {
-        options.peerOf(vm).notifyOfHolder(holder).catch((error: unknown) => {
-            log("VM could not be notified of the new holder", { vm: vm.name, reason: (error as Error).message });
-        });
-    }
 }
--- a/src/duty/createTakeover/index.ts
+++ b/src/duty/createTakeover/index.ts
@@ -5,6 +5,7 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { dutyConstants } from "../constants.js";
+import { notifyHosts } from "../notifyHosts/index.js";
 import { toDutyHolder } from "../toDutyHolder/index.js";
 import type { DutyHolder } from "../types/DutyHolder.js";
 import type { FleetView } from "../types/FleetView.js";
@@ -65,15 +66,6 @@
         return inContact.find(name => name !== undefined);
     }
 
-    /** Notifies the hosts of this VM as the holder; the other VMs learn of it from their relays. */
-    function notifyHosts(holder: DutyHolder): void {
-        for (const vm of view.hostVms().filter(({ name }) => name !== self.name)) {
-            options.peerOf(vm).notifyOfHolder(holder).catch((error: unknown) => {
-                log("VM could not be notified of the new holder", { vm: vm.name, reason: (error as Error).message });
-            });
-        }
-    }
-
     /** A record that was not written in this era is a copy, and may not be the last that there was. */
     function findPredecessor({ content, era }: VersionedRecord, replaced: VersionedRecord): Predecessor {
         const { name, writtenInEra } = content as RecordedHolder;
@@ -91,7 +83,7 @@
         const recorded = toDutyHolder(record);
         if (recorded.token > holder.token) {
             if (recorded.incarnation === self.incarnation) {
-                notifyHosts(recorded);
+                notifyHosts(recorded, options);
             }
             return { holder: recorded };
         }
@@ -110,7 +102,7 @@
         const content: RecordedHolder = { ...self, writtenInEra: era };
         const replaced = await records.replace(dutyConstants.recordName, content, revision);
         const newHolder = toDutyHolder(replaced);
-        notifyHosts(newHolder);
+        notifyHosts(newHolder, options);
         return { holder: newHolder, predecessor: findPredecessor(record, replaced) };
     };
 }
