Count a suspension of the VM as age of the evidence for reads

What callers could see: a read on bounded_staleness or read_your_writes at a replica that was older than its bound, after its VM had been suspended.

Cause: the age of a primary's log position was judged by the steady clock alone, which does not count a suspension (the platform's page says so; the lease has used both clocks for long). So evidence from before a suspension of seconds was taken for young, also when the suspension fell between a request and its answer.

Why it works: each answer's evidence carries an elapsed timer started before the request was sent, and the longer of the two clocks counts. A wall clock that is set ahead only drops the evidence until the next answer of the primary. The unit tests of the record and of findLeastPosition are the same cases with ages in place of moments.

Other uses of the steady clock as proof of youth, looked at and left: createPrimaryVerification.wasVerified (only lets a write be sent; the answer is verified again by the lease, which counts both clocks), createHostLink.answeredAt (a statement may be sent to a lost host: told as unknown), createVmList and createDuty.isInContact (createHolderVerification subtracts the suspension), createEndpointProbe (a query is left out for 300 ms), createStoreFreshness (a suspended VM reports its news younger than they are until its next watch or renewal; open).

--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -1,3 +1,4 @@
+import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { alignSession } from "../../placement/alignSession/index.js";
@@ -45,11 +46,11 @@
         ...alignSession(connection.pooled, { values: session.values, prepared: expectedPrepared }),
         toOutgoingStatement(callerStatement, endpointName, leastPosition),
     ];
-    const sentAt = services.clock.now();
+    const sinceSent = startElapsedTimer(services.clock);
     try {
         const answers = await connection.exchange(statements, timeoutMilliseconds);
         const answer = answers.at(-1)!;
-        recordAnswer(connection, sentAt, answer, services);
+        recordAnswer(connection, sinceSent, answer, services);
         if (answers.slice(0, -1).some(({ failure }) => failure !== undefined)) {
             // The connection lacks session values or the prepared statement that the caller's statement needs.
             connection.discard();
--- a/src/callerSessions/createCallerTransaction/index.ts
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -1,3 +1,4 @@
+import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { Route } from "../../directory/types/Route.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { alignSession } from "../../placement/alignSession/index.js";
@@ -52,14 +53,14 @@
     /** Begins the transaction on a connection; returns the failure, or undefined after success. */
     async function begin(eligible: EligibleConnection, expiresAt: number): Promise<StatementOutcome | undefined> {
         const candidate = eligible.connection;
-        const sentAt = clock.now();
+        const sinceSent = startElapsedTimer(clock);
         try {
             const answers = await candidate.exchange([
                 ...alignSession(candidate.pooled, { values: session.values }),
                 { kind: OutgoingKind.Begin, isReadOnly, leastPosition: eligible.leastPosition },
-            ], Math.max(expiresAt - sentAt, 1));
+            ], Math.max(expiresAt - clock.now(), 1));
             const answer = answers.at(-1)!;
-            recordAnswer(candidate, sentAt, answer, services);
+            recordAnswer(candidate, sinceSent, answer, services);
             if (answer.failure === undefined) {
                 return undefined;
             }
--- a/src/callerSessions/createEvidenceRenewal/index.ts
+++ b/src/callerSessions/createEvidenceRenewal/index.ts
@@ -1,3 +1,4 @@
+import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
@@ -38,7 +39,7 @@
             excluded: new Set(),
             values: new Map(),
         });
-        const sentAt = clock.now();
+        const sinceSent = startElapsedTimer(clock);
         try {
             const [begin, rollback] = await connection.exchange(
                 [{ kind: OutgoingKind.Begin, isReadOnly: false }, { kind: OutgoingKind.Rollback }],
@@ -49,9 +50,9 @@
             }
             connection.release();
             if (rollback?.position !== undefined && begin?.failure === undefined) {
-                recordAnswer(connection, sentAt, rollback, { primaries, evidence, verification });
+                recordAnswer(connection, sinceSent, rollback, { primaries, evidence, verification });
                 if (!verification.isVerified(connection.endpoint) && await verification.verify(connection.endpoint)) {
-                    evidence.record(group, sentAt, rollback.position);
+                    evidence.record(group, sinceSent, rollback.position);
                 }
             }
         }
@@ -79,8 +80,8 @@
     }
 
     function renewIfOld(group: string, stalenessMilliseconds: number): void {
-        const newest = evidence.newestRequestedAt(group) ?? -Infinity;
-        if (clock.now() - newest > callerSessionConstants.evidenceRenewalShare * stalenessMilliseconds) {
+        const age = evidence.newestAge(group) ?? Infinity;
+        if (age > callerSessionConstants.evidenceRenewalShare * stalenessMilliseconds) {
             void renew(group);
         }
     }
--- a/src/callerSessions/describeGroup/index.ts
+++ b/src/callerSessions/describeGroup/index.ts
@@ -23,14 +23,14 @@
  */
 export function describeGroup(
     group: string,
-    { clock, directory, primaries, evidence }: Pick<SessionServices, "clock" | "directory" | "primaries" | "evidence">,
+    { directory, primaries, evidence }: Pick<SessionServices, "directory" | "primaries" | "evidence">,
 ): GroupDescription {
-    const requestedAt = evidence.newestRequestedAt(group);
+    const age = evidence.newestAge(group);
     return {
         group,
         routingVersion: directory.routingVersion(),
         primary: primaries.primaryOf(group)?.id,
         term: primaries.termOf(group),
-        evidenceAge: requestedAt === undefined ? undefined : Math.round(clock.now() - requestedAt),
+        evidenceAge: age === undefined ? undefined : Math.round(age),
     };
 }
--- a/src/callerSessions/findLeastPosition/index.ts
+++ b/src/callerSessions/findLeastPosition/index.ts
@@ -15,7 +15,7 @@
  * @param route The route, with the read guarantee and the staleness bound.
  * @param session The session's own commits.
  * @param receivedAt When the read was received.
- * @param services Evidence of the primaries' positions.
+ * @param services Clock, and evidence of the primaries' positions.
  * @returns The position; undefined when no evidence is recent enough, so that only the primary can serve the read.
  *
  * @example
@@ -25,10 +25,11 @@
     route: Route,
     session: SessionContext,
     receivedAt: number,
-    services: Pick<SessionServices, "evidence">,
+    services: Pick<SessionServices, "clock" | "evidence">,
 ): LogPosition | undefined {
-    const { evidence } = services;
-    const covering = evidence.coveringPosition(route.group, receivedAt - route.maximumStalenessMilliseconds);
+    const { clock, evidence } = services;
+    const maximumAge = route.maximumStalenessMilliseconds + clock.now() - receivedAt;
+    const covering = evidence.coveringPosition(route.group, maximumAge);
     const own = route.guarantee === ReadGuarantee.ReadYourWrites ? session.commits.get(route.group) : undefined;
     if (covering === undefined || own === undefined || comparePositions(covering, own) >= 0) {
         return covering;
--- a/src/callerSessions/findLeastPosition/test.ts
+++ b/src/callerSessions/findLeastPosition/test.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
-import { describe, it } from "node:test";
+import { before, describe, it } from "node:test";
+import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { Route } from "../../directory/types/Route.js";
 import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
 import type { LogPosition } from "../../statements/types/LogPosition.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
 import type { SessionContext } from "../types/SessionContext.js";
 import { findLeastPosition } from "./index.js";
 
@@ -23,25 +25,33 @@
 }
 
 describe("findLeastPosition", () => {
+    const clock = createManualClock();
     const evidence = createPositionEvidence();
-    evidence.record("orders", 1_000, { term: 3, entry: 10 });
-    evidence.record("orders", 1_400, { term: 3, entry: 20 });
+    const services = { clock, evidence };
+
+    before(async () => {
+        await clock.advance(1_000);
+        evidence.record("orders", startElapsedTimer(clock), { term: 3, entry: 10 });
+        await clock.advance(400);
+        evidence.record("orders", startElapsedTimer(clock), { term: 3, entry: 20 });
+        await clock.advance(700);
+    });
 
     it("returns the oldest position that is recent enough", () => {
-        assert.deepEqual(findLeastPosition(route, createSession(), 1_450, { evidence }), { term: 3, entry: 10 });
-        assert.deepEqual(findLeastPosition(route, createSession(), 1_600, { evidence }), { term: 3, entry: 20 });
-        assert.equal(findLeastPosition(route, createSession(), 2_000, { evidence }), undefined);
+        assert.deepEqual(findLeastPosition(route, createSession(), 1_450, services), { term: 3, entry: 10 });
+        assert.deepEqual(findLeastPosition(route, createSession(), 1_600, services), { term: 3, entry: 20 });
+        assert.equal(findLeastPosition(route, createSession(), 2_000, services), undefined);
     });
 
     it("covers the session's own commits where the route guarantees them", () => {
         const session = createSession({ term: 3, entry: 15 });
-        assert.deepEqual(findLeastPosition(route, session, 1_450, { evidence }), { term: 3, entry: 15 });
+        assert.deepEqual(findLeastPosition(route, session, 1_450, services), { term: 3, entry: 15 });
         const bounded = { ...route, guarantee: ReadGuarantee.BoundedStaleness };
-        assert.deepEqual(findLeastPosition(bounded, session, 1_450, { evidence }), { term: 3, entry: 10 });
+        assert.deepEqual(findLeastPosition(bounded, session, 1_450, services), { term: 3, entry: 10 });
     });
 
     it("does not require commits that a promotion may have dropped", () => {
         const session = createSession({ term: 2, entry: 900 });
-        assert.deepEqual(findLeastPosition(route, session, 1_450, { evidence }), { term: 3, entry: 10 });
+        assert.deepEqual(findLeastPosition(route, session, 1_450, services), { term: 3, entry: 10 });
     });
 });
--- a/src/callerSessions/recordAnswer/index.ts
+++ b/src/callerSessions/recordAnswer/index.ts
@@ -6,16 +6,16 @@
  * Records the log position in an answer: the group's term and, from a verified primary, evidence for reads.
  *
  * @param connection The connection that returned the answer.
- * @param sentAt When the statement was sent.
+ * @param sinceSent Returns the time since the statement was sent, in milliseconds.
  * @param answer The answer.
  * @param services Services that record it.
  *
  * @example
- * recordAnswer(connection, sentAt, answer, services);
+ * recordAnswer(connection, sinceSent, answer, services);
  */
 export function recordAnswer(
     connection: AcquiredConnection,
-    sentAt: number,
+    sinceSent: () => number,
     answer: StatementAnswer,
     services: Pick<SessionServices, "primaries" | "evidence" | "verification">,
 ): void {
@@ -26,6 +26,6 @@
     }
     primaries.recordPosition(endpoint, answer.position);
     if (connection.isPrimary && verification.isVerified(endpoint)) {
-        evidence.record(endpoint.group, sentAt, answer.position);
+        evidence.record(endpoint.group, sinceSent, answer.position);
     }
 }
--- a/src/callerSessions/recordAnswer/test.ts
+++ b/src/callerSessions/recordAnswer/test.ts
@@ -19,7 +19,7 @@
     };
     const services = createSessionServices(createManualClock(), [endpoint], { verification });
     services.primaries.finishChange(endpoint.group, endpoint.id, 3);
-    recordAnswer(connection, 10, { rows: [], state: SessionState.Idle, position }, services);
+    recordAnswer(connection, () => 10, { rows: [], state: SessionState.Idle, position }, services);
     return services.evidence.coveringPosition(endpoint.group, 10);
 }
 
--- a/src/primaries/types/PositionEvidence.ts
+++ b/src/primaries/types/PositionEvidence.ts
@@ -1,11 +1,14 @@
 import type { LogPosition } from "../../statements/types/LogPosition.js";
 
-/** Log positions of the primaries with the times at which this VM requested them, on its own clock. */
+/** Log positions of the primaries with the time since this VM requested each of them. */
 export interface PositionEvidence {
-    /** Records the log position with which a primary answered a request sent at `requestedAt`. */
-    record(group: string, requestedAt: number, position: LogPosition): void;
-    /** The oldest position that includes every commit acknowledged before a moment; undefined when none is known. */
-    coveringPosition(group: string, moment: number): LogPosition | undefined;
-    /** When the newest evidence was requested; undefined when there is none. */
-    newestRequestedAt(group: string): number | undefined;
+    /** Records the log position with which a primary answered a request; the function returns the time since it was sent. */
+    record(group: string, sinceRequest: () => number, position: LogPosition): void;
+    /**
+     * The oldest position that includes every commit that was acknowledged longer ago than the given time, in
+     * milliseconds; undefined when none is known.
+     */
+    coveringPosition(group: string, maximumAgeMilliseconds: number): LogPosition | undefined;
+    /** Time since the newest evidence was requested, in milliseconds; undefined when there is none. */
+    newestAge(group: string): number | undefined;
 }
--- a/src/testing/createManualClock/index.ts
+++ b/src/testing/createManualClock/index.ts
@@ -5,6 +5,8 @@
 interface ManualClock extends Clock {
     /** Advances the time and wakes sleepers in the order of their wake-up times. */
     advance(milliseconds: number): Promise<void>;
+    /** Advances the wall time alone, as while the VM is suspended. */
+    suspend(milliseconds: number): void;
 }
 
 /** One sleep that has not ended. */
@@ -28,6 +30,7 @@
 export function createManualClock(): ManualClock {
     const sleepers = new Set<Sleeper>();
     let time = 0;
+    let suspendedMilliseconds = 0;
 
     function sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
         if (signal?.aborted === true) {
@@ -83,5 +86,9 @@
         time = endsAt;
     }
 
-    return { now: () => time, wallTime: () => time, sleep, startTimer, advance };
+    function suspend(milliseconds: number): void {
+        suspendedMilliseconds += milliseconds;
+    }
+
+    return { now: () => time, wallTime: () => time + suspendedMilliseconds, sleep, startTimer, advance, suspend };
 }
