Test the order of a link's budget on a clock of its own

Cause: a wrong check. The test ran on the system clock; its bucket is 2,000 bytes short and gains 100 bytes a millisecond, so a process that stands still for 20 ms between two lines of the test sends the next bytes at once, as it should.

The test now advances a manual clock and also checks that control alone is sent before any time has passed, so it is stricter, and it has one verdict.

--- a/src/admission/createLinkBudget/test.ts
+++ b/src/admission/createLinkBudget/test.ts
@@ -1,17 +1,20 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import type { Clock } from "../../clock/types/Clock.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
 import { LinkPriority } from "../types/LinkPriority.js";
 import { createLinkBudget } from "./index.js";
 
-function createBudget(bytesPerSecond: number) {
-    return createLinkBudget({ clock: createSystemClock(), link: "north>south", bytesPerSecond: () => bytesPerSecond });
+function createBudget(bytesPerSecond: number, clock: Clock = createSystemClock()) {
+    return createLinkBudget({ clock, link: "north>south", bytesPerSecond: () => bytesPerSecond });
 }
 
 test("control messages are sent at once, then writes, then reads", async () => {
-    const budget = createBudget(100_000);
+    const clock = createManualClock();
+    const budget = createBudget(100_000, clock);
     const sent: string[] = [];
     const send = (name: string, priority: LinkPriority) =>
         budget.reserve(priority, 2_000, 10_000).then(() => sent.push(name));
@@ -23,6 +26,9 @@
         send("second write", LinkPriority.Write),
     ];
     assert.equal(budget.countWaitingBytes(), 6_000);
+    await clock.advance(0);
+    assert.deepEqual(sent, ["control"]);
+    await clock.advance(1_000);
     await Promise.all(sending);
     assert.deepEqual(sent, ["control", "write", "second write", "read"]);
 });
