Answer the accepted calls before a transport server closes its connections

Cause: `createTransportServer.stop` terminated all connections. Answers that were on their way, and calls that the server had received or was about to receive, were cut off alike, and the calling process could not tell which of them had been run. In the emulated network the end of a connection also overtook the frames that were sent before it.

Over sockets, on the code before: a call that ran when the server stopped, and one that was answered 5 ms before over a link of 20 ms, failed with ConnectionClosed; of callers that never pause, the last 40 calls that had run got no answer; entries that never pause at a gateway saw ConnectionClosed over a link of 1.5 ms; a connection that sent nothing kept the stop from ending at all.

The server now knows its calls in flight. While it stops it answers a new call as not run, answers all accepted ones, then closes each connection with the WebSocket close handshake and code 1001. A peer that receives that code knows that none of its unanswered calls was run (`Unreachable`), which all callers already treat as not sent. After one second, what remains is terminated, with an unknown outcome as before. The kinds of frames and the protocol's version are unchanged: a peer of the version before reads the close as it did.

Tests: all cases above fail before, as listed, and pass now; the case of the time limit passed before, too.

--- a/src/network/types/FrameSocket.ts
+++ b/src/network/types/FrameSocket.ts
@@ -4,6 +4,8 @@
     onFrame(listener: (frame: Uint8Array) => void): void;
     /** Closes the connection immediately, without a closing handshake. */
     close(): void;
-    /** Resolves when the connection was closed, by either side or by an error. */
-    readonly closed: Promise<void>;
+    /** Whether frames can still be sent. */
+    isOpen(): boolean;
+    /** Resolves with the close code of the WebSocket protocol, after the last frame that was received. */
+    readonly closed: Promise<number>;
 }
--- a/src/network/wrapSocket/index.ts
+++ b/src/network/wrapSocket/index.ts
@@ -30,6 +30,7 @@
     const receiveLater = createDelayLine(() => incomingLink().delayMilliseconds);
     const listeners: ((frame: Uint8Array) => void)[] = [];
     const undeliveredFrames: Uint8Array[] = [];
+    let isTerminated = false;
 
     function isSilent(silentSince: number | undefined): boolean {
         return silentSince !== undefined && openedAt <= silentSince;
@@ -66,15 +67,25 @@
         }
     }
 
+    function terminate(): void {
+        isTerminated = true;
+        socket.terminate();
+    }
+
     const stopWatching = conditions.onChange(() => {
         if (outgoingLink().isCut || incomingLink().isCut) {
-            socket.terminate();
+            terminate();
         }
     });
-    const closed = new Promise<void>(resolve => {
-        socket.once("close", () => {
+    const closed = new Promise<number>(resolve => {
+        socket.once("close", code => {
             stopWatching();
-            resolve();
+            if (isTerminated) {
+                resolve(code);
+                return;
+            }
+            // Frames that the other side sent before it closed the connection arrive first.
+            receiveLater(() => resolve(code));
         });
     });
     socket.on("message", data => receive(data as Buffer));
@@ -82,7 +93,8 @@
     return {
         send,
         onFrame,
-        close: () => socket.terminate(),
+        close: terminate,
+        isOpen: () => socket.readyState === socket.OPEN,
         closed,
     };
 }
--- a/src/transport/constants.ts
+++ b/src/transport/constants.ts
@@ -11,4 +11,10 @@
     idleTimeoutMilliseconds: 5_000,
     connectTimeoutMilliseconds: 1_000,
     maximumFrameBytes: 8 * 1024 * 1024,
+    /** HTTP status of an answer to a request that is no WebSocket handshake. */
+    upgradeRequiredStatus: 426,
+    /** Close code, of the WebSocket protocol, of a server that stops; it has run no call that it has not answered. */
+    goingAwayCloseCode: 1_001,
+    /** Time in which a server that stops answers the calls that it has accepted. */
+    stopTimeoutMilliseconds: 1_000,
 } as const;
--- a/src/transport/createTransportServer/index.ts
+++ b/src/transport/createTransportServer/index.ts
@@ -1,10 +1,13 @@
 import type { AnyTRPCRouter } from "@trpc/server";
 import { once } from "node:events";
-import { type AddressInfo, WebSocketServer } from "ws";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type WebSocket, WebSocketServer } from "ws";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
 import type { Logger } from "../../logging/types/Logger.js";
 import { transportConstants } from "../constants.js";
 import { servePeer } from "../servePeer/index.js";
+import type { ServedPeer } from "../types/ServedPeer.js";
 
 /** Options of `createTransportServer`. */
 interface TransportServerOptions {
@@ -22,7 +25,10 @@
     /** The port it listens on, once started. */
     port(): number;
     start(): Promise<void>;
+    /** Refuses new calls as not run, answers the accepted ones, and closes all connections, within a time limit. */
     stop(): Promise<void>;
+    /** Paths of the accepted calls that are not answered yet. */
+    describeWork(): readonly string[];
 }
 
 /**
@@ -36,25 +42,53 @@
  * await server.start();
  */
 export function createTransportServer(options: TransportServerOptions): TransportServer {
-    let server: WebSocketServer | undefined;
+    const peers = new Set<ServedPeer>();
+    let isStopping = false;
+    const webSocketServer = new WebSocketServer({
+        noServer: true,
+        maxPayload: transportConstants.maximumFrameBytes,
+        perMessageDeflate: false,
+    });
+    const httpServer = createServer((_request, response) => {
+        response.writeHead(transportConstants.upgradeRequiredStatus).end();
+    });
+    httpServer.on("upgrade", (request, socket, head) => webSocketServer.handleUpgrade(request, socket, head, serve));
+
+    function serve(socket: WebSocket): void {
+        const peer = servePeer(socket, options);
+        peers.add(peer);
+        void peer.closed.then(() => peers.delete(peer));
+        if (isStopping) {
+            void peer.stop();
+        }
+    }
 
     async function start(): Promise<void> {
-        server = new WebSocketServer({
-            host: options.host,
-            port: options.port,
-            maxPayload: transportConstants.maximumFrameBytes,
-            perMessageDeflate: false,
-        });
-        server.on("connection", socket => servePeer(socket, options));
-        await once(server, "listening");
+        isStopping = false;
+        httpServer.listen(options.port, options.host);
+        await once(httpServer, "listening");
     }
 
     async function stop(): Promise<void> {
-        for (const socket of server?.clients ?? []) {
-            socket.terminate();
-        }
-        await new Promise<void>(resolve => server === undefined ? resolve() : server.close(() => resolve()));
+        isStopping = true;
+        const closed = new Promise<void>(resolve => httpServer.close(() => resolve()));
+        const timer = setTimeout(terminate, transportConstants.stopTimeoutMilliseconds);
+        await Promise.all([...peers].map(peer => peer.stop()));
+        terminate();
+        await closed;
+        clearTimeout(timer);
+    }
+
+    /** Also ends connections that have not become one of a peer. */
+    function terminate(): void {
+        peers.forEach(peer => peer.terminate());
+        httpServer.closeAllConnections();
     }
 
-    return { port: () => (server?.address() as AddressInfo).port, start, stop };
+    return {
+        port: () => (httpServer.address() as AddressInfo).port,
+        start,
+        stop,
+        describeWork: () => [...peers].flatMap(peer => peer.describeWork()),
+    };
 }
--- a/src/transport/openPeerConnection/index.ts
+++ b/src/transport/openPeerConnection/index.ts
@@ -58,7 +58,17 @@
         socket.send(encode(frame, { ignoreUndefined: true }));
     }
 
-    function closedError(): Error {
+    /** A peer that stops has run no call that it has not answered. */
+    function createClosedError(closeCode: number): Error {
+        if (closeCode === transportConstants.goingAwayCloseCode) {
+            return createError(
+                ErrorKind.Unreachable,
+                `${address.host}:${address.port} stopped before it ran the call.`,
+                {
+                    remedy: "Call another process.",
+                },
+            );
+        }
         return createError(
             ErrorKind.ConnectionClosed,
             `The connection to ${address.host}:${address.port} was closed.`,
@@ -110,13 +120,13 @@
             socket.close();
         }
     });
-    const closed = socket.closed.then(() => {
+    const closed = socket.closed.then(closeCode => {
         isClosed = true;
         heartbeat.stop();
         const calls = [...pending.values()];
         pending.clear();
         for (const call of calls) {
-            call.error(closedError());
+            call.error(createClosedError(closeCode));
         }
     });
 
@@ -136,7 +146,7 @@
         input: unknown,
         call: PendingCall,
     ): number {
-        if (isClosed) {
+        if (isClosed || !socket.isOpen()) {
             call.error(
                 createError(
                     ErrorKind.Unreachable,
--- a/src/transport/servePeer/index.ts
+++ b/src/transport/servePeer/index.ts
@@ -7,6 +7,7 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
 import type { Logger } from "../../logging/types/Logger.js";
+import { createWorkTracker } from "../../waiting/createWorkTracker/index.js";
 import { transportConstants } from "../constants.js";
 import { createPeerProof } from "../createPeerProof/index.js";
 import { decodeFrame } from "../decodeFrame/index.js";
@@ -14,6 +15,9 @@
 import type { Frame } from "../types/Frame.js";
 import { FrameKind } from "../types/FrameKind.js";
 import type { PeerContext } from "../types/PeerContext.js";
+import type { ServedPeer } from "../types/ServedPeer.js";
+
+type CallFrame = Extract<Frame, readonly [FrameKind.Call, ...unknown[]]>;
 
 /** Options of `servePeer`. */
 interface ServePeerOptions {
@@ -28,17 +32,20 @@
  *
  * @param socket The accepted connection.
  * @param options Shared secret, router, events and logger.
+ * @returns The served connection, with which the server stops it.
  *
  * @example
- * server.on("connection", socket => servePeer(socket, options));
+ * server.on("connection", socket => peers.add(servePeer(socket, options)));
  */
-export function servePeer(socket: WebSocket, options: ServePeerOptions): void {
+export function servePeer(socket: WebSocket, options: ServePeerOptions): ServedPeer {
     const { router, events } = options;
     const log = options.logger.topic("transport");
     const nonce = randomBytes(16).toString("hex");
     const runningCalls = new Map<number, AbortController>();
+    const acceptedCalls = createWorkTracker();
     const connectionEnd = new AbortController();
     let context: PeerContext | undefined;
+    let isStopping = false;
 
     function send(frame: Frame): void {
         if (socket.readyState === socket.OPEN) {
@@ -73,11 +80,26 @@
         send([FrameKind.Welcome]);
     }
 
-    async function executeCall(frame: Extract<Frame, readonly [FrameKind.Call, ...unknown[]]>): Promise<void> {
-        const [, id, type, path, input, stamp] = frame;
+    function acceptCall(frame: CallFrame): void {
+        const [, id, type, path, , stamp] = frame;
+        events.observe(stamp);
+        if (isStopping) {
+            send([FrameKind.Failure, id, serializeError(createStoppingError(path)), events.stamp()]);
+        }
+        else if (type === "subscription") {
+            void execute(frame, sendItems);
+        }
+        else {
+            void acceptedCalls.track(path, () => execute(frame, sendResult));
+        }
+    }
+
+    async function execute(
+        [, id, type, path, input]: CallFrame,
+        sendAnswer: (id: number, data: unknown, signal: AbortSignal) => void | Promise<void>,
+    ): Promise<void> {
         const controller = new AbortController();
         runningCalls.set(id, controller);
-        events.observe(stamp);
         try {
             const data: unknown = await callTRPCProcedure({
                 router,
@@ -88,17 +110,7 @@
                 signal: controller.signal,
                 batchIndex: 0,
             });
-            if (type !== "subscription") {
-                send([FrameKind.Result, id, data, events.stamp()]);
-                return;
-            }
-            for await (const item of data as AsyncIterable<unknown>) {
-                if (controller.signal.aborted) {
-                    break;
-                }
-                send([FrameKind.Item, id, item, events.stamp()]);
-            }
-            send([FrameKind.Done, id]);
+            await sendAnswer(id, data, controller.signal);
         }
         catch (error) {
             send([FrameKind.Failure, id, serializeError(error), events.stamp()]);
@@ -108,8 +120,36 @@
         }
     }
 
+    function sendResult(id: number, data: unknown): void {
+        send([FrameKind.Result, id, data, events.stamp()]);
+    }
+
+    async function sendItems(id: number, items: unknown, signal: AbortSignal): Promise<void> {
+        for await (const item of items as AsyncIterable<unknown>) {
+            if (signal.aborted) {
+                break;
+            }
+            send([FrameKind.Item, id, item, events.stamp()]);
+        }
+        send([FrameKind.Done, id]);
+    }
+
+    /** The error for a call that was not run; peers treat it like a call that was not sent. */
+    function createStoppingError(path: string): Error {
+        return createError(ErrorKind.Unreachable, `The call to ${path} was not run: the process is stopping.`, {
+            remedy: "Call another process.",
+        });
+    }
+
+    async function stop(): Promise<void> {
+        isStopping = true;
+        await Promise.race([acceptedCalls.whenIdle(), closed]);
+        socket.close(transportConstants.goingAwayCloseCode);
+        await closed;
+    }
+
     const handlers: Partial<Record<FrameKind, (frame: Frame) => void>> = {
-        [FrameKind.Call]: frame => void executeCall(frame as Extract<Frame, readonly [FrameKind.Call, ...unknown[]]>),
+        [FrameKind.Call]: frame => acceptCall(frame as CallFrame),
         [FrameKind.Cancel]: frame => runningCalls.get(frame[1] as number)?.abort(waitAbortReason),
         [FrameKind.Ping]: () => send([FrameKind.Pong]),
     };
@@ -134,11 +174,15 @@
         }
     });
     socket.on("error", () => socket.terminate());
-    socket.on("close", () => {
-        connectionEnd.abort(waitAbortReason);
-        for (const controller of runningCalls.values()) {
-            controller.abort(waitAbortReason);
-        }
+    const closed = new Promise<void>(resolve => {
+        socket.on("close", () => {
+            connectionEnd.abort(waitAbortReason);
+            for (const controller of runningCalls.values()) {
+                controller.abort(waitAbortReason);
+            }
+            resolve();
+        });
     });
     send([FrameKind.Challenge, transportConstants.protocolVersion, nonce]);
+    return { stop, terminate: () => socket.terminate(), describeWork: acceptedCalls.describe, closed };
 }
