--- a/src/platform/decodeReplicaStatus/index.ts
+++ b/src/platform/decodeReplicaStatus/index.ts
@@ -3,6 +3,8 @@
 import { splitFields } from "../splitFields/index.js";
 
 const fieldCount = 7;
+/** A decimal number without a sign or an exponent. */
+const countPattern = /^\d+(?:\.\d+)?$/;
 
 /**
  * Decodes the row in which an endpoint reports its replication status: role, term, last position received, newest term
@@ -15,9 +17,12 @@
  * decodeReplicaStatus("replica 3 3.1209 0 12 2 17")?.lagMilliseconds; // => 12
  */
 export function decodeReplicaStatus(row: string): ReplicaStatus | undefined {
-    const [role, term, position = "", heldTerm, lag, busy, connections] = splitFields(row, fieldCount);
+    const fields = splitFields(row, fieldCount + 1);
+    const [role, term, position = "", heldTerm, lag, busy, connections] = fields;
     const received = parsePosition(position);
-    if (received === undefined || connections === undefined) {
+    const terms = [term, heldTerm];
+    const counts = [lag, busy, connections];
+    if (received === undefined || !terms.every(isWholeNumber) || !counts.every(isCount)) {
         return undefined;
     }
     return {
@@ -30,3 +35,11 @@
         connections: Number(connections),
     };
 }
+
+function isWholeNumber(text: string | undefined): boolean {
+    return isCount(text) && Number.isSafeInteger(Number(text));
+}
+
+function isCount(text: string | undefined): boolean {
+    return text !== undefined && countPattern.test(text) && Number.isFinite(Number(text));
+}
