Judge sessions idle only after the event loop has read what arrived

What callers saw: around the end of the draining phase of a stop, a connection was closed although a statement had been sent hundreds of milliseconds before; it got no answer.

Cause: the stop looks for idle sessions on a timer. Timers run before the event loop polls its sockets, so after a stall (busy processor, garbage collection, a paused process) a statement that has long arrived is still unread, and its session counts as idle.

Change: before the sessions are looked at, waitForArrivedInput lets the loop poll, and again if that turn took longer than 50 ms itself.

Evidence: a statement sent over a real socket before a stall of 300 ms that spans the end of the leaving phase.

--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -45,4 +45,6 @@
     stopOpenTimeoutMilliseconds: 500,
     /** Polling interval of the sessions during a stop, in milliseconds. */
     stopPollingMilliseconds: 50,
+    /** Longest turn of the event loop after which a session without a statement counts as idle, in milliseconds. */
+    maximumTurnMilliseconds: 50,
 } as const;
--- a/src/callerSessions/createSessionsStop/index.ts
+++ b/src/callerSessions/createSessionsStop/index.ts
@@ -5,6 +5,7 @@
 import { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementFailure } from "../../statements/types/StatementFailure.js";
 import { StatementKind } from "../../statements/types/StatementKind.js";
+import { waitForArrivedInput } from "../../waiting/waitForArrivedInput/index.js";
 import { callerSessionConstants } from "../constants.js";
 import { CallerCommandKind } from "../types/CallerCommandKind.js";
 import type { GracefulStop } from "../types/GracefulStop.js";
@@ -95,13 +96,15 @@
         void otherWork.then(() => {
             isWorking = false;
         });
-        const { closeGraceShare, stopPollingMilliseconds } = callerSessionConstants;
+        const { closeGraceShare, stopPollingMilliseconds, maximumTurnMilliseconds } = callerSessionConstants;
         const closesAt = clock.now() + closeGraceShare * options.graceMilliseconds;
         log("closing all sessions", { open: sessions.size });
         stop.begin();
         const isUnfinished = (): boolean => sessions.size > 0 || isWorking || stop.phase() < StopPhase.Draining;
         while (clock.now() < closesAt && isUnfinished()) {
             await clock.sleep(stopPollingMilliseconds);
+            // A session whose next statement has arrived is not idle, although it was not read yet.
+            await waitForArrivedInput({ clock, maximumTurnMilliseconds, endsAt: closesAt });
             closeFinished();
         }
         log("end of the stop", { open: sessions.size });
--- a/src/vm/createVmServer/test.ts
+++ b/src/vm/createVmServer/test.ts
@@ -1,13 +1,20 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { callerSessionConstants } from "../../callerSessions/constants.js";
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
 import { createCallerStandIn } from "../../platform/standIns/createCallerStandIn/index.js";
 import { createPlatformStandIn } from "../../platform/standIns/createPlatformStandIn/index.js";
+import { SessionState } from "../../statements/types/SessionState.js";
+import { blockEventLoop } from "../../testing/blockEventLoop/index.js";
 import { createRoute } from "../../testing/createRoute/index.js";
 import { startVm } from "../../testing/startVm/index.js";
 import { waitUntilTrue } from "../../testing/waitUntilTrue/index.js";
 
 const callerCount = 24;
 const graceMilliseconds = 2_000;
+/** Time after the signal to stop at which sessions that are idle are closed. */
+const idleCloseMilliseconds = callerSessionConstants.idleCloseGraceShare * graceMilliseconds;
 /** A connection that ends this soon after a statement was sent may have crossed it on its way. */
 const crossingMilliseconds = 200;
 const statements = ["READ a", "WRITE a b", "BEGIN", "READ a", "WRITE c d", "COMMIT"];
@@ -60,4 +67,22 @@
         );
         platform.stop();
     });
+
+    it("answers a statement that arrived while the event loop stood still, before sessions were found idle", async () => {
+        const platform = await createPlatformStandIn({ group: "orders", zones: ["a", "b"], promotionMilliseconds: 60 });
+        platform.configure(7, [createRoute({ database: "counter" })]);
+        const vm = await startVm("vm-1", platform, { graceMilliseconds });
+        await waitUntilTrue("the VM is ready", vm.isReady);
+        const { caller } = await createCallerStandIn(vm.settings.callerAddress.port, "counter");
+        assert.notEqual((await caller.run("READ a")).state, undefined);
+        const stopped = vm.stop();
+        await createSystemClock().sleep(idleCloseMilliseconds - 100);
+        await nextTurn();
+        const answer = caller.run("READ a");
+        blockEventLoop(300);
+        const { state } = await answer;
+        await stopped;
+        platform.stop();
+        assert.equal(state, SessionState.Idle);
+    });
 });
