Let some soak callers cling to their VM

A third of the soak's callers dial the same VM again at once, also one that stops, until its dials were refused for a second. They send without a pause, one unit in four as two statements at once, and in one session in three they pause up to 600 ms inside transactions. The stand-in of a caller now ends all waiting statements when its connection is closed; before, the second of two waited for ever.

--- a/src/platform/standIns/createCallerStandIn/index.ts
+++ b/src/platform/standIns/createCallerStandIn/index.ts
@@ -38,6 +38,7 @@
     let rows: string[] = [];
     let signature: string | undefined;
     let failure: StatementFailure | undefined;
+    let isClosed = false;
 
     function deliver(state: SessionState | undefined): void {
         const answer = { rows, signature, failure, state };
@@ -53,8 +54,17 @@
         }
     }
 
+    /** Ends every statement that still waits for its answer. */
+    function endAnswers(): void {
+        isClosed = true;
+        do {
+            deliver(undefined);
+        }
+        while (waiters.length > 0);
+    }
+
     socket.on("error", () => socket.destroy());
-    const closed = new Promise<void>(resolve => socket.once("close", () => resolve())).then(() => deliver(undefined));
+    const closed = new Promise<void>(resolve => socket.once("close", () => resolve())).then(endAnswers);
     socket.on("data", chunk => {
         for (const line of splitter.push(chunk) ?? []) {
             const message = decodeMessage(line);
@@ -74,7 +84,7 @@
     });
 
     function nextAnswer(): Promise<CallerAnswer> {
-        const answer = answers.shift();
+        const answer = answers.shift() ?? (isClosed ? { rows: [] } : undefined);
         return answer === undefined ? new Promise(resolve => waiters.push(resolve)) : Promise.resolve(answer);
     }
 
--- a/src/soak/constants.ts
+++ b/src/soak/constants.ts
@@ -23,6 +23,11 @@
     /** Maximum pause of a caller between two sessions, and between two units of one session, in milliseconds. */
     maximumReconnectPauseMilliseconds: 200,
     maximumThinkTimeMilliseconds: 60,
+    /** Maximum pause inside the transactions of some sessions of clinging callers, in milliseconds. */
+    maximumTransactionPauseMilliseconds: 600,
+    /** Pause of a clinging caller after a refused dial, in milliseconds, and dials after which it chooses another VM. */
+    refusedDialPauseMilliseconds: 20,
+    refusedDialsPerVm: 50,
     /** Mean interval between the starts of two faults, in milliseconds. */
     meanFaultIntervalMilliseconds: 900,
     /** Minimum and maximum duration of a fault, in milliseconds. */
--- a/src/soak/runCallerUnit/index.ts
+++ b/src/soak/runCallerUnit/index.ts
@@ -6,6 +6,7 @@
 import type { CallerRead } from "../types/CallerRead.js";
 import type { CallerUnit } from "../types/CallerUnit.js";
 import type { SoakSession } from "../types/SoakSession.js";
+import { UnitKind } from "../types/UnitKind.js";
 import { UnitOutcome } from "../types/UnitOutcome.js";
 import { waitForAnswer } from "../waitForAnswer/index.js";
 
@@ -22,8 +23,7 @@
     [FailureCode.UnknownPreparedStatement]: true,
 };
 
-/** One unit in this many is a transaction; one transaction in this many is abandoned, and one is rolled back. */
-const unitsPerTransaction = 4;
+/** One transaction in this many is abandoned, and one is rolled back. */
 const transactionsPerAbandonment = 12;
 const transactionsPerRollback = 8;
 const statementsInTransaction = 3;
@@ -33,19 +33,29 @@
 const firstPrintableCharacter = 0x20;
 const noAnswer: CallerAnswer = { rows: [] };
 
+/** A statement of a unit and its answer. */
+interface SentStatement {
+    readonly id: string;
+    readonly answer: CallerAnswer;
+}
+
 /**
  * Runs a single statement or a transaction as a caller, and records it.
  *
+ * Units of single statements may run on a session at the same time.
+ *
  * @param session The caller's session.
+ * @param kind What to run.
  * @param clock Source of time.
  * @param random Source of randomness for the statements.
  * @returns The recorded unit, and whether the session is still usable.
  *
  * @example
- * const { unit, isUsable } = await runCallerUnit(session, clock, random);
+ * const { unit, isUsable } = await runCallerUnit(session, UnitKind.Single, clock, random);
  */
 export async function runCallerUnit(
     session: SoakSession,
+    kind: UnitKind,
     clock: Clock,
     random: RandomSource,
 ): Promise<{ readonly unit: CallerUnit; readonly isUsable: boolean; }> {
@@ -57,7 +67,11 @@
     const signatures: Record<string, string> = {};
     let slowestMilliseconds = 0;
     let isUsable = true;
-    const outcome = random.nextInteger(unitsPerTransaction) === 0 ? await runTransaction() : await runSingle();
+    const runners: Readonly<Record<UnitKind, () => Promise<UnitOutcome>>> = {
+        [UnitKind.Single]: runSingle,
+        [UnitKind.Transaction]: runTransaction,
+    };
+    const outcome = await runners[kind]();
     const { name, vm, guarantee } = session;
     const unit: CallerUnit = {
         session: name,
@@ -74,11 +88,12 @@
     };
     return { unit, isUsable };
 
-    async function send(text: string): Promise<CallerAnswer> {
+    async function send(text: string): Promise<SentStatement> {
         const sentAt = clock.now();
-        const answer = await waitForAnswer(caller.run(text), clock);
+        const pendingAnswer = caller.run(text);
         const id = caller.lastId();
         ids.push(id);
+        const answer = await waitForAnswer(pendingAnswer, clock);
         slowestMilliseconds = answer === undefined
             ? Number.POSITIVE_INFINITY
             : Math.max(slowestMilliseconds, Math.round(clock.now() - sentAt));
@@ -86,7 +101,7 @@
         if (answer?.signature !== undefined && answer.signature !== "-") {
             signatures[id] = answer.signature;
         }
-        return answer ?? noAnswer;
+        return { id, answer: answer ?? noAnswer };
     }
 
     async function runSingle(): Promise<UnitOutcome> {
@@ -101,8 +116,9 @@
         const data = isWrite ? ` ${session.name}.${Math.round(clock.now() * 1_000)}${control}end` : "";
         const { read, write } = session.prepared;
         const command = isWrite ? "WRITE" : "READ";
-        const answer = await send(`${isPrepared ? `EXECUTE ${isWrite ? write : read}` : command} ${item}${data}`);
-        const id = caller.lastId();
+        const { id, answer } = await send(
+            `${isPrepared ? `EXECUTE ${isWrite ? write : read}` : command} ${item}${data}`,
+        );
         if (isWrite) {
             writeIds.push(id);
         }
@@ -113,11 +129,12 @@
     }
 
     async function runTransaction(): Promise<UnitOutcome> {
-        const begin = await send("BEGIN");
+        const { answer: begin } = await send("BEGIN");
         if (begin.failure !== undefined || begin.state === undefined) {
             return UnitOutcome.NotKept;
         }
         for (let index = 0; index < statementsInTransaction; index += 1) {
+            await clock.sleep(random.next() * session.maximumTransactionPauseMilliseconds);
             const answer = await runStatement();
             if (answer.failure !== undefined || answer.state === undefined) {
                 return await rollBack();
@@ -129,7 +146,7 @@
         }
         return random.nextInteger(transactionsPerRollback) === 0
             ? await rollBack()
-            : classifyAnswer(await send("COMMIT"));
+            : classifyAnswer((await send("COMMIT")).answer);
     }
 
     async function rollBack(): Promise<UnitOutcome> {
--- a/src/soak/runSoakCaller/index.ts
+++ b/src/soak/runSoakCaller/index.ts
@@ -1,12 +1,12 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import { createCallerStandIn } from "../../platform/standIns/createCallerStandIn/index.js";
-import type { CallerStandIn } from "../../platform/standIns/types/CallerStandIn.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { soakConstants } from "../constants.js";
 import { runCallerUnit } from "../runCallerUnit/index.js";
 import type { CallerUnit } from "../types/CallerUnit.js";
 import type { SoakSession } from "../types/SoakSession.js";
+import { UnitKind } from "../types/UnitKind.js";
 import { waitForAnswer } from "../waitForAnswer/index.js";
 
 /** Options of `runSoakCaller`. */
@@ -24,11 +24,21 @@
 
 /** Maximum number of units that a session runs before its caller reconnects. */
 const maximumUnitsPerSession = 60;
+/** One caller in this many clings to its VM: it dials again at once, and sends without a pause. */
+const callersPerClinging = 3;
 /** One session in this many sends each statement as soon as it has the answer to the one before. */
 const sessionsPerRestless = 4;
+/** One session of a clinging caller in this many pauses inside its transactions. */
+const sessionsPerPausing = 3;
+/** One unit in this many is a transaction; one in this many of a clinging caller is a pair of statements. */
+const unitsPerTransaction = 4;
+const unitsPerPair = 4;
 
 /**
- * Runs one caller: it opens sessions at random VMs, and uses each until it fails or has run its number of units.
+ * Runs one caller: it opens sessions, and uses each until it fails or has run its number of units.
+ *
+ * Most callers pause and then choose a VM at random. A clinging caller dials the same VM again at once, also while that
+ * VM stops, and chooses another one only after its dials were refused for a while.
  *
  * @param options Name of the caller, the VMs and databases it connects to, and the callback that receives its units.
  *
@@ -37,36 +47,66 @@
  */
 export async function runSoakCaller(options: SoakCallerOptions): Promise<void> {
     const { clock, random, signal } = options;
-    let sessionCount = 0;
-    while (!signal.aborted) {
-        sessionCount += 1;
+    const isClinging = random.nextInteger(callersPerClinging) === 0;
+    let vm = chooseVm();
+    let refusedDialCount = 0;
+    for (let sessionCount = 1; !signal.aborted; sessionCount += 1) {
         const session = await openSession(`${options.name}-${sessionCount}`);
         if (session !== undefined) {
             await useSession(session);
             session.caller.close();
         }
-        await clock.sleep(random.next() * soakConstants.maximumReconnectPauseMilliseconds, signal);
+        await prepareRedial(session !== undefined);
+    }
+
+    function chooseVm(): number {
+        return random.nextInteger(options.ports.length);
+    }
+
+    /** Pauses, and chooses the VM to dial next. */
+    async function prepareRedial(wasOpened: boolean): Promise<void> {
+        if (!isClinging) {
+            vm = chooseVm();
+            await clock.sleep(random.next() * soakConstants.maximumReconnectPauseMilliseconds, signal);
+            return;
+        }
+        refusedDialCount = wasOpened ? 0 : refusedDialCount + 1;
+        if (refusedDialCount === soakConstants.refusedDialsPerVm) {
+            refusedDialCount = 0;
+            vm = chooseVm();
+        }
+        await clock.sleep(wasOpened ? 0 : soakConstants.refusedDialPauseMilliseconds, signal);
     }
 
     async function useSession(session: SoakSession): Promise<void> {
-        const isRestless = random.nextInteger(sessionsPerRestless) === 0;
+        const isRestless = isClinging || random.nextInteger(sessionsPerRestless) === 0;
         const maximumPause = isRestless ? 0 : soakConstants.maximumThinkTimeMilliseconds;
         for (
             let remainingUnits = 1 + random.nextInteger(maximumUnitsPerSession);
             remainingUnits > 0 && !signal.aborted;
             remainingUnits -= 1
         ) {
-            const { unit, isUsable } = await runCallerUnit(session, clock, random);
-            options.onUnit(unit);
-            if (!isUsable) {
+            const results = await Promise.all(
+                drawUnits().map(kind => runCallerUnit(session, kind, clock, random)),
+            );
+            results.forEach(({ unit }) => options.onUnit(unit));
+            if (!results.every(({ isUsable }) => isUsable)) {
                 return;
             }
             await clock.sleep(random.next() * maximumPause, signal);
         }
     }
 
+    /** Draws the units that are sent at the same time. */
+    function drawUnits(): readonly UnitKind[] {
+        if (random.nextInteger(unitsPerTransaction) === 0) {
+            return [UnitKind.Transaction];
+        }
+        const isPair = isClinging && random.nextInteger(unitsPerPair) === 0;
+        return isPair ? [UnitKind.Single, UnitKind.Single] : [UnitKind.Single];
+    }
+
     async function openSession(name: string): Promise<SoakSession | undefined> {
-        const vm = random.nextInteger(options.ports.length);
         const database = options.databases[random.nextInteger(options.databases.length)]!;
         const opening = createCallerStandIn(options.ports[vm]!, database.name);
         const opened = await waitForAnswer(opening, clock);
@@ -74,25 +114,28 @@
             void opening.then(({ caller }) => caller.close());
             return undefined;
         }
+        const isPausing = isClinging && random.nextInteger(sessionsPerPausing) === 0;
         const session = {
             name,
             vm,
             guarantee: database.guarantee,
             caller: opened.caller,
             prepared: { read: "fetch", write: "store" },
+            maximumTransactionPauseMilliseconds: isPausing ? soakConstants.maximumTransactionPauseMilliseconds : 0,
         };
         return await prepare(session) ? session : undefined;
     }
 
     /** Sets the session's variable and prepares its statements; their names are the same in all sessions. */
-    async function prepare({ caller, name, prepared }: SoakSession): Promise<boolean> {
+    async function prepare(session: SoakSession): Promise<boolean> {
+        const { caller, name, prepared } = session;
         const texts = [
             `SET session ${name}`,
             `PARSE ${prepared.read} READ ${name}`,
             `PARSE ${prepared.write} WRITE ${name}`,
         ];
         for (const text of texts) {
-            if (!await succeeds(caller, text)) {
+            if (!await succeeds(session, text)) {
                 caller.close();
                 return false;
             }
@@ -100,7 +143,7 @@
         return true;
     }
 
-    async function succeeds(caller: CallerStandIn, text: string): Promise<boolean> {
+    async function succeeds({ caller }: SoakSession, text: string): Promise<boolean> {
         const answer = await waitForAnswer(caller.run(text), clock);
         return answer?.state !== undefined && answer.failure === undefined;
     }
--- a/src/soak/types/SoakSession.ts
+++ b/src/soak/types/SoakSession.ts
@@ -10,4 +10,6 @@
     readonly caller: CallerStandIn;
     /** Names of the prepared read and write statement. */
     readonly prepared: { readonly read: string; readonly write: string; };
+    /** Maximum pause of the caller before each further statement of a transaction, in milliseconds. */
+    readonly maximumTransactionPauseMilliseconds: number;
 }
--- /dev/null
+++ b/src/soak/types/UnitKind.ts
@@ -0,0 +1,5 @@
+/** What a caller runs as one unit. */
+export enum UnitKind {
+    Single = "Single",
+    Transaction = "Transaction",
+}
