Answer what a caller has sent when the host of its session closes it

What callers saw: a statement sent to a VM that is not stopping got no answer, because the VM that hosts the session was stopping.

Cause: when the host reports that it has closed a session, the caller's connection was closed in the same turn, whatever was queued on it or on its way. Same class as the other cuts at stops: an end that does not ask what was accepted.

Why it works: a session whose host has closed it is over; each statement that was received is answered as not run (it was not sent), and the connection is closed when nothing is queued, or 100 ms later if nothing was sent.

--- a/src/callerSessions/createCallerSession/index.ts
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -217,5 +217,11 @@
         }
     }
 
-    return { isInTransaction: () => transaction !== undefined, handle, abandonTransaction, end: abandonTransaction };
+    return {
+        isInTransaction: () => transaction !== undefined,
+        isOver: () => false,
+        handle,
+        abandonTransaction,
+        end: abandonTransaction,
+    };
 }
--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -122,7 +122,7 @@
                 await runStatement(session, command, receivedAt);
                 open.unfinished -= 1;
                 open.hasAnswered = true;
-                if (sessionsStop.isFinished(open)) {
+                if (sessionsStop.isFinished(open) || session.isOver() && open.unfinished === 0) {
                     return;
                 }
             }
--- a/src/callerSessions/types/CallerSession.ts
+++ b/src/callerSessions/types/CallerSession.ts
@@ -4,6 +4,8 @@
 export interface CallerSession {
     /** Whether a transaction is open, failed ones included. */
     isInTransaction(): boolean;
+    /** Whether the session runs no more statements; what was received is still answered. */
+    isOver(): boolean;
     /** Runs a statement and sends its answer. */
     handle(received: ReceivedStatement): Promise<void>;
     /** Rolls back an open transaction; the answer to the caller's next statement reports it. */
--- a/src/forwarding/constants.ts
+++ b/src/forwarding/constants.ts
@@ -16,6 +16,11 @@
     recentAnswerMilliseconds: 300,
     /** Time for which the ends of idle sessions are collected before they are reported to the host, in milliseconds. */
     closeDelayMilliseconds: 500,
+    /**
+     * Time for which a connection stays open whose session the host has closed, in milliseconds: what its caller has just
+     * sent is answered as not run.
+     */
+    hostClosedLingerMilliseconds: 100,
     /** Timeout of a forwarded statement at its host, whatever its route allows, in milliseconds. */
     answerTimeoutMilliseconds: 60_000,
     /** Time for which an unreachable host gets no new session, in milliseconds. */
--- a/src/forwarding/createForwardedSession/index.ts
+++ b/src/forwarding/createForwardedSession/index.ts
@@ -1,6 +1,9 @@
+import { callerSessionConstants } from "../../callerSessions/constants.js";
 import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
 import type { CallerSession } from "../../callerSessions/types/CallerSession.js";
 import type { ReceivedStatement } from "../../callerSessions/types/ReceivedStatement.js";
+import type { Clock } from "../../clock/types/Clock.js";
+import { createError } from "../../errors/createError/index.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { TypedError } from "../../errors/types/TypedError.js";
@@ -8,6 +11,8 @@
 import { mayTakeEffect } from "../../statements/mayTakeEffect/index.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
+import { waitForArrivedInput } from "../../waiting/waitForArrivedInput/index.js";
+import { forwardingConstants } from "../constants.js";
 import type { ForwardedAnswer } from "../types/ForwardedAnswer.js";
 import type { HostedSession } from "../types/HostedSession.js";
 
@@ -16,6 +21,7 @@
 
 /** Options of `createForwardedSession`. */
 interface ForwardedSessionOptions {
+    readonly clock: Clock;
     readonly connection: CallerConnection;
     readonly database: string;
     /** Name of the VM that serves the session. */
@@ -38,7 +44,8 @@
  *
  * When the host does not answer the first statement, and that statement cannot have taken effect there, this VM serves
  * the session. When the connection to the host is lost later, the caller gets a failure that tells whether its statement
- * may have taken effect, and its connection is closed, because the session's values are lost.
+ * may have taken effect, and its connection is closed, because the session's values are lost. When the host closes an
+ * idle session, the caller's connection stays open for a moment, so that a statement on its way gets an answer.
  *
  * @param options The caller's connection, the host and the fallback without it.
  * @returns The session.
@@ -47,7 +54,7 @@
  * const session = createForwardedSession({ connection, hosted: open(host, database), ...rest });
  */
 export function createForwardedSession(options: ForwardedSessionOptions): CallerSession {
-    const { connection, database, hosted, hostName, log } = options;
+    const { clock, connection, database, hosted, hostName, log } = options;
     let state = SessionState.Idle;
     let local: CallerSession | undefined;
     let isBusy = false;
@@ -55,21 +62,31 @@
     let isClosedByHost = false;
     hosted.onClose(() => {
         isClosedByHost = true;
-        closeWhenIdle();
+        clock.startTimer(forwardingConstants.hostClosedLingerMilliseconds, () => void closeWhenIdle());
     });
 
-    function closeWhenIdle(): void {
-        if (isClosedByHost && !isBusy && local === undefined) {
+    async function closeWhenIdle(): Promise<void> {
+        const { maximumTurnMilliseconds } = callerSessionConstants;
+        await waitForArrivedInput({ clock, maximumTurnMilliseconds, endsAt: Infinity });
+        if (!isBusy && local === undefined) {
             log("host closed a session; the caller's connection is closed", { database, host: hostName, state });
             connection.close();
         }
     }
 
+    function isOver(): boolean {
+        return isClosedByHost && local === undefined;
+    }
+
     async function handle(received: ReceivedStatement): Promise<void> {
         if (local !== undefined) {
             await local.handle(received);
             return;
         }
+        if (isOver()) {
+            reportLostHost(received, createHostClosedError(), true);
+            return;
+        }
         isBusy = true;
         const { id, statement } = received;
         try {
@@ -80,8 +97,12 @@
             await handleLostHost(received, toTypedError(error));
         }
         isBusy = false;
-        // The host may report that it has closed the session before its last answer arrives.
-        closeWhenIdle();
+    }
+
+    function createHostClosedError(): Error {
+        return createError(ErrorKind.NotFound, `VM ${hostName} has closed the session.`, {
+            remedy: "Open another one.",
+        });
     }
 
     async function handleLostHost(received: ReceivedStatement, error: TypedError): Promise<void> {
@@ -129,10 +150,11 @@
             { code, description: "the connection to the session's host was lost" },
             SessionState.Idle,
         );
-        connection.close();
+        isClosedByHost = true;
     }
 
     return {
+        isOver,
         isInTransaction: () => local?.isInTransaction() ?? state !== SessionState.Idle,
         handle,
         // The host rolls back a transaction that is idle too long, and reports it in the answer to the next statement.
--- a/src/forwarding/createSessionForwarding/index.ts
+++ b/src/forwarding/createSessionForwarding/index.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { createForwardedSession } from "../createForwardedSession/index.js";
@@ -7,6 +8,7 @@
 
 /** Options of `createSessionForwarding`. */
 interface SessionForwardingOptions {
+    readonly clock: Clock;
     readonly directory: Pick<Directory, "routeOf" | "routingVersion">;
     readonly hosts: SessionHosts;
     readonly open: SessionOpener;
@@ -23,7 +25,7 @@
  * const session = forwarding.forward(connection, "shop", createLocal) ?? createLocal();
  */
 export function createSessionForwarding(options: SessionForwardingOptions): SessionForwarding {
-    const { directory, hosts, log } = options;
+    const { clock, directory, hosts, log } = options;
     let newestHostRoutingVersion = 0;
 
     return {
@@ -35,6 +37,7 @@
             }
             log("session is forwarded", { database, group, host: host.name });
             return createForwardedSession({
+                clock,
                 connection,
                 database,
                 hostName: host.name,
--- a/src/forwarding/createSessionForwarding/test.ts
+++ b/src/forwarding/createSessionForwarding/test.ts
@@ -12,6 +12,7 @@
 import type { SessionHosts } from "../types/SessionHosts.js";
 
 const vmCount = forwardingConstants.maximumSmallZoneVms + 2;
+const pairCallerCount = 12;
 
 /** Starts one zone with so many VMs that only the hosts hold connections. */
 async function startSite() {
@@ -76,4 +77,38 @@
         });
         caller.close();
     });
+
+    it("answers both of two statements that were sent together while the host of their session stops", async () => {
+        const entrance = site.vms.find(site.isForwarding)!;
+        const hosts = site.vms.filter(vm => !site.isForwarding(vm));
+        let isStopped = false;
+        const halfAnswered: string[] = [];
+        async function sendPairs(): Promise<void> {
+            while (!isStopped) {
+                const caller = await site.open(entrance);
+                for (let isOpen = true; isOpen && !isStopped;) {
+                    const pair = await Promise.all([caller.run("READ a"), caller.run("WRITE b c")]);
+                    const states = pair.map(({ state }) => state);
+                    isOpen = states[1] !== undefined;
+                    if (states[0] !== undefined && !isOpen) {
+                        halfAnswered.push(caller.lastId());
+                    }
+                }
+                caller.close();
+            }
+        }
+        const callers = Array.from({ length: pairCallerCount }, sendPairs);
+        const executedBefore = site.platform.executedStatements.length;
+        await waitUntilTrue(
+            "the callers are served",
+            () => site.platform.executedStatements.length > executedBefore + 5 * pairCallerCount,
+        );
+        for (const host of hosts) {
+            site.vms.splice(site.vms.indexOf(host), 1);
+            await host.stop();
+        }
+        isStopped = true;
+        await Promise.all(callers);
+        assert.deepEqual(halfAnswered, []);
+    });
 });
--- a/src/vm/listForwardingServices/index.ts
+++ b/src/vm/listForwardingServices/index.ts
@@ -55,6 +55,7 @@
                 peers: Peers,
                 logger: Logger,
             ) => createSessionForwarding({
+                clock,
                 directory,
                 hosts,
                 open: createSessionOpener(peers, clock, `${name}-${random.nextInteger(2 ** 32)}`),
