Close a caller's connection only after its last answer was sent

What callers saw: the last answer on a connection was cut off when its caller read slowly, or when the answer was larger than what the sockets buffer.

Cause: close() destroyed the socket 150 ms after the end was requested, whether or not the answer had left the process; what was still queued was dropped.

Change: the 150 ms begin when all has been handed to the socket. A caller that does not read for 2 s loses its connection, so that its answer does not stay in memory. A second close() does nothing: a stop called it every 50 ms, with a timer each.

Evidence: an answer of 16 rows of 1 MB to a caller that reads 450 ms later.

--- a/src/platform/constants.ts
+++ b/src/platform/constants.ts
@@ -10,6 +10,8 @@
     settingsFileVariable: "TARRAGONPOST_SETTINGS",
     /** Time between the last byte sent to a caller and the end of the connection, so that the caller receives all. */
     closeDelayMilliseconds: 150,
+    /** Time that a caller has to read its last answer once its connection is being closed. */
+    unreadAnswerMilliseconds: 2_000,
     /** Largest number of connections of one HTTP client. */
     maximumHttpConnections: 8,
     /** Time limit for opening a connection of an HTTP client. */
--- a/src/platform/listenForCallers/index.ts
+++ b/src/platform/listenForCallers/index.ts
@@ -47,6 +47,7 @@
 function wrapCallerSocket(socket: Socket): CallerConnection {
     const splitter = createLineSplitter(platformConstants.maximumMessageBytes);
     let deliver: (command: CallerCommand) => void = () => {};
+    let isClosing = false;
 
     socket.on("data", chunk => {
         const lines = splitter.push(chunk);
@@ -69,9 +70,17 @@
 
     /** Stops reading from the caller: later statements could not be answered on this connection. */
     function close(): void {
+        if (isClosing) {
+            return;
+        }
+        isClosing = true;
         socket.pause();
-        socket.end();
-        setTimeout(() => socket.destroy(), platformConstants.closeDelayMilliseconds).unref();
+        socket.end(() => destroyAfter(platformConstants.closeDelayMilliseconds));
+        destroyAfter(platformConstants.unreadAnswerMilliseconds);
+    }
+
+    function destroyAfter(milliseconds: number): void {
+        setTimeout(() => socket.destroy(), milliseconds).unref();
     }
 
     function encodeReady(state: SessionState, position: LogPosition | undefined): string {
--- a/src/platform/listenForCallers/test.ts
+++ b/src/platform/listenForCallers/test.ts
@@ -5,6 +5,9 @@
 import type { CallerCommand } from "../../callerSessions/types/CallerCommand.js";
 import { CallerCommandKind } from "../../callerSessions/types/CallerCommandKind.js";
 import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
+import { createSystemClock } from "../../clock/createSystemClock/index.js";
+import { SessionState } from "../../statements/types/SessionState.js";
+import { platformConstants } from "../constants.js";
 import { listenForCallers } from "./index.js";
 
 const address = { host: "127.0.0.1", port: 0, availabilityZone: "a" };
@@ -53,4 +56,35 @@
         socket.destroy();
         listener.stop();
     });
+
+    it("sends the whole answer to a caller that reads slowly, before the connection ends", async () => {
+        const { listener, socket, connection } = await openPair();
+        const rows = Array.from({ length: 16 }, () => "a".repeat(1_000_000));
+        let receivedBytes = 0;
+        socket.on("data", chunk => {
+            receivedBytes += chunk.length;
+        });
+        socket.pause();
+        const closed = once(socket, "close");
+        connection.sendSuccess({ rows, state: SessionState.Idle });
+        connection.close();
+        await createSystemClock().sleep(3 * platformConstants.closeDelayMilliseconds);
+        socket.resume();
+        await closed;
+        listener.stop();
+        assert.ok(receivedBytes > rows.join("").length, `only ${receivedBytes} bytes were received`);
+    });
+
+    it("ends the connection of a caller that does not read its answer", async () => {
+        const { listener, socket, connection } = await openPair();
+        const closed = new Promise<void>(resolve => connection.onClose(resolve));
+        socket.pause();
+        connection.sendSuccess({ rows: ["a".repeat(16_000_000)], state: SessionState.Idle });
+        const startedAt = performance.now();
+        connection.close();
+        await closed;
+        assert.ok(performance.now() - startedAt >= platformConstants.unreadAnswerMilliseconds - 10);
+        socket.destroy();
+        listener.stop();
+    });
 });
