Bound the whole stop of tarragonpost-node below its grace time

What callers and operators saw: a VM that had finished its sessions did not exit, and was killed at the end of the grace time, with nothing in its log.

Cause: after the sessions the other services stop one after the other, each without a bound. Closing the transport server waits for peers' connections that have sent no complete request, so one silent connection to the peer port keeps the process for good.

--- a/src/binaries/node/index.ts
+++ b/src/binaries/node/index.ts
@@ -5,6 +5,7 @@
 import { metricsConstants } from "../../metrics/constants.js";
 import { findSettingsFile } from "../../platform/findSettingsFile/index.js";
 import { readVmSettings } from "../../platform/readVmSettings/index.js";
+import { vmConstants } from "../../vm/constants.js";
 import { listVmServices } from "../../vm/listVmServices/index.js";
 
 let settingsFile = "";
@@ -19,6 +20,7 @@
         settingsFile = file;
         return { ...readVmSettings(file), logTopics: "tarragonpost:*" };
     },
+    longestStopMilliseconds: settings => vmConstants.stopGraceShare * settings.graceMilliseconds,
     createServices: settings =>
         listVmServices(settings, {
             writeLog,
--- a/src/commandLine/runBinary/index.ts
+++ b/src/commandLine/runBinary/index.ts
@@ -55,14 +55,16 @@
     }
     const settings = definition.readSettings(file);
     debug.enable([commandLineConstants.defaultLogTopics, settings.logTopics ?? ""].join(","));
-    const log = createLogger(settings.name, createSystemClock(), definition.writeLog).topic("process");
+    const clock = createSystemClock();
+    const log = createLogger(settings.name, clock, definition.writeLog).topic("process");
     const definitions = definition.createServices(settings);
     const kernel = createKernel(definitions);
     const serviceNames = definitions.map(service => service.name);
     const events = serviceNames.includes(ServiceName.Events)
         ? kernel.get<EventRecorder>(ServiceName.Events)
         : undefined;
-    const stopped = stopOnSignals(kernel, { control, serviceNames, log, events });
+    const longestStopMilliseconds = definition.longestStopMilliseconds?.(settings);
+    const stopped = stopOnSignals(kernel, { control, clock, longestStopMilliseconds, serviceNames, log, events });
     const text = `Started ${definition.name} ${readProductVersion()}.`;
     log(text);
     events?.record({ kind: EventKind.ProcessStarted, text });
--- a/src/commandLine/types/BinaryDefinition.ts
+++ b/src/commandLine/types/BinaryDefinition.ts
@@ -12,5 +12,7 @@
     readonly writeLog?: (line: string) => void;
     /** Reads and validates the settings file. */
     readSettings(file: string): Settings;
+    /** Time from the first signal to stop after which the process exits, whatever has not stopped; by default it waits. */
+    longestStopMilliseconds?(settings: Settings): number;
     createServices(settings: Settings): readonly ServiceDefinition[];
 }
