End the stop of the sessions when all that were opened have ended

What operators saw: a VM under callers that connect again at once stayed until 0.9 of its grace time, 0.4 s before it is killed, although it had refused all new sessions since 0.45.

Cause: the stop waited until no connection was open. A connection that is refused stays open for 150 ms more, so callers that come again at once kept it waiting: its end was a share of time, not what the VM had accepted.

Change: from the phase in which sessions are refused, the stop waits only for sessions that were opened, and for those whose request to open is not answered yet.

--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -63,6 +63,7 @@
             unfinished: 0,
             running: undefined,
             hasAnswered: false,
+            isRefused: false,
             isAborted: false,
             isCutOff: false,
             callerSession: undefined,
@@ -147,6 +148,7 @@
             }
             const refusal = await admitSession(command.database, { ...services, ...options });
             if (refusal !== undefined) {
+                open.isRefused = true;
                 connection.refuse(refusal);
                 return undefined;
             }
--- a/src/callerSessions/createSessionsStop/index.ts
+++ b/src/callerSessions/createSessionsStop/index.ts
@@ -31,8 +31,8 @@
     /** Whether a session has nothing more to do, after it has answered a statement. */
     isFinished(open: OpenSession): boolean;
     /**
-     * Closes the sessions as they become idle. Resolves when all are closed and `otherWork` is done, or the grace time
-     * has passed; no session is opened afterwards.
+     * Closes the sessions as they become idle. Resolves when all that were opened are closed and `otherWork` is done, or
+     * the grace time has passed; no session is opened afterwards.
      */
     closeAll(otherWork: Promise<void>): Promise<void>;
 }
@@ -100,7 +100,8 @@
         const closesAt = clock.now() + closeGraceShare * options.graceMilliseconds;
         log("closing all sessions", { open: sessions.size });
         stop.begin();
-        const isUnfinished = (): boolean => sessions.size > 0 || isWorking || stop.phase() < StopPhase.Draining;
+        const isUnfinished = (): boolean =>
+            isWorking || stop.phase() < StopPhase.Draining || [...sessions].some(isAwaited);
         while (clock.now() < closesAt && isUnfinished()) {
             await clock.sleep(stopPollingMilliseconds);
             // A session whose next statement has arrived is not idle, although it was not read yet.
@@ -112,6 +113,11 @@
         sessions.forEach(({ connection }) => connection.close());
     }
 
+    /** Whether the stop has to wait for a session; in a late phase a session is refused unless it was opened before. */
+    function isAwaited({ callerSession, unfinished, isRefused }: OpenSession): boolean {
+        return stop.phase() < StopPhase.Refusing || callerSession !== undefined || unfinished > 0 && !isRefused;
+    }
+
     /** Closes the sessions that have nothing more to do in the present phase of the stop. */
     function closeFinished(): void {
         const phase = stop.phase();
--- a/src/callerSessions/types/CallerSessions.ts
+++ b/src/callerSessions/types/CallerSessions.ts
@@ -9,8 +9,8 @@
     /** Number of open sessions. */
     count(): number;
     /**
-     * Closes the sessions as they become idle. Resolves when all are closed and `otherWork` is done, or the grace time
-     * has passed; no session is opened afterwards.
+     * Closes the sessions as they become idle. Resolves when all that were opened are closed and `otherWork` is done, or
+     * the grace time has passed; no session is opened afterwards.
      */
     closeAll(otherWork: Promise<void>): Promise<void>;
     /** Describes the open sessions that a stop still waits for. */
--- a/src/callerSessions/types/OpenSession.ts
+++ b/src/callerSessions/types/OpenSession.ts
@@ -13,6 +13,8 @@
     running: RunCommand | undefined;
     /** Whether a statement was answered. */
     hasAnswered: boolean;
+    /** Whether the session was not admitted. */
+    isRefused: boolean;
     /** Whether the stop has rolled back the session's transaction and reported it. */
     isAborted: boolean;
     /** Whether the end of the stop has answered all that the session had received. */
--- a/src/vm/createVmServer/test.ts
+++ b/src/vm/createVmServer/test.ts
@@ -17,6 +17,8 @@
 const idleCloseMilliseconds = callerSessionConstants.idleCloseGraceShare * graceMilliseconds;
 /** A connection that ends this soon after a statement was sent may have crossed it on its way. */
 const crossingMilliseconds = 200;
+/** Time after which a caller that was refused connects again. */
+const redialMilliseconds = 10;
 const statements = ["READ a", "WRITE a b", "BEGIN", "READ a", "WRITE c d", "COMMIT"];
 
 /** A statement whose connection ended before its answer. */
@@ -85,4 +87,26 @@
         platform.stop();
         assert.equal(state, SessionState.Idle);
     });
+
+    it("ends with the last session that it accepted, although callers that it refuses connect again and again", async () => {
+        const platform = await createPlatformStandIn({ group: "orders", zones: ["a", "b"], promotionMilliseconds: 60 });
+        platform.configure(7, [createRoute({ database: "counter" })]);
+        const vm = await startVm("vm-1", platform, { graceMilliseconds });
+        await waitUntilTrue("the VM is ready", vm.isReady);
+        let isStopped = false;
+        const callers = Array.from({ length: callerCount }, async () => {
+            while (!isStopped) {
+                await runCaller(vm.settings.callerAddress.port);
+                await createSystemClock().sleep(redialMilliseconds);
+            }
+        });
+        const startedAt = performance.now();
+        await vm.stop();
+        const stopMilliseconds = performance.now() - startedAt;
+        isStopped = true;
+        await Promise.all(callers);
+        platform.stop();
+        const sessionsEndMilliseconds = callerSessionConstants.closeGraceShare * graceMilliseconds;
+        assert.ok(stopMilliseconds < sessionsEndMilliseconds, `the stop took ${stopMilliseconds} ms`);
+    });
 });
