Log at the end of a stop how its statements ended

What operators saw: the line at the end of a stop told how many sessions were open, not whether a statement had been lost.

A metric is not added: scrapes come every 5 s, and the process is gone by then.

The new test of createSessionsStop failed before: the line had only the number of open sessions.

--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -15,6 +15,7 @@
 import type { ReceivedCommand } from "../types/ReceivedCommand.js";
 import type { RunCommand } from "../types/RunCommand.js";
 import type { SessionServices } from "../types/SessionServices.js";
+import { StopOutcome } from "../types/StopOutcome.js";
 
 /** Options of `createCallerSessions`. */
 interface CallerSessionsOptions {
@@ -81,6 +82,9 @@
         connection.onClose(() => {
             sessions.delete(open);
             commands.close();
+            if (open.running !== undefined && !open.isCutOff) {
+                sessionsStop.record(StopOutcome.Cut);
+            }
         });
         void runTask();
 
@@ -138,6 +142,9 @@
             open.running = command;
             await session.handle({ id: command.id, statement: command.statement, receivedAt });
             open.running = undefined;
+            if (sessions.has(open) && !open.isCutOff) {
+                sessionsStop.record(StopOutcome.Answered);
+            }
         }
 
         async function openSession(): Promise<string | undefined> {
--- a/src/callerSessions/createSessionsStop/index.ts
+++ b/src/callerSessions/createSessionsStop/index.ts
@@ -8,9 +8,11 @@
 import { waitForArrivedInput } from "../../waiting/waitForArrivedInput/index.js";
 import { callerSessionConstants } from "../constants.js";
 import { CallerCommandKind } from "../types/CallerCommandKind.js";
+import type { CallerConnection } from "../types/CallerConnection.js";
 import type { GracefulStop } from "../types/GracefulStop.js";
 import type { OpenSession } from "../types/OpenSession.js";
 import type { RunCommand } from "../types/RunCommand.js";
+import { StopOutcome } from "../types/StopOutcome.js";
 import { StopPhase } from "../types/StopPhase.js";
 
 /** Options of `createSessionsStop`. */
@@ -28,6 +30,8 @@
 interface SessionsStop {
     /** Returns the failure of a statement that the stop no longer lets run; the session's transaction is rolled back. */
     refuse(open: OpenSession, command: RunCommand): StatementFailure | undefined;
+    /** Counts a statement that ended while a stop is under way. */
+    record(outcome: StopOutcome): void;
     /** Whether a session has nothing more to do, after it has answered a statement. */
     isFinished(open: OpenSession): boolean;
     /**
@@ -37,6 +41,12 @@
     closeAll(otherWork: Promise<void>): Promise<void>;
 }
 
+/** How a statement has ended that got one of the answers below. */
+const outcomesByCode: Partial<Record<FailureCode, StopOutcome>> = {
+    [FailureCode.Busy]: StopOutcome.Refused,
+    [FailureCode.Aborted]: StopOutcome.Aborted,
+    [FailureCode.OutcomeUnknown]: StopOutcome.Unknown,
+};
 const stopReason = "this VM is stopping";
 const notRun: StatementFailure = { code: FailureCode.Busy, description: stopReason };
 const aborted: StatementFailure = { code: FailureCode.Aborted, description: stopReason };
@@ -58,11 +68,25 @@
  */
 export function createSessionsStop(options: SessionsStopOptions): SessionsStop {
     const { clock, stop, sessions, log } = options;
+    const counts: Record<StopOutcome, number> = {
+        [StopOutcome.Answered]: 0,
+        [StopOutcome.Refused]: 0,
+        [StopOutcome.Aborted]: 0,
+        [StopOutcome.Unknown]: 0,
+        [StopOutcome.Cut]: 0,
+    };
+
+    function record(outcome: StopOutcome): void {
+        if (stop.phase() > StopPhase.Serving) {
+            counts[outcome] += 1;
+        }
+    }
 
     function refuse(open: OpenSession, command: RunCommand): StatementFailure | undefined {
         const refusal = findRefusal(open, command);
         if (refusal !== undefined) {
             log("statement refused: this VM is stopping", { id: command.id, code: refusal.code });
+            record(outcomesByCode[refusal.code]!);
             abort(open);
         }
         return refusal;
@@ -108,7 +132,7 @@
             await waitForArrivedInput({ clock, maximumTurnMilliseconds, endsAt: closesAt });
             closeFinished();
         }
-        log("end of the stop", { open: sessions.size });
+        log("end of the stop", { open: sessions.size, ...counts });
         stop.finish();
         sessions.forEach(({ connection }) => connection.close());
     }
@@ -150,23 +174,28 @@
             const state = wasInTransaction ? SessionState.InTransaction : SessionState.Idle;
             const failure = mayTakeEffect(running.statement, state) ? unknown : aborted;
             log("statement was still running at the end of the stop", { id: running.id, code: failure.code });
-            connection.sendFailure(failure, SessionState.Idle);
+            answer(connection, failure);
         }
         for (const { command } of open.drain()) {
             if (command.kind === CallerCommandKind.Run) {
                 log("statement was still queued at the end of the stop", { id: command.id });
-                connection.sendFailure(wasInTransaction ? aborted : notRun, SessionState.Idle);
+                answer(connection, wasInTransaction ? aborted : notRun);
             }
         }
         connection.close();
     }
 
+    function answer(connection: CallerConnection, failure: StatementFailure): void {
+        connection.sendFailure(failure, SessionState.Idle);
+        record(outcomesByCode[failure.code]!);
+    }
+
     /** Whether a session has answered a statement, or had enough time to send one. */
     function hasHadTime({ hasAnswered, connectedAt }: OpenSession): boolean {
         return hasAnswered || clock.now() - connectedAt >= callerSessionConstants.stopOpenTimeoutMilliseconds;
     }
 
-    return { refuse, isFinished, closeAll };
+    return { refuse, record, isFinished, closeAll };
 }
 
 function isIdle({ unfinished }: OpenSession): boolean {
