Count in the soak what stayed without an answer around planned work

The check findUnansweredStatements takes the rule LOST word for word: around a VM's SIGTERM (grace time and 1 s) or SIGHUP (the time for configurations), a statement whose connection ended without a complete answer, that an endpoint ran or that was held for over 200 ms. Not counted: statements that reached their route's timeout, and those up to 5 s after a fault of their VM, the store or the endpoint that ran them. A statement that is still at work in the last sixth of the grace time has reached the soak's timeout of 1 s, so that exception needs no case of its own. Beside a configuration the rule counts only a rise of the share; that isn't checked.

Tests with good and broken histories: each condition is seen to count and not to count.

--- a/src/soak/checkGuarantees/index.ts
+++ b/src/soak/checkGuarantees/index.ts
@@ -4,6 +4,7 @@
 import { findLostWrites } from "../checks/findLostWrites/index.js";
 import { findRefusedWritesInLog } from "../checks/findRefusedWritesInLog/index.js";
 import { findStaleReads } from "../checks/findStaleReads/index.js";
+import { findUnansweredStatements } from "../checks/findUnansweredStatements/index.js";
 import { findUnrequestedStatements } from "../checks/findUnrequestedStatements/index.js";
 import { findWrongSessionVariables } from "../checks/findWrongSessionVariables/index.js";
 import type { GuaranteeViolation } from "../types/GuaranteeViolation.js";
@@ -21,6 +22,7 @@
     "endpoints run what callers sent": findUnrequestedStatements,
     "values belong to their session": findWrongSessionVariables,
     "every statement is answered in time": findLateAnswers,
+    "what a VM accepted is answered around planned work": findUnansweredStatements,
 };
 
 /**
--- a/src/soak/constants.ts
+++ b/src/soak/constants.ts
@@ -14,6 +14,12 @@
     maximumStalenessMilliseconds: 2_500,
     promotionMilliseconds: 200,
     graceSeconds: 6,
+    /** Time after SIGTERM within which a VM owes answers: its grace time and a second, in milliseconds. */
+    stopMilliseconds: 7_000,
+    /** Time in which a connection may end after a statement that crosses its end, in milliseconds. */
+    lostSlackMilliseconds: 200,
+    /** A VM or endpoint counts as disturbed until this long after a fault, in milliseconds. */
+    stableMilliseconds: 5_000,
     /** Time within which a configuration has to be in force on every VM, in milliseconds. */
     configurationMilliseconds: 4_000,
     /** Time after which a caller stops waiting for an answer, in milliseconds. */
--- a/src/soak/injectFault/index.ts
+++ b/src/soak/injectFault/index.ts
@@ -42,15 +42,17 @@
     };
 }
 
-async function endVm(vm: SoakVm, signal: NodeJS.Signals): Promise<EndFault> {
+async function endVm(vm: SoakVm, signal: NodeJS.Signals): Promise<EndFault | undefined> {
     if (!vm.isRunning()) {
-        return noCleanup;
+        return undefined;
     }
     await vm.terminate(signal);
     return vm.start;
 }
 
-const handlers: Readonly<Record<FaultKind, (target: FaultTarget) => Promise<EndFault> | EndFault>> = {
+const handlers: Readonly<
+    Record<FaultKind, (target: FaultTarget) => Promise<EndFault | undefined> | EndFault | undefined>
+> = {
     [FaultKind.VmPaused]: ({ vm }) => {
         vm.sendSignal("SIGSTOP");
         return () => vm.sendSignal("SIGCONT");
@@ -86,7 +88,7 @@
     },
     [FaultKind.EndpointKilled]: ({ site, endpoint }) => {
         if (endpoint.isIsolated) {
-            return noCleanup;
+            return undefined;
         }
         endpoint.isIsolated = true;
         endpoint.kill();
@@ -103,7 +105,7 @@
     },
     [FaultKind.EndpointIsolated]: ({ site, endpoint }) => {
         if (endpoint.isIsolated) {
-            return noCleanup;
+            return undefined;
         }
         endpoint.isIsolated = true;
         return () => site.platform.rejoin(endpoint);
@@ -141,14 +143,14 @@
  *
  * @param site The site.
  * @param fault The fault.
- * @returns A function that ends the fault.
+ * @returns A function that ends the fault; undefined if its target was already out of service.
  *
  * @example
  * const end = await injectFault(site, fault);
  * await clock.sleep(fault.durationMilliseconds);
- * await end();
+ * await end?.();
  */
-export async function injectFault(site: SoakSite, { kind, target }: Fault): Promise<EndFault> {
+export async function injectFault(site: SoakSite, { kind, target }: Fault): Promise<EndFault | undefined> {
     const { endpoints } = site.platform;
     const endpointIndex = target % endpoints.length;
     return await handlers[kind]({
--- a/src/soak/runCallerUnit/index.ts
+++ b/src/soak/runCallerUnit/index.ts
@@ -3,12 +3,12 @@
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { soakConstants } from "../constants.js";
+import { sendStatement } from "../sendStatement/index.js";
 import type { CallerRead } from "../types/CallerRead.js";
 import type { CallerUnit } from "../types/CallerUnit.js";
 import type { SoakSession } from "../types/SoakSession.js";
 import { UnitKind } from "../types/UnitKind.js";
 import { UnitOutcome } from "../types/UnitOutcome.js";
-import { waitForAnswer } from "../waitForAnswer/index.js";
 
 /** Failures which guarantee that no write of the unit took effect. */
 const refusals: Partial<Record<FailureCode, true>> = {
@@ -59,7 +59,6 @@
     clock: Clock,
     random: RandomSource,
 ): Promise<{ readonly unit: CallerUnit; readonly isUsable: boolean; }> {
-    const { caller } = session;
     const startedAt = clock.now();
     const ids: string[] = [];
     const writeIds: string[] = [];
@@ -89,14 +88,11 @@
     return { unit, isUsable };
 
     async function send(text: string): Promise<SentStatement> {
-        const sentAt = clock.now();
-        const pendingAnswer = caller.run(text);
-        const id = caller.lastId();
+        const { id, answer, milliseconds } = await sendStatement(session, text, clock);
         ids.push(id);
-        const answer = await waitForAnswer(pendingAnswer, clock);
         slowestMilliseconds = answer === undefined
             ? Number.POSITIVE_INFINITY
-            : Math.max(slowestMilliseconds, Math.round(clock.now() - sentAt));
+            : Math.max(slowestMilliseconds, Math.round(milliseconds));
         isUsable &&= answer?.state !== undefined;
         if (answer?.signature !== undefined && answer.signature !== "-") {
             signatures[id] = answer.signature;
--- a/src/soak/runSoak/index.ts
+++ b/src/soak/runSoak/index.ts
@@ -13,11 +13,13 @@
 import { startSoakSite } from "../startSoakSite/index.js";
 import type { CallerUnit } from "../types/CallerUnit.js";
 import type { Fault } from "../types/Fault.js";
+import type { FaultSpan } from "../types/FaultSpan.js";
 import type { GuaranteeViolation } from "../types/GuaranteeViolation.js";
 import type { LateSpan } from "../types/LateSpan.js";
 import type { SoakOptions } from "../types/SoakOptions.js";
 import type { SoakResult } from "../types/SoakResult.js";
 import type { SoakSite } from "../types/SoakSite.js";
+import type { UnansweredStatement } from "../types/UnansweredStatement.js";
 
 /**
  * Runs the soak test: starts the real programs as processes, connects callers to all of them, injects faults from
@@ -49,6 +51,8 @@
     const faults: Fault[] = [];
     const endpointFaults: number[] = [];
     const lateSpans: LateSpan[] = [];
+    const faultSpans: FaultSpan[] = [];
+    const unansweredStatements: UnansweredStatement[] = [];
     const closeController = new AbortController();
     setMaxListeners(0, closeController.signal);
     await waitUntilServed(soakConstants.startTimeoutMilliseconds);
@@ -61,6 +65,7 @@
             ports: site.vms.map(vm => vm.callerLink.port),
             databases: soakDatabases,
             onUnit: unit => units.push(unit),
+            onUnanswered: statement => unansweredStatements.push(statement),
             signal: closeController.signal,
         }));
     await injectFaults();
@@ -75,11 +80,13 @@
     const log = [...platform.findPrimary()?.log ?? []];
     const history = {
         units,
+        unansweredStatements,
         executedStatements: platform.executedStatements,
         log,
         discardedEntries: platform.discardedEntries,
         endpointFaults,
         lateSpans,
+        faultSpans,
     };
     const violations = [
         ...createViolationUnless(
@@ -107,17 +114,25 @@
 
     async function runFault(fault: Fault): Promise<void> {
         const from = clock.now();
+        const vm = fault.target % site.vms.length;
         if (fault.kind in endpointFaultKinds) {
             endpointFaults.push(from);
         }
         const endFault = await injectFault(site, fault);
         await clock.sleep(fault.durationMilliseconds);
-        await endFault();
-        lateSpans.push({
-            vm: fault.target % site.vms.length,
-            from,
-            to: clock.now() + soakConstants.lateToleranceMilliseconds,
-        });
+        await endFault?.();
+        const to = clock.now();
+        lateSpans.push({ vm, from, to: to + soakConstants.lateToleranceMilliseconds });
+        if (endFault !== undefined) {
+            const { endpoints } = site.platform;
+            faultSpans.push({
+                kind: fault.kind,
+                vm,
+                endpointId: endpoints[fault.target % endpoints.length]!.id,
+                from,
+                to,
+            });
+        }
     }
 
     function waitUntilServed(timeoutMilliseconds: number): Promise<boolean> {
--- a/src/soak/runSoakCaller/index.ts
+++ b/src/soak/runSoakCaller/index.ts
@@ -4,8 +4,10 @@
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { soakConstants } from "../constants.js";
 import { runCallerUnit } from "../runCallerUnit/index.js";
+import { sendStatement } from "../sendStatement/index.js";
 import type { CallerUnit } from "../types/CallerUnit.js";
 import type { SoakSession } from "../types/SoakSession.js";
+import type { UnansweredStatement } from "../types/UnansweredStatement.js";
 import { UnitKind } from "../types/UnitKind.js";
 import { waitForAnswer } from "../waitForAnswer/index.js";
 
@@ -19,6 +21,7 @@
     /** The databases and the guarantees of their reads. */
     readonly databases: readonly { readonly name: string; readonly guarantee: ReadGuarantee; }[];
     readonly onUnit: (unit: CallerUnit) => void;
+    readonly onUnanswered: (statement: UnansweredStatement) => void;
     readonly signal: AbortSignal;
 }
 
@@ -40,10 +43,10 @@
  * Most callers pause and then choose a VM at random. A clinging caller dials the same VM again at once, also while that
  * VM stops, and chooses another one only after its dials were refused for a while.
  *
- * @param options Name of the caller, the VMs and databases it connects to, and the callback that receives its units.
+ * @param options Name of the caller, the VMs and databases it connects to, and the callbacks that receive what it saw.
  *
  * @example
- * await runSoakCaller({ name: "caller-1", clock, random, ports, databases, onUnit, signal });
+ * await runSoakCaller({ name: "caller-1", clock, random, ports, databases, onUnit, onUnanswered, signal });
  */
 export async function runSoakCaller(options: SoakCallerOptions): Promise<void> {
     const { clock, random, signal } = options;
@@ -122,6 +125,7 @@
             caller: opened.caller,
             prepared: { read: "fetch", write: "store" },
             maximumTransactionPauseMilliseconds: isPausing ? soakConstants.maximumTransactionPauseMilliseconds : 0,
+            onUnanswered: options.onUnanswered,
         };
         return await prepare(session) ? session : undefined;
     }
@@ -143,8 +147,8 @@
         return true;
     }
 
-    async function succeeds({ caller }: SoakSession, text: string): Promise<boolean> {
-        const answer = await waitForAnswer(caller.run(text), clock);
+    async function succeeds(session: SoakSession, text: string): Promise<boolean> {
+        const { answer } = await sendStatement(session, text, clock);
         return answer?.state !== undefined && answer.failure === undefined;
     }
 }
--- a/src/soak/runSoakCommand/index.ts
+++ b/src/soak/runSoakCommand/index.ts
@@ -9,6 +9,7 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { soakConstants } from "../constants.js";
 import { runSoak } from "../runSoak/index.js";
+import { FaultKind } from "../types/FaultKind.js";
 import type { SoakOptions } from "../types/SoakOptions.js";
 import type { SoakResult } from "../types/SoakResult.js";
 import { UnitOutcome } from "../types/UnitOutcome.js";
@@ -54,13 +55,15 @@
     { seed }: SoakOptions,
     { violations, faults, history, recoveredMilliseconds }: SoakResult,
 ): string {
-    const { units, discardedEntries } = history;
+    const { units, unansweredStatements, discardedEntries, faultSpans } = history;
+    const stopCount = faultSpans.filter(({ kind }) => kind === FaultKind.VmStopped).length;
     const count = (outcome: UnitOutcome): number => units.filter(unit => unit.outcome === outcome).length;
     return [
         `seed ${seed}: ${violations.length === 0 ? "all promises kept" : `${violations.length} broken`}`,
-        `${faults.length} faults`,
+        `${faults.length} faults, among them ${stopCount} planned stops`,
         `${count(UnitOutcome.Acknowledged)} acknowledged, ${count(UnitOutcome.NotKept)} not kept`,
         `${count(UnitOutcome.Unknown)} unknown, ${discardedEntries.length} commits dropped by promotions`,
+        `${unansweredStatements.length} connections ended before an answer`,
         `served again after ${recoveredMilliseconds ?? "too many"} ms`,
         ...violations.slice(0, soakConstants.maximumPrintedViolations).map(({ promise, detail }) =>
             `\n  ${promise}: ${detail}`
@@ -75,8 +78,8 @@
 ): void {
     const target = join(folder, `seed-${seed}`);
     mkdirSync(target, { recursive: true });
-    const { units, endpointFaults, lateSpans } = history;
-    const results = { seed, broken, faults, endpointFaults, lateSpans, units };
+    const { units, unansweredStatements, endpointFaults, lateSpans, faultSpans } = history;
+    const results = { seed, broken, faults, endpointFaults, lateSpans, faultSpans, unansweredStatements, units };
     writeFileSync(join(target, "run.json"), JSON.stringify(results, undefined, 1));
     for (const [name, output] of Object.entries(outputs)) {
         writeFileSync(join(target, `${name}.log`), output);
--- a/src/soak/types/SoakHistory.ts
+++ b/src/soak/types/SoakHistory.ts
@@ -1,11 +1,14 @@
 import type { ExecutedStatement } from "../../platform/standIns/types/ExecutedStatement.js";
 import type { LogEntry } from "../../platform/standIns/types/LogEntry.js";
 import type { CallerUnit } from "./CallerUnit.js";
+import type { FaultSpan } from "./FaultSpan.js";
 import type { LateSpan } from "./LateSpan.js";
+import type { UnansweredStatement } from "./UnansweredStatement.js";
 
 /** Statements, log entries and faults recorded in a run. */
 export interface SoakHistory {
     readonly units: readonly CallerUnit[];
+    readonly unansweredStatements: readonly UnansweredStatement[];
     readonly executedStatements: readonly ExecutedStatement[];
     /** Log of the primary after the run. */
     readonly log: readonly LogEntry[];
@@ -15,4 +18,6 @@
     readonly endpointFaults: readonly number[];
     /** Intervals with a fault of a VM or its callers' links, in which answers of the VM may be late. */
     readonly lateSpans: readonly LateSpan[];
+    /** All faults and planned work of the run. */
+    readonly faultSpans: readonly FaultSpan[];
 }
--- a/src/soak/types/SoakSession.ts
+++ b/src/soak/types/SoakSession.ts
@@ -1,5 +1,6 @@
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { CallerStandIn } from "../../platform/standIns/types/CallerStandIn.js";
+import type { UnansweredStatement } from "./UnansweredStatement.js";
 
 /** An open session of a caller. */
 export interface SoakSession {
@@ -12,4 +13,6 @@
     readonly prepared: { readonly read: string; readonly write: string; };
     /** Maximum pause of the caller before each further statement of a transaction, in milliseconds. */
     readonly maximumTransactionPauseMilliseconds: number;
+    /** Called for each statement whose connection ended before its answer. */
+    readonly onUnanswered: (statement: UnansweredStatement) => void;
 }
--- a/src/testing/createSoakHistory/index.ts
+++ b/src/testing/createSoakHistory/index.ts
@@ -43,6 +43,7 @@
     const values = { session: "s1" };
     return {
         units: [writeUnit, readUnit],
+        unansweredStatements: [],
         executedStatements: ["w1", "r1"].map(id => ({
             id,
             endpointId: "i-1",
@@ -57,6 +58,7 @@
         discardedEntries: [],
         endpointFaults: [],
         lateSpans: [],
+        faultSpans: [],
         ...changes,
     };
 }
