Let a soak run only planned work

--planned draws only stops and starts, reloads and configurations, in series that overlap, so that no other fault lies near a stop and each statement cut off around one is counted.

--- a/features/steps/soak.ts
+++ b/features/steps/soak.ts
@@ -13,7 +13,7 @@
     const { vmCount, callerCount } = soakConstants;
     const milliseconds = seconds * millisecondsPerSecond;
     const result = await runSoak(
-        { seed, durationMilliseconds: milliseconds, vmCount, callerCount },
+        { seed, durationMilliseconds: milliseconds, vmCount, callerCount, isPlannedOnly: false },
         createSystemClock(),
     );
     violations = result.violations;
--- a/src/soak/planFaults/test.ts
+++ b/src/soak/planFaults/test.ts
@@ -13,6 +13,14 @@
         assert.deepEqual(draw(), draw());
     });
 
+    it("draws only planned work on request", () => {
+        const kinds = new Set([...planFaults(createRandomSource(7), milliseconds, true)].map(({ kind }) => kind));
+        assert.deepEqual(
+            [...kinds].sort(),
+            [FaultKind.ConfigurationChanged, FaultKind.VmReloaded, FaultKind.VmStopped],
+        );
+    });
+
     it("draws every kind, in order, some overlapping", () => {
         const faults = [...planFaults(createRandomSource(7), milliseconds)];
         assert.equal(new Set(faults.map(({ kind }) => kind)).size, Object.keys(FaultKind).length);
--- a/src/soak/runSoak/index.ts
+++ b/src/soak/runSoak/index.ts
@@ -33,7 +33,8 @@
  * @throws TarragonpostError when the site does not start.
  *
  * @example
- * const { violations } = await runSoak({ seed: 7, durationMilliseconds: 60_000, vmCount: 6, callerCount: 24 }, clock);
+ * const options = { seed: 7, durationMilliseconds: 60_000, vmCount: 6, callerCount: 24, isPlannedOnly: false };
+ * const { violations } = await runSoak(options, clock);
  */
 export async function runSoak(options: SoakOptions, clock: Clock): Promise<SoakResult> {
     const site = await startSoakSite(options.vmCount, clock);
@@ -46,7 +47,7 @@
 }
 
 async function runOnSite(site: SoakSite, options: SoakOptions, clock: Clock): Promise<SoakResult> {
-    const { seed, durationMilliseconds, callerCount } = options;
+    const { seed, durationMilliseconds, callerCount, isPlannedOnly } = options;
     const units: CallerUnit[] = [];
     const faults: Fault[] = [];
     const endpointFaults: number[] = [];
@@ -104,7 +105,7 @@
     async function injectFaults(): Promise<void> {
         const startedAt = clock.now();
         const running: Promise<void>[] = [];
-        for (const fault of planFaults(createRandomSource(seed), durationMilliseconds)) {
+        for (const fault of planFaults(createRandomSource(seed), durationMilliseconds, isPlannedOnly)) {
             await clock.sleep(Math.max(startedAt + fault.atMilliseconds - clock.now(), 0));
             faults.push(fault);
             running.push(runFault(fault));
--- a/src/soak/runSoakCommand/index.ts
+++ b/src/soak/runSoakCommand/index.ts
@@ -52,14 +52,16 @@
 }
 
 function summarize(
-    { seed }: SoakOptions,
+    { seed, isPlannedOnly }: SoakOptions,
     { violations, faults, history, recoveredMilliseconds }: SoakResult,
 ): string {
     const { units, unansweredStatements, discardedEntries, faultSpans } = history;
     const stopCount = faultSpans.filter(({ kind }) => kind === FaultKind.VmStopped).length;
     const count = (outcome: UnitOutcome): number => units.filter(unit => unit.outcome === outcome).length;
     return [
-        `seed ${seed}: ${violations.length === 0 ? "all promises kept" : `${violations.length} broken`}`,
+        `seed ${seed}${isPlannedOnly ? ", planned work only" : ""}: ${
+            violations.length === 0 ? "all promises kept" : `${violations.length} broken`
+        }`,
         `${faults.length} faults, among them ${stopCount} planned stops`,
         `${count(UnitOutcome.Acknowledged)} acknowledged, ${count(UnitOutcome.NotKept)} not kept`,
         `${count(UnitOutcome.Unknown)} unknown, ${discardedEntries.length} commits dropped by promotions`,
@@ -73,13 +75,23 @@
 
 function writeResults(
     folder: string,
-    { seed }: SoakOptions,
+    { seed, isPlannedOnly }: SoakOptions,
     { violations: broken, faults, history, outputs }: SoakResult,
 ): void {
     const target = join(folder, `seed-${seed}`);
     mkdirSync(target, { recursive: true });
     const { units, unansweredStatements, endpointFaults, lateSpans, faultSpans } = history;
-    const results = { seed, broken, faults, endpointFaults, lateSpans, faultSpans, unansweredStatements, units };
+    const results = {
+        seed,
+        isPlannedOnly,
+        broken,
+        faults,
+        endpointFaults,
+        lateSpans,
+        faultSpans,
+        unansweredStatements,
+        units,
+    };
     writeFileSync(join(target, "run.json"), JSON.stringify(results, undefined, 1));
     for (const [name, output] of Object.entries(outputs)) {
         writeFileSync(join(target, `${name}.log`), output);
@@ -101,6 +113,7 @@
         .option("--runs <number>", "Number of runs, with consecutive seeds", { default: 1 })
         .option("--vms <number>", "Number of VMs", { default: soakConstants.vmCount })
         .option("--callers <number>", "Number of callers", { default: soakConstants.callerCount })
+        .option("--planned", "Only planned work: stops and starts, reloads and configurations")
         .option("--keep <folder>", "Folder for the results of a run that violates a guarantee", {
             default: "soak-results",
         });
@@ -118,6 +131,7 @@
         runs: readNumber("runs", options["runs"]),
         vmCount: readNumber("vms", options["vms"]),
         callerCount: readNumber("callers", options["callers"]),
+        isPlannedOnly: options["planned"] === true,
         keep: String(options["keep"]),
     };
 }
--- a/src/soak/types/SoakOptions.ts
+++ b/src/soak/types/SoakOptions.ts
@@ -5,4 +5,6 @@
     readonly durationMilliseconds: number;
     readonly vmCount: number;
     readonly callerCount: number;
+    /** Whether only planned work happens: stops and starts, reloads and configurations. */
+    readonly isPlannedOnly: boolean;
 }
