Name the signal that cut a statement off, and record no reload of a VM that stops

A statement near a SIGTERM and a SIGHUP of its VM was described by whichever came first in the list. A reload of a VM that has no process sends no signal, so it is no planned work.

--- a/src/soak/checks/findUnansweredStatements/index.ts
+++ b/src/soak/checks/findUnansweredStatements/index.ts
@@ -21,6 +21,7 @@
     [FaultKind.VmStopped]: { name: "SIGTERM", milliseconds: soakConstants.stopMilliseconds },
     [FaultKind.VmReloaded]: { name: "SIGHUP", milliseconds: soakConstants.configurationMilliseconds },
 };
+const plannedKinds = Object.keys(plannedSignals);
 
 /**
  * Finds statements without an answer around planned work at their VM: those that an endpoint ran, and those that the VM
@@ -45,7 +46,9 @@
         const heldMilliseconds = endedAt - sentAt;
         const isOwed = heldMilliseconds < soakConstants.statementTimeoutMilliseconds
             && (endpointId !== undefined || heldMilliseconds > soakConstants.lostSlackMilliseconds);
-        const planned = faultSpans.find(span => isPlannedAround(span, statement));
+        const planned = plannedKinds
+            .map(kind => faultSpans.findLast(span => span.kind === kind && isPlannedAround(span, statement)))
+            .find(span => span !== undefined);
         if (isOwed && planned !== undefined && !isDisturbed(statement, endpointId, faultSpans)) {
             const sentAfter = Math.round(sentAt - planned.from);
             const endedAfter = Math.round(endedAt - planned.from);
--- a/src/soak/checks/findUnansweredStatements/test.ts
+++ b/src/soak/checks/findUnansweredStatements/test.ts
@@ -54,6 +54,11 @@
         assert.equal(countUnanswered(createSoakHistory({ unansweredStatements, faultSpans: [reload] })), 1);
     });
 
+    it("names the stop of a VM that was also reloaded", () => {
+        const reload = { ...stop, kind: FaultKind.VmReloaded, from: stop.from + 4_000, to: stop.from + 4_000 };
+        assert.match([...findUnansweredStatements(createHistory({}, reload))].join(), /sent 5082 ms after SIGTERM/u);
+    });
+
     it("ignores statements that reached their timeout, were sent at another VM, or ended at another time", () => {
         assert.equal(countUnanswered(createHistory({ endedAt: executed.sentAt + 1_000 })), 0);
         assert.equal(countUnanswered(createHistory({ vm: 1 })), 0);
--- a/src/soak/injectFault/index.ts
+++ b/src/soak/injectFault/index.ts
@@ -22,9 +22,9 @@
 const noCleanup: EndFault = () => {};
 
 function delayLink(link: FaultyProxy): EndFault {
-    link.delayMilliseconds = soakConstants.linkDelayMilliseconds;
+    link.delayMilliseconds += soakConstants.linkDelayMilliseconds;
     return () => {
-        link.delayMilliseconds = 0;
+        link.delayMilliseconds -= soakConstants.linkDelayMilliseconds;
     };
 }
 
@@ -61,6 +61,9 @@
     [FaultKind.VmStopped]: ({ vm }) => endVm(vm, "SIGTERM"),
     [FaultKind.VmReloaded]: ({ vm }) => {
         vm.rewriteSettings();
+        if (!vm.isRunning()) {
+            return undefined;
+        }
         vm.sendSignal("SIGHUP");
         return noCleanup;
     },
