Keep two statements of some clinging callers on the way, and endpoints at a distance

Half of the sessions of clinging callers now always have two statements on the way (in place of single pairs), and the links to the endpoints take 10 ms in each direction.

--- a/src/soak/constants.ts
+++ b/src/soak/constants.ts
@@ -41,7 +41,9 @@
     maximumFaultMilliseconds: 4_000,
     /** Age of the copy from which the store is restored, in milliseconds. */
     copyAgeMilliseconds: 6_000,
-    /** Delay of a link under a delay fault, in milliseconds. */
+    /** Usual delay of the links to the endpoints in each direction, in milliseconds. */
+    endpointLinkDelayMilliseconds: 10,
+    /** Delay that is added to a link under a delay fault, in milliseconds. */
     linkDelayMilliseconds: 120,
     /** Replication lag of an endpoint under a lag fault, in milliseconds. */
     replicaLagMilliseconds: 400,
--- a/src/soak/runSoakCaller/index.ts
+++ b/src/soak/runSoakCaller/index.ts
@@ -33,9 +33,11 @@
 const sessionsPerRestless = 4;
 /** One session of a clinging caller in this many pauses inside its transactions. */
 const sessionsPerPausing = 3;
-/** One unit in this many is a transaction; one in this many of a clinging caller is a pair of statements. */
-const unitsPerTransaction = 4;
-const unitsPerPair = 4;
+/** One session of a clinging caller in this many always has two statements on the way, and no transactions. */
+const sessionsPerPipelining = 2;
+/** One unit in four is a transaction. */
+const mixedKinds = [UnitKind.Single, UnitKind.Single, UnitKind.Single, UnitKind.Transaction];
+const singleKinds = [UnitKind.Single];
 
 /**
  * Runs one caller: it opens sessions, and uses each until it fails or has run its number of units.
@@ -81,7 +83,15 @@
         await clock.sleep(wasOpened ? 0 : soakConstants.refusedDialPauseMilliseconds, signal);
     }
 
+    /** Uses a session until it fails or has run its units; a pipelining caller has two statements on the way. */
     async function useSession(session: SoakSession): Promise<void> {
+        const isPipelining = isClinging && random.nextInteger(sessionsPerPipelining) === 0;
+        const kinds = isPipelining ? singleKinds : mixedKinds;
+        const lanes = isPipelining ? [kinds, kinds] : [kinds];
+        await Promise.all(lanes.map(laneKinds => runUnits(session, laneKinds)));
+    }
+
+    async function runUnits(session: SoakSession, kinds: readonly UnitKind[]): Promise<void> {
         const isRestless = isClinging || random.nextInteger(sessionsPerRestless) === 0;
         const maximumPause = isRestless ? 0 : soakConstants.maximumThinkTimeMilliseconds;
         for (
@@ -89,26 +99,16 @@
             remainingUnits > 0 && !signal.aborted;
             remainingUnits -= 1
         ) {
-            const results = await Promise.all(
-                drawUnits().map(kind => runCallerUnit(session, kind, clock, random)),
-            );
-            results.forEach(({ unit }) => options.onUnit(unit));
-            if (!results.every(({ isUsable }) => isUsable)) {
+            const kind = kinds[random.nextInteger(kinds.length)]!;
+            const { unit, isUsable } = await runCallerUnit(session, kind, clock, random);
+            options.onUnit(unit);
+            if (!isUsable) {
                 return;
             }
             await clock.sleep(random.next() * maximumPause, signal);
         }
     }
 
-    /** Draws the units that are sent at the same time. */
-    function drawUnits(): readonly UnitKind[] {
-        if (random.nextInteger(unitsPerTransaction) === 0) {
-            return [UnitKind.Transaction];
-        }
-        const isPair = isClinging && random.nextInteger(unitsPerPair) === 0;
-        return isPair ? [UnitKind.Single, UnitKind.Single] : [UnitKind.Single];
-    }
-
     async function openSession(name: string): Promise<SoakSession | undefined> {
         const database = options.databases[random.nextInteger(options.databases.length)]!;
         const opening = createCallerStandIn(options.ports[vm]!, database.name);
--- a/src/soak/startSoakSite/index.ts
+++ b/src/soak/startSoakSite/index.ts
@@ -39,6 +39,7 @@
         promotionMilliseconds,
         chooseRegisteredPort: async ({ port }) => {
             const link = await createFaultyProxy("127.0.0.1", port, clock);
+            link.delayMilliseconds = soakConstants.endpointLinkDelayMilliseconds;
             endpointLinks.push(link);
             return link.port;
         },
