--- a/src/soak/injectFault/index.ts
+++ b/src/soak/injectFault/index.ts
@@ -22,9 +22,9 @@
 const noCleanup: EndFault = () => {};
 
 function delayLink(link: FaultyProxy): EndFault {
-    link.delayMilliseconds = soakConstants.linkDelayMilliseconds;
+    link.delayMilliseconds += soakConstants.linkDelayMilliseconds;
     return () => {
-        link.delayMilliseconds = 0;
+        link.delayMilliseconds -= soakConstants.linkDelayMilliseconds;
     };
 }
 
@@ -42,15 +42,17 @@
     };
 }
 
-async function endVm(vm: SoakVm, signal: NodeJS.Signals): Promise<EndFault> {
+async function endVm(vm: SoakVm, signal: NodeJS.Signals): Promise<EndFault | undefined> {
     if (!vm.isRunning()) {
-        return noCleanup;
+        return undefined;
     }
     await vm.terminate(signal);
     return vm.start;
 }
 
-const handlers: Readonly<Record<FaultKind, (target: FaultTarget) => Promise<EndFault> | EndFault>> = {
+const handlers: Readonly<
+    Record<FaultKind, (target: FaultTarget) => Promise<EndFault | undefined> | EndFault | undefined>
+> = {
     [FaultKind.VmPaused]: ({ vm }) => {
         vm.sendSignal("SIGSTOP");
         return () => vm.sendSignal("SIGCONT");
@@ -59,6 +61,9 @@
     [FaultKind.VmStopped]: ({ vm }) => endVm(vm, "SIGTERM"),
     [FaultKind.VmReloaded]: ({ vm }) => {
         vm.rewriteSettings();
+        if (!vm.isRunning()) {
+            return undefined;
+        }
         vm.sendSignal("SIGHUP");
         return noCleanup;
     },
@@ -86,7 +91,7 @@
     },
     [FaultKind.EndpointKilled]: ({ site, endpoint }) => {
         if (endpoint.isIsolated) {
-            return noCleanup;
+            return undefined;
         }
         endpoint.isIsolated = true;
         endpoint.kill();
@@ -103,7 +108,7 @@
     },
     [FaultKind.EndpointIsolated]: ({ site, endpoint }) => {
         if (endpoint.isIsolated) {
-            return noCleanup;
+            return undefined;
         }
         endpoint.isIsolated = true;
         return () => site.platform.rejoin(endpoint);
@@ -141,14 +146,14 @@
  *
  * @param site The site.
  * @param fault The fault.
- * @returns A function that ends the fault.
+ * @returns A function that ends the fault; undefined if its target was already out of service.
  *
  * @example
  * const end = await injectFault(site, fault);
  * await clock.sleep(fault.durationMilliseconds);
- * await end();
+ * await end?.();
  */
-export async function injectFault(site: SoakSite, { kind, target }: Fault): Promise<EndFault> {
+export async function injectFault(site: SoakSite, { kind, target }: Fault): Promise<EndFault | undefined> {
     const { endpoints } = site.platform;
     const endpointIndex = target % endpoints.length;
     return await handlers[kind]({
--- a/src/soak/runSoakCaller/index.ts
+++ b/src/soak/runSoakCaller/index.ts
@@ -4,8 +4,10 @@
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { soakConstants } from "../constants.js";
 import { runCallerUnit } from "../runCallerUnit/index.js";
+import { sendStatement } from "../sendStatement/index.js";
 import type { CallerUnit } from "../types/CallerUnit.js";
 import type { SoakSession } from "../types/SoakSession.js";
+import type { UnansweredStatement } from "../types/UnansweredStatement.js";
 import { UnitKind } from "../types/UnitKind.js";
 import { waitForAnswer } from "../waitForAnswer/index.js";
 
@@ -19,6 +21,7 @@
     /** The databases and the guarantees of their reads. */
     readonly databases: readonly { readonly name: string; readonly guarantee: ReadGuarantee; }[];
     readonly onUnit: (unit: CallerUnit) => void;
+    readonly onUnanswered: (statement: UnansweredStatement) => void;
     readonly signal: AbortSignal;
 }
 
@@ -30,9 +33,11 @@
 const sessionsPerRestless = 4;
 /** One session of a clinging caller in this many pauses inside its transactions. */
 const sessionsPerPausing = 3;
-/** One unit in this many is a transaction; one in this many of a clinging caller is a pair of statements. */
-const unitsPerTransaction = 4;
-const unitsPerPair = 4;
+/** One session of a clinging caller in this many always has two statements on the way, and no transactions. */
+const sessionsPerPipelining = 2;
+/** One unit in four is a transaction. */
+const mixedKinds = [UnitKind.Single, UnitKind.Single, UnitKind.Single, UnitKind.Transaction];
+const singleKinds = [UnitKind.Single];
 
 /**
  * Runs one caller: it opens sessions, and uses each until it fails or has run its number of units.
@@ -40,10 +45,10 @@
  * Most callers pause and then choose a VM at random. A clinging caller dials the same VM again at once, also while that
  * VM stops, and chooses another one only after its dials were refused for a while.
  *
- * @param options Name of the caller, the VMs and databases it connects to, and the callback that receives its units.
+ * @param options Name of the caller, the VMs and databases it connects to, and the callbacks that receive what it saw.
  *
  * @example
- * await runSoakCaller({ name: "caller-1", clock, random, ports, databases, onUnit, signal });
+ * await runSoakCaller({ name: "caller-1", clock, random, ports, databases, onUnit, onUnanswered, signal });
  */
 export async function runSoakCaller(options: SoakCallerOptions): Promise<void> {
     const { clock, random, signal } = options;
@@ -78,7 +83,15 @@
         await clock.sleep(wasOpened ? 0 : soakConstants.refusedDialPauseMilliseconds, signal);
     }
 
+    /** Uses a session until it fails or has run its units; a pipelining caller has two statements on the way. */
     async function useSession(session: SoakSession): Promise<void> {
+        const isPipelining = isClinging && random.nextInteger(sessionsPerPipelining) === 0;
+        const kinds = isPipelining ? singleKinds : mixedKinds;
+        const lanes = isPipelining ? [kinds, kinds] : [kinds];
+        await Promise.all(lanes.map(laneKinds => runUnits(session, laneKinds)));
+    }
+
+    async function runUnits(session: SoakSession, kinds: readonly UnitKind[]): Promise<void> {
         const isRestless = isClinging || random.nextInteger(sessionsPerRestless) === 0;
         const maximumPause = isRestless ? 0 : soakConstants.maximumThinkTimeMilliseconds;
         for (
@@ -86,26 +99,16 @@
             remainingUnits > 0 && !signal.aborted;
             remainingUnits -= 1
         ) {
-            const results = await Promise.all(
-                drawUnits().map(kind => runCallerUnit(session, kind, clock, random)),
-            );
-            results.forEach(({ unit }) => options.onUnit(unit));
-            if (!results.every(({ isUsable }) => isUsable)) {
+            const kind = kinds[random.nextInteger(kinds.length)]!;
+            const { unit, isUsable } = await runCallerUnit(session, kind, clock, random);
+            options.onUnit(unit);
+            if (!isUsable) {
                 return;
             }
             await clock.sleep(random.next() * maximumPause, signal);
         }
     }
 
-    /** Draws the units that are sent at the same time. */
-    function drawUnits(): readonly UnitKind[] {
-        if (random.nextInteger(unitsPerTransaction) === 0) {
-            return [UnitKind.Transaction];
-        }
-        const isPair = isClinging && random.nextInteger(unitsPerPair) === 0;
-        return isPair ? [UnitKind.Single, UnitKind.Single] : [UnitKind.Single];
-    }
-
     async function openSession(name: string): Promise<SoakSession | undefined> {
         const database = options.databases[random.nextInteger(options.databases.length)]!;
         const opening = createCallerStandIn(options.ports[vm]!, database.name);
@@ -122,6 +125,7 @@
             caller: opened.caller,
             prepared: { read: "fetch", write: "store" },
             maximumTransactionPauseMilliseconds: isPausing ? soakConstants.maximumTransactionPauseMilliseconds : 0,
+            onUnanswered: options.onUnanswered,
         };
         return await prepare(session) ? session : undefined;
     }
@@ -143,8 +147,8 @@
         return true;
     }
 
-    async function succeeds({ caller }: SoakSession, text: string): Promise<boolean> {
-        const answer = await waitForAnswer(caller.run(text), clock);
+    async function succeeds(session: SoakSession, text: string): Promise<boolean> {
+        const { answer } = await sendStatement(session, text, clock);
         return answer?.state !== undefined && answer.failure === undefined;
     }
 }
