Open a connection to a failed endpoint for a request for it, whoever else waits

What callers saw: nothing directly.

Cause: with other requests waiting, a request for one endpoint was rejected because the last attempt to open a connection had failed, without another attempt; nothing else opened one while the waiting requests wanted another endpoint.

Now the request is rejected only when no attempt may begin yet.

Evidence: the new test of createPlacement fails on the code before ("refused" instead of "i-2") and passes now.

--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -133,7 +133,7 @@
         if (connection !== undefined) {
             return Promise.resolve(connection);
         }
-        if (request.endpointId !== undefined && targets.get(request.endpointId)?.pool.isFailing() === true) {
+        if (request.endpointId !== undefined && isUnreachable(request.endpointId)) {
             return Promise.reject(createUnreachable(request.endpointId));
         }
         const waiter = createWaiter<AcquiredConnection>({
@@ -159,6 +159,12 @@
         return waiter.promise;
     }
 
+    /** Whether an endpoint accepted no connection and the pause before the next attempt to open one is not over. */
+    function isUnreachable(endpointId: string): boolean {
+        const pool = targets.get(endpointId)?.pool;
+        return pool !== undefined && pool.isFailing() && !pool.tryOpen();
+    }
+
     function createUnreachable(endpointId: string): Error {
         return createError(ErrorKind.Unreachable, `Endpoint ${endpointId} accepts no connection.`, {
             remedy: "Try again after a pause.",
--- a/src/placement/createPlacement/test.ts
+++ b/src/placement/createPlacement/test.ts
@@ -33,9 +33,12 @@
     const primaries = createPrimaries(clock, directory, () => {});
     const opened = new Map<string, number>();
     const closed: string[] = [];
-    const site = { isHolding: true };
+    const site = { isHolding: true, refusingIds: [] as readonly string[] };
 
     async function open({ id }: EndpointRecord): Promise<EndpointSession> {
+        if (site.refusingIds.includes(id)) {
+            throw new Error("refused");
+        }
         opened.set(id, (opened.get(id) ?? 0) + 1);
         const closeListeners: (() => void)[] = [];
         let isClosed = false;
@@ -94,7 +97,7 @@
         }
     }
 
-    return { clock, directory, placement, opened, closed, site, run };
+    return { clock, directory, placement, opened, closed, site, createRequest, run };
 }
 
 function count(answers: readonly string[], wanted: string): number {
@@ -186,4 +189,21 @@
         await first;
         await assert.rejects(acquire(), /accepts no connection/);
     });
+
+    it("connects again to a failed endpoint for a request for it, although statements for another one wait", async () => {
+        const { clock, placement, site, createRequest, run } = createSite();
+        site.refusingIds = ["i-1", "i-2"];
+        const refused = run({ endpointId: "i-2" });
+        await clock.advance(600);
+        assert.equal(await refused, "refused");
+        const expiresAt = clock.now() + 10_000;
+        const waiting = placement.acquire(createRequest({ needsPrimary: true, expiresAt })).catch(() => {});
+        site.refusingIds = ["i-1"];
+        await clock.advance(placementConstants.maximumReopenMilliseconds);
+        const answered = run({ endpointId: "i-2" });
+        await clock.advance(workMilliseconds);
+        assert.equal(await answered, "i-2");
+        await clock.advance(10_000);
+        await waiting;
+    });
 });
