Do not go back to a log of an earlier term while the announced primary may return

Cause: the choice of a successor compared only the candidates' positions with each other, never with the term that this system had announced, and nothing waited for the announced primary.

Now each VM keeps the term in which the log ends: the announced one, until the announced primary itself answers with an entry of an earlier term (it has committed nothing in its own yet). While all endpoints that answer have only logs of an earlier term, no change begins: nothing is announced, so the announced primary is used again as soon as it is back. After 8 s, or once its record is forgotten, the best log of an earlier term is taken. The search for the successor has a module of its own (createSuccessorSearch).

Why it works: an acknowledged commit of the announced term is in the log of the announced primary, and in no log that ends in an earlier term.

Cost: one status query before each change, over with the first answer that has the newest term; up to 8 s without a primary where no endpoint that answers has it.

--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -11,6 +11,8 @@
 interface KnownGroupState {
     /** Highest observed term. */
     term: number;
+    /** Highest term in an observed log position. */
+    logTerm: number;
     /** Id of the last known primary, for log lines. */
     lastPrimary?: string;
     /** Time until which no primary is known because of a change in progress. */
@@ -18,7 +20,15 @@
     /** Whether a change was announced and neither its end nor its cancellation. */
     isChangeUnfinished: boolean;
     /** The primary announced by the VM that changed it; valid until a higher term is observed. */
-    announced?: { readonly endpointId: string; readonly term: number; };
+    announced?: AnnouncedPrimary;
+}
+
+/** An announced primary. */
+interface AnnouncedPrimary {
+    readonly endpointId: string;
+    readonly term: number;
+    /** Term in which its log ends by its last answer; its own before the first answer. */
+    logTerm: number;
 }
 
 /** Marks an endpoint as not being the primary, although its record says so; a newer record ends it. */
@@ -53,7 +63,7 @@
     function stateOf(group: string): KnownGroupState {
         let state = statesByGroup.get(group);
         if (state === undefined) {
-            state = { term: 0, isChangeUnfinished: false };
+            state = { term: 0, logTerm: 0, isChangeUnfinished: false };
             statesByGroup.set(group, state);
         }
         return state;
@@ -102,6 +112,7 @@
         if (primary?.id === endpoint.id) {
             termsAsPrimary.set(endpoint.id, position.term);
         }
+        recordLogTerm(endpoint, position);
         if (position.term <= state.term) {
             return;
         }
@@ -115,6 +126,23 @@
         notify(endpoint.group);
     }
 
+    function recordLogTerm({ id, group }: EndpointRecord, { term }: LogPosition): void {
+        const state = stateOf(group);
+        state.logTerm = Math.max(state.logTerm, term);
+        if (state.announced?.endpointId === id) {
+            state.announced.logTerm = term;
+        }
+    }
+
+    /** The announced primary decides which entries its group's log has, unless it is superseded or forgotten. */
+    function logTermOf(group: string): number {
+        const { announced, term, logTerm } = stateOf(group);
+        if (announced === undefined || announced.term < term) {
+            return logTerm;
+        }
+        return directory.endpoint(announced.endpointId) === undefined ? 0 : announced.logTerm;
+    }
+
     /** Highest term in which an endpoint is known to lead; undefined when none is known. */
     function leadingTermOf({ id, group }: EndpointRecord): number | undefined {
         const { announced } = stateOf(group);
@@ -162,7 +190,7 @@
         state.changingUntil = undefined;
         state.isChangeUnfinished = false;
         state.term = Math.max(state.term, term);
-        state.announced = { endpointId, term };
+        state.announced = { endpointId, term, logTerm: term };
         disqualifications.delete(endpointId);
         log("change of primary finished", { group, term, observedTerm, endpoint: endpointId });
         notify(group);
@@ -199,6 +227,7 @@
         isSuperseded,
         isOtherAnnounced,
         termOf: group => stateOf(group).term,
+        logTermOf,
         recordPosition,
         recordNotPrimary,
         beginChange,
--- a/src/primaries/createPrimaries/test.ts
+++ b/src/primaries/createPrimaries/test.ts
@@ -64,4 +64,25 @@
         primaries.recordPosition(createEndpointRecord({ id: "i-3" }), { term: 3, entry: 7 });
         assert.equal(primaries.primaryOf("orders")?.id, "i-2");
     });
+
+    it("knows the newest term of the log from the announcement, until the announced primary tells otherwise", () => {
+        const { directory, primaries } = createSite();
+        const successor = directory.endpoint("i-2")!;
+        primaries.recordPosition(directory.endpoint("i-1")!, { term: 1, entry: 7 });
+        assert.equal(primaries.logTermOf("orders"), 1);
+        primaries.finishChange("orders", "i-2", 2);
+        assert.equal(primaries.logTermOf("orders"), 2);
+        primaries.recordPosition(successor, { term: 1, entry: 6 });
+        assert.equal(primaries.logTermOf("orders"), 1);
+        primaries.recordPosition(successor, { term: 2, entry: 7 });
+        assert.equal(primaries.logTermOf("orders"), 2);
+    });
+
+    it("expects no log of an announced primary without a record, and one of a promotion that was not announced", () => {
+        const { directory, primaries } = createSite();
+        primaries.finishChange("orders", "i-9", 2);
+        assert.equal(primaries.logTermOf("orders"), 0);
+        primaries.recordPosition(directory.endpoint("i-2")!, { term: 3, entry: 7 });
+        assert.equal(primaries.logTermOf("orders"), 3);
+    });
 });
--- a/src/primaries/types/Primaries.ts
+++ b/src/primaries/types/Primaries.ts
@@ -16,6 +16,11 @@
     isSuperseded(endpoint: EndpointRecord): boolean;
     /** Highest term observed in a group; 0 before the first. */
     termOf(group: string): number;
+    /**
+     * Highest term in which a log of the group is known to end: the announced one, until the announced primary answers
+     * with an entry of an earlier term. 0 when none is known or the announced primary has no record any more.
+     */
+    logTermOf(group: string): number;
     /** Whether another endpoint was announced as the primary of its group. */
     isOtherAnnounced(endpoint: EndpointRecord): boolean;
     /** Records the log position in an endpoint's answer. */
--- a/src/promotions/constants.ts
+++ b/src/promotions/constants.ts
@@ -12,6 +12,13 @@
     drainMilliseconds: 250,
     /** Time that the successor has to receive the end of the primary's log, in milliseconds. */
     catchUpMilliseconds: 800,
+    /**
+     * Time for which a group stays without a primary while only logs of an earlier term than its own can be promoted, in
+     * milliseconds: an endpoint that crashed may come back with the newest log.
+     */
+    newestLogWaitMilliseconds: 8_000,
+    /** Time without an attempt after which such a wait counts anew, in milliseconds. */
+    newestLogWaitGapMilliseconds: 5_000,
     /** Polling interval while waiting for a condition, in milliseconds. */
     pollingMilliseconds: 25,
     /** Timeout of an order to promote, in milliseconds. */
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -10,14 +10,11 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
-import { comparePositions } from "../../statements/comparePositions/index.js";
 import type { LogPosition } from "../../statements/types/LogPosition.js";
-import { chooseSuccessor } from "../chooseSuccessor/index.js";
 import { promotionConstants } from "../constants.js";
+import { createSuccessorSearch } from "../createSuccessorSearch/index.js";
 import { orderStepDown } from "../orderStepDown/index.js";
 import { orderStepDownAboveTerm } from "../orderStepDownAboveTerm/index.js";
-import { readEndpointStatus } from "../readEndpointStatus/index.js";
-import type { CandidateStatus } from "../types/CandidateStatus.js";
 import { ChangeReason } from "../types/ChangeReason.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
 import type { GroupMembers } from "../types/GroupMembers.js";
@@ -36,7 +33,7 @@
     readonly regionsByZone: Readonly<Record<string, string>>;
     readonly members: Pick<GroupMembers, "countOf">;
     /** The primaries known to this VM. */
-    readonly primaries: Pick<Primaries, "isChangeUnfinished" | "termOf">;
+    readonly primaries: Pick<Primaries, "isChangeUnfinished" | "logTermOf" | "termOf">;
     /** Ends background tasks. */
     readonly signal: AbortSignal;
     readonly log: LogTopic;
@@ -46,7 +43,7 @@
 type PrimaryChange = (group: string, currentPrimary: EndpointRecord | undefined, reason: ChangeReason) => Promise<void>;
 
 /**
- * Creates the change of a group's primary by the holder of the failover duty.
+ * Creates the change of a group's primary by the holder of the failover duty. It begins once an endpoint can succeed.
  *
  * 1. The change is announced to all VMs, so that they send nothing more to the current primary.
  * 2. The current primary steps down, if any VM can reach it, so that it accepts no write once the successor is primary.
@@ -63,8 +60,10 @@
  */
 export function createPrimaryChange(options: PrimaryChangeOptions): PrimaryChange {
     const { clock, directory, duty, control, orders, primaries, log } = options;
+    const successors = createSuccessorSearch(options);
 
     return async (group, currentPrimary, reason) => {
+        await successors.require({ group, currentPrimary });
         const term = primaries.termOf(group) + 1;
         // The order of an earlier change, also of a previous holder, may still take effect.
         const isOrdered = primaries.isChangeUnfinished(group) || !duty.isGranting();
@@ -134,7 +133,7 @@
         const { group } = change;
         const logEnd = await stepDown(change);
         await duty.waitForLeases(change.unconfirmedVms);
-        const successor = await findSuccessor(change, logEnd);
+        const successor = await successors.find({ group, currentPrimary: change.currentPrimary, logEnd });
         log("successor is chosen", {
             group,
             endpoint: successor.endpoint.id,
@@ -205,49 +204,6 @@
         log("superseded primary did not answer the order to step down", { endpoint: id, term });
     }
 
-    /** Waits for a successor that holds the log to its end, if known; at the deadline takes the best candidate. */
-    async function findSuccessor(change: Change, logEnd: LogPosition | undefined): Promise<CandidateStatus> {
-        const deadline = clock.now() + promotionConstants.catchUpMilliseconds;
-        for (;;) {
-            const best = await findBestCandidate(change);
-            const holdsAll = best !== undefined
-                && (logEnd === undefined || comparePositions(best.status.received, logEnd) >= 0);
-            if (best !== undefined && (holdsAll || clock.now() >= deadline)) {
-                return best;
-            }
-            if (clock.now() >= deadline) {
-                const { group } = change;
-                throw createError(ErrorKind.Unreachable, `No endpoint of ${group} can be promoted.`, {
-                    remedy:
-                        "Start another endpoint of the group; with synchronous replicas, wait for those that may hold "
-                        + "acknowledged commits, or accept their loss by a configuration without synchronous replicas.",
-                    details: { group, members: options.members.countOf(group) },
-                });
-            }
-            await clock.sleep(promotionConstants.pollingMilliseconds);
-        }
-    }
-
-    async function findBestCandidate({ group, currentPrimary }: Change): Promise<CandidateStatus | undefined> {
-        const others = directory.endpointsOf(group)
-            .filter(({ id, isLeaving }) => id !== currentPrimary?.id && !isLeaving);
-        const statuses = await Promise.all(others.map(queryStatus));
-        return chooseSuccessor(statuses.filter(candidate => candidate !== undefined), {
-            replicas: (options.members.countOf(group) ?? Infinity) - 1,
-            synchronousReplicas: directory.groupSettings(group)?.synchronousReplicas ?? 0,
-            preferredRegion: currentPrimary && options.regionsByZone[currentPrimary.address.availabilityZone],
-            regionsByZone: options.regionsByZone,
-        });
-    }
-
-    async function queryStatus(endpoint: EndpointRecord): Promise<CandidateStatus | undefined> {
-        const status = await readEndpointStatus(control, endpoint.id).catch((error: unknown) => {
-            log("candidate for promotion did not answer", { endpoint: endpoint.id, reason: (error as Error).message });
-            return undefined;
-        });
-        return status && { endpoint, status };
-    }
-
     /** Orders the promotion; returns whether the order was answered. */
     async function promote(change: Change, { id: endpointId }: EndpointRecord): Promise<boolean> {
         const { group } = change;
--- /dev/null
+++ b/src/promotions/createSuccessorSearch/index.ts
@@ -0,0 +1,176 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Directory } from "../../directory/types/Directory.js";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Primaries } from "../../primaries/types/Primaries.js";
+import { comparePositions } from "../../statements/comparePositions/index.js";
+import { chooseSuccessor } from "../chooseSuccessor/index.js";
+import { promotionConstants } from "../constants.js";
+import { readEndpointStatus } from "../readEndpointStatus/index.js";
+import type { CandidateStatus } from "../types/CandidateStatus.js";
+import type { EndpointControl } from "../types/EndpointControl.js";
+import type { GroupMembers } from "../types/GroupMembers.js";
+import type { SuccessorSearch } from "../types/SuccessorSearch.js";
+
+/** Options of `createSuccessorSearch`. */
+interface SuccessorSearchOptions {
+    readonly clock: Clock;
+    readonly directory: Pick<Directory, "endpointsOf" | "groupSettings">;
+    readonly control: Pick<EndpointControl, "runFromAnyVm">;
+    readonly regionsByZone: Readonly<Record<string, string>>;
+    readonly members: Pick<GroupMembers, "countOf">;
+    readonly primaries: Pick<Primaries, "logTermOf">;
+    readonly log: LogTopic;
+}
+
+/** Attempts to change a group's primary that found only logs of an earlier term. */
+interface NewestLogWait {
+    readonly term: number;
+    readonly startedAt: number;
+    attemptedAt: number;
+}
+
+/** Parameters of one search. */
+type SearchParameters = Parameters<SuccessorSearch["find"]>[0];
+
+/**
+ * Creates the search for the endpoint that succeeds a group's primary.
+ *
+ * Commits that were acknowledged in a term are in no log that ends in an earlier one. While only such logs can be promoted,
+ * the search fails, so that an endpoint with the newest log may come back; after a bounded time it takes what there is.
+ *
+ * @param options Clock, endpoints, their members, and the known terms.
+ * @returns The search.
+ *
+ * @example
+ * const { endpoint, status } = await successors.find({ group: "orders", currentPrimary, logEnd });
+ */
+export function createSuccessorSearch(options: SuccessorSearchOptions): SuccessorSearch {
+    const { clock, directory, control, members, primaries, log } = options;
+    const waits = new Map<string, NewestLogWait>();
+
+    async function require({ group, currentPrimary }: Omit<SearchParameters, "logEnd">): Promise<void> {
+        const endpoints = [...listCandidates(group, currentPrimary), ...currentPrimary ? [currentPrimary] : []];
+        const term = primaries.logTermOf(group);
+        const queries = endpoints.map(queryStatus);
+        if (await hasNewestLog(queries, term)) {
+            return;
+        }
+        const candidates = await Promise.all(queries);
+        assertWaitIsOver(group, candidates.filter(candidate => candidate !== undefined));
+    }
+
+    /** Resolves with the first answer that tells of an entry of the term. */
+    async function hasNewestLog(queries: readonly Promise<CandidateStatus | undefined>[], term: number) {
+        const holders = queries.map(async query => {
+            const candidate = await query;
+            if (candidate === undefined || candidate.status.received.term < term) {
+                throw new Error("endpoint has no entry of the term");
+            }
+        });
+        return await Promise.any(holders).then(() => true, () => false);
+    }
+
+    /** Fails when all candidates that answered lack the newest term, unless the group has waited long enough. */
+    function assertWaitIsOver(group: string, candidates: readonly CandidateStatus[]): void {
+        const term = primaries.logTermOf(group);
+        if (candidates.length === 0 || candidates.some(({ status }) => status.received.term >= term)) {
+            return;
+        }
+        const { newestLogWaitMilliseconds } = promotionConstants;
+        const waitedMilliseconds = clock.now() - recordAttempt(group, term).startedAt;
+        const isOver = waitedMilliseconds >= newestLogWaitMilliseconds;
+        log(isOver ? "a log of an earlier term is accepted" : "no endpoint with the newest log answers", {
+            group,
+            term,
+            waitedMilliseconds: Math.round(waitedMilliseconds),
+            received: Object.fromEntries(candidates.map(({ endpoint, status }) => [endpoint.id, status.received])),
+        });
+        if (!isOver) {
+            throw createError(ErrorKind.Unreachable, `No endpoint of ${group} with a log of term ${term} answers.`, {
+                remedy: "Wait until such an endpoint is back; one with an earlier log is promoted after a while.",
+                details: { group, term, newestLogWaitMilliseconds },
+            });
+        }
+    }
+
+    function recordAttempt(group: string, term: number): NewestLogWait {
+        const now = clock.now();
+        let wait = waits.get(group);
+        const isContinued = wait?.term === term
+            && now - wait.attemptedAt < promotionConstants.newestLogWaitGapMilliseconds;
+        if (wait === undefined || !isContinued) {
+            wait = { term, startedAt: now, attemptedAt: now };
+            waits.set(group, wait);
+        }
+        wait.attemptedAt = now;
+        return wait;
+    }
+
+    async function find(search: SearchParameters): Promise<CandidateStatus> {
+        const { group, logEnd } = search;
+        const deadline = clock.now() + promotionConstants.catchUpMilliseconds;
+        for (;;) {
+            const candidates = await queryCandidates(search);
+            const best = chooseBest(search, candidates);
+            if (best !== undefined && holdsWholeLog(best, search)) {
+                return best;
+            }
+            if (clock.now() >= deadline) {
+                if (logEnd === undefined) {
+                    assertWaitIsOver(group, candidates);
+                }
+                return best ?? failWithoutCandidate(group);
+            }
+            await clock.sleep(promotionConstants.pollingMilliseconds);
+        }
+    }
+
+    /** Whether a candidate has the log to its end, or at least an entry of the newest term if the end is unknown. */
+    function holdsWholeLog({ status }: CandidateStatus, { group, logEnd }: SearchParameters): boolean {
+        return logEnd === undefined
+            ? status.received.term >= primaries.logTermOf(group)
+            : comparePositions(status.received, logEnd) >= 0;
+    }
+
+    function failWithoutCandidate(group: string): never {
+        throw createError(ErrorKind.Unreachable, `No endpoint of ${group} can be promoted.`, {
+            remedy: "Start another endpoint of the group; with synchronous replicas, wait for those that may hold "
+                + "acknowledged commits, or accept their loss by a configuration without synchronous replicas.",
+            details: { group, members: members.countOf(group) },
+        });
+    }
+
+    function listCandidates(group: string, currentPrimary: EndpointRecord | undefined): readonly EndpointRecord[] {
+        return directory.endpointsOf(group).filter(({ id, isLeaving }) => id !== currentPrimary?.id && !isLeaving);
+    }
+
+    async function queryCandidates({ group, currentPrimary }: SearchParameters): Promise<readonly CandidateStatus[]> {
+        const candidates = await Promise.all(listCandidates(group, currentPrimary).map(queryStatus));
+        return candidates.filter(candidate => candidate !== undefined);
+    }
+
+    function chooseBest(
+        { group, currentPrimary }: SearchParameters,
+        candidates: readonly CandidateStatus[],
+    ): CandidateStatus | undefined {
+        return chooseSuccessor(candidates, {
+            replicas: (members.countOf(group) ?? Infinity) - 1,
+            synchronousReplicas: directory.groupSettings(group)?.synchronousReplicas ?? 0,
+            preferredRegion: currentPrimary && options.regionsByZone[currentPrimary.address.availabilityZone],
+            regionsByZone: options.regionsByZone,
+        });
+    }
+
+    async function queryStatus(endpoint: EndpointRecord): Promise<CandidateStatus | undefined> {
+        const status = await readEndpointStatus(control, endpoint.id).catch((error: unknown) => {
+            log("candidate for promotion did not answer", { endpoint: endpoint.id, reason: (error as Error).message });
+            return undefined;
+        });
+        return status && { endpoint, status };
+    }
+
+    return { require, find };
+}
--- /dev/null
+++ b/src/promotions/createSuccessorSearch/test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
+import { createPromotionSite } from "../../testing/createPromotionSite/index.js";
+import { promotionConstants } from "../constants.js";
+import { ChangeReason } from "../types/ChangeReason.js";
+
+const { newestLogWaitMilliseconds, newestLogWaitGapMilliseconds } = promotionConstants;
+
+/** Creates a site whose primary, announced in term 2, is lost before another endpoint received an entry of that term. */
+function createSiteWithLostSuccessor() {
+    const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+    site.endpoints.set("i-1", { isPrimary: false, term: 1, entry: 9 });
+    site.endpoints.set("i-2", { isPrimary: true, term: 2, entry: 10 });
+    site.primaries.finishChange(site.group, "i-2", 2);
+    site.unreachableIds.add("i-2");
+    site.isolatedIds.add("i-2");
+    return site;
+}
+
+type Site = ReturnType<typeof createSiteWithLostSuccessor>;
+
+async function attemptChange(site: Site, reason = ChangeReason.Unreachable): Promise<void> {
+    const change = site.changePrimary(site.group, site.primary(), reason).catch(() => {});
+    await site.clock.advance(promotionConstants.catchUpMilliseconds + 100);
+    await change;
+}
+
+/** Attempts the change again and again, as the holder does. */
+async function attemptChangeFor(site: Site, milliseconds: number): Promise<void> {
+    const deadline = site.clock.now() + milliseconds;
+    while (site.clock.now() < deadline && site.orderedIds.length === 0) {
+        await attemptChange(site);
+    }
+}
+
+describe("createSuccessorSearch", () => {
+    [ChangeReason.Unreachable, ChangeReason.Leaving].forEach(reason =>
+        it(`does not go back to a log of an earlier term while the announced primary may return, ${reason}`, async () => {
+            const site = createSiteWithLostSuccessor();
+            await attemptChange(site, reason);
+            assert.deepEqual(site.orderedIds, []);
+            assert.deepEqual(site.phases(), [], "callers are told of no change");
+        })
+    );
+
+    it("takes the best log of an earlier term when the announced primary does not return in time", async () => {
+        const site = createSiteWithLostSuccessor();
+        await attemptChangeFor(site, newestLogWaitMilliseconds - 1_000);
+        assert.deepEqual(site.orderedIds, []);
+        await attemptChangeFor(site, 2_000);
+        assert.deepEqual(site.orderedIds, ["i-1"]);
+        assert.equal(site.primaries.primaryOf(site.group)?.id, "i-1");
+    });
+
+    it("waits anew when the announced primary was back in the meantime", async () => {
+        const site = createSiteWithLostSuccessor();
+        await attemptChangeFor(site, newestLogWaitMilliseconds - 1_000);
+        await site.clock.advance(newestLogWaitGapMilliseconds);
+        await attemptChangeFor(site, newestLogWaitMilliseconds - 1_000);
+        assert.deepEqual(site.orderedIds, []);
+    });
+
+    it("does not wait for an announced primary that has committed nothing in its term", async () => {
+        const site = createSiteWithLostSuccessor();
+        site.primaries.recordPosition(site.primary(), { term: 1, entry: 8 });
+        await attemptChange(site);
+        assert.deepEqual(site.orderedIds, ["i-1"]);
+    });
+
+    it("does not wait for an announced primary that has no record any more", async () => {
+        const site = createSiteWithLostSuccessor();
+        const lost = site.primary();
+        site.lose("i-2");
+        await site.clock.advance(10_000);
+        const change = site.changePrimary(site.group, lost, ChangeReason.Unreachable);
+        await site.clock.advance(1_000);
+        await change;
+        assert.deepEqual(site.orderedIds, ["i-1"]);
+    });
+
+    it("prefers a replica with an entry of the announced term to a longer log of an earlier one", async () => {
+        const site = createSiteWithLostSuccessor();
+        site.endpoints.set("i-3", { isPrimary: false, term: 2, entry: 8 });
+        await attemptChange(site);
+        assert.deepEqual(site.orderedIds, ["i-3"]);
+        assert.deepEqual(site.phases(), [AnnouncementPhase.Begun, AnnouncementPhase.Finished]);
+    });
+});
