Bring back no entry that the announced primary dropped, though it committed nothing

A primary that has committed nothing in its own term still serves reads.

Now the VM keeps the end of the announced primary's log from its answers: without a commit in its own term, that is where its branch begins, and only logs without an entry beyond it may succeed at once. A primary that steps down tells the end of its log to the VM that ordered it.

--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -3,6 +3,7 @@
 import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { comparePositions } from "../../statements/comparePositions/index.js";
 import type { LogPosition } from "../../statements/types/LogPosition.js";
 import { primaryConstants } from "../constants.js";
 import type { Primaries } from "../types/Primaries.js";
@@ -27,8 +28,8 @@
 interface AnnouncedPrimary {
     readonly endpointId: string;
     readonly term: number;
-    /** Term in which its log ends by its last answer; its own before the first answer. */
-    logTerm: number;
+    /** End of its log by its answers since; undefined before the first. */
+    logEnd?: LogPosition;
 }
 
 /** Marks an endpoint as not being the primary, although its record says so; a newer record ends it. */
@@ -112,7 +113,7 @@
         if (primary?.id === endpoint.id) {
             termsAsPrimary.set(endpoint.id, position.term);
         }
-        recordLogTerm(endpoint, position);
+        recordLogEnd(endpoint, position);
         if (position.term <= state.term) {
             return;
         }
@@ -126,21 +127,25 @@
         notify(endpoint.group);
     }
 
-    function recordLogTerm({ id, group }: EndpointRecord, { term }: LogPosition): void {
+    function recordLogEnd({ id, group }: EndpointRecord, position: LogPosition): void {
         const state = stateOf(group);
-        state.logTerm = Math.max(state.logTerm, term);
-        if (state.announced?.endpointId === id) {
-            state.announced.logTerm = term;
+        const { announced } = state;
+        state.logTerm = Math.max(state.logTerm, position.term);
+        if (announced?.endpointId === id && comparePositions(position, announced.logEnd ?? position) >= 0) {
+            announced.logEnd = position;
         }
     }
 
-    /** The announced primary decides which entries its group's log has, unless it is superseded or forgotten. */
-    function logTermOf(group: string): number {
+    function isOnNewestBranch(group: string, logEnd: LogPosition): boolean {
         const { announced, term, logTerm } = stateOf(group);
         if (announced === undefined || announced.term < term) {
-            return logTerm;
+            return logEnd.term >= logTerm;
         }
-        return directory.endpoint(announced.endpointId) === undefined ? 0 : announced.logTerm;
+        // Until its first commit, the log of the announced primary ends where its branch begins.
+        const isBeforeBranch = announced.logEnd !== undefined && announced.logEnd.term < announced.term
+            && comparePositions(logEnd, announced.logEnd) <= 0;
+        const isForgotten = directory.endpoint(announced.endpointId) === undefined;
+        return logEnd.term >= announced.term || isBeforeBranch || isForgotten;
     }
 
     /** Highest term in which an endpoint is known to lead; undefined when none is known. */
@@ -190,7 +195,7 @@
         state.changingUntil = undefined;
         state.isChangeUnfinished = false;
         state.term = Math.max(state.term, term);
-        state.announced = { endpointId, term, logTerm: term };
+        state.announced = { endpointId, term };
         disqualifications.delete(endpointId);
         log("change of primary finished", { group, term, observedTerm, endpoint: endpointId });
         notify(group);
@@ -227,7 +232,7 @@
         isSuperseded,
         isOtherAnnounced,
         termOf: group => stateOf(group).term,
-        logTermOf,
+        isOnNewestBranch,
         recordPosition,
         recordNotPrimary,
         beginChange,
--- a/src/primaries/createPrimaries/test.ts
+++ b/src/primaries/createPrimaries/test.ts
@@ -65,24 +65,28 @@
         assert.equal(primaries.primaryOf("orders")?.id, "i-2");
     });
 
-    it("knows the newest term of the log from the announcement, until the announced primary tells otherwise", () => {
+    it("counts a log as the newest branch that has an entry of the announced term, or none that its primary lacks", () => {
         const { directory, primaries } = createSite();
         const successor = directory.endpoint("i-2")!;
-        primaries.recordPosition(directory.endpoint("i-1")!, { term: 1, entry: 7 });
-        assert.equal(primaries.logTermOf("orders"), 1);
+        const isOnNewestBranch = (term: number, entry: number) => primaries.isOnNewestBranch("orders", { term, entry });
+        assert.ok(isOnNewestBranch(1, 9));
         primaries.finishChange("orders", "i-2", 2);
-        assert.equal(primaries.logTermOf("orders"), 2);
+        assert.equal(isOnNewestBranch(1, 6), false, "nothing is known of the announced primary's log");
         primaries.recordPosition(successor, { term: 1, entry: 6 });
-        assert.equal(primaries.logTermOf("orders"), 1);
+        assert.ok(isOnNewestBranch(1, 6));
+        assert.equal(isOnNewestBranch(1, 7), false, "an entry that the announced primary lacks");
         primaries.recordPosition(successor, { term: 2, entry: 7 });
-        assert.equal(primaries.logTermOf("orders"), 2);
+        primaries.recordPosition(successor, { term: 1, entry: 6 });
+        assert.equal(isOnNewestBranch(1, 6), false, "the announced primary has committed in its term");
+        assert.ok(isOnNewestBranch(2, 7));
     });
 
-    it("expects no log of an announced primary without a record, and one of a promotion that was not announced", () => {
+    it("counts any log when the announced primary has no record, and the newest term of a promotion not announced", () => {
         const { directory, primaries } = createSite();
         primaries.finishChange("orders", "i-9", 2);
-        assert.equal(primaries.logTermOf("orders"), 0);
+        assert.ok(primaries.isOnNewestBranch("orders", { term: 1, entry: 7 }));
         primaries.recordPosition(directory.endpoint("i-2")!, { term: 3, entry: 7 });
-        assert.equal(primaries.logTermOf("orders"), 3);
+        assert.equal(primaries.isOnNewestBranch("orders", { term: 2, entry: 9 }), false);
+        assert.ok(primaries.isOnNewestBranch("orders", { term: 3, entry: 1 }));
     });
 });
--- a/src/primaries/types/Primaries.ts
+++ b/src/primaries/types/Primaries.ts
@@ -17,10 +17,11 @@
     /** Highest term observed in a group; 0 before the first. */
     termOf(group: string): number;
     /**
-     * Highest term in which a log of the group is known to end: the announced one, until the announced primary answers
-     * with an entry of an earlier term. 0 when none is known or the announced primary has no record any more.
+     * Whether a log may succeed the newest one that is known: it has an entry of the announced term, or, while the announced
+     * primary has committed nothing in its term, no entry beyond the log of that primary. Any log may if the announced
+     * primary has no record any more.
      */
-    logTermOf(group: string): number;
+    isOnNewestBranch(group: string, logEnd: LogPosition): boolean;
     /** Whether another endpoint was announced as the primary of its group. */
     isOtherAnnounced(endpoint: EndpointRecord): boolean;
     /** Records the log position in an endpoint's answer. */
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -33,7 +33,7 @@
     readonly regionsByZone: Readonly<Record<string, string>>;
     readonly members: Pick<GroupMembers, "countOf">;
     /** The primaries known to this VM. */
-    readonly primaries: Pick<Primaries, "isChangeUnfinished" | "logTermOf" | "termOf">;
+    readonly primaries: Pick<Primaries, "isChangeUnfinished" | "isOnNewestBranch" | "recordPosition" | "termOf">;
     /** Ends background tasks. */
     readonly signal: AbortSignal;
     readonly log: LogTopic;
@@ -166,7 +166,11 @@
                 status: answer.replicaStatus,
                 failure: answer.failure,
             });
-            return answer.replicaStatus?.isPrimary === false ? answer.replicaStatus.received : undefined;
+            if (answer.replicaStatus?.isPrimary !== false) {
+                return undefined;
+            }
+            primaries.recordPosition(currentPrimary, answer.replicaStatus.received);
+            return answer.replicaStatus.received;
         }
         catch (error) {
             log("current primary is unreachable", {
--- a/src/promotions/createSuccessorSearch/index.ts
+++ b/src/promotions/createSuccessorSearch/index.ts
@@ -21,7 +21,7 @@
     readonly control: Pick<EndpointControl, "runFromAnyVm">;
     readonly regionsByZone: Readonly<Record<string, string>>;
     readonly members: Pick<GroupMembers, "countOf">;
-    readonly primaries: Pick<Primaries, "logTermOf">;
+    readonly primaries: Pick<Primaries, "isOnNewestBranch" | "termOf">;
     readonly log: LogTopic;
 }
 
@@ -38,8 +38,9 @@
 /**
  * Creates the search for the endpoint that succeeds a group's primary.
  *
- * Commits that were acknowledged in a term are in no log that ends in an earlier one. While only such logs can be promoted,
- * the search fails, so that an endpoint with the newest log may come back; after a bounded time it takes what there is.
+ * Commits that were acknowledged in a term are in no log that ends in an earlier one, and such a log may have entries that
+ * the primary of the term dropped. While only such logs can be promoted, the search fails, so that an endpoint with the
+ * newest log may come back; after a bounded time it takes what there is.
  *
  * @param options Clock, endpoints, their members, and the known terms.
  * @returns The search.
@@ -52,33 +53,42 @@
     const waits = new Map<string, NewestLogWait>();
 
     async function require({ group, currentPrimary }: Omit<SearchParameters, "logEnd">): Promise<void> {
-        const endpoints = [...listCandidates(group, currentPrimary), ...currentPrimary ? [currentPrimary] : []];
-        const term = primaries.logTermOf(group);
-        const queries = endpoints.map(queryStatus);
-        if (await hasNewestLog(queries, term)) {
+        const queries = listCandidates(group, currentPrimary).map(queryStatus);
+        const canBegin = [
+            ...queries.map(async query => maySucceed(group, await query)),
+            ...currentPrimary ? [isAnsweringPrimary(currentPrimary)] : [],
+        ];
+        if (await isAnyTrue(canBegin)) {
             return;
         }
-        const candidates = await Promise.all(queries);
-        assertWaitIsOver(group, candidates.filter(candidate => candidate !== undefined));
+        const candidates = (await Promise.all(queries)).filter(candidate => candidate !== undefined);
+        if (candidates.length > 0) {
+            assertWaitIsOver(group, candidates);
+        }
+    }
+
+    /** A primary that answers can step down and tell the end of its log. */
+    async function isAnsweringPrimary(endpoint: EndpointRecord): Promise<boolean> {
+        return (await queryStatus(endpoint))?.status.isPrimary === true;
     }
 
-    /** Resolves with the first answer that tells of an entry of the term. */
-    async function hasNewestLog(queries: readonly Promise<CandidateStatus | undefined>[], term: number) {
-        const holders = queries.map(async query => {
-            const candidate = await query;
-            if (candidate === undefined || candidate.status.received.term < term) {
-                throw new Error("endpoint has no entry of the term");
+    /** Resolves with the first condition that is true. */
+    async function isAnyTrue(conditions: readonly Promise<boolean>[]): Promise<boolean> {
+        const fulfilled = conditions.map(async condition => {
+            if (!await condition) {
+                throw new Error("the condition is false");
             }
         });
-        return await Promise.any(holders).then(() => true, () => false);
+        return await Promise.any(fulfilled).then(() => true, () => false);
     }
 
-    /** Fails when all candidates that answered lack the newest term, unless the group has waited long enough. */
+    function maySucceed(group: string, candidate: CandidateStatus | undefined): boolean {
+        return candidate !== undefined && primaries.isOnNewestBranch(group, candidate.status.received);
+    }
+
+    /** Fails, as none of the candidates may succeed, unless the group has waited long enough. */
     function assertWaitIsOver(group: string, candidates: readonly CandidateStatus[]): void {
-        const term = primaries.logTermOf(group);
-        if (candidates.length === 0 || candidates.some(({ status }) => status.received.term >= term)) {
-            return;
-        }
+        const term = primaries.termOf(group);
         const { newestLogWaitMilliseconds } = promotionConstants;
         const waitedMilliseconds = clock.now() - recordAttempt(group, term).startedAt;
         const isOver = waitedMilliseconds >= newestLogWaitMilliseconds;
@@ -86,7 +96,7 @@
             group,
             term,
             waitedMilliseconds: Math.round(waitedMilliseconds),
-            received: Object.fromEntries(candidates.map(({ endpoint, status }) => [endpoint.id, status.received])),
+            candidates: candidates.map(({ endpoint: { id }, status }) => ({ id, ...status })),
         });
         if (!isOver) {
             throw createError(ErrorKind.Unreachable, `No endpoint of ${group} with a log of term ${term} answers.`, {
@@ -114,25 +124,23 @@
         const deadline = clock.now() + promotionConstants.catchUpMilliseconds;
         for (;;) {
             const candidates = await queryCandidates(search);
-            const best = chooseBest(search, candidates);
+            const best = chooseBest(search, candidates.filter(candidate => maySucceed(group, candidate)));
             if (best !== undefined && holdsWholeLog(best, search)) {
                 return best;
             }
             if (clock.now() >= deadline) {
-                if (logEnd === undefined) {
+                const substitute = best ?? chooseBest(search, candidates) ?? failWithoutCandidate(group);
+                if (best === undefined && logEnd === undefined) {
                     assertWaitIsOver(group, candidates);
                 }
-                return best ?? failWithoutCandidate(group);
+                return substitute;
             }
             await clock.sleep(promotionConstants.pollingMilliseconds);
         }
     }
 
-    /** Whether a candidate has the log to its end, or at least an entry of the newest term if the end is unknown. */
-    function holdsWholeLog({ status }: CandidateStatus, { group, logEnd }: SearchParameters): boolean {
-        return logEnd === undefined
-            ? status.received.term >= primaries.logTermOf(group)
-            : comparePositions(status.received, logEnd) >= 0;
+    function holdsWholeLog({ status }: CandidateStatus, { logEnd }: SearchParameters): boolean {
+        return logEnd === undefined || comparePositions(status.received, logEnd) >= 0;
     }
 
     function failWithoutCandidate(group: string): never {
--- a/src/promotions/createSuccessorSearch/test.ts
+++ b/src/promotions/createSuccessorSearch/test.ts
@@ -64,8 +64,27 @@
     it("does not wait for an announced primary that has committed nothing in its term", async () => {
         const site = createSiteWithLostSuccessor();
         site.primaries.recordPosition(site.primary(), { term: 1, entry: 8 });
+        site.endpoints.set("i-3", { isPrimary: false, term: 1, entry: 8 });
         await attemptChange(site);
-        assert.deepEqual(site.orderedIds, ["i-1"]);
+        assert.deepEqual(site.orderedIds, ["i-3"], "i-1 has an entry that the announced primary dropped");
+    });
+
+    it("does not bring back an entry that the announced primary dropped, although that has committed nothing", async () => {
+        const site = createSiteWithLostSuccessor();
+        site.primaries.recordPosition(site.primary(), { term: 1, entry: 8 });
+        site.unreachableIds.add("i-3");
+        await attemptChange(site);
+        assert.deepEqual(site.orderedIds, []);
+    });
+
+    it("lets a primary step down that answers, although nothing is known of its log", async () => {
+        const site = createSiteWithLostSuccessor();
+        site.unreachableIds.delete("i-2");
+        site.endpoints.set("i-2", { isPrimary: true, term: 2, entry: 7 });
+        site.endpoints.set("i-3", { isPrimary: false, term: 2, entry: 7 });
+        site.unreachableIds.add("i-1");
+        await attemptChange(site, ChangeReason.Leaving);
+        assert.deepEqual(site.orderedIds, ["i-3"]);
     });
 
     it("does not wait for an announced primary that has no record any more", async () => {
