Reject at once what only a primary can serve that has accepted no connection for 3 s

What callers saw: while a group waits up to 8 s for its announced primary, each statement that needs the primary waited for 0.6 of its time and was then answered BUSY.

Cause: nothing told a request that waits for the primary that no connection to it would come soon.

Now a VM rejects it at once, as not run, when the primary has accepted no connection for 3 s, which is longer than a change of primary takes; for that time requests wait as before, since another primary may be announced. A refusal for the limit of connections does not count, nor one after which no attempt was made for over a second. Each such request also lets the pool try to connect, so the VM serves again as soon as the primary is back. The acquired connection has a module of its own.

Evidence: the new test of createPlacement never ends on the code before (the second write waits), and passes now.

--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -7,6 +7,8 @@
     maximumReopenMilliseconds: 1_000,
     /** Pause after the endpoint accepted no further connection, in milliseconds. */
     connectionLimitPauseMilliseconds: 400,
+    /** Time after which requests no longer wait for a primary that accepts no connection, in milliseconds. */
+    lostPrimaryMilliseconds: 3_000,
     /** Share of an endpoint's connection limit that all VMs together use; the rest stays free for VMs that restart. */
     connectionShare: 0.6,
     /** Share that they use where each VM would otherwise get fewer than the minimum. */
--- /dev/null
+++ b/src/placement/createAcquiredConnection/index.ts
@@ -0,0 +1,53 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { AcquiredConnection } from "../types/AcquiredConnection.js";
+import type { PlacementTarget } from "../types/PlacementTarget.js";
+import type { PooledSession } from "../types/PooledSession.js";
+
+/** Options of `createAcquiredConnection`. */
+interface AcquiredConnectionOptions {
+    readonly clock: Clock;
+    readonly endpoint: EndpointRecord;
+    /** Local state of the endpoint, which the answers update. */
+    readonly target: PlacementTarget;
+    readonly pooled: PooledSession;
+    /** Whether the endpoint is the known primary of its group. */
+    readonly isPrimary: boolean;
+}
+
+/**
+ * Creates a connection that a request holds until it releases or discards it.
+ *
+ * @param options Clock, endpoint and pooled session.
+ * @returns The connection, held.
+ *
+ * @example
+ * const connection = createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary: true });
+ */
+export function createAcquiredConnection(options: AcquiredConnectionOptions): AcquiredConnection {
+    const { clock, endpoint, target, pooled, isPrimary } = options;
+    let isHeld = true;
+
+    function end(finish: () => void): void {
+        if (isHeld) {
+            isHeld = false;
+            finish();
+        }
+    }
+
+    return {
+        endpoint,
+        isPrimary,
+        pooled,
+        exchange: async (statements, timeoutMilliseconds) => {
+            const sentAt = clock.now();
+            const answers = await pooled.session.exchange(statements, timeoutMilliseconds);
+            target.lastContactAt = clock.now();
+            target.latencyEstimate.recordLatency(target.lastContactAt - sentAt);
+            target.lagPauseMilliseconds = 0;
+            return answers;
+        },
+        release: () => end(() => target.pool.release(pooled)),
+        discard: () => end(() => pooled.session.close()),
+    };
+}
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -42,6 +42,7 @@
     let openingCount = 0;
     let openCount = 0;
     let failureCount = 0;
+    let failingSince: number | undefined;
     let pausedUntil = -Infinity;
     let isClosed = false;
 
@@ -80,6 +81,10 @@
         if (record === undefined || isClosed || isPaused || openCount + openingCount >= options.limit()) {
             return false;
         }
+        if (clock.now() - pausedUntil > placementConstants.maximumReopenMilliseconds) {
+            // Nothing is known of the time since the last attempt.
+            failingSince = undefined;
+        }
         openingCount += 1;
         void openOne(record);
         return true;
@@ -92,6 +97,7 @@
             openingCount -= 1;
             openCount += 1;
             failureCount = 0;
+            failingSince = undefined;
             metrics.countConnection();
             const pooled: PooledSession = {
                 session,
@@ -119,6 +125,9 @@
     function pauseAfter(record: EndpointRecord, error: unknown, tookMilliseconds: number): void {
         const { kind, message } = toTypedError(error);
         failureCount += 1;
+        if (kind !== ErrorKind.ConnectionLimitReached) {
+            failingSince ??= clock.now();
+        }
         metrics.countConnection(kind);
         const {
             initialReopenMilliseconds,
@@ -163,6 +172,7 @@
         close,
         openCount: () => openCount,
         openingCount: () => openingCount,
+        failingSince: () => openCount === 0 ? failingSince : undefined,
         isFailing: () => failureCount > 0 && openCount === 0 && openingCount === 0,
     };
 }
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -10,15 +10,15 @@
 import type { Waiter } from "../../waiting/types/Waiter.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
+import { createAcquiredConnection } from "../createAcquiredConnection/index.js";
 import { createEndpointSessionPool } from "../createEndpointSessionPool/index.js";
 import { createLatencyEstimate } from "../createLatencyEstimate/index.js";
 import { createUnusedCheck } from "../createUnusedCheck/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
 import type { EndpointOpener } from "../types/EndpointOpener.js";
-import type { EndpointSessionPool } from "../types/EndpointSessionPool.js";
 import type { Placement } from "../types/Placement.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
-import type { PooledSession } from "../types/PooledSession.js";
+import type { PlacementTarget } from "../types/PlacementTarget.js";
 
 /** Options of `createPlacement`. */
 interface PlacementOptions {
@@ -36,18 +36,6 @@
     readonly log: LogTopic;
 }
 
-/** Local state of one endpoint. */
-interface Target {
-    readonly pool: EndpointSessionPool;
-    readonly latencyEstimate: ReturnType<typeof createLatencyEstimate>;
-    /** Time until which no read is sent to the endpoint, because it lagged or had no free slot. */
-    pausedUntil: number;
-    /** Length of the last pause because of lag, in milliseconds; 0 after an answer. */
-    lagPauseMilliseconds: number;
-    /** When the endpoint last answered this VM. */
-    lastContactAt: number;
-}
-
 /** A request that waits for a connection. */
 interface WaitingRequest {
     readonly request: PlacementRequest;
@@ -69,7 +57,7 @@
  */
 export function createPlacement(options: PlacementOptions): Placement {
     const { clock, directory, primaries, log } = options;
-    const targets = new Map<string, Target>();
+    const targets = new Map<string, PlacementTarget>();
     const waitingByGroup = new Map<string, WaitingRequest[]>();
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
@@ -89,7 +77,7 @@
         return computeVmConnectionLimit(directory.groupSettings(group)?.connectionLimit ?? 0, options.vmCount(group));
     }
 
-    function targetOf(endpoint: EndpointRecord): Target {
+    function targetOf(endpoint: EndpointRecord): PlacementTarget {
         const { id, group } = endpoint;
         let target = targets.get(id);
         if (target === undefined) {
@@ -133,8 +121,9 @@
         if (connection !== undefined) {
             return Promise.resolve(connection);
         }
-        if (request.endpointId !== undefined && isUnreachable(request.endpointId)) {
-            return Promise.reject(createUnreachable(request.endpointId));
+        const unreachableId = findUnreachable(request);
+        if (unreachableId !== undefined) {
+            return Promise.reject(createUnreachable(unreachableId));
         }
         const waiter = createWaiter<AcquiredConnection>({
             clock,
@@ -159,12 +148,29 @@
         return waiter.promise;
     }
 
+    /** Finds the one endpoint that could serve a request, if it is not expected to accept a connection in time. */
+    function findUnreachable({ endpointId, needsPrimary, group }: PlacementRequest): string | undefined {
+        if (endpointId !== undefined) {
+            return isFailing(endpointId) ? endpointId : undefined;
+        }
+        const primary = needsPrimary ? primaries.primaryOf(group) : undefined;
+        return primary !== undefined && isLost(primary.id) ? primary.id : undefined;
+    }
+
     /** Whether an endpoint accepted no connection and the pause before the next attempt to open one is not over. */
-    function isUnreachable(endpointId: string): boolean {
+    function isFailing(endpointId: string): boolean {
         const pool = targets.get(endpointId)?.pool;
         return pool !== undefined && pool.isFailing() && !pool.tryOpen();
     }
 
+    /** Whether an endpoint has accepted no connection for so long that another one would have replaced it. */
+    function isLost(endpointId: string): boolean {
+        const pool = targets.get(endpointId)?.pool;
+        pool?.tryOpen();
+        const failingSince = pool?.failingSince();
+        return failingSince !== undefined && clock.now() - failingSince >= placementConstants.lostPrimaryMilliseconds;
+    }
+
     function createUnreachable(endpointId: string): Error {
         return createError(ErrorKind.Unreachable, `Endpoint ${endpointId} accepts no connection.`, {
             remedy: "Try again after a pause.",
@@ -176,7 +182,7 @@
         if (waiting === undefined || waiting.length === 0) {
             return;
         }
-        const openings = new Map<Target, number>();
+        const openings = new Map<PlacementTarget, number>();
         for (const entry of [...waiting]) {
             if (entry.waiter.isSettled) {
                 continue;
@@ -190,12 +196,21 @@
     }
 
     /** Acquires an idle connection; starts to open one at each preferred endpoint that has none. */
-    function tryAcquire(request: PlacementRequest, openings: Map<Target, number>): AcquiredConnection | undefined {
+    function tryAcquire(
+        request: PlacementRequest,
+        openings: Map<PlacementTarget, number>,
+    ): AcquiredConnection | undefined {
         for (const endpoint of listCandidates(request)) {
             const target = targetOf(endpoint);
             const pooled = target.pool.acquire(request.values);
             if (pooled !== undefined) {
-                return createAcquiredConnection(endpoint, target, pooled);
+                return createAcquiredConnection({
+                    clock,
+                    endpoint,
+                    target,
+                    pooled,
+                    isPrimary: endpoint.id === primaries.primaryOf(endpoint.group)?.id,
+                });
             }
             const expectedOpenings = openings.get(target) ?? 0;
             if (expectedOpenings < target.pool.openingCount() || target.pool.tryOpen()) {
@@ -228,35 +243,6 @@
             .sort((left, right) => cost(left) - cost(right));
     }
 
-    function createAcquiredConnection(
-        endpoint: EndpointRecord,
-        target: Target,
-        pooled: PooledSession,
-    ): AcquiredConnection {
-        let isHeld = true;
-        const end = (finish: () => void): void => {
-            if (isHeld) {
-                isHeld = false;
-                finish();
-            }
-        };
-        return {
-            endpoint,
-            isPrimary: endpoint.id === primaries.primaryOf(endpoint.group)?.id,
-            pooled,
-            exchange: async (statements, timeoutMilliseconds) => {
-                const sentAt = clock.now();
-                const answers = await pooled.session.exchange(statements, timeoutMilliseconds);
-                target.lastContactAt = clock.now();
-                target.latencyEstimate.recordLatency(target.lastContactAt - sentAt);
-                target.lagPauseMilliseconds = 0;
-                return answers;
-            },
-            release: () => end(() => target.pool.release(pooled)),
-            discard: () => end(() => pooled.session.close()),
-        };
-    }
-
     function pause(endpoint: EndpointRecord, milliseconds: number): void {
         targetOf(endpoint).pausedUntil = clock.now() + milliseconds;
         void clock.sleep(milliseconds + 1).then(() => dispatch(endpoint.group));
--- a/src/placement/createPlacement/test.ts
+++ b/src/placement/createPlacement/test.ts
@@ -33,7 +33,12 @@
     const primaries = createPrimaries(clock, directory, () => {});
     const opened = new Map<string, number>();
     const closed: string[] = [];
-    const site = { isHolding: true, refusingIds: [] as readonly string[] };
+    const sessions: EndpointSession[] = [];
+    const site = {
+        isHolding: true,
+        refusingIds: [] as readonly string[],
+        closeAll: () => sessions.forEach(session => session.close()),
+    };
 
     async function open({ id }: EndpointRecord): Promise<EndpointSession> {
         if (site.refusingIds.includes(id)) {
@@ -42,7 +47,7 @@
         opened.set(id, (opened.get(id) ?? 0) + 1);
         const closeListeners: (() => void)[] = [];
         let isClosed = false;
-        return {
+        const session: EndpointSession = {
             position: undefined,
             get isClosed() {
                 return isClosed;
@@ -58,6 +63,8 @@
             },
             onClose: listener => closeListeners.push(listener),
         };
+        sessions.push(session);
+        return session;
     }
 
     const placement = createPlacement({
@@ -104,6 +111,14 @@
     return answers.filter(answer => answer === wanted).length;
 }
 
+async function runUntilAnswered(
+    clock: ReturnType<typeof createManualClock>,
+    answer: Promise<string>,
+): Promise<string> {
+    await clock.advance(2 * workMilliseconds);
+    return await answer;
+}
+
 describe("createPlacement", () => {
     it("sends reads to the nearest replica, to other replicas when its connections are in use, and to the primary last", async () => {
         const { clock, run } = createSite();
@@ -206,4 +221,44 @@
         await clock.advance(10_000);
         await waiting;
     });
+
+    it("lets writes wait for a lost primary as long as a change of primary takes, then rejects them at once", async () => {
+        const { clock, site, run } = createSite();
+        site.refusingIds = ["i-1"];
+        const first = run({ needsPrimary: true, expiresAt: clock.now() + 2_000 });
+        await clock.advance(1_000);
+        site.refusingIds = [];
+        await clock.advance(1_000);
+        assert.equal(await first, "i-1", "the primary was back in time");
+
+        site.closeAll();
+        site.refusingIds = ["i-1"];
+        const refused = run({
+            needsPrimary: true,
+            expiresAt: clock.now() + placementConstants.lostPrimaryMilliseconds,
+        });
+        await clock.advance(placementConstants.lostPrimaryMilliseconds);
+        assert.equal(await refused, "refused");
+        const rejectedAt = clock.now();
+        assert.equal(await run({ needsPrimary: true }), "refused");
+        assert.equal(clock.now(), rejectedAt);
+        assert.notEqual(await runUntilAnswered(clock, run()), "i-1", "reads go to replicas");
+
+        site.refusingIds = [];
+        await clock.advance(placementConstants.maximumReopenMilliseconds);
+        await run({ needsPrimary: true });
+        await clock.advance(1);
+        assert.equal(await runUntilAnswered(clock, run({ needsPrimary: true })), "i-1", "it is back");
+    });
+
+    it("lets a write wait for a primary that refused a connection long ago and was not tried since", async () => {
+        const { clock, site, run } = createSite();
+        site.refusingIds = ["i-1"];
+        const refused = run({ needsPrimary: true });
+        await clock.advance(600);
+        assert.equal(await refused, "refused");
+        site.refusingIds = [];
+        await clock.advance(2 * placementConstants.lostPrimaryMilliseconds);
+        assert.equal(await runUntilAnswered(clock, run({ needsPrimary: true })), "i-1");
+    });
 });
--- a/src/placement/types/EndpointSessionPool.ts
+++ b/src/placement/types/EndpointSessionPool.ts
@@ -14,6 +14,8 @@
     openingCount(): number;
     /** Whether the last attempt to open a connection failed and none is open. */
     isFailing(): boolean;
+    /** Since when the endpoint has accepted no connection; undefined while one is open or none was refused. */
+    failingSince(): number | undefined;
     /** Closes connections that have been idle for a while, unless this VM is meant to hold connections. */
     closeUnused(): void;
     /** Closes the idle connections, and every other connection when it is released. */
