--- a/src/placement/createPlacement/test.ts
+++ b/src/placement/createPlacement/test.ts
@@ -33,13 +33,21 @@
     const primaries = createPrimaries(clock, directory, () => {});
     const opened = new Map<string, number>();
     const closed: string[] = [];
-    const site = { isHolding: true };
+    const sessions: EndpointSession[] = [];
+    const site = {
+        isHolding: true,
+        refusingIds: [] as readonly string[],
+        closeAll: () => sessions.forEach(session => session.close()),
+    };
 
     async function open({ id }: EndpointRecord): Promise<EndpointSession> {
+        if (site.refusingIds.includes(id)) {
+            throw new Error("refused");
+        }
         opened.set(id, (opened.get(id) ?? 0) + 1);
         const closeListeners: (() => void)[] = [];
         let isClosed = false;
-        return {
+        const session: EndpointSession = {
             position: undefined,
             get isClosed() {
                 return isClosed;
@@ -55,6 +63,8 @@
             },
             onClose: listener => closeListeners.push(listener),
         };
+        sessions.push(session);
+        return session;
     }
 
     const placement = createPlacement({
@@ -94,13 +104,21 @@
         }
     }
 
-    return { clock, directory, placement, opened, closed, site, run };
+    return { clock, directory, placement, opened, closed, site, createRequest, run };
 }
 
 function count(answers: readonly string[], wanted: string): number {
     return answers.filter(answer => answer === wanted).length;
 }
 
+async function runUntilAnswered(
+    clock: ReturnType<typeof createManualClock>,
+    answer: Promise<string>,
+): Promise<string> {
+    await clock.advance(2 * workMilliseconds);
+    return await answer;
+}
+
 describe("createPlacement", () => {
     it("sends reads to the nearest replica, to other replicas when its connections are in use, and to the primary last", async () => {
         const { clock, run } = createSite();
@@ -186,4 +204,61 @@
         await first;
         await assert.rejects(acquire(), /accepts no connection/);
     });
+
+    it("connects again to a failed endpoint for a request for it, although statements for another one wait", async () => {
+        const { clock, placement, site, createRequest, run } = createSite();
+        site.refusingIds = ["i-1", "i-2"];
+        const refused = run({ endpointId: "i-2" });
+        await clock.advance(600);
+        assert.equal(await refused, "refused");
+        const expiresAt = clock.now() + 10_000;
+        const waiting = placement.acquire(createRequest({ needsPrimary: true, expiresAt })).catch(() => {});
+        site.refusingIds = ["i-1"];
+        await clock.advance(placementConstants.maximumReopenMilliseconds);
+        const answered = run({ endpointId: "i-2" });
+        await clock.advance(workMilliseconds);
+        assert.equal(await answered, "i-2");
+        await clock.advance(10_000);
+        await waiting;
+    });
+
+    it("lets writes wait for a lost primary as long as a change of primary takes, then rejects them at once", async () => {
+        const { clock, site, run } = createSite();
+        site.refusingIds = ["i-1"];
+        const first = run({ needsPrimary: true, expiresAt: clock.now() + 2_000 });
+        await clock.advance(1_000);
+        site.refusingIds = [];
+        await clock.advance(1_000);
+        assert.equal(await first, "i-1", "the primary was back in time");
+
+        site.closeAll();
+        site.refusingIds = ["i-1"];
+        const refused = run({
+            needsPrimary: true,
+            expiresAt: clock.now() + placementConstants.lostPrimaryMilliseconds,
+        });
+        await clock.advance(placementConstants.lostPrimaryMilliseconds);
+        assert.equal(await refused, "refused");
+        const rejectedAt = clock.now();
+        assert.equal(await run({ needsPrimary: true }), "refused");
+        assert.equal(clock.now(), rejectedAt);
+        assert.notEqual(await runUntilAnswered(clock, run()), "i-1", "reads go to replicas");
+
+        site.refusingIds = [];
+        await clock.advance(placementConstants.maximumReopenMilliseconds);
+        await run({ needsPrimary: true });
+        await clock.advance(1);
+        assert.equal(await runUntilAnswered(clock, run({ needsPrimary: true })), "i-1", "it is back");
+    });
+
+    it("lets a write wait for a primary that refused a connection long ago and was not tried since", async () => {
+        const { clock, site, run } = createSite();
+        site.refusingIds = ["i-1"];
+        const refused = run({ needsPrimary: true });
+        await clock.advance(600);
+        assert.equal(await refused, "refused");
+        site.refusingIds = [];
+        await clock.advance(2 * placementConstants.lostPrimaryMilliseconds);
+        assert.equal(await runUntilAnswered(clock, run({ needsPrimary: true })), "i-1");
+    });
 });
--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -3,6 +3,7 @@
 import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { comparePositions } from "../../statements/comparePositions/index.js";
 import type { LogPosition } from "../../statements/types/LogPosition.js";
 import { primaryConstants } from "../constants.js";
 import type { Primaries } from "../types/Primaries.js";
@@ -11,6 +12,8 @@
 interface KnownGroupState {
     /** Highest observed term. */
     term: number;
+    /** Highest term in an observed log position. */
+    logTerm: number;
     /** Id of the last known primary, for log lines. */
     lastPrimary?: string;
     /** Time until which no primary is known because of a change in progress. */
@@ -18,7 +21,15 @@
     /** Whether a change was announced and neither its end nor its cancellation. */
     isChangeUnfinished: boolean;
     /** The primary announced by the VM that changed it; valid until a higher term is observed. */
-    announced?: { readonly endpointId: string; readonly term: number; };
+    announced?: AnnouncedPrimary;
+}
+
+/** An announced primary. */
+interface AnnouncedPrimary {
+    readonly endpointId: string;
+    readonly term: number;
+    /** End of its log by its answers since; undefined before the first. */
+    logEnd?: LogPosition;
 }
 
 /** Marks an endpoint as not being the primary, although its record says so; a newer record ends it. */
@@ -53,7 +64,7 @@
     function stateOf(group: string): KnownGroupState {
         let state = statesByGroup.get(group);
         if (state === undefined) {
-            state = { term: 0, isChangeUnfinished: false };
+            state = { term: 0, logTerm: 0, isChangeUnfinished: false };
             statesByGroup.set(group, state);
         }
         return state;
@@ -102,6 +113,7 @@
         if (primary?.id === endpoint.id) {
             termsAsPrimary.set(endpoint.id, position.term);
         }
+        recordLogEnd(endpoint, position);
         if (position.term <= state.term) {
             return;
         }
@@ -115,6 +127,27 @@
         notify(endpoint.group);
     }
 
+    function recordLogEnd({ id, group }: EndpointRecord, position: LogPosition): void {
+        const state = stateOf(group);
+        const { announced } = state;
+        state.logTerm = Math.max(state.logTerm, position.term);
+        if (announced?.endpointId === id && comparePositions(position, announced.logEnd ?? position) >= 0) {
+            announced.logEnd = position;
+        }
+    }
+
+    function isOnNewestBranch(group: string, logEnd: LogPosition): boolean {
+        const { announced, term, logTerm } = stateOf(group);
+        if (announced === undefined || announced.term < term) {
+            return logEnd.term >= logTerm;
+        }
+        // Until its first commit, the log of the announced primary ends where its branch begins.
+        const isBeforeBranch = announced.logEnd !== undefined && announced.logEnd.term < announced.term
+            && comparePositions(logEnd, announced.logEnd) <= 0;
+        const isForgotten = directory.endpoint(announced.endpointId) === undefined;
+        return logEnd.term >= announced.term || isBeforeBranch || isForgotten;
+    }
+
     /** Highest term in which an endpoint is known to lead; undefined when none is known. */
     function leadingTermOf({ id, group }: EndpointRecord): number | undefined {
         const { announced } = stateOf(group);
@@ -199,6 +232,7 @@
         isSuperseded,
         isOtherAnnounced,
         termOf: group => stateOf(group).term,
+        isOnNewestBranch,
         recordPosition,
         recordNotPrimary,
         beginChange,
--- a/src/primaries/types/Primaries.ts
+++ b/src/primaries/types/Primaries.ts
@@ -16,6 +16,12 @@
     isSuperseded(endpoint: EndpointRecord): boolean;
     /** Highest term observed in a group; 0 before the first. */
     termOf(group: string): number;
+    /**
+     * Whether a log may succeed the newest one that is known: it has an entry of the announced term, or, while the announced
+     * primary has committed nothing in its term, no entry beyond the log of that primary. Any log may if the announced
+     * primary has no record any more.
+     */
+    isOnNewestBranch(group: string, logEnd: LogPosition): boolean;
     /** Whether another endpoint was announced as the primary of its group. */
     isOtherAnnounced(endpoint: EndpointRecord): boolean;
     /** Records the log position in an endpoint's answer. */
