--- a/src/callerSessions/createSessionsStop/test.ts
+++ b/src/callerSessions/createSessionsStop/test.ts
@@ -41,6 +41,7 @@
             isInTransaction: () => state !== SessionState.Idle,
             handle: async () => {},
             abandonTransaction: () => {},
+            isOver: () => false,
             end: () => {},
         },
         drain: () => queued.splice(0),
