Close the connections of callers by what the entry has received on them

What callers saw: at the planned stop of an entry, a request whose header was still arriving got a bare 503 without an outcome, a large answer was cut off in the middle, and a connection without a request kept the process from ending.

Cause: `createCallerServer.stop` decided by time and by the number of requests in execution; the HTTP server then closed the connections that it took for idle: among them those whose answer was handed over and not yet sent, and not those on which nothing had arrived.

Evidence: over sockets, on the code before: half a header before the port closed and the rest after it got the 503; an answer of 10 MB that the caller began to read after the signal was cut off; a silent connection and half a request held the stop up beyond 3 s on a clock four times as fast.

The entry now keeps account of each connection: the requests whose answers were not handed to the operating system yet, and the bytes received since the last answer. After the port has closed, a connection ends with its last answer; requests that do not arrive and answers that are not read have 5 s, and requests that run have their own deadlines. All answers of a stopping entry close their connection, also those to health checks.

What remains: a port that closes resets connections that wait to be accepted; callers that dial at that moment see ECONNRESET for a request that was not read.

--- a/src/callers/constants.ts
+++ b/src/callers/constants.ts
@@ -9,5 +9,7 @@
     maximumStopNoticeMilliseconds: 10_000,
     /** Connections accepted before the port closed may still send a request for this long. */
     stopLingerMilliseconds: 300,
+    /** After that, a request may still arrive, or an answer be received, for this long. */
+    stopTransferMilliseconds: 5_000,
     stopPollingIntervalMilliseconds: 20,
 } as const;
--- a/src/callers/createCallerServer/index.ts
+++ b/src/callers/createCallerServer/index.ts
@@ -1,8 +1,9 @@
-import fastify, { type FastifyReply, type FastifyRequest } from "fastify";
+import fastify, { type FastifyRequest } from "fastify";
 import { randomUUID } from "node:crypto";
 import { type AddressInfo, Server } from "node:net";
 import type { z } from "zod";
 import type { Clock } from "../../clock/types/Clock.js";
+import { waitAbortReason } from "../../clock/waitAbortReason.js";
 import type { ConfigurationService } from "../../configuration/types/ConfigurationService.js";
 import type { EndpointRole } from "../../endpoints/types/EndpointRole.js";
 import type { CallerReply } from "../../execution/types/CallerReply.js";
@@ -13,6 +14,7 @@
 import { chooseStatus } from "../chooseStatus/index.js";
 import { callerConstants } from "../constants.js";
 import { createAuthentication } from "../createAuthentication/index.js";
+import { createCallerConnections } from "../createCallerConnections/index.js";
 import { requestSchemas } from "../requestSchemas.js";
 import type { AuthenticatedCaller } from "../types/AuthenticatedCaller.js";
 import type { CallerServer } from "../types/CallerServer.js";
@@ -54,9 +56,9 @@
     const authenticate = createAuthentication(configuration);
     const server = fastify({
         bodyLimit: callerConstants.maximumRequestBytes,
-        forceCloseConnections: "idle",
         genReqId: () => randomUUID(),
     });
+    const connections = createCallerConnections(server.server);
     let state = HealthState.Serving;
     let lastRequestAt = 0;
 
@@ -107,7 +109,8 @@
     ): void {
         server.post(path, async (request, response) => {
             lastRequestAt = clock.now();
-            return send(response, await answer(request));
+            const reply = await answer(request);
+            return response.status(chooseStatus(reply)).send(reply);
         });
 
         server.route({
@@ -149,13 +152,6 @@
         }
     }
 
-    function send(response: FastifyReply, reply: CallerReply): FastifyReply {
-        if (state === HealthState.Stopping) {
-            void response.header("connection", "close");
-        }
-        return response.status(chooseStatus(reply)).send(reply);
-    }
-
     addRoute(
         "/v1/databases/:database/statements",
         requestSchemas.statement,
@@ -189,6 +185,11 @@
         requestSchemas.end,
         ({ body, ...request }) => execution.endTransaction({ ...body, ...request }),
     );
+    server.addHook("onSend", async (_request, response) => {
+        if (state === HealthState.Stopping) {
+            void response.header("connection", "close");
+        }
+    });
     server.get("/v1/health", () => ({ state }));
     server.setNotFoundHandler((request, response) => {
         void response.status(404);
@@ -219,6 +220,14 @@
         // Stops accepting connections and keeps the accepted ones open: a request may be arriving on one of them.
         Server.prototype.close.call(server.server);
         await clock.sleep(callerConstants.stopLingerMilliseconds);
+        connections.closeWhenAnswered();
+        const closed = new AbortController();
+        void connections.whenClosed().then(() => closed.abort(waitAbortReason));
+        while (!closed.signal.aborted) {
+            await clock.sleep(callerConstants.stopTransferMilliseconds, closed.signal);
+            connections.closeUnlessRunning();
+        }
+        // Requests whose callers have closed their connections.
         while (execution.requestsInFlight > 0) {
             await clock.sleep(callerConstants.stopPollingIntervalMilliseconds);
         }
