--- a/src/kernel/createKernel/test.ts
+++ b/src/kernel/createKernel/test.ts
@@ -45,6 +45,49 @@
     assert.deepEqual(calls, ["start Clock", "start Peers", "stop Clock"]);
 });
 
+test("a stop during a start lets no further service start, and stops the one whose start is under way", async () => {
+    const calls: string[] = [];
+    const slow = define(calls, ServiceName.Peers, [ServiceName.Clock]);
+    const listener = define(calls, ServiceName.Topology, [ServiceName.Peers]);
+    let finishStart = (): void => {};
+    const kernel = createKernel([
+        define(calls, ServiceName.Clock, []),
+        {
+            ...slow,
+            create: () => ({
+                ...slow.create(),
+                start: () => {
+                    calls.push("start Peers");
+                    return new Promise<void>(resolve => {
+                        finishStart = resolve;
+                    });
+                },
+            }),
+        },
+        listener,
+    ]);
+    const started = kernel.start();
+    await new Promise(resolve => setImmediate(resolve));
+    const stopped = kernel.stop();
+    await new Promise(resolve => setImmediate(resolve));
+    finishStart();
+    await Promise.all([started, stopped]);
+    assert.deepEqual(calls, ["start Clock", "start Peers", "stop Peers", "stop Clock"]);
+});
+
+test("a start that does not end does not keep the other services from stopping", async () => {
+    const calls: string[] = [];
+    const hanging = define(calls, ServiceName.Peers, [ServiceName.Clock]);
+    const kernel = createKernel([
+        define(calls, ServiceName.Clock, []),
+        { ...hanging, create: () => ({ ...hanging.create(), start: () => new Promise<void>(() => {}) }) },
+    ]);
+    void kernel.start();
+    await new Promise(resolve => setImmediate(resolve));
+    await kernel.stop();
+    assert.deepEqual(calls, ["start Clock", "stop Clock"]);
+});
+
 test("a missing or circular dependency is a typed error", () => {
     const isInvalid = (error: unknown) => isTypedError(error, ErrorKind.InvalidSettings);
     assert.throws(() => createKernel([define([], ServiceName.Peers, [ServiceName.Clock])]), isInvalid);
