Bound the memory of callers' connections by bytes, with back pressure

A connection that sent 65 statements at once was closed, and those that it had accepted were never answered.

Cause: a connection was bounded by 64 commands of any size and closed with the next one; reading never stopped, nothing bounded all connections together, and parts of messages counted nowhere.

Now a byte budget (src/memory) counts what callers' connections hold: accepted commands, what was received beside them, answers not taken. A connection that holds much is not read until it is answered. When accepted commands hold half of the total, only connections that hold little are read. Parts of messages never wait for each other; when they fill the total, the greediest connection is refused: accepted statements are answered, then Busy, then the close. The total follows from memoryMb; share and bytes of a connection are settings with ranges. Metrics count what is held, paused and refused; refusals are logged at most once a second.

Why it works: pauses end with answers, which time limits bring, so neither a part of a message nor a paused connection can hold the budget for ever. A paused connection delivers what it received in full before it counts as idle, at a stop too.

--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -8,8 +8,6 @@
     directoryPollingMilliseconds: 20,
     /** Longest wait for a command in a session without a transaction, in milliseconds; then the wait begins anew. */
     commandWaitMilliseconds: 3_600_000,
-    /** Most commands that are queued or running in one session; with one more the connection is closed. */
-    maximumUnfinishedCommands: 64,
     /** Share of a statement's remaining time that it may wait for a connection. */
     acquisitionShare: 0.6,
     /** Share of a statement's time limit after which a read is retried at another endpoint. */
--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -1,6 +1,8 @@
 import type { SessionForwarding } from "../../forwarding/types/SessionForwarding.js";
+import type { ConnectionControl } from "../../memory/types/ConnectionControl.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
+import type { StatementFailure } from "../../statements/types/StatementFailure.js";
 import { createMailbox } from "../../waiting/createMailbox/index.js";
 import { admitSession } from "../admitSession/index.js";
 import { callerSessionConstants } from "../constants.js";
@@ -26,6 +28,11 @@
     readonly hasNewestRoutes: () => boolean;
 }
 
+const discarded: StatementFailure = {
+    code: FailureCode.Busy,
+    description: "this VM has no memory left for what was sent",
+};
+
 /**
  * Creates the callers' sessions of one VM, with one task per connection.
  *
@@ -41,7 +48,7 @@
  * const listener = await listenForCallers(address, sessions.serve);
  */
 export function createCallerSessions(services: SessionServices, options: CallerSessionsOptions): CallerSessions {
-    const { clock, directory, log } = services;
+    const { clock, directory, budget, log } = services;
     const sessions = new Set<OpenSession>();
     const { graceMilliseconds } = options;
     const sessionsStop = createSessionsStop({ ...services, sessions, graceMilliseconds });
@@ -69,17 +76,21 @@
             drain: commands.drain,
         };
         sessions.add(open);
-        connection.onCommand(command => {
+        const account = budget.open(createFlowControl(connection, () => {
             open.unfinished += 1;
-            if (open.unfinished > callerSessionConstants.maximumUnfinishedCommands) {
-                connection.close();
-                return;
+            commands.push({ command: { kind: CallerCommandKind.Discarded }, receivedAt: clock.now(), bytes: 0 });
+        }));
+        connection.flow?.onHeldBytes(account.report);
+        connection.onCommand((command, bytes) => {
+            if (account.accept(bytes)) {
+                open.unfinished += 1;
+                commands.push({ command, receivedAt: clock.now(), bytes });
             }
-            commands.push({ command, receivedAt: clock.now() });
         });
         connection.onClose(() => {
             sessions.delete(open);
             commands.close();
+            account.close();
         });
         void runTask();
 
@@ -92,6 +103,7 @@
             }
             open.callerSession?.end("the session ended");
             connection.close();
+            account.releaseAll();
         }
 
         async function runSession(): Promise<void> {
@@ -114,20 +126,26 @@
                     session.abandonTransaction("the transaction was idle for too long");
                     continue;
                 }
-                const { command, receivedAt } = received;
+                const { command, receivedAt, bytes } = received;
                 if (command.kind !== CallerCommandKind.Run) {
-                    reportUnreadable(command);
+                    reportFailure(command);
                     return;
                 }
                 await runStatement(session, command, receivedAt);
-                open.unfinished -= 1;
                 open.hasAnswered = true;
+                finishCommand(bytes);
                 if (sessionsStop.isFinished(open)) {
                     return;
                 }
             }
         }
 
+        /** Counts a command as answered; the connection may then deliver the next. */
+        function finishCommand(bytes: number): void {
+            open.unfinished -= 1;
+            account.release(bytes);
+        }
+
         async function runStatement(session: CallerSession, command: RunCommand, receivedAt: number): Promise<void> {
             const refusal = sessionsStop.refuse(open, command);
             if (refusal !== undefined) {
@@ -140,9 +158,10 @@
         }
 
         async function openSession(): Promise<string | undefined> {
-            const command = (await commands.next(callerSessionConstants.openTimeoutMilliseconds))?.command;
-            if (command?.kind !== CallerCommandKind.Open) {
-                reportUnreadable(command);
+            const received = await commands.next(callerSessionConstants.openTimeoutMilliseconds);
+            const command = received?.command;
+            if (received === undefined || command?.kind !== CallerCommandKind.Open) {
+                reportFailure(command);
                 return undefined;
             }
             const refusal = await admitSession(command.database, { ...services, ...options });
@@ -151,11 +170,19 @@
                 return undefined;
             }
             connection.sendReady(SessionState.Idle, undefined);
-            open.unfinished -= 1;
+            finishCommand(received.bytes);
             return command.database;
         }
 
-        function reportUnreadable(command: CallerCommand | undefined): void {
+        function reportFailure(command: CallerCommand | undefined): void {
+            if (command?.kind === CallerCommandKind.Discarded) {
+                if (open.callerSession === undefined) {
+                    connection.refuse(discarded);
+                }
+                else {
+                    connection.sendFailure(discarded, SessionState.Idle);
+                }
+            }
             if (command?.kind === CallerCommandKind.Unreadable) {
                 log("caller sent an unreadable command", { reason: command.reason });
                 connection.sendFailure(
@@ -172,3 +199,18 @@
 
     return { serve, serveForwarded, count: () => sessions.size, closeAll: sessionsStop.closeAll, describeWork };
 }
+
+/** Lets the memory budget control what is read from a connection. */
+function createFlowControl({ flow, close }: CallerConnection, reportDiscarded: () => void): ConnectionControl {
+    return {
+        canPause: flow !== undefined,
+        pause: () => flow?.pause(),
+        resume: () => flow?.resume(),
+        deliverNext: () => flow?.deliverNext(),
+        refuse: () => {
+            flow?.discard();
+            reportDiscarded();
+        },
+        disconnect: close,
+    };
+}
--- a/src/callerSessions/createCallerSessions/test.ts
+++ b/src/callerSessions/createCallerSessions/test.ts
@@ -92,7 +92,7 @@
 
     async function open(database = "shop") {
         const sent: string[] = [];
-        let deliver: (command: CallerCommand) => void = () => {};
+        let deliver: (command: CallerCommand, bytes: number) => void = () => {};
         let leave = (): void => {};
         const connection: CallerConnection = {
             onCommand: listener => {
@@ -112,7 +112,7 @@
         };
         sessions.serve(connection);
         const run = async (command: CallerCommand): Promise<void> => {
-            deliver(command);
+            deliver(command, 0);
             await clock.advance(0);
         };
         await run({ kind: CallerCommandKind.Open, database });
--- a/src/callerSessions/types/CallerCommand.ts
+++ b/src/callerSessions/types/CallerCommand.ts
@@ -6,4 +6,5 @@
     | { readonly kind: CallerCommandKind.Open; readonly database: string; }
     | { readonly kind: CallerCommandKind.Run; readonly id: string; readonly statement: Statement; }
     | { readonly kind: CallerCommandKind.Close; }
-    | { readonly kind: CallerCommandKind.Unreadable; readonly reason: string; };
+    | { readonly kind: CallerCommandKind.Unreadable; readonly reason: string; }
+    | { readonly kind: CallerCommandKind.Discarded; };
--- a/src/callerSessions/types/CallerCommandKind.ts
+++ b/src/callerSessions/types/CallerCommandKind.ts
@@ -7,4 +7,6 @@
     Close = "Close",
     /** The command could not be decoded. */
     Unreadable = "Unreadable",
+    /** What the caller sent next was discarded for want of memory. */
+    Discarded = "Discarded",
 }
--- a/src/callerSessions/types/CallerConnection.ts
+++ b/src/callerSessions/types/CallerConnection.ts
@@ -2,11 +2,14 @@
 import type { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementFailure } from "../../statements/types/StatementFailure.js";
 import type { CallerCommand } from "./CallerCommand.js";
+import type { CallerFlow } from "./CallerFlow.js";
 
 /** One connection of a caller. */
 export interface CallerConnection {
-    /** Receives the caller's commands in order; set once. */
-    onCommand(listener: (command: CallerCommand) => void): void;
+    /** Control of what is read; undefined for a session that another VM forwards, which reads from the caller. */
+    readonly flow?: CallerFlow;
+    /** Receives the caller's commands in order, with their size in bytes; set once. */
+    onCommand(listener: (command: CallerCommand, bytes: number) => void): void;
     /** Calls the listener once, when the connection is closed from either side. */
     onClose(listener: () => void): void;
     /** Notifies the caller that the session is open. */
--- a/src/callerSessions/types/ReceivedCommand.ts
+++ b/src/callerSessions/types/ReceivedCommand.ts
@@ -4,4 +4,6 @@
 export interface ReceivedCommand {
     readonly command: CallerCommand;
     readonly receivedAt: number;
+    /** Size of the command as it was sent. */
+    readonly bytes: number;
 }
--- a/src/callerSessions/types/SessionServices.ts
+++ b/src/callerSessions/types/SessionServices.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { ByteBudget } from "../../memory/types/ByteBudget.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
 import type { Placement } from "../../placement/types/Placement.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
@@ -22,6 +23,7 @@
     readonly placement: Placement;
     readonly renewal: EvidenceRenewal;
     readonly preparedNames: PreparedNames;
+    readonly budget: ByteBudget;
     readonly stop: GracefulStop;
     readonly metrics: Metrics;
     readonly log: LogTopic;
--- a/src/forwarding/createSessionHost/index.ts
+++ b/src/forwarding/createSessionHost/index.ts
@@ -108,7 +108,7 @@
         let state = SessionState.Idle;
         let isClosed = false;
         let waiter: Waiter<SessionAnswer> | undefined;
-        let deliver: (command: CallerCommand) => void = () => {};
+        let deliver: (command: CallerCommand, bytes: number) => void = () => {};
         const closeListeners: (() => void)[] = [];
 
         function answer(received: SessionAnswer): void {
@@ -138,7 +138,7 @@
                 createTimeoutError: createInterruptedError,
             });
             const { promise } = waiter;
-            deliver(command);
+            deliver(command, command.kind === CallerCommandKind.Run ? command.statement.text.length : 0);
             return { ...await promise, routingVersion: options.routingVersion() };
         }
 
--- a/src/kernel/types/ServiceName.ts
+++ b/src/kernel/types/ServiceName.ts
@@ -1,6 +1,7 @@
 /** Names under which services are registered in a kernel. */
 export enum ServiceName {
     Admission = "Admission",
+    ByteBudget = "ByteBudget",
     CallerServer = "CallerFront",
     CallerSessions = "CallerSessions",
     Clock = "Clock",
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -68,6 +68,17 @@
         registers,
     });
 
+    const memoryRefusals = new Counter({
+        name: "tarragonpost_memory_refusals_total",
+        help: "Connections refused because callers hold too many bytes.",
+        registers,
+    });
+    const readPauses = new Counter({
+        name: "tarragonpost_read_pauses_total",
+        help: "Times that a caller's connection was no longer read, until commands are answered.",
+        registers,
+    });
+
     return {
         countStatement: (guarantee, milliseconds, code) => {
             statements.inc({ guarantee, outcome: code ?? success });
@@ -81,6 +92,8 @@
         countPrimaryChange: isSuccessful => primaryChanges.inc({ outcome: isSuccessful ? success : "Failure" }),
         countPrimaryVerification: isVerified =>
             primaryVerifications.inc({ outcome: isVerified ? "Confirmed" : "Unconfirmed" }),
+        countMemoryRefusal: () => memoryRefusals.inc(),
+        countReadPause: () => readPauses.inc(),
         registerGauge: (name, description, read) => {
             const gauge: Gauge = new Gauge({
                 name,
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -20,6 +20,10 @@
     countPrimaryChange(isSuccessful: boolean): void;
     /** Counts a verification of a primary at the other endpoints, needed because this VM holds no lease. */
     countPrimaryVerification(isVerified: boolean): void;
+    /** Counts a connection that was refused because callers hold too many bytes. */
+    countMemoryRefusal(): void;
+    /** Counts that a caller's connection was no longer read, until commands are answered. */
+    countReadPause(): void;
     /** Registers a gauge whose value is read at each rendering. */
     registerGauge(name: string, description: string, read: () => number): void;
     /** Renders the metrics in the Prometheus text format. */
--- a/src/platform/listenForCallers/index.ts
+++ b/src/platform/listenForCallers/index.ts
@@ -8,7 +8,7 @@
 import type { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementFailure } from "../../statements/types/StatementFailure.js";
 import { platformConstants } from "../constants.js";
-import { createLineSplitter } from "../createLineSplitter/index.js";
+import { createLineBuffer } from "../createLineBuffer/index.js";
 import { decodeMessage } from "../decodeMessage/index.js";
 import { decodeStatement } from "../decodeStatement/index.js";
 import { encodeMessage } from "../encodeMessage/index.js";
@@ -45,31 +45,91 @@
 }
 
 function wrapCallerSocket(socket: Socket): CallerConnection {
-    const splitter = createLineSplitter(platformConstants.maximumMessageBytes);
-    let deliver: (command: CallerCommand) => void = () => {};
+    const lines = createLineBuffer(platformConstants.maximumMessageBytes);
+    let deliver: (command: CallerCommand, bytes: number) => void = () => {};
+    let reportHeld: (undeliveredBytes: number, unsentBytes: number) => void = () => {};
+    let reportedBytes = 0;
+    let isPaused = false;
+    let isDiscarding = false;
+    let isClosing = false;
 
     socket.on("data", chunk => {
-        const lines = splitter.push(chunk);
-        if (lines === undefined) {
-            deliver({ kind: CallerCommandKind.Unreadable, reason: "The message is too long." });
+        if (isDiscarding || isClosing) {
             return;
         }
-        for (const line of lines) {
-            deliver(toCommand(decodeMessage(line)));
-        }
+        lines.append(chunk);
+        deliverAll();
     });
+    socket.on("drain", report);
     // The event "close" follows an error and ends the session.
     socket.on("error", () => socket.destroy());
 
+    function deliverAll(): void {
+        while (!isPaused && deliverNext()) {
+            // Each delivery may pause the connection.
+        }
+        report();
+    }
+
+    /** Delivers the next line; returns whether there was one. */
+    function deliverNext(): boolean {
+        const line = lines.next();
+        if (line !== undefined) {
+            report();
+            deliver(toCommand(decodeMessage(line)), line.length);
+            return true;
+        }
+        if (lines.isTooLong()) {
+            discard();
+            deliver({ kind: CallerCommandKind.Unreadable, reason: "The message is too long." }, 0);
+        }
+        return false;
+    }
+
+    /** Reports what is held, when it has changed. */
+    function report(): void {
+        const unsentBytes = socket.writableNeedDrain ? socket.writableLength : 0;
+        const undeliveredBytes = lines.size();
+        if (undeliveredBytes + unsentBytes !== reportedBytes) {
+            reportedBytes = undeliveredBytes + unsentBytes;
+            reportHeld(undeliveredBytes, unsentBytes);
+        }
+    }
+
+    function pause(): void {
+        isPaused = true;
+        socket.pause();
+    }
+
+    function resume(): void {
+        isPaused = false;
+        deliverAll();
+        if (!isPaused && !isClosing) {
+            socket.resume();
+        }
+    }
+
+    /** Reads on all the same: closing a connection with unread bytes would lose the last answer. */
+    function discard(): void {
+        isDiscarding = true;
+        lines.clear();
+        socket.resume();
+    }
+
     function write(text: string): void {
         if (socket.writable) {
             socket.write(text, "latin1");
+            report();
         }
     }
 
     /** Stops reading from the caller: later statements could not be answered on this connection. */
     function close(): void {
-        socket.pause();
+        isClosing = true;
+        if (!isDiscarding) {
+            socket.pause();
+        }
+        lines.clear();
         socket.end();
         setTimeout(() => socket.destroy(), platformConstants.closeDelayMilliseconds).unref();
     }
@@ -83,6 +143,15 @@
     }
 
     return {
+        flow: {
+            onHeldBytes: listener => {
+                reportHeld = listener;
+            },
+            pause,
+            resume,
+            deliverNext,
+            discard,
+        },
         onCommand: listener => {
             deliver = listener;
         },
--- a/src/platform/readVmSettings/index.ts
+++ b/src/platform/readVmSettings/index.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { memoryConstants } from "../../memory/constants.js";
 import type { VmSettings } from "../../vm/types/VmSettings.js";
 import { parseAddress } from "../parseAddress/index.js";
 
@@ -10,6 +11,18 @@
 /** Time within which a configuration has to be in force, for a file that does not tell. */
 const defaultConfigurationMilliseconds = 4_000;
 
+const {
+    defaultMegabytes,
+    leastMegabytes,
+    mostMegabytes,
+    defaultCallerShare,
+    leastCallerShare,
+    mostCallerShare,
+    defaultConnectionBytes,
+    leastConnectionBytes,
+    mostConnectionBytes,
+} = memoryConstants;
+
 /** Schema of the platform's settings file; other fields are ignored. */
 const fileSchema = z.object({
     nodeName: z.string().min(1),
@@ -18,10 +31,21 @@
     bootstrap: z.boolean().default(false),
     zones: z.record(z.string(), z.string()).default({}),
     listen: z.object({ front: z.string(), ready: z.string(), control: z.string() }),
-    limits: z.object({ cpuShare: z.number().positive(), cores: z.number().positive() }).default({
+    limits: z.object({
+        cpuShare: z.number().positive(),
+        cores: z.number().positive(),
+        memoryMb: z.number().min(leastMegabytes).max(mostMegabytes).default(defaultMegabytes),
+    }).default({
         cpuShare: 1,
         cores: 1,
+        memoryMb: defaultMegabytes,
     }),
+    callerMemory: z.object({
+        share: z.number().min(leastCallerShare).max(mostCallerShare).default(defaultCallerShare),
+        connectionBytes: z.number().int().min(leastConnectionBytes).max(mostConnectionBytes).default(
+            defaultConnectionBytes,
+        ),
+    }).default({ share: defaultCallerShare, connectionBytes: defaultConnectionBytes }),
     bounds: z.object({
         graceS: z.number(),
         configApplyMs: z.number().positive().default(defaultConfigurationMilliseconds),
@@ -67,6 +91,11 @@
         storeAddress: addressOf(fields.platform.addr),
         promotionAddress: addressOf(fields.cloudApi.addr),
         capacity: fields.limits.cpuShare * fields.limits.cores,
+        memory: {
+            megabytes: fields.limits.memoryMb,
+            callerShare: fields.callerMemory.share,
+            connectionBytes: fields.callerMemory.connectionBytes,
+        },
         configurationMilliseconds: fields.bounds.configApplyMs,
         graceMilliseconds: fields.bounds.graceS * millisecondsPerSecond,
     };
--- a/src/platform/standIns/encodeVmSettings/index.ts
+++ b/src/platform/standIns/encodeVmSettings/index.ts
@@ -25,7 +25,11 @@
             ready: formatAddress(settings.readinessAddress),
             control: formatAddress(settings.peerAddress),
         },
-        limits: { cpuShare: settings.capacity, cores: 1 },
+        limits: { cpuShare: settings.capacity, cores: 1, memoryMb: settings.memory.megabytes },
+        callerMemory: {
+            share: settings.memory.callerShare,
+            connectionBytes: settings.memory.connectionBytes,
+        },
         bounds: {
             graceS: settings.graceMilliseconds / millisecondsPerSecond,
             configApplyMs: settings.configurationMilliseconds,
--- a/src/soak/startSoakVm/index.ts
+++ b/src/soak/startSoakVm/index.ts
@@ -57,6 +57,7 @@
         storeAddress: addressOf(storeLink.port, "127.0.0.1"),
         promotionAddress: addressOf(platform.promotionPort, "127.0.0.1"),
         capacity: 1,
+        memory: { megabytes: 350, callerShare: 0.1, connectionBytes: 524_288 },
         configurationMilliseconds: soakConstants.configurationMilliseconds,
         graceMilliseconds: soakConstants.graceSeconds * millisecondsPerSecond,
     };
--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -3,6 +3,8 @@
 import type { SessionServices } from "../../callerSessions/types/SessionServices.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { memoryConstants } from "../../memory/constants.js";
+import { createByteBudget } from "../../memory/createByteBudget/index.js";
 import { createMetrics } from "../../metrics/createMetrics/index.js";
 import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
@@ -27,6 +29,7 @@
     endpoints: readonly EndpointRecord[],
     changes: Partial<SessionServices> = {},
 ): SessionServices {
+    const metrics = createMetrics();
     const directory = createPopulatedDirectory(clock, endpoints);
     return {
         clock,
@@ -45,7 +48,13 @@
         renewal: { renew: async () => {}, renewIfOld: () => {} },
         preparedNames: createPreparedNames(),
         stop: createGracefulStop(clock, graceMilliseconds),
-        metrics: createMetrics(),
+        budget: createByteBudget({
+            limits: { totalBytes: memoryConstants.mostTotalBytes, connectionBytes: memoryConstants.bytesPerMegabyte },
+            clock,
+            metrics,
+            log: () => {},
+        }),
+        metrics,
         log: () => {},
         ...changes,
     };
--- a/src/testing/createVmSettings/index.ts
+++ b/src/testing/createVmSettings/index.ts
@@ -23,6 +23,7 @@
         storeAddress: addressOf(4),
         promotionAddress: addressOf(5),
         capacity: 1,
+        memory: { megabytes: 350, callerShare: 0.1, connectionBytes: 524_288 },
         configurationMilliseconds: 4_000,
         graceMilliseconds: 6_000,
         ...changes,
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -148,6 +148,8 @@
         countStoreRestore: ignore,
         countPrimaryChange: ignore,
         countPrimaryVerification: ignore,
+        countMemoryRefusal: ignore,
+        countReadPause: ignore,
         registerGauge: ignore,
         render: async () => "",
     };
--- a/src/testing/startVm/index.ts
+++ b/src/testing/startVm/index.ts
@@ -20,7 +20,7 @@
 }
 
 /** Settings that a test may change. */
-type VmOptions = Partial<Pick<VmSettings, "graceMilliseconds" | "availabilityZone">>;
+type VmOptions = Partial<Pick<VmSettings, "graceMilliseconds" | "availabilityZone" | "memory">>;
 
 /**
  * Starts the program of a VM against the platform's stand-in.
--- a/src/vm/defineSessionService/index.ts
+++ b/src/vm/defineSessionService/index.ts
@@ -9,6 +9,7 @@
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
+import type { ByteBudget } from "../../memory/types/ByteBudget.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
 import type { Placement } from "../../placement/types/Placement.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
@@ -40,6 +41,7 @@
             ServiceName.Placement,
             ServiceName.SessionForwarding,
             ServiceName.Duty,
+            ServiceName.ByteBudget,
             ServiceName.Metrics,
             ServiceName.Logger,
         ],
@@ -53,6 +55,7 @@
             placement: Placement,
             forwarding: SessionForwarding,
             duty: Duty,
+            budget: ByteBudget,
             metrics: Metrics,
             logger: Logger,
         ) => {
@@ -68,6 +71,7 @@
                 placement,
                 preparedNames,
                 stop: createGracefulStop(clock, settings.graceMilliseconds),
+                budget,
                 metrics,
                 log,
             };
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -17,6 +17,9 @@
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import { createLogger } from "../../logging/createLogger/index.js";
 import type { Logger } from "../../logging/types/Logger.js";
+import { chooseMemoryLimits } from "../../memory/chooseMemoryLimits/index.js";
+import { createByteBudget } from "../../memory/createByteBudget/index.js";
+import type { ByteBudget } from "../../memory/types/ByteBudget.js";
 import { createMetrics } from "../../metrics/createMetrics/index.js";
 import { createMetricsServer } from "../../metrics/createMetricsServer/index.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
@@ -194,6 +197,17 @@
                 log: logger.topic("primaries"),
             }),
         },
+        {
+            name: ServiceName.ByteBudget,
+            dependencies: [ServiceName.Clock, ServiceName.Metrics, ServiceName.Logger],
+            create: (clock: Clock, metrics: Metrics, logger: Logger) =>
+                createByteBudget({
+                    limits: chooseMemoryLimits(settings.memory),
+                    clock,
+                    metrics,
+                    log: logger.topic("memory"),
+                }),
+        },
         defineSessionService(settings),
         ...listForwardingServices(settings),
         ...listDutyServices(settings),
@@ -204,6 +218,7 @@
                 ServiceName.Metrics,
                 ServiceName.CallerSessions,
                 ServiceName.SessionHost,
+                ServiceName.ByteBudget,
                 ServiceName.Duty,
                 ServiceName.Logger,
             ],
@@ -211,10 +226,11 @@
                 metrics: Metrics,
                 sessions: CallerSessions,
                 sessionHost: SessionHost,
+                budget: ByteBudget,
                 duty: Duty,
                 logger: Logger,
             ) => {
-                registerVmGauges(metrics, { sessions, sessionHost, duty });
+                registerVmGauges(metrics, { sessions, sessionHost, budget, duty });
                 const { host } = settings.callerAddress;
                 return createMetricsServer({ host, port: options.metricsPort, metrics, log: logger.topic("metrics") });
             },
--- a/src/vm/types/VmSettings.ts
+++ b/src/vm/types/VmSettings.ts
@@ -1,3 +1,4 @@
+import type { MachineMemory } from "../../memory/types/MachineMemory.js";
 import type { Address } from "../../network/types/Address.js";
 
 /** Settings of the program that runs on every VM. */
@@ -21,6 +22,8 @@
     readonly promotionAddress: Address;
     /** Processor cores that the VM may use. */
     readonly capacity: number;
+    /** Memory of the VM, and what callers' connections may hold of it. */
+    readonly memory: MachineMemory;
     /** Time within which a configuration has to be in force on every VM. */
     readonly configurationMilliseconds: number;
     /** Time from the order to stop until the process is killed. */
