--- a/src/callerSessions/createSessionsStop/test.ts
+++ b/src/callerSessions/createSessionsStop/test.ts
@@ -19,7 +19,7 @@
 
 /** Creates a session with one statement that runs and one that is queued, and never ends by itself. */
 function createBusySession(state: SessionState, onClose: (open: OpenSession) => void): OpenSession {
-    const queued = [{ command: write, receivedAt: 0 }];
+    const queued = [{ command: write, receivedAt: 0, bytes: 0 }];
     const open: OpenSession = {
         connection: {
             onCommand: () => {},
