Keep a process alive that is told of changed settings while it starts

What callers and operators saw: a VM that got SIGHUP within its first moments ended, and stayed away until it was started again.

Cause: the listener was installed by the last service of the start, after everything had been loaded; until then the signal has its default effect. At the end of a stop the listener was removed again.

Why it works: a listener that does nothing stands before any import, in the bundle's start and in the entry point, and stays. What remains is the time in which Node.js itself starts. The rest of the entry point moved to src/vm/runVm.

--- a/.ci/startBundle.cjs
+++ b/.ci/startBundle.cjs
@@ -2,6 +2,8 @@
  * Runs the bundle with the V8 code cache that was written at build time. With `--compile`, writes that cache: after the
  * signal SIGUSR2 when there are settings to run with, otherwise after `--version`.
  */
+// The signal that the settings have changed ends a process without a listener, and loading the program takes a while.
+process.on("SIGHUP", () => {});
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const { join } = require("node:path");
 const { Script } = require("node:vm");
--- a/src/binaries/node/index.ts
+++ b/src/binaries/node/index.ts
@@ -1,34 +1,5 @@
 #!/usr/bin/env node
-import { createSystemClock } from "../../clock/createSystemClock/index.js";
-import { runBinary } from "../../commandLine/runBinary/index.js";
-import { createBoundedWriter } from "../../logging/createBoundedWriter/index.js";
-import { metricsConstants } from "../../metrics/constants.js";
-import { findSettingsFile } from "../../platform/findSettingsFile/index.js";
-import { readVmSettings } from "../../platform/readVmSettings/index.js";
-import { vmConstants } from "../../vm/constants.js";
-import { listVmServices } from "../../vm/listVmServices/index.js";
-
-let settingsFile = "";
-const writeLog = createBoundedWriter(process.stdout, createSystemClock());
-
-void runBinary({
-    name: "tarragonpost-node",
-    description: "Serves callers on a VM of the users' platform.",
-    findSettingsFile,
-    writeLog,
-    readSettings: file => {
-        settingsFile = file;
-        return { ...readVmSettings(file), logTopics: "tarragonpost:*" };
-    },
-    longestStopMilliseconds: settings => vmConstants.stopGraceShare * settings.graceMilliseconds,
-    createServices: settings =>
-        listVmServices(settings, {
-            writeLog,
-            metricsPort: metricsConstants.port,
-            readSettings: () => readVmSettings(settingsFile),
-            onSettingsSignal: listener => {
-                process.on("SIGHUP", listener);
-                return () => process.off("SIGHUP", listener);
-            },
-        }),
-});
+// The signal that the settings have changed ends a process without a listener; they are read after this line.
+process.on("SIGHUP", () => {});
+// Everything else is loaded later, because loading takes long.
+void import("../../vm/runVm/index.js").then(({ runVm }) => runVm());
