Bound the wait for input that has arrived during a stop

What callers could see: on a VM whose event loop takes over 50 ms a turn, no phase of a stop acted until 0.9 of the grace time: idle sessions stayed, and open transactions were rolled back 0.3 s before the end of the process.

Cause: the wait for a short turn ended with the sessions' end only. It now lasts 200 ms at most.

No unit test: a manual clock has no turns.

--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -45,4 +45,6 @@
     stopPollingMilliseconds: 50,
     /** Longest turn of the event loop after which a session without a statement counts as idle, in milliseconds. */
     maximumTurnMilliseconds: 50,
+    /** Longest wait for input that has arrived, in milliseconds; the stop goes on although each turn takes long. */
+    maximumInputWaitMilliseconds: 200,
 } as const;
--- a/src/callerSessions/createSessionsStop/index.ts
+++ b/src/callerSessions/createSessionsStop/index.ts
@@ -120,7 +120,8 @@
         void otherWork.then(() => {
             isWorking = false;
         });
-        const { closeGraceShare, stopPollingMilliseconds, maximumTurnMilliseconds } = callerSessionConstants;
+        const { closeGraceShare, stopPollingMilliseconds, maximumTurnMilliseconds, maximumInputWaitMilliseconds } =
+            callerSessionConstants;
         const closesAt = clock.now() + closeGraceShare * options.graceMilliseconds;
         log("closing all sessions", { open: sessions.size });
         stop.begin();
@@ -129,7 +130,8 @@
         while (clock.now() < closesAt && isUnfinished()) {
             await clock.sleep(stopPollingMilliseconds);
             // A session whose next statement has arrived is not idle, although it was not read yet.
-            await waitForArrivedInput({ clock, maximumTurnMilliseconds, endsAt: closesAt });
+            const endsAt = clock.now() + maximumInputWaitMilliseconds;
+            await waitForArrivedInput({ clock, maximumTurnMilliseconds, endsAt });
             closeFinished();
         }
         log("end of the stop", { open: sessions.size, ...counts });
