Answer at the end of a stop what a paused connection had received

Cause: the end of a stop answered what was accepted; lines that a paused connection had read and not delivered were dropped with the close.

Draining a session now delivers first what was received in full.

--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -75,7 +75,7 @@
             isAborted: false,
             isCutOff: false,
             callerSession: undefined,
-            drain: commands.drain,
+            drain,
         };
         sessions.add(open);
         const account = budget.open(createFlowControl(connection, () => {
@@ -99,6 +99,13 @@
         });
         void runTask();
 
+        function drain(): readonly ReceivedCommand[] {
+            while (connection.flow?.deliverNext() === true) {
+                // A connection that is not read may hold commands that it received in full.
+            }
+            return commands.drain();
+        }
+
         async function runTask(): Promise<void> {
             try {
                 await runSession();
--- a/src/callerSessions/createCallerSessions/test.ts
+++ b/src/callerSessions/createCallerSessions/test.ts
@@ -5,9 +5,9 @@
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import { StatementKind } from "../../statements/types/StatementKind.js";
-import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createSessionServices } from "../../testing/createSessionServices/index.js";
+import { createSlowEndpointServices } from "../../testing/createSlowEndpointServices/index.js";
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import { callerSessionConstants } from "../constants.js";
 import type { CallerCommand } from "../types/CallerCommand.js";
@@ -41,31 +41,6 @@
 
 type ManualClock = ReturnType<typeof createManualClock>;
 
-/** Creates an endpoint whose answers take a time, and the placement that gives a connection to it. */
-function createSlowEndpoint(clock: ManualClock, answerMilliseconds: number) {
-    const endpoint = createEndpointRecord({ isPrimary: true });
-    const connection: AcquiredConnection = {
-        endpoint,
-        isPrimary: true,
-        pooled: { values: new Map(), prepared: new Map(), session: {} } as unknown as AcquiredConnection["pooled"],
-        exchange: async statements => {
-            await clock.sleep(answerMilliseconds);
-            return statements.map(() => ({
-                rows: [],
-                signature: "i-1.1",
-                failure: undefined,
-                state: SessionState.InTransaction,
-                position: undefined,
-                replicaStatus: undefined,
-            }));
-        },
-        release: () => {},
-        discard: () => {},
-    };
-    const placement = { ...createSessionServices(clock, []).placement, acquire: async () => connection };
-    return createSessionServices(clock, [endpoint], { placement });
-}
-
 /** Creates services with which each statement waits for a connection until its time limit or a stop ends the wait. */
 function createServicesWithoutConnection(clock: ManualClock) {
     const acquire = ({ expiresAt, signal }: PlacementRequest) =>
@@ -94,7 +69,21 @@
         const sent: string[] = [];
         let deliver: (command: CallerCommand, bytes: number) => void = () => {};
         let leave = (): void => {};
+        const undelivered: CallerCommand[] = [];
         const connection: CallerConnection = {
+            flow: {
+                onHeldBytes: () => {},
+                pause: () => {},
+                resume: () => {},
+                deliverNext: () => {
+                    const command = undelivered.shift();
+                    if (command !== undefined) {
+                        deliver(command, 0);
+                    }
+                    return command !== undefined;
+                },
+                discard: () => {},
+            },
             onCommand: listener => {
                 deliver = listener;
             },
@@ -116,7 +105,7 @@
             await clock.advance(0);
         };
         await run({ kind: CallerCommandKind.Open, database });
-        return { sent, run };
+        return { sent, run, undelivered };
     }
 
     return { clock, sessions, open };
@@ -152,7 +141,7 @@
     });
 
     it("lets a transaction end that began during the stop", async () => {
-        const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 20));
+        const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpointServices(clock, 20));
         const { sent, run } = await open();
         const stopped = sessions.closeAll(Promise.resolve());
         await clock.advance(2_250);
@@ -166,7 +155,7 @@
     });
 
     it("closes a busy session with the answer to its statement, before its caller sends the next", async () => {
-        const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 20));
+        const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpointServices(clock, 20));
         const { sent, run } = await open();
         const stopped = sessions.closeAll(Promise.resolve());
         const countAnswers = (): number => sent.filter(text => text.startsWith("success")).length;
@@ -204,7 +193,7 @@
         ]
     ) {
         it(`answers ${title} that an endpoint still runs at the end of the stop`, async () => {
-            const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 60_000));
+            const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpointServices(clock, 60_000));
             const { sent, run } = await open();
             const stopped = sessions.closeAll(Promise.resolve());
             await clock.advance(2_000);
@@ -226,7 +215,7 @@
     }
 
     it("serves the first statement of a session that is opened late, and refuses what comes too late to end", async () => {
-        const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 20));
+        const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpointServices(clock, 20));
         const stopped = sessions.closeAll(clock.sleep(4_000));
         await clock.advance(2_500);
         const early = await open();
@@ -244,7 +233,7 @@
     });
 
     it("looks after sessions that are opened while other work keeps the VM, and opens none after the stop", async () => {
-        const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpoint(clock, 20));
+        const { clock, sessions, open } = createSite(undefined, clock => createSlowEndpointServices(clock, 20));
         const stopped = sessions.closeAll(clock.sleep(5_300));
         await clock.advance(2_500);
         const { sent, run } = await open();
@@ -295,4 +284,16 @@
         const { sent } = await createSite(() => false).open();
         assert.deepEqual(sent, [`ready ${SessionState.Idle}`]);
     });
+
+    it("answers at the end of a stop what a paused connection had received behind a running statement", async () => {
+        const { clock, sessions, open } = createSite(() => true, manual => createSlowEndpointServices(manual, 60_000));
+        const { sent, run, undelivered } = await open();
+        await run(write);
+        undelivered.push(write, read);
+        const stopped = sessions.closeAll(Promise.resolve());
+        await clock.advance(graceMilliseconds);
+        await stopped;
+        const refusals = [`${FailureCode.Busy} ${SessionState.Idle}`, `${FailureCode.Busy} ${SessionState.Idle}`];
+        assert.deepEqual(sent.slice(-4), [`${FailureCode.OutcomeUnknown} ${SessionState.Idle}`, ...refusals, "closed"]);
+    });
 });
--- a/src/callerSessions/types/CallerFlow.ts
+++ b/src/callerSessions/types/CallerFlow.ts
@@ -6,8 +6,8 @@
     pause(): void;
     /** Delivers what was received, then reads on. */
     resume(): void;
-    /** Delivers the next command that was received in full, if there is one, without reading. */
-    deliverNext(): void;
+    /** Delivers the next command that was received in full, without reading; returns whether there was one. */
+    deliverNext(): boolean;
     /** Discards what was received and not delivered, and whatever comes. */
     discard(): void;
 }
