Name the end of a forwarded session for both of its causes

The flag is set when the host closes the session and when the connection to it is lost, so 'closed by host' said half. No change of behaviour; types, linter and format check are clean, the 38 tests of forwarding pass.

--- a/src/forwarding/createForwardedSession/index.ts
+++ b/src/forwarding/createForwardedSession/index.ts
@@ -59,9 +59,9 @@
     let local: CallerSession | undefined;
     let isBusy = false;
     let hasAnswered = false;
-    let isClosedByHost = false;
+    let isHostGone = false;
     hosted.onClose(() => {
-        isClosedByHost = true;
+        isHostGone = true;
         clock.startTimer(forwardingConstants.hostClosedLingerMilliseconds, () => void closeWhenIdle());
     });
 
@@ -75,7 +75,7 @@
     }
 
     function isOver(): boolean {
-        return isClosedByHost && local === undefined;
+        return isHostGone && local === undefined;
     }
 
     async function handle(received: ReceivedStatement): Promise<void> {
@@ -150,7 +150,7 @@
             { code, description: "the connection to the session's host was lost" },
             SessionState.Idle,
         );
-        isClosedByHost = true;
+        isHostGone = true;
     }
 
     return {
