Add workspaces to the routing table, and the owner to an endpoint's connection

The types that the parts for workspaces, quotas and connections share. A configuration without workspaces is decoded as before, and every connection is opened in the same name as before.

--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Workspace } from "../../workspaces/types/Workspace.js";
 import { compareReports } from "../compareReports/index.js";
 import { compareStoreVersions } from "../compareStoreVersions/index.js";
 import { directoryConstants } from "../constants.js";
@@ -44,6 +45,7 @@
     let table: RoutingTable | undefined;
     let routes = new Map<string, Route>();
     let groupsByName = new Map<string, GroupSettings>();
+    let workspacesByKey = new Map<string, Workspace>();
 
     function applyEndpoints(update: FeedUpdate<EndpointRecord>): void {
         const changed = new Set<string>();
@@ -205,6 +207,7 @@
         table = next;
         routes = new Map(next.routes.map(route => [route.database, route]));
         groupsByName = new Map(next.groups.map(settings => [settings.group, settings]));
+        workspacesByKey = new Map(listKeys(next));
         notify(new Set(groupsByName.keys()));
         return true;
     }
@@ -226,6 +229,7 @@
         routingVersion: () => table?.version ?? 0,
         routingTable: () => table,
         routeOf: database => routes.get(database),
+        workspaceOf: keyDigest => workspacesByKey.get(keyDigest),
         groupSettings: group => groupsByName.get(group),
         endpoint: id => endpoints.get(id),
         endpointsOf: group => [...endpoints.values()].filter(endpoint => endpoint.group === group),
@@ -237,6 +241,12 @@
     };
 }
 
+function* listKeys({ workspaces = [] }: RoutingTable): Generator<readonly [string, Workspace]> {
+    for (const workspace of workspaces) {
+        yield* workspace.keyDigests.map(digest => [digest, workspace] as const);
+    }
+}
+
 function newerOf(left: StoreVersion, right: StoreVersion): StoreVersion {
     const { era, revision } = compareStoreVersions(left, right) >= 0 ? left : right;
     return { era, revision };
--- a/src/directory/types/Directory.ts
+++ b/src/directory/types/Directory.ts
@@ -1,3 +1,4 @@
+import type { Workspace } from "../../workspaces/types/Workspace.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { FeedUpdate } from "./FeedUpdate.js";
 import type { GroupSettings } from "./GroupSettings.js";
@@ -18,6 +19,8 @@
     highestVersion(): StoreVersion;
     routingTable(): RoutingTable | undefined;
     routeOf(database: string): Route | undefined;
+    /** The workspace that holds the key with this digest; undefined for an unknown key. */
+    workspaceOf(keyDigest: string): Workspace | undefined;
     groupSettings(group: string): GroupSettings | undefined;
     endpoint(id: string): EndpointRecord | undefined;
     /** The endpoints of a group, including leaving ones. */
--- a/src/directory/types/Route.ts
+++ b/src/directory/types/Route.ts
@@ -11,6 +11,8 @@
     readonly targetLatencyMilliseconds: number;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** Whether callers need no key of a workspace; left out means that they need one where there are workspaces. */
+    readonly isOpen?: boolean;
     /** Greatest age of the state that a read may see. */
     readonly maximumStalenessMilliseconds: number;
 }
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -24,12 +24,19 @@
         targetLatencyMilliseconds: z.number(),
         priority: z.number(),
         maximumStalenessMilliseconds: z.number(),
+        isOpen: z.boolean().optional(),
     })),
     groups: z.array(z.object({
         group: z.string(),
         connectionLimit: z.number(),
         synchronousReplicas: z.number(),
     })),
+    workspaces: z.array(z.object({
+        name: z.string(),
+        keyDigests: z.array(z.string()),
+        priority: z.number(),
+        quota: z.object({ operationsPerSecond: z.number(), burstOperations: z.number() }).optional(),
+    })).optional(),
     idleTransactionMilliseconds: z.number(),
 });
 const endpoint = z.object({
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -4,6 +4,7 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
+import { workspaceConstants } from "../../workspaces/constants.js";
 import { placementConstants } from "../constants.js";
 import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { EndpointSessionPool } from "../types/EndpointSessionPool.js";
@@ -93,7 +94,11 @@
     async function openOne(record: EndpointRecord): Promise<void> {
         const startedAt = clock.now();
         try {
-            const session = await options.open(record, placementConstants.openTimeoutMilliseconds);
+            const session = await options.open(
+                record,
+                workspaceConstants.anonymousOwner,
+                placementConstants.openTimeoutMilliseconds,
+            );
             openingCount -= 1;
             openCount += 1;
             failureCount = 0;
--- a/src/placement/types/EndpointOpener.ts
+++ b/src/placement/types/EndpointOpener.ts
@@ -1,5 +1,9 @@
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import type { EndpointSession } from "../../statements/types/EndpointSession.js";
 
-/** Opens a connection to an endpoint within a time limit. */
-export type EndpointOpener = (endpoint: EndpointRecord, timeoutMilliseconds: number) => Promise<EndpointSession>;
+/** Opens a connection to an endpoint in the name of an owner, within a time limit. */
+export type EndpointOpener = (
+    endpoint: EndpointRecord,
+    owner: string,
+    timeoutMilliseconds: number,
+) => Promise<EndpointSession>;
--- a/src/placement/types/PlacementRequest.ts
+++ b/src/placement/types/PlacementRequest.ts
@@ -2,6 +2,11 @@
 export interface PlacementRequest {
     readonly group: string;
     readonly needsPrimary: boolean;
+    /**
+     * Name under which the connection was opened: a workspace, or `anonymousOwner`. When left out, any connection serves
+     * the request; only statements of this program itself leave it out.
+     */
+    readonly owner?: string;
     /** Id of a specific endpoint, regardless of its role and state; when left out, any endpoint of the group. */
     readonly endpointId?: string;
     /** Lower is more urgent; 0 is the most urgent priority of a route. */
--- a/src/platform/constants.ts
+++ b/src/platform/constants.ts
@@ -4,8 +4,6 @@
     maximumMessageBytes: 1_048_576,
     /** Id of the statements that the proxy issues itself. */
     proxyStatementId: "-",
-    /** User name with which the proxy opens sessions on endpoints. */
-    connectionUser: "tarragonpost",
     /** Environment variable that holds the path of the settings file. */
     settingsFileVariable: "TARRAGONPOST_SETTINGS",
     /** Time between the last byte sent to a caller and the end of the connection, so that the caller receives all. */
--- a/src/platform/openEndpointSession/index.ts
+++ b/src/platform/openEndpointSession/index.ts
@@ -22,6 +22,8 @@
     /** Address of the endpoint. */
     readonly address: Address;
     readonly group: string;
+    /** Name of whom the connection is opened for. */
+    readonly owner: string;
     /** Id of the endpoint that is expected at the address. */
     readonly endpointId: string;
     readonly timeoutMilliseconds: number;
@@ -60,12 +62,12 @@
  * at the address, `Overloaded`, or `DeadlineExceeded`.
  *
  * @example
- * const session = await openEndpointSession({ address, group: "orders", endpointId: "i-7", timeoutMilliseconds: 1_500 });
+ * const session = await openEndpointSession({ address, group, owner, endpointId, timeoutMilliseconds: 1_500 });
  */
 export function openEndpointSession(options: OpenEndpointSessionOptions): Promise<EndpointSession> {
-    const { address, group, endpointId } = options;
+    const { address, group, owner, endpointId } = options;
     const socket = connect({ host: address.host, port: address.port, noDelay: true });
-    socket.write(`STARTUP ${group} ${platformConstants.connectionUser} ${endpointId}\r\n`);
+    socket.write(`STARTUP ${group} ${owner} ${endpointId}\r\n`);
 
     return new Promise((resolve, reject) => {
         let refusal: StatementFailure | undefined;
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -105,7 +105,7 @@
                 clock,
                 directory,
                 primaries,
-                open: (endpoint, timeoutMilliseconds) =>
+                open: (endpoint, _owner, timeoutMilliseconds) =>
                     openSimulatedSession({ vmName: name, endpoint, timeoutMilliseconds, network, endpoints }),
                 vmLocation: settings,
                 vmCount: group => hosts.hostCountOf(group),
--- a/src/vm/openEndpoint/index.ts
+++ b/src/vm/openEndpoint/index.ts
@@ -6,14 +6,19 @@
  * Opens a connection to an endpoint.
  *
  * @param endpoint The endpoint.
+ * @param owner Name under which the connection is opened: a workspace, or `anonymousOwner`.
  * @param timeoutMilliseconds Timeout of opening.
  * @returns The connection.
  * @throws TarragonpostError, as thrown by `openEndpointSession`.
  *
  * @example
- * const session = await openEndpoint(endpoint, 1_500);
+ * const session = await openEndpoint(endpoint, "museum-shops", 1_500);
  */
-export function openEndpoint(endpoint: EndpointRecord, timeoutMilliseconds: number): Promise<EndpointSession> {
+export function openEndpoint(
+    endpoint: EndpointRecord,
+    owner: string,
+    timeoutMilliseconds: number,
+): Promise<EndpointSession> {
     const { address, group, id: endpointId } = endpoint;
-    return openEndpointSession({ address, group, endpointId, timeoutMilliseconds });
+    return openEndpointSession({ address, group, owner, endpointId, timeoutMilliseconds });
 }
