--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -6,19 +6,19 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
-import { createWaiter } from "../../waiting/createWaiter/index.js";
-import type { Waiter } from "../../waiting/types/Waiter.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
 import { createAcquiredConnection } from "../createAcquiredConnection/index.js";
 import { createEndpointSessionPool } from "../createEndpointSessionPool/index.js";
 import { createLatencyEstimate } from "../createLatencyEstimate/index.js";
 import { createUnusedCheck } from "../createUnusedCheck/index.js";
+import { createWaitingStatements } from "../createWaitingStatements/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
 import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { Placement } from "../types/Placement.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
 import type { PlacementTarget } from "../types/PlacementTarget.js";
+import type { WaitingStatements } from "../types/WaitingStatements.js";
 
 /** Options of `createPlacement`. */
 interface PlacementOptions {
@@ -36,12 +36,6 @@
     readonly log: LogTopic;
 }
 
-/** A request that waits for a connection. */
-interface WaitingRequest {
-    readonly request: PlacementRequest;
-    readonly waiter: Waiter<AcquiredConnection>;
-}
-
 /**
  * Creates the placement of statements on endpoints.
  *
@@ -58,7 +52,7 @@
 export function createPlacement(options: PlacementOptions): Placement {
     const { clock, directory, primaries, log } = options;
     const targets = new Map<string, PlacementTarget>();
-    const waitingByGroup = new Map<string, WaitingRequest[]>();
+    const waitingByGroup = new Map<string, WaitingStatements>();
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
     directory.onChange(groups => {
@@ -67,7 +61,7 @@
     });
     primaries.onChange(dispatch);
     options.metrics.registerGauge("tarragonpost_waiting_statements", "Statements that wait for a connection.", () => {
-        return [...waitingByGroup.values()].reduce((sum, waiting) => sum + waiting.length, 0);
+        return [...waitingByGroup.values()].reduce((sum, waiting) => sum + waiting.countWaiting(), 0);
     });
     options.metrics.registerGauge("tarragonpost_open_connections", "Connections to endpoints that are open.", () => {
         return [...targets.values()].reduce((sum, { pool }) => sum + pool.openCount(), 0);
@@ -114,38 +108,23 @@
         }
     }
 
+    function waitingOf(group: string): WaitingStatements {
+        let waiting = waitingByGroup.get(group);
+        if (waiting === undefined) {
+            waiting = createWaitingStatements({ clock, group, tryAcquire });
+            waitingByGroup.set(group, waiting);
+        }
+        return waiting;
+    }
+
     function acquire(request: PlacementRequest): Promise<AcquiredConnection> {
-        const waiting = waitingByGroup.get(request.group) ?? [];
-        waitingByGroup.set(request.group, waiting);
-        const connection = waiting.length === 0 ? tryAcquire(request, new Map()) : undefined;
+        const waiting = waitingOf(request.group);
+        const connection = waiting.countWaiting() === 0 ? tryAcquire(request, new Map()) : undefined;
         if (connection !== undefined) {
             return Promise.resolve(connection);
         }
         const unreachableId = findUnreachable(request);
-        if (unreachableId !== undefined) {
-            return Promise.reject(createUnreachable(unreachableId));
-        }
-        const waiter = createWaiter<AcquiredConnection>({
-            clock,
-            timeoutMilliseconds: request.expiresAt - clock.now(),
-            signal: request.signal,
-            onTimeout: () => {
-                waiting.splice(waiting.indexOf(entry), 1);
-            },
-            createTimeoutError: () =>
-                createError(
-                    ErrorKind.Overloaded,
-                    `No connection to an endpoint of ${request.group} became available in time.`,
-                    {
-                        remedy: "Send the request again after a pause.",
-                    },
-                ),
-        });
-        const entry: WaitingRequest = { request, waiter };
-        const index = waiting.findIndex(other => other.request.priority > request.priority);
-        waiting.splice(index < 0 ? waiting.length : index, 0, entry);
-        dispatch(request.group);
-        return waiter.promise;
+        return unreachableId === undefined ? waiting.wait(request) : Promise.reject(createUnreachable(unreachableId));
     }
 
     /** Finds the one endpoint that could serve a request, if it is not expected to accept a connection in time. */
@@ -178,21 +157,7 @@
     }
 
     function dispatch(group: string): void {
-        const waiting = waitingByGroup.get(group);
-        if (waiting === undefined || waiting.length === 0) {
-            return;
-        }
-        const openings = new Map<PlacementTarget, number>();
-        for (const entry of [...waiting]) {
-            if (entry.waiter.isSettled) {
-                continue;
-            }
-            const connection = tryAcquire(entry.request, openings);
-            if (connection !== undefined) {
-                waiting.splice(waiting.indexOf(entry), 1);
-                entry.waiter.resolve(connection);
-            }
-        }
+        waitingByGroup.get(group)?.dispatch();
     }
 
     /** Acquires an idle connection; starts to open one at each preferred endpoint that has none. */
