Serve waiting statements by class, timeliness and owner, and refuse at once what cannot be served

Statements waited in one list by priority and arrival: in a lasting overload each was served, or refused, at the end of its time, and a workspace with more statements got more connections. What is not expected to be served in time is refused at once, from measured service times, arrivals and open connections; refusals begin and end with a delay.

--- a/src/admission/constants.ts
+++ b/src/admission/constants.ts
@@ -28,4 +28,23 @@
     /** Factor by which a refusal reduces the limit, and minimum time between two reductions. */
     decreaseFactor: 0.7,
     decreaseIntervalMilliseconds: 100,
+    /** Turns of more urgent classes after which a less urgent class that waits has one; bounds its starvation. */
+    turnsPerLowerClassTurn: 10,
+    /** Measured service times without which no wait is estimated, and the greatest age of the newest, in milliseconds. */
+    minimumServiceSamples: 8,
+    serviceEvidenceMilliseconds: 1_000,
+    /** Bound of one measured service time, relative to the mean, so that a stall is no evidence of slow service. */
+    maximumServiceFactor: 4,
+    /**
+     * Share of the time to a statement's target latency that its wait may use during an overload. Callers try a refused
+     * statement up to three times.
+     */
+    attemptTargetShare: 1 / 3,
+    /** Time constant of the moving rate of arrivals, in milliseconds. */
+    arrivalMilliseconds: 1_000,
+    /** Ratio of expected wait and time left at which refusals begin, and below which they end. */
+    refusalRatio: 1,
+    admittingRatio: 0.8,
+    /** Time for which the ratio must stay beyond the bound before refusals begin or end, in milliseconds. */
+    persistenceMilliseconds: 100,
 } as const;
--- a/src/admission/createFairQueue/index.ts
+++ b/src/admission/createFairQueue/index.ts
@@ -34,20 +34,36 @@
         length += 1;
     }
 
-    function shift(): T | undefined {
-        while (length > 0) {
+    function shift(tryServe: (item: T) => boolean = () => true): T | undefined {
+        const unserved = new Set<CallerQueue<T>>();
+        while (unserved.size < rotation.length) {
             const queue = rotation[0]!;
             const cost = costOf(queue.caller);
-            if (queue.deficit >= cost) {
-                queue.deficit -= cost;
-                return removeAt(queue, 0);
+            if (!unserved.has(queue) && queue.deficit >= cost) {
+                const index = queue.items.findIndex(tryServe);
+                if (index >= 0) {
+                    queue.deficit -= cost;
+                    return removeAt(queue, index);
+                }
+                unserved.add(queue);
+            }
+            else if (!unserved.has(queue)) {
+                queue.deficit += admissionConstants.quantum;
             }
-            queue.deficit += admissionConstants.quantum;
             rotation.push(rotation.shift()!);
         }
         return undefined;
     }
 
+    function list(): readonly T[] {
+        const longest = Math.max(0, ...rotation.map(({ items }) => items.length));
+        const rounds = Array.from(
+            { length: longest },
+            (_, round) => rotation.flatMap(({ items }) => items.slice(round, round + 1)),
+        );
+        return rounds.flat();
+    }
+
     function removeAt(queue: CallerQueue<T>, index: number): T {
         const [item] = queue.items.splice(index, 1);
         length -= 1;
@@ -68,8 +84,8 @@
         return true;
     }
 
-    function dropFromLongest(caller: string): T | undefined {
-        let longest = queuesByCaller.get(caller);
+    function dropFromLongest(caller: string | undefined): T | undefined {
+        let longest = caller === undefined ? undefined : queuesByCaller.get(caller);
         for (const queue of rotation) {
             if (queue.items.length > (longest?.items.length ?? 0)) {
                 longest = queue;
@@ -88,6 +104,7 @@
     return {
         push,
         shift,
+        list,
         remove,
         dropFromLongest,
         countAhead,
--- a/src/callerSessions/acquireConnection/index.ts
+++ b/src/callerSessions/acquireConnection/index.ts
@@ -48,7 +48,7 @@
 }
 
 function acquireFrom(
-    { route, session, expiresAt, excluded }: ConnectionRequest,
+    { route, session, receivedAt, expiresAt, excluded }: ConnectionRequest,
     needsPrimary: boolean,
     { clock, placement, stop }: SessionServices,
 ): Promise<AcquiredConnection> {
@@ -58,6 +58,7 @@
         needsPrimary,
         priority: route.priority,
         expiresAt: now + callerSessionConstants.acquisitionShare * Math.max(expiresAt - now, 0),
+        targetAt: receivedAt + route.targetLatencyMilliseconds,
         excluded,
         values: session.values,
         signal: stop.waitsEnd,
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -39,6 +39,12 @@
         help: "Statements that found no connection in time.",
         registers,
     });
+    const waitRefusals = new Counter({
+        name: "tarragonpost_wait_refusals_total",
+        help: "Statements refused while they waited for a connection, by moment and priority.",
+        labelNames: ["moment", "priority"],
+        registers,
+    });
     const connections = new Counter({
         name: "tarragonpost_connections_total",
         help: "Connections to endpoints that were opened or failed to be, by outcome.",
@@ -86,6 +92,7 @@
         },
         countRetry: code => retries.inc({ reason: code ?? "Unknown" }),
         countAcquisitionTimeout: () => acquisitionTimeouts.inc(),
+        countWaitRefusal: (moment, priority) => waitRefusals.inc({ moment, priority }),
         countConnection: failure => connections.inc({ outcome: failure ?? success }),
         countStoreFailure: () => storeFailures.inc(),
         countStoreRestore: () => storeRestores.inc(),
@@ -94,13 +101,25 @@
             primaryVerifications.inc({ outcome: isVerified ? "Confirmed" : "Unconfirmed" }),
         countMemoryRefusal: () => memoryRefusals.inc(),
         countReadPause: () => readPauses.inc(),
-        registerGauge: (name, description, read) => {
+        registerGauge: (
+            name: string,
+            description: string,
+            read: () => number | ReadonlyMap<string | number, number>,
+            label?: string,
+        ) => {
             const gauge: Gauge = new Gauge({
                 name,
                 help: description,
+                labelNames: label === undefined ? [] : [label],
                 registers,
                 collect: () => {
-                    gauge.set(read());
+                    const values = read();
+                    if (typeof values === "number") {
+                        gauge.set(values);
+                        return;
+                    }
+                    gauge.reset();
+                    values.forEach((value, key) => gauge.set({ [label!]: key }, value));
                 },
             });
         },
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -1,6 +1,7 @@
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { FailureCode } from "../../statements/types/FailureCode.js";
+import type { RefusalMoment } from "./RefusalMoment.js";
 
 /** Counters and histograms of one process. */
 export interface Metrics {
@@ -10,6 +11,8 @@
     countRetry(code: FailureCode | undefined): void;
     /** Counts a statement for which no connection became available in time. */
     countAcquisitionTimeout(): void;
+    /** Counts a statement that was refused while it waited for a connection, by its class. */
+    countWaitRefusal(moment: RefusalMoment, priority: number): void;
     /** Counts an attempt to open a connection to an endpoint; without a failure it succeeded. */
     countConnection(failure?: ErrorKind): void;
     /** Counts a failed call to the platform's store. */
@@ -26,6 +29,13 @@
     countReadPause(): void;
     /** Registers a gauge whose value is read at each rendering. */
     registerGauge(name: string, description: string, read: () => number): void;
+    /** Registers a gauge with one label, whose values are read at each rendering. */
+    registerGauge(
+        name: string,
+        description: string,
+        read: () => ReadonlyMap<string | number, number>,
+        label: string,
+    ): void;
     /** Renders the metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -26,6 +26,16 @@
     maximumLagPauseMilliseconds: 400,
     /** Pause of reads at an endpoint that had no free slot, in milliseconds. */
     busyPauseMilliseconds: 20,
+    /** Statements that wait for a connection to one group's endpoints at most. */
+    maximumWaitingStatements: 2_000,
+    /** Interval at which waiting statements are reviewed, in milliseconds. */
+    reviewMilliseconds: 25,
+    /** Waiting statements with the same needs for which a connection is sought in one turn, beyond those served. */
+    attemptsPerNeed: 8,
+    /** Least time between two log lines about statements that are refused at once, in milliseconds. */
+    refusalLogMilliseconds: 1_000,
+    /** Bound of the ratio of expected wait and time left in log lines. */
+    maximumLoggedRatio: 1_000,
     /** Weight of the newest latency in the moving average. */
     latencyWeight: 0.2,
     /** Half-life of the average's weight without new observations, in milliseconds. */
--- a/src/placement/createAcquiredConnection/index.ts
+++ b/src/placement/createAcquiredConnection/index.ts
@@ -13,6 +13,8 @@
     readonly pooled: PooledSession;
     /** Whether the endpoint is the known primary of its group. */
     readonly isPrimary: boolean;
+    /** Called once with the time for which the connection was held, in milliseconds. */
+    readonly onEnd: (heldMilliseconds: number) => void;
 }
 
 /**
@@ -22,15 +24,17 @@
  * @returns The connection, held.
  *
  * @example
- * const connection = createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary: true });
+ * const connection = createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary: true, onEnd });
  */
 export function createAcquiredConnection(options: AcquiredConnectionOptions): AcquiredConnection {
     const { clock, endpoint, target, pooled, isPrimary } = options;
+    const acquiredAt = clock.now();
     let isHeld = true;
 
     function end(finish: () => void): void {
         if (isHeld) {
             isHeld = false;
+            options.onEnd(clock.now() - acquiredAt);
             finish();
         }
     }
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -32,7 +32,7 @@
     readonly vmCount: (group: string) => number;
     /** Whether this VM is one of the VMs that hold connections to a group's endpoints. */
     readonly isHolding: (group: string) => boolean;
-    readonly metrics: Pick<Metrics, "countConnection" | "registerGauge">;
+    readonly metrics: Pick<Metrics, "countConnection" | "countWaitRefusal" | "registerGauge">;
     readonly log: LogTopic;
 }
 
@@ -63,6 +63,14 @@
     options.metrics.registerGauge("tarragonpost_waiting_statements", "Statements that wait for a connection.", () => {
         return [...waitingByGroup.values()].reduce((sum, waiting) => sum + waiting.countWaiting(), 0);
     });
+    options.metrics.registerGauge("tarragonpost_waiting_by_priority", "Statements that wait, by priority.", () => {
+        const counts = [...waitingByGroup.values()].flatMap(waiting => [...waiting.countByPriority()]);
+        const priorities = new Set(counts.map(([priority]) => priority));
+        return new Map([...priorities].map(priority => [
+            priority,
+            counts.filter(([other]) => other === priority).reduce((sum, [, count]) => sum + count, 0),
+        ]));
+    }, "priority");
     options.metrics.registerGauge("tarragonpost_open_connections", "Connections to endpoints that are open.", () => {
         return [...targets.values()].reduce((sum, { pool }) => sum + pool.openCount(), 0);
     });
@@ -111,12 +119,26 @@
     function waitingOf(group: string): WaitingStatements {
         let waiting = waitingByGroup.get(group);
         if (waiting === undefined) {
-            waiting = createWaitingStatements({ clock, group, tryAcquire });
+            waiting = createWaitingStatements({
+                clock,
+                group,
+                tryAcquire,
+                countConnections: needsPrimary => countConnections(group, needsPrimary),
+                metrics: options.metrics,
+                log,
+            });
             waitingByGroup.set(group, waiting);
         }
         return waiting;
     }
 
+    function countConnections(group: string, needsPrimary: boolean): number {
+        const primaryId = primaries.primaryOf(group)?.id;
+        return directory.endpointsOf(group)
+            .filter(({ id }) => !needsPrimary || id === primaryId)
+            .reduce((sum, { id }) => sum + (targets.get(id)?.pool.openCount() ?? 0), 0);
+    }
+
     function acquire(request: PlacementRequest): Promise<AcquiredConnection> {
         const waiting = waitingOf(request.group);
         const connection = waiting.countWaiting() === 0 ? tryAcquire(request, new Map()) : undefined;
@@ -169,13 +191,10 @@
             const target = targetOf(endpoint);
             const pooled = target.pool.acquire(request.values);
             if (pooled !== undefined) {
-                return createAcquiredConnection({
-                    clock,
-                    endpoint,
-                    target,
-                    pooled,
-                    isPrimary: endpoint.id === primaries.primaryOf(endpoint.group)?.id,
-                });
+                const isPrimary = endpoint.id === primaries.primaryOf(endpoint.group)?.id;
+                const onEnd = (milliseconds: number): void =>
+                    waitingOf(request.group).recordHeld(request, isPrimary, milliseconds);
+                return createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary, onEnd });
             }
             const expectedOpenings = openings.get(target) ?? 0;
             if (expectedOpenings < target.pool.openingCount() || target.pool.tryOpen()) {
--- a/src/placement/createPlacement/test.ts
+++ b/src/placement/createPlacement/test.ts
@@ -75,7 +75,7 @@
         vmLocation,
         vmCount: () => 8,
         isHolding: () => site.isHolding,
-        metrics: { countConnection: () => {}, registerGauge: () => {} },
+        metrics: { countConnection: () => {}, countWaitRefusal: () => {}, registerGauge: () => {} },
         log: () => {},
     });
 
@@ -194,7 +194,7 @@
             vmLocation,
             vmCount: () => 8,
             isHolding: () => true,
-            metrics: { countConnection: () => {}, registerGauge: () => {} },
+            metrics: { countConnection: () => {}, countWaitRefusal: () => {}, registerGauge: () => {} },
             log: () => {},
         });
         const request = { group: "orders", endpointId: "i-1", needsPrimary: false, priority: -1, expiresAt: 400 };
--- a/src/placement/createWaitingStatements/index.ts
+++ b/src/placement/createWaitingStatements/index.ts
@@ -1,8 +1,15 @@
+import { createClassQueue } from "../../admission/createClassQueue/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Metrics } from "../../metrics/types/Metrics.js";
+import { RefusalMoment } from "../../metrics/types/RefusalMoment.js";
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import type { Waiter } from "../../waiting/types/Waiter.js";
+import { workspaceConstants } from "../../workspaces/constants.js";
+import { placementConstants } from "../constants.js";
+import { createEarlyRefusal } from "../createEarlyRefusal/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
 import type { PlacementTarget } from "../types/PlacementTarget.js";
@@ -20,6 +27,10 @@
         request: PlacementRequest,
         openings: Map<PlacementTarget, number>,
     ) => AcquiredConnection | undefined;
+    /** Number of open connections to the group's primary, or to all its endpoints. */
+    readonly countConnections: (needsPrimary: boolean) => number;
+    readonly metrics: Pick<Metrics, "countWaitRefusal">;
+    readonly log: LogTopic;
 }
 
 /** A request that waits for a connection. */
@@ -31,59 +42,147 @@
 /**
  * Creates the queue of the statements that wait for a connection to an endpoint of one group.
  *
- * The most urgent statement is served first, and a statement that has waited too long is refused.
+ * The most urgent statement is served first, within a share that less urgent ones keep; among equally urgent ones, one
+ * that can still end within its target latency goes first, and owners share the connections fairly. A statement that is
+ * not expected to be served in time is refused at once, and one that has waited too long at the end of its time.
  *
- * @param options Clock, group, and the function that acquires a connection.
+ * @param options Clock, group, and the functions that acquire and count connections.
  * @returns The queue, empty.
  *
  * @example
- * const waiting = createWaitingStatements({ clock, group: "orders", tryAcquire });
+ * const waiting = createWaitingStatements({ clock, group: "orders", tryAcquire, countConnections, metrics, log });
  * const connection = await waiting.wait(request);
  */
 export function createWaitingStatements(options: WaitingStatementsOptions): WaitingStatements {
-    const { clock, group, tryAcquire } = options;
-    const waiting: WaitingRequest[] = [];
+    const { clock, group, tryAcquire, countConnections, metrics, log } = options;
+    const earlyRefusal = createEarlyRefusal({ clock, group, countConnections, log });
+    const queue = createClassQueue<WaitingRequest>({
+        priorityOf: ({ request }) => request.priority,
+        callerOf: ({ request }) => ownerOf(request),
+        isTimely: ({ request }) => earlyRefusal.isTimely(request),
+        costOf: earlyRefusal.relativeCost,
+    });
+    let isDispatching = false;
+    let mustDispatchAgain = false;
+    let isReviewScheduled = false;
 
     function wait(request: PlacementRequest): Promise<AcquiredConnection> {
-        const waiter = createWaiter<AcquiredConnection>({
-            clock,
-            timeoutMilliseconds: request.expiresAt - clock.now(),
-            signal: request.signal,
-            onTimeout: () => {
-                waiting.splice(waiting.indexOf(entry), 1);
-            },
-            createTimeoutError: () =>
-                createError(
-                    ErrorKind.Overloaded,
-                    `No connection to an endpoint of ${group} became available in time.`,
-                    {
-                        remedy: "Send the request again after a pause.",
-                    },
-                ),
-        });
-        const entry: WaitingRequest = { request, waiter };
-        const index = waiting.findIndex(other => other.request.priority > request.priority);
-        waiting.splice(index < 0 ? waiting.length : index, 0, entry);
+        const entry: WaitingRequest = {
+            request,
+            waiter: createWaiter<AcquiredConnection>({
+                clock,
+                timeoutMilliseconds: request.expiresAt - clock.now(),
+                signal: request.signal,
+                onTimeout: () => {
+                    queue.remove(entry);
+                    metrics.countWaitRefusal(RefusalMoment.AtEnd, request.priority);
+                },
+                createTimeoutError: () =>
+                    createOverloadedError(`No connection to an endpoint of ${group} became available in time.`),
+            }),
+        };
+        queue.push(entry);
+        earlyRefusal.recordArrival(request);
         dispatch();
-        return waiter.promise;
+        if (!entry.waiter.isSettled && earlyRefusal.refusesArrival(request, listRequests())) {
+            refuseAtOnce(entry, "The expected wait for a connection is longer than the time left.");
+        }
+        if (queue.length > placementConstants.maximumWaitingStatements) {
+            refuseAtOnce(queue.dropFor(entry) ?? entry, "Too many statements wait for a connection.");
+        }
+        scheduleReview();
+        return entry.waiter.promise;
+    }
+
+    function listRequests(): readonly PlacementRequest[] {
+        return queue.list().map(({ request }) => request);
+    }
+
+    function refuseAtOnce(entry: WaitingRequest, reason: string): void {
+        queue.remove(entry);
+        metrics.countWaitRefusal(RefusalMoment.AtOnce, entry.request.priority);
+        entry.waiter.reject(createOverloadedError(reason));
+    }
+
+    function createOverloadedError(reason: string): Error {
+        return createError(ErrorKind.Overloaded, reason, { remedy: "Send the request again after a pause." });
+    }
+
+    function scheduleReview(): void {
+        if (isReviewScheduled || queue.length === 0) {
+            return;
+        }
+        isReviewScheduled = true;
+        clock.startTimer(placementConstants.reviewMilliseconds, () => {
+            isReviewScheduled = false;
+            review();
+        });
+    }
+
+    function review(): void {
+        const refused = new Set(earlyRefusal.listRefused(listRequests()));
+        queue.list()
+            .filter(({ request }) => refused.has(request))
+            .forEach(entry => refuseAtOnce(entry, "The expected wait for a connection is longer than the time left."));
+        scheduleReview();
     }
 
     function dispatch(): void {
-        if (waiting.length === 0) {
+        if (isDispatching) {
+            // An attempt to acquire a connection may close others, which calls this function.
+            mustDispatchAgain = true;
             return;
         }
+        isDispatching = true;
+        do {
+            mustDispatchAgain = false;
+            serveWaiting();
+        }
+        while (mustDispatchAgain);
+        isDispatching = false;
+    }
+
+    function serveWaiting(): void {
         const openings = new Map<PlacementTarget, number>();
-        for (const entry of [...waiting]) {
-            if (entry.waiter.isSettled) {
-                continue;
+        const unserved = new Set<WaitingRequest>();
+        const attemptsByNeed = new Map<string, number>();
+        let connection: AcquiredConnection | undefined;
+
+        function tryServe(entry: WaitingRequest): boolean {
+            const need = describeNeed(entry.request);
+            const attempts = attemptsByNeed.get(need) ?? 0;
+            if (unserved.has(entry) || attempts >= placementConstants.attemptsPerNeed) {
+                return false;
             }
-            const connection = tryAcquire(entry.request, openings);
-            if (connection !== undefined) {
-                waiting.splice(waiting.indexOf(entry), 1);
-                entry.waiter.resolve(connection);
+            connection = tryAcquire(entry.request, openings);
+            if (connection === undefined) {
+                unserved.add(entry);
+                attemptsByNeed.set(need, attempts + 1);
             }
+            return connection !== undefined;
+        }
+
+        for (let entry = queue.shift(tryServe); entry !== undefined; entry = queue.shift(tryServe)) {
+            entry.waiter.resolve(connection!);
         }
     }
 
-    return { wait, dispatch, countWaiting: () => waiting.length };
+    return {
+        wait,
+        dispatch,
+        recordHeld: (request, isPrimary, milliseconds) =>
+            earlyRefusal.recordHeld(ownerOf(request), isPrimary, milliseconds),
+        countWaiting: () => queue.length,
+        countByPriority: queue.lengths,
+    };
+}
+
+function ownerOf({ owner }: PlacementRequest): string {
+    return owner ?? workspaceConstants.anonymousOwner;
+}
+
+/** Statements with the same description can use the same connections. */
+function describeNeed(request: PlacementRequest): string {
+    const { needsPrimary, endpointId, excluded } = request;
+    return [needsPrimary, endpointId, ownerOf(request), ...excluded].join(" ");
 }
--- a/src/placement/types/PlacementRequest.ts
+++ b/src/placement/types/PlacementRequest.ts
@@ -13,6 +13,8 @@
     readonly priority: number;
     /** Time after which the request is refused, on the process's clock in milliseconds. */
     readonly expiresAt: number;
+    /** Time by which the operation should end, on the same clock; left out when it has no target latency. */
+    readonly targetAt?: number;
     /** Ends the wait; the request is then refused. */
     readonly signal?: AbortSignal;
     /** Ids of endpoints that are not used, because an earlier attempt failed there. */
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -143,6 +143,7 @@
         countStatement: ignore,
         countRetry: ignore,
         countAcquisitionTimeout: ignore,
+        countWaitRefusal: ignore,
         countConnection: ignore,
         countStoreFailure: ignore,
         countStoreRestore: ignore,
