Let the places of a full endpoint go round after a loss of many VMs

An endpoint counts the connections of lost VMs for seconds more. VMs that returned together opened all connections they could at the same moment, those that got one kept it, and the others were refused every 400 ms in step and held their statements to the end. A VM whose endpoint's limit was reached a short time ago, that did not learn of the other VMs soon after its start, or that is not meant to hold connections to an endpoint that was once full, now has one connection at most, closes it as soon as no statement needs it, and opens one endpoint at a time for a read, so that the primary's places are left to writes; it tries again after a random pause that doubles (src/placement/createOpeningPace). A statement whose endpoints have refused this VM for their limit four times in a row is refused at once as Overloaded. A VM that restarts alone behaves as before.

--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -5,8 +5,15 @@
     /** Pause after a connection could not be opened; doubles up to the maximum, in milliseconds. */
     initialReopenMilliseconds: 100,
     maximumReopenMilliseconds: 1_000,
-    /** Pause after the endpoint accepted no further connection, in milliseconds. */
+    /** Pause after the endpoint accepted no further connection; doubles up to the maximum, in milliseconds. */
+    initialLimitPauseMilliseconds: 50,
     connectionLimitPauseMilliseconds: 400,
+    /** Refusals in a row because of the limit after which statements no longer wait for a connection. */
+    limitRefusalsUntilLasting: 4,
+    /** Time for which an endpoint still counts the connections of lost VMs, in milliseconds. */
+    darkConnectionMilliseconds: 3_000,
+    /** Time after its start after which a VM that still does not know the others takes part in a common return. */
+    returnNoticeMilliseconds: 400,
     /** Time after which requests no longer wait for a primary that accepts no connection, in milliseconds. */
     lostPrimaryMilliseconds: 3_000,
     /** Share of an endpoint's connection limit that all VMs together use; the rest stays free for VMs that restart. */
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -4,8 +4,10 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
 import { workspaceConstants } from "../../workspaces/constants.js";
 import { placementConstants } from "../constants.js";
+import { createOpeningPace } from "../createOpeningPace/index.js";
 import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { EndpointSessionPool } from "../types/EndpointSessionPool.js";
 import type { PooledSession } from "../types/PooledSession.js";
@@ -13,6 +15,9 @@
 /** Options of `createEndpointSessionPool`. */
 interface EndpointSessionPoolOptions {
     readonly clock: Clock;
+    readonly random: RandomSource;
+    /** When this process started, on its clock. */
+    readonly startedAt: number;
     readonly open: EndpointOpener;
     /** Returns the endpoint's newest record; undefined once it is removed. */
     readonly record: () => EndpointRecord | undefined;
@@ -42,9 +47,8 @@
     const idle: PooledSession[] = [];
     let openingCount = 0;
     let openCount = 0;
-    let failureCount = 0;
+    const pace = createOpeningPace(options);
     let failingSince: number | undefined;
-    let pausedUntil = -Infinity;
     let isClosed = false;
 
     function acquire(values: ReadonlyMap<string, string>): PooledSession | undefined {
@@ -74,15 +78,20 @@
         pooled.idleSince = clock.now();
         idle.push(pooled);
         options.onChange();
+        if (pace.isSparing() && idle.includes(pooled)) {
+            pooled.session.close();
+        }
     }
 
     function tryOpen(): boolean {
         const record = options.record();
-        const isPaused = clock.now() < pausedUntil || openingCount >= placementConstants.concurrentOpenings;
-        if (record === undefined || isClosed || isPaused || openCount + openingCount >= options.limit()) {
+        if (
+            record === undefined || isClosed || !pace.mayOpen(openCount, openingCount)
+            || openCount + openingCount >= options.limit()
+        ) {
             return false;
         }
-        if (clock.now() - pausedUntil > placementConstants.maximumReopenMilliseconds) {
+        if (clock.now() - pace.pausedUntil() > placementConstants.maximumReopenMilliseconds) {
             // Nothing is known of the time since the last attempt.
             failingSince = undefined;
         }
@@ -101,7 +110,7 @@
             );
             openingCount -= 1;
             openCount += 1;
-            failureCount = 0;
+            pace.recordOpened();
             failingSince = undefined;
             metrics.countConnection();
             const pooled: PooledSession = {
@@ -129,20 +138,11 @@
 
     function pauseAfter(record: EndpointRecord, error: unknown, tookMilliseconds: number): void {
         const { kind, message } = toTypedError(error);
-        failureCount += 1;
         if (kind !== ErrorKind.ConnectionLimitReached) {
             failingSince ??= clock.now();
         }
         metrics.countConnection(kind);
-        const {
-            initialReopenMilliseconds,
-            maximumReopenMilliseconds,
-            connectionLimitPauseMilliseconds,
-        } = placementConstants;
-        const pause = kind === ErrorKind.ConnectionLimitReached
-            ? connectionLimitPauseMilliseconds
-            : Math.min(initialReopenMilliseconds * 2 ** (failureCount - 1), maximumReopenMilliseconds);
-        pausedUntil = clock.now() + pause;
+        const pause = pace.recordFailure(kind);
         log("connection to an endpoint could not be opened", {
             endpoint: record.id,
             kind,
@@ -178,6 +178,8 @@
         openCount: () => openCount,
         openingCount: () => openingCount,
         failingSince: () => openCount === 0 ? failingSince : undefined,
-        isFailing: () => failureCount > 0 && openCount === 0 && openingCount === 0,
+        isSparing: pace.isSparing,
+        isLimitLasting: () => pace.isLimitLasting() && openCount === 0 && openingCount === 0,
+        isFailing: () => pace.failureCount() > 0 && openCount === 0 && openingCount === 0,
     };
 }
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -5,7 +5,9 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
+import { RefusalMoment } from "../../metrics/types/RefusalMoment.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
 import { createAcquiredConnection } from "../createAcquiredConnection/index.js";
@@ -23,6 +25,7 @@
 /** Options of `createPlacement`. */
 interface PlacementOptions {
     readonly clock: Clock;
+    readonly random: RandomSource;
     readonly directory: Directory;
     readonly primaries: Primaries;
     readonly open: EndpointOpener;
@@ -51,6 +54,7 @@
  */
 export function createPlacement(options: PlacementOptions): Placement {
     const { clock, directory, primaries, log } = options;
+    const startedAt = clock.now();
     const targets = new Map<string, PlacementTarget>();
     const waitingByGroup = new Map<string, WaitingStatements>();
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
@@ -86,6 +90,8 @@
             target = {
                 pool: createEndpointSessionPool({
                     clock,
+                    random: options.random,
+                    startedAt,
                     open: options.open,
                     record: () => directory.endpoint(id),
                     limit: () => connectionLimit(group),
@@ -145,10 +151,29 @@
         if (connection !== undefined) {
             return Promise.resolve(connection);
         }
+        if (isLimitLasting(request)) {
+            options.metrics.countWaitRefusal(RefusalMoment.AtOnce, request.priority);
+            return Promise.reject(createLimitLasting(request.group));
+        }
         const unreachableId = findUnreachable(request);
         return unreachableId === undefined ? waiting.wait(request) : Promise.reject(createUnreachable(unreachableId));
     }
 
+    /** Whether each endpoint that could serve a caller's request has no place left for a connection of this VM. */
+    function isLimitLasting(request: PlacementRequest): boolean {
+        const isSpecific = request.endpointId !== undefined || request.needsPrimary;
+        const candidates = isSpecific ? listCandidates(request) : directory.endpointsOf(request.group);
+        return request.priority >= 0
+            && candidates.length > 0
+            && candidates.every(({ id }) => targets.get(id)?.pool.isLimitLasting() === true);
+    }
+
+    function createLimitLasting(group: string): Error {
+        return createError(ErrorKind.Overloaded, `The endpoints of ${group} accept no more connections now.`, {
+            remedy: "Send the request again after a pause.",
+        });
+    }
+
     /** Finds the one endpoint that could serve a request, if it is not expected to accept a connection in time. */
     function findUnreachable({ endpointId, needsPrimary, group }: PlacementRequest): string | undefined {
         if (endpointId !== undefined) {
@@ -199,6 +224,9 @@
             const expectedOpenings = openings.get(target) ?? 0;
             if (expectedOpenings < target.pool.openingCount() || target.pool.tryOpen()) {
                 openings.set(target, expectedOpenings + 1);
+                if (target.pool.isSparing()) {
+                    return undefined;
+                }
             }
         }
         return undefined;
--- a/src/placement/createPlacement/test.ts
+++ b/src/placement/createPlacement/test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { EndpointSession } from "../../statements/types/EndpointSession.js";
 import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
 import { SessionState } from "../../statements/types/SessionState.js";
@@ -69,6 +70,7 @@
 
     const placement = createPlacement({
         clock,
+        random: createRandomSource(1),
         directory,
         primaries,
         open,
@@ -188,6 +190,7 @@
         const directory = createPopulatedDirectory(clock, records);
         const placement = createPlacement({
             clock,
+            random: createRandomSource(1),
             directory,
             primaries: createPrimaries(clock, directory, () => {}),
             open: () => Promise.reject(new Error("refused")),
--- a/src/placement/createWaitingStatements/test.ts
+++ b/src/placement/createWaitingStatements/test.ts
@@ -32,6 +32,7 @@
     const lines: string[] = [];
     const placement = createPlacement({
         clock,
+        random: createRandomSource(1),
         directory,
         primaries: createPrimaries(clock, directory, () => {}),
         open: endpoints.open,
--- a/src/placement/types/EndpointSessionPool.ts
+++ b/src/placement/types/EndpointSessionPool.ts
@@ -14,6 +14,10 @@
     openingCount(): number;
     /** Whether the last attempt to open a connection failed and none is open. */
     isFailing(): boolean;
+    /** Whether this VM has one connection at most and keeps no unused one, because other VMs need the places too. */
+    isSparing(): boolean;
+    /** Whether the endpoint's connection limit has left this VM without a connection for several attempts. */
+    isLimitLasting(): boolean;
     /** Since when the endpoint has accepted no connection; undefined while one is open or none was refused. */
     failingSince(): number | undefined;
     /** Closes connections that have been idle for a while, unless this VM is meant to hold connections. */
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -12,6 +12,7 @@
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
 import { listVmServices } from "../../vm/listVmServices/index.js";
 import type { VmSettings } from "../../vm/types/VmSettings.js";
 import { createSimulatedPeers } from "../createSimulatedPeers/index.js";
@@ -94,6 +95,7 @@
                 ServiceName.SessionHosts,
                 ServiceName.Metrics,
                 ServiceName.Logger,
+                ServiceName.Random,
             ],
             create: (
                 directory: Directory,
@@ -101,8 +103,10 @@
                 hosts: SessionHosts,
                 metrics: Metrics,
                 logger: Logger,
+                random: RandomSource,
             ) => createPlacement({
                 clock,
+                random,
                 directory,
                 primaries,
                 open: (endpoint, _owner, timeoutMilliseconds) =>
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -148,6 +148,7 @@
                 ServiceName.SessionHosts,
                 ServiceName.Metrics,
                 ServiceName.Logger,
+                ServiceName.Random,
             ],
             create: (
                 clock: Clock,
@@ -156,8 +157,10 @@
                 hosts: SessionHosts,
                 metrics: Metrics,
                 logger: Logger,
+                random: RandomSource,
             ) => createPlacement({
                 clock,
+                random,
                 directory,
                 primaries,
                 open: openEndpoint,
