Identify callers by the keys of workspaces

Cause: every statement reached endpoints under one constant name, and unknown and withdrawn keys were served. Change: the configuration's workspaces are decoded with digests in place of keys. A session runs in the name of the workspace that holds its key; an unknown key is refused, and the next statement after a key was withdrawn is refused as not run, rolls back an open transaction and ends the session. A host judges a forwarded session by the digest. Connections are still opened in one name: the pools follow.

--- a/src/callerSessions/acquireConnection/index.ts
+++ b/src/callerSessions/acquireConnection/index.ts
@@ -56,6 +56,7 @@
     return placement.acquire({
         group: route.group,
         needsPrimary,
+        owner: session.identity.owner,
         priority: route.priority,
         expiresAt: now + callerSessionConstants.acquisitionShare * Math.max(expiresAt - now, 0),
         excluded,
--- a/src/callerSessions/admitSession/index.ts
+++ b/src/callerSessions/admitSession/index.ts
@@ -5,13 +5,15 @@
 import type { StatementFailure } from "../../statements/types/StatementFailure.js";
 import { waitForCondition } from "../../waiting/waitForCondition/index.js";
 import { callerSessionConstants } from "../constants.js";
+import { identifyCaller } from "../identifyCaller/index.js";
 import type { GracefulStop } from "../types/GracefulStop.js";
+import type { SessionOpening } from "../types/SessionOpening.js";
 import { StopPhase } from "../types/StopPhase.js";
 
 /** Services of `admitSession`. */
 interface AdmissionServices {
     readonly clock: Clock;
-    readonly directory: Pick<Directory, "routeOf" | "routingVersion">;
+    readonly directory: Pick<Directory, "routeOf" | "routingTable" | "routingVersion" | "workspaceOf">;
     readonly stop: Pick<GracefulStop, "phase">;
     /** Whether this VM knows the routes that other VMs know; not at once after its start. */
     readonly hasNewestRoutes: () => boolean;
@@ -19,17 +21,17 @@
 }
 
 /**
- * Decides whether a session is opened. During a start it waits until the routes are known.
+ * Decides whether a session is opened. During a start it waits until the routes and keys are known.
  *
- * @param database The database that the caller asked for.
+ * @param opening The database that the caller asked for, and the digest of its key.
  * @param services Clock, known routes, the stop, and the log.
  * @returns The failure with which the session is refused; undefined when it may be opened.
  *
  * @example
- * const refusal = await admitSession("shop", services);
+ * const refusal = await admitSession({ database: "shop", keyDigest }, services);
  */
 export async function admitSession(
-    database: string,
+    { database, keyDigest }: SessionOpening,
     services: AdmissionServices,
 ): Promise<StatementFailure | undefined> {
     const { clock, directory, stop, hasNewestRoutes, log } = services;
@@ -54,5 +56,12 @@
         log("session refused", { database, version: directory.routingVersion() });
         return { code: FailureCode.UnknownDatabase, description: "no route exists for this database" };
     }
+    const hasKnownKey = (): boolean =>
+        identifyCaller(directory.routeOf(database) ?? {}, keyDigest, directory) !== undefined;
+    await waitForCondition(() => hasKnownKey() || hasNewestRoutes(), wait);
+    if (!hasKnownKey()) {
+        log("session refused", { database, reason: "unknown key", version: directory.routingVersion() });
+        return { code: FailureCode.UnknownKey, description: "no workspace holds this key" };
+    }
     return undefined;
 }
--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -10,6 +10,7 @@
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createRoute } from "../../testing/createRoute/index.js";
 import { createSessionServices } from "../../testing/createSessionServices/index.js";
+import { createSessionContext } from "../createSessionContext/index.js";
 import { AttemptKind } from "../types/AttemptKind.js";
 import type { CallerStatement } from "../types/CallerStatement.js";
 import { attemptStatement } from "./index.js";
@@ -31,7 +32,7 @@
         statement: { kind: mode === AccessMode.Read ? StatementKind.Read : StatementKind.Write, text: "a 1" },
         mode,
         route: createRoute(),
-        session: { database: "shop", values: new Map([["unit", "kg"]]), prepared: new Map(), commits: new Map() },
+        session: { ...createSessionContext("shop"), values: new Map([["unit", "kg"]]) },
         receivedAt: 0,
         expiresAt: 1_000,
     };
--- a/src/callerSessions/createCallerSession/index.ts
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -7,13 +7,15 @@
 import { callerSessionConstants } from "../constants.js";
 import { createCallerTransaction } from "../createCallerTransaction/index.js";
 import { createFailure } from "../createFailure/index.js";
+import { createSessionContext } from "../createSessionContext/index.js";
+import { identifyCaller } from "../identifyCaller/index.js";
 import { runSingleStatement } from "../runSingleStatement/index.js";
 import type { CallerConnection } from "../types/CallerConnection.js";
 import type { CallerSession } from "../types/CallerSession.js";
 import type { CallerStatement } from "../types/CallerStatement.js";
 import type { CallerTransaction } from "../types/CallerTransaction.js";
 import type { ReceivedStatement } from "../types/ReceivedStatement.js";
-import type { SessionContext } from "../types/SessionContext.js";
+import type { SessionOpening } from "../types/SessionOpening.js";
 import type { SessionServices } from "../types/SessionServices.js";
 import type { StatementOutcome } from "../types/StatementOutcome.js";
 
@@ -27,20 +29,21 @@
  * Creates the session of one caller: its values, prepared statements and transaction.
  *
  * @param connection The caller's connection.
- * @param database The database that the session was opened for.
+ * @param opening The database that the session was opened for, and the digest of the caller's key.
  * @param services Services that run the statements.
  * @returns The session, idle.
  *
  * @example
- * const session = createCallerSession(connection, "shop", services);
+ * const session = createCallerSession(connection, { database: "shop", keyDigest }, services);
  */
 export function createCallerSession(
     connection: CallerConnection,
-    database: string,
+    { database, keyDigest }: SessionOpening,
     services: SessionServices,
 ): CallerSession {
     const { clock, directory, log } = services;
-    const context: SessionContext = { database, values: new Map(), prepared: new Map(), commits: new Map() };
+    const context = createSessionContext(database);
+    let isKeyWithdrawn = false;
     let transaction: CallerTransaction | undefined;
     /** Why this process rolled back the transaction; undefined when the caller did or has been informed. */
     let abandonReason: string | undefined;
@@ -68,6 +71,10 @@
     };
 
     async function handle(received: ReceivedStatement): Promise<void> {
+        if (!hasValidKey()) {
+            refuseWithdrawnKey(received);
+            return;
+        }
         const { statement } = received;
         const isEnd = statement.kind === StatementKind.Commit || statement.kind === StatementKind.Rollback;
         if (hasFailedTransaction() && !isEnd) {
@@ -84,6 +91,24 @@
         await handler(statement, received);
     }
 
+    /** Identifies the caller anew, since a newer routing table may have withdrawn its key. */
+    function hasValidKey(): boolean {
+        const route = transaction?.route ?? directory.routeOf(database);
+        const identity = route && identifyCaller(route, keyDigest, directory);
+        const isSame = identity !== undefined
+            && (transaction === undefined || identity.owner === context.identity.owner);
+        context.identity = isSame ? identity : context.identity;
+        // Without a route, the statement is refused for that.
+        return isSame || route === undefined;
+    }
+
+    /** Ends the session; an open transaction is rolled back. */
+    function refuseWithdrawnKey({ id }: ReceivedStatement): void {
+        isKeyWithdrawn = true;
+        clearTransaction();
+        sendOutcome(id, createFailure(FailureCode.UnknownKey, "no workspace holds this key any more"));
+    }
+
     function hasFailedTransaction(): boolean {
         return transaction?.hasFailed === true;
     }
@@ -219,7 +244,7 @@
 
     return {
         isInTransaction: () => transaction !== undefined,
-        isOver: () => false,
+        isOver: () => isKeyWithdrawn,
         handle,
         abandonTransaction,
         end: abandonTransaction,
--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -16,6 +16,7 @@
 import type { OpenSession } from "../types/OpenSession.js";
 import type { ReceivedCommand } from "../types/ReceivedCommand.js";
 import type { RunCommand } from "../types/RunCommand.js";
+import type { SessionOpening } from "../types/SessionOpening.js";
 import type { SessionServices } from "../types/SessionServices.js";
 import { StopOutcome } from "../types/StopOutcome.js";
 
@@ -119,12 +120,12 @@
         }
 
         async function runSession(): Promise<void> {
-            const database = await openSession();
-            if (database === undefined) {
+            const opening = await openSession();
+            if (opening === undefined) {
                 return;
             }
-            const createLocal = () => createCallerSession(connection, database, services);
-            const session = forwarding?.forward(connection, database, createLocal) ?? createLocal();
+            const createLocal = () => createCallerSession(connection, opening, services);
+            const session = forwarding?.forward(connection, opening, createLocal) ?? createLocal();
             open.callerSession = session;
             for (;;) {
                 const waitMilliseconds = session.isInTransaction()
@@ -172,14 +173,14 @@
             }
         }
 
-        async function openSession(): Promise<string | undefined> {
+        async function openSession(): Promise<SessionOpening | undefined> {
             const received = await commands.next(callerSessionConstants.openTimeoutMilliseconds);
             const command = received?.command;
             if (received === undefined || command?.kind !== CallerCommandKind.Open) {
                 reportFailure(command);
                 return undefined;
             }
-            const refusal = await admitSession(command.database, { ...services, ...options });
+            const refusal = await admitSession(command, { ...services, ...options });
             if (refusal !== undefined) {
                 open.isRefused = true;
                 connection.refuse(refusal);
@@ -187,7 +188,8 @@
             }
             connection.sendReady(SessionState.Idle, undefined);
             finishCommand(received.bytes);
-            return command.database;
+            const { database, keyDigest } = command;
+            return { database, keyDigest };
         }
 
         function reportFailure(command: CallerCommand | undefined): void {
--- a/src/callerSessions/createCallerSessions/test.ts
+++ b/src/callerSessions/createCallerSessions/test.ts
@@ -65,7 +65,7 @@
         hasNewestRoutes,
     });
 
-    async function open(database = "shop") {
+    async function open(database = "shop", keyDigest = "digest") {
         const sent: string[] = [];
         let deliver: (command: CallerCommand, bytes: number) => void = () => {};
         let leave = (): void => {};
@@ -104,7 +104,7 @@
             deliver(command, 0);
             await clock.advance(0);
         };
-        await run({ kind: CallerCommandKind.Open, database });
+        await run({ kind: CallerCommandKind.Open, database, keyDigest });
         return { sent, run, undelivered };
     }
 
--- a/src/callerSessions/createEvidenceRenewal/test.ts
+++ b/src/callerSessions/createEvidenceRenewal/test.ts
@@ -7,13 +7,13 @@
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createRoute } from "../../testing/createRoute/index.js";
 import { createSessionServices } from "../../testing/createSessionServices/index.js";
+import { createSessionContext } from "../createSessionContext/index.js";
 import { findLeastPosition } from "../findLeastPosition/index.js";
-import type { SessionContext } from "../types/SessionContext.js";
 import { createEvidenceRenewal } from "./index.js";
 
 const endpoint = createEndpointRecord({ id: "i-1", isPrimary: true });
 const route = createRoute({ guarantee: ReadGuarantee.BoundedStaleness, maximumStalenessMilliseconds: 1_500 });
-const session: SessionContext = { database: "shop", values: new Map(), prepared: new Map(), commits: new Map() };
+const session = createSessionContext("shop");
 const position = { term: 3, entry: 10 };
 
 /** Creates a renewal whose primary answers after the given action. */
--- a/src/callerSessions/findLeastPosition/test.ts
+++ b/src/callerSessions/findLeastPosition/test.ts
@@ -6,6 +6,7 @@
 import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
 import type { LogPosition } from "../../statements/types/LogPosition.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
+import { createSessionContext } from "../createSessionContext/index.js";
 import type { SessionContext } from "../types/SessionContext.js";
 import { findLeastPosition } from "./index.js";
 
@@ -21,7 +22,7 @@
 
 function createSession(commit?: LogPosition): SessionContext {
     const commits = new Map(commit === undefined ? [] : [["orders", commit] as const]);
-    return { database: "shop", values: new Map(), prepared: new Map(), commits };
+    return { ...createSessionContext("shop"), commits };
 }
 
 describe("findLeastPosition", () => {
--- a/src/callerSessions/recordAcquisitionTimeout/test.ts
+++ b/src/callerSessions/recordAcquisitionTimeout/test.ts
@@ -5,6 +5,7 @@
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createRoute } from "../../testing/createRoute/index.js";
 import { createSessionServices } from "../../testing/createSessionServices/index.js";
+import { createSessionContext } from "../createSessionContext/index.js";
 import type { CallerStatement } from "../types/CallerStatement.js";
 import { recordAcquisitionTimeout } from "./index.js";
 
@@ -18,7 +19,7 @@
             statement: { kind: StatementKind.Read, text: "READ a" },
             mode: AccessMode.Read,
             route: createRoute(),
-            session: { database: "shop", values: new Map(), prepared: new Map(), commits: new Map() },
+            session: createSessionContext("shop"),
             receivedAt: clock.now(),
             expiresAt: clock.now() + 1_000,
         };
--- a/src/forwarding/createHostLink/index.ts
+++ b/src/forwarding/createHostLink/index.ts
@@ -1,3 +1,4 @@
+import type { SessionOpening } from "../../callerSessions/types/SessionOpening.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
@@ -38,7 +39,7 @@
  * @returns The link; the subscription to the host starts with the first session.
  *
  * @example
- * const session = createHostLink({ clock, client, hostName: "vm-2", keyPrefix: "vm-1-83" }).openSession("shop");
+ * const session = createHostLink({ clock, client, hostName: "vm-2", keyPrefix: "vm-1-83" }).openSession({ database: "shop", keyDigest });
  */
 export function createHostLink(options: HostLinkOptions): HostLink {
     const { clock, client, hostName, keyPrefix } = options;
@@ -138,7 +139,7 @@
         }
     }
 
-    function openSession(database: string): HostedSession {
+    function openSession(opening: SessionOpening): HostedSession {
         lastId += 1;
         const sessionKey = `${keyPrefix}-${lastId}`;
         const closeListeners: (() => void)[] = [];
@@ -157,7 +158,7 @@
             const answer = await client.run({
                 ...statement,
                 sessionKey,
-                ...isOpened ? {} : { database },
+                ...isOpened ? {} : opening,
                 ...takeClosedKeys(),
             });
             isRunning = false;
--- a/src/forwarding/createHostLink/test.ts
+++ b/src/forwarding/createHostLink/test.ts
@@ -11,6 +11,8 @@
 import type { ForwardingClient } from "../types/ForwardingClient.js";
 import { createHostLink } from "./index.js";
 
+const opening = { database: "shop", keyDigest: "digest" };
+
 const read: Statement = { kind: StatementKind.Read, text: "READ a" };
 const write: Statement = { kind: StatementKind.Write, text: "WRITE a b" };
 const begin: Statement = { kind: StatementKind.Begin, text: "BEGIN", isReadOnly: false };
@@ -58,7 +60,7 @@
     it("sends one message for a session of one read, and closes such sessions together", async () => {
         const { clock, host, link, run } = createSite();
         for (const id of ["q1", "q2", "q3"]) {
-            const session = link.openSession("shop");
+            const session = link.openSession(opening);
             await run(session, id, read);
             session.close();
         }
@@ -69,7 +71,7 @@
 
     it("names the database until the host has answered", async () => {
         const { host, link, run } = createSite();
-        const session = link.openSession("shop");
+        const session = link.openSession(opening);
         await run(session, "q1", read);
         await run(session, "q2", read);
         assert.deepEqual(host.ran.map(({ database }) => database), ["shop", undefined]);
@@ -77,17 +79,17 @@
 
     it("closes a session in a transaction at once, also before its beginning was answered", async () => {
         const { host, link, run } = createSite();
-        const session = link.openSession("shop");
+        const session = link.openSession(opening);
         await run(session, "q1", begin);
         session.close();
         assert.equal(host.messages.at(-1), "close vm-1-1");
-        const beginning = link.openSession("shop");
+        const beginning = link.openSession(opening);
         const answered = run(beginning, "q2", begin);
         await new Promise(resolve => setImmediate(resolve));
         host.isAnswering = false;
         beginning.close();
         await answered;
-        const unanswered = link.openSession("shop");
+        const unanswered = link.openSession(opening);
         void run(unanswered, "q3", begin);
         await new Promise(resolve => setImmediate(resolve));
         unanswered.close();
@@ -97,7 +99,7 @@
     it("fails with an error that tells that nothing was sent when the host does not answer", async () => {
         const { clock, host, link, run } = createSite();
         host.isAnswering = false;
-        const failure = run(link.openSession("shop"), "q1", write).catch(toTypedError);
+        const failure = run(link.openSession(opening), "q1", write).catch(toTypedError);
         await clock.advance(openTimeoutMilliseconds);
         assert.equal((await failure as { kind?: ErrorKind; }).kind, ErrorKind.Unreachable);
         assert.deepEqual(host.messages, ["watch", "end of watch"]);
@@ -105,14 +107,14 @@
 
     it("sends a first write to a silent host only after a probe, so that it is not sent to one that is frozen", async () => {
         const { clock, host, link, run } = createSite();
-        await run(link.openSession("shop"), "q1", read);
-        await run(link.openSession("shop"), "q2", write);
+        await run(link.openSession(opening), "q1", read);
+        await run(link.openSession(opening), "q2", write);
         await clock.advance(recentAnswerMilliseconds + 1);
-        await run(link.openSession("shop"), "q3", write);
+        await run(link.openSession(opening), "q3", write);
         assert.deepEqual(host.messages.slice(1), ["run q1", "run q2", "probe", "run q3"]);
         await clock.advance(recentAnswerMilliseconds + 1);
         host.isAnswering = false;
-        const failure = run(link.openSession("shop"), "q4", write).catch(toTypedError);
+        const failure = run(link.openSession(opening), "q4", write).catch(toTypedError);
         await clock.advance(openTimeoutMilliseconds);
         assert.equal((await failure as { kind?: ErrorKind; }).kind, ErrorKind.Unreachable);
         assert.equal(host.ran.some(({ id }) => id === "q4"), false);
@@ -122,7 +124,7 @@
         const { host, link, run, observer } = createSite();
         const closed: string[] = [];
         for (const id of ["q1", "q2", "q3"]) {
-            const session = link.openSession("shop");
+            const session = link.openSession(opening);
             session.onClose(() => closed.push(id));
             await run(session, id, read);
         }
@@ -130,7 +132,7 @@
         assert.deepEqual(closed, ["q2"]);
         observer().onError(new Error("connection closed"));
         assert.deepEqual(closed, ["q2", "q1", "q3"]);
-        await run(link.openSession("shop"), "q4", read);
+        await run(link.openSession(opening), "q4", read);
         assert.equal(host.messages.filter(message => message === "watch").length, 2);
     });
 });
--- a/src/forwarding/createSessionForwarding/index.ts
+++ b/src/forwarding/createSessionForwarding/index.ts
@@ -22,14 +22,15 @@
  * @returns The forwarding.
  *
  * @example
- * const session = forwarding.forward(connection, "shop", createLocal) ?? createLocal();
+ * const session = forwarding.forward(connection, { database: "shop", keyDigest }, createLocal) ?? createLocal();
  */
 export function createSessionForwarding(options: SessionForwardingOptions): SessionForwarding {
     const { clock, directory, hosts, log } = options;
     let newestHostRoutingVersion = 0;
 
     return {
-        forward: (connection, database, createLocal) => {
+        forward: (connection, opening, createLocal) => {
+            const { database } = opening;
             const group = directory.routeOf(database)?.group;
             const host = group === undefined ? undefined : hosts.hostOf(group);
             if (host === undefined) {
@@ -41,7 +42,7 @@
                 connection,
                 database,
                 hostName: host.name,
-                hosted: options.open(host, database),
+                hosted: options.open(host, opening),
                 createLocal,
                 routingVersion: () => Math.max(directory.routingVersion(), newestHostRoutingVersion),
                 onRoutingVersion: version => {
--- a/src/forwarding/createSessionHost/index.ts
+++ b/src/forwarding/createSessionHost/index.ts
@@ -11,6 +11,7 @@
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import type { Waiter } from "../../waiting/types/Waiter.js";
 import { waitForCondition } from "../../waiting/waitForCondition/index.js";
+import { digestKey } from "../../workspaces/digestKey/index.js";
 import { forwardingConstants } from "../constants.js";
 import type { ForwardedAnswer } from "../types/ForwardedAnswer.js";
 import type { ForwardedStatement } from "../types/ForwardedStatement.js";
@@ -87,14 +88,14 @@
     }
 
     async function openSession(
-        { sessionKey, database }: ForwardedStatement,
+        { sessionKey, database, keyDigest = digestKey("") }: ForwardedStatement,
         connectionEnd: AbortSignal,
     ): Promise<OpenSession> {
         if (database === undefined || connectionEnd.aborted) {
             throw createClosedError();
         }
         const session = createSession(sessionKey, linkOf(connectionEnd));
-        const { failure } = await session.run({ kind: CallerCommandKind.Open, database });
+        const { failure } = await session.run({ kind: CallerCommandKind.Open, database, keyDigest });
         if (failure !== undefined) {
             session.close();
             throw createError(ErrorKind.NotFound, `The session was not opened: ${failure.description}.`, {
--- a/src/forwarding/createSessionOpener/index.ts
+++ b/src/forwarding/createSessionOpener/index.ts
@@ -24,7 +24,7 @@
 export function createSessionOpener(peers: Peers, clock: Clock, keyPrefix: string): SessionOpener {
     const links = new Map<string, HostLink>();
 
-    return (host, database) => {
+    return (host, opening) => {
         const { host: address, port } = host.address;
         const key = `${address}:${port}`;
         let link = links.get(key);
@@ -33,7 +33,7 @@
             link = createHostLink({ clock, client, hostName: host.name, keyPrefix: `${keyPrefix}-${key}` });
             links.set(key, link);
         }
-        return link.openSession(database);
+        return link.openSession(opening);
     };
 }
 
--- a/src/forwarding/forwardingSchemas.ts
+++ b/src/forwarding/forwardingSchemas.ts
@@ -22,6 +22,7 @@
     statement: z.object({
         sessionKey: z.string(),
         database: z.string().optional(),
+        keyDigest: z.string().optional(),
         id: z.string(),
         statement,
         routingVersion: z.number(),
--- a/src/forwarding/types/ForwardedStatement.ts
+++ b/src/forwarding/types/ForwardedStatement.ts
@@ -6,6 +6,8 @@
     readonly sessionKey: string;
     /** The session's database; present until the host has answered a first statement, which opens the session. */
     readonly database?: string;
+    /** Digest of the caller's key; present together with the database. */
+    readonly keyDigest?: string;
     /** The caller's id of the statement. */
     readonly id: string;
     readonly statement: Statement;
--- a/src/forwarding/types/SessionForwarding.ts
+++ b/src/forwarding/types/SessionForwarding.ts
@@ -1,5 +1,6 @@
 import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
 import type { CallerSession } from "../../callerSessions/types/CallerSession.js";
+import type { SessionOpening } from "../../callerSessions/types/SessionOpening.js";
 
 /** Forwards sessions of callers to the VMs that hold connections to their group's endpoints. */
 export interface SessionForwarding {
@@ -11,7 +12,7 @@
      */
     forward(
         connection: CallerConnection,
-        database: string,
+        opening: SessionOpening,
         createLocal: () => CallerSession,
     ): CallerSession | undefined;
 }
--- a/src/forwarding/types/SessionOpener.ts
+++ b/src/forwarding/types/SessionOpener.ts
@@ -1,5 +1,6 @@
+import type { SessionOpening } from "../../callerSessions/types/SessionOpening.js";
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import type { HostedSession } from "./HostedSession.js";
 
-/** Creates a session for a database at another VM, which opens it with the first statement. */
-export type SessionOpener = (host: VmIdentity, database: string) => HostedSession;
+/** Creates a session at another VM, which opens it with the first statement. */
+export type SessionOpener = (host: VmIdentity, opening: SessionOpening) => HostedSession;
--- a/src/platform/decodeRoutingTable/index.ts
+++ b/src/platform/decodeRoutingTable/index.ts
@@ -1,6 +1,10 @@
 import { z } from "zod";
 import { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { RoutingTable } from "../../directory/types/RoutingTable.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import { digestKey } from "../../workspaces/digestKey/index.js";
+import type { Workspace } from "../../workspaces/types/Workspace.js";
 
 /** Read guarantee for each `routeType`. */
 const guaranteesByRouteType = {
@@ -21,6 +25,7 @@
         targetLatencyMs: z.number(),
         priority: z.number(),
         maxStalenessMs: z.number().optional(),
+        noAuth: z.boolean().optional(),
     })),
     services: z.array(z.object({
         name: z.string(),
@@ -29,20 +34,30 @@
         syncReplicas: z.number().optional(),
     })),
     limits: z.object({ txIdleMs: z.number() }),
+    tenants: z.array(z.object({
+        name: z.string().min(1).regex(/^[^\s]+$/),
+        apiKeys: z.array(z.string().min(1)),
+        priority: z.number().optional(),
+        ratePerS: z.number().nonnegative().optional(),
+        burst: z.number().nonnegative().optional(),
+    })).optional(),
 });
 
+/** A workspace as the operator wrote it. */
+type WrittenWorkspace = NonNullable<z.infer<typeof configurationSchema>["tenants"]>[number];
+
 /**
  * Decodes the operator's configuration.
  *
  * @param content Content of the object, as the operator wrote it.
  * @returns The routing table.
- * @throws Error that describes the invalid fields.
+ * @throws Error that describes the invalid fields; of kind `InvalidRequest` when two workspaces hold one key.
  *
  * @example
  * const table = decodeRoutingTable(content);
  */
 export function decodeRoutingTable(content: unknown): RoutingTable {
-    const { version, routes, services, limits } = configurationSchema.parse(content);
+    const { version, routes, services, limits, tenants } = configurationSchema.parse(content);
     return {
         version,
         routes: routes.map(route => ({
@@ -53,12 +68,42 @@
             targetLatencyMilliseconds: route.targetLatencyMs,
             priority: route.priority,
             maximumStalenessMilliseconds: route.maxStalenessMs ?? 0,
+            ...route.noAuth === true ? { isOpen: true } : {},
         })),
         groups: services.map(service => ({
             group: service.name,
             connectionLimit: service.maxConns,
             synchronousReplicas: service.syncReplicas ?? 0,
         })),
+        ...tenants === undefined ? {} : { workspaces: decodeWorkspaces(tenants) },
         idleTransactionMilliseconds: limits.txIdleMs,
     };
 }
+
+function decodeWorkspaces(written: readonly WrittenWorkspace[]): readonly Workspace[] {
+    const workspaces = written.map(decodeWorkspace);
+    const holders = new Map<string, string>();
+    for (const { name, keyDigests } of workspaces) {
+        for (const digest of keyDigests) {
+            const holder = holders.get(digest) ?? name;
+            if (holder !== name) {
+                throw createError(ErrorKind.InvalidRequest, `The workspaces ${holder} and ${name} hold the same key.`, {
+                    remedy: "Remove the key from one of them; the version before stays in force.",
+                });
+            }
+            holders.set(digest, name);
+        }
+    }
+    return workspaces;
+}
+
+function decodeWorkspace({ name, apiKeys, priority, ratePerS, burst }: WrittenWorkspace): Workspace {
+    return {
+        name,
+        keyDigests: apiKeys.map(digestKey),
+        priority: priority ?? 0,
+        ...ratePerS === undefined
+            ? {}
+            : { quota: { operationsPerSecond: ratePerS, burstOperations: burst ?? ratePerS } },
+    };
+}
--- a/src/platform/failureKeywords.ts
+++ b/src/platform/failureKeywords.ts
@@ -13,5 +13,6 @@
     [FailureCode.Failed]: "FAILED",
     [FailureCode.Malformed]: "MALFORMED",
     [FailureCode.UnknownDatabase]: "NODB",
+    [FailureCode.UnknownKey]: "AUTHFAIL",
     [FailureCode.UnknownPreparedStatement]: "NOSTMT",
 };
--- a/src/platform/listenForCallers/index.ts
+++ b/src/platform/listenForCallers/index.ts
@@ -7,6 +7,7 @@
 import type { LogPosition } from "../../statements/types/LogPosition.js";
 import type { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementFailure } from "../../statements/types/StatementFailure.js";
+import { digestKey } from "../../workspaces/digestKey/index.js";
 import { platformConstants } from "../constants.js";
 import { createLineBuffer } from "../createLineBuffer/index.js";
 import { decodeMessage } from "../decodeMessage/index.js";
@@ -181,7 +182,7 @@
 function toCommand(message: WireMessage): CallerCommand {
     switch (message.kind) {
         case WireMessageKind.Startup:
-            return { kind: CallerCommandKind.Open, database: message.database };
+            return { kind: CallerCommandKind.Open, database: message.database, keyDigest: digestKey(message.user) };
         case WireMessageKind.Query:
             return { kind: CallerCommandKind.Run, id: message.id, statement: decodeStatement(message.text) };
         case WireMessageKind.Terminate:
--- a/src/statements/types/FailureCode.ts
+++ b/src/statements/types/FailureCode.ts
@@ -22,6 +22,8 @@
     Malformed = "Malformed",
     /** No route exists for a database of that name. */
     UnknownDatabase = "UnknownDatabase",
+    /** No workspace holds the key of the caller, or no longer; the statement did not run. */
+    UnknownKey = "UnknownKey",
     /** No statement was prepared under that name. */
     UnknownPreparedStatement = "UnknownPreparedStatement",
 }
--- a/src/testing/runSimulatedWriter/index.ts
+++ b/src/testing/runSimulatedWriter/index.ts
@@ -1,4 +1,5 @@
 import { attemptStatement } from "../../callerSessions/attemptStatement/index.js";
+import { createSessionContext } from "../../callerSessions/createSessionContext/index.js";
 import type { CallerStatement } from "../../callerSessions/types/CallerStatement.js";
 import type { SessionServices } from "../../callerSessions/types/SessionServices.js";
 import type { SessionHosts } from "../../forwarding/types/SessionHosts.js";
@@ -52,7 +53,7 @@
             statement: { kind: StatementKind.Write, text: "WRITE item data" },
             mode: AccessMode.Write,
             route,
-            session: { database: route.database, values: new Map(), prepared: new Map(), commits: new Map() },
+            session: createSessionContext(route.database),
             receivedAt: clock.now(),
             expiresAt: clock.now() + statementMilliseconds,
         };
