Add the types of quotas that hold for all VMs, and the settings of their excess

The decision on an operation, the demands and grants that renewals are to carry, and what all VMs together may admit beyond a quota in any window. Nothing uses them yet. The test of the settings file passes.

--- a/src/kernel/types/ServiceName.ts
+++ b/src/kernel/types/ServiceName.ts
@@ -38,6 +38,8 @@
     PrimaryVerification = "PrimaryCertainty",
     PromotionCoordinator = "PromotionCoordinator",
     PromotionOrders = "PromotionOrders",
+    QuotaExchange = "QuotaExchange",
+    Quotas = "Quotas",
     Random = "Random",
     ReadCounter = "ReadCounter",
     RequestExecution = "RequestExecution",
--- a/src/platform/readVmSettings/index.ts
+++ b/src/platform/readVmSettings/index.ts
@@ -4,6 +4,7 @@
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { memoryConstants } from "../../memory/constants.js";
+import { quotaConstants } from "../../quotas/constants.js";
 import type { VmSettings } from "../../vm/types/VmSettings.js";
 import { parseAddress } from "../parseAddress/index.js";
 
@@ -23,6 +24,8 @@
     mostConnectionBytes,
 } = memoryConstants;
 
+const { defaultWindowMilliseconds, defaultExcessShare, defaultExcessOperations } = quotaConstants;
+
 /** Schema of the platform's settings file; other fields are ignored. */
 const fileSchema = z.object({
     nodeName: z.string().min(1),
@@ -49,6 +52,9 @@
     bounds: z.object({
         graceS: z.number(),
         configApplyMs: z.number().positive().default(defaultConfigurationMilliseconds),
+        quotaWindowS: z.number().positive().default(defaultWindowMilliseconds / millisecondsPerSecond),
+        quotaOver: z.number().min(0).default(defaultExcessShare),
+        quotaSlack: z.number().min(0).default(defaultExcessOperations),
     }),
     platform: z.object({ addr: z.string() }),
     cloudApi: z.object({ addr: z.string() }),
@@ -98,6 +104,11 @@
         },
         configurationMilliseconds: fields.bounds.configApplyMs,
         graceMilliseconds: fields.bounds.graceS * millisecondsPerSecond,
+        quotaExcess: {
+            windowMilliseconds: fields.bounds.quotaWindowS * millisecondsPerSecond,
+            share: fields.bounds.quotaOver,
+            operations: fields.bounds.quotaSlack,
+        },
     };
 }
 
--- a/src/platform/standIns/encodeVmSettings/index.ts
+++ b/src/platform/standIns/encodeVmSettings/index.ts
@@ -33,6 +33,9 @@
         bounds: {
             graceS: settings.graceMilliseconds / millisecondsPerSecond,
             configApplyMs: settings.configurationMilliseconds,
+            quotaWindowS: settings.quotaExcess.windowMilliseconds / millisecondsPerSecond,
+            quotaOver: settings.quotaExcess.share,
+            quotaSlack: settings.quotaExcess.operations,
         },
         platform: { addr: formatAddress(settings.storeAddress) },
         cloudApi: { addr: formatAddress(settings.promotionAddress) },
--- /dev/null
+++ b/src/quotas/types/QuotaExchange.ts
@@ -0,0 +1,15 @@
+import type { VmIdentity } from "../../duty/types/VmIdentity.js";
+import type { QuotaDemands } from "./QuotaDemands.js";
+import type { QuotaGrants } from "./QuotaGrants.js";
+
+/** The part of the quotas that is exchanged with renewals. */
+export interface QuotaExchange {
+    /** Creates the demands of this VM for a renewal that is sent next; undefined when it asks for nothing. */
+    createDemands(): QuotaDemands | undefined;
+    /** Applies grants that answer the last demands. */
+    applyGrants(grants: QuotaGrants): void;
+    /** Answers the demands of a VM; only the holder that is certain to be the only one may call it. */
+    answerDemands(vm: Pick<VmIdentity, "name" | "incarnation">, demands: QuotaDemands): QuotaGrants;
+    /** Forgets all grants because this VM becomes the holder; no grant of a predecessor holds at the first answer. */
+    startGranting(): void;
+}
--- a/src/soak/startSoakVm/index.ts
+++ b/src/soak/startSoakVm/index.ts
@@ -60,6 +60,7 @@
         memory: { megabytes: 350, callerShare: 0.1, connectionBytes: 524_288 },
         configurationMilliseconds: soakConstants.configurationMilliseconds,
         graceMilliseconds: soakConstants.graceSeconds * millisecondsPerSecond,
+        quotaExcess: { windowMilliseconds: 5_000, share: 0.1, operations: 20 },
     };
     const settingsFile = join(folder, `${name}.toml`);
     const unexpectedExits: string[] = [];
--- a/src/testing/createVmSettings/index.ts
+++ b/src/testing/createVmSettings/index.ts
@@ -26,6 +26,7 @@
         memory: { megabytes: 350, callerShare: 0.1, connectionBytes: 524_288 },
         configurationMilliseconds: 4_000,
         graceMilliseconds: 6_000,
+        quotaExcess: { windowMilliseconds: 5_000, share: 0.1, operations: 20 },
         ...changes,
     };
 }
--- a/src/vm/types/VmSettings.ts
+++ b/src/vm/types/VmSettings.ts
@@ -1,5 +1,6 @@
 import type { MachineMemory } from "../../memory/types/MachineMemory.js";
 import type { Address } from "../../network/types/Address.js";
+import type { QuotaExcess } from "../../quotas/types/QuotaExcess.js";
 
 /** Settings of the program that runs on every VM. */
 export interface VmSettings {
@@ -28,4 +29,6 @@
     readonly configurationMilliseconds: number;
     /** Time from the order to stop until the process is killed. */
     readonly graceMilliseconds: number;
+    /** What the VMs together may admit of a workspace beyond its quota. */
+    readonly quotaExcess: QuotaExcess;
 }
