Let the soak's callers belong to workspaces

Change: `--workspaces` gives the soak's callers keys of four workspaces; the endpoint's stand-in records the owner of each connection, and a check compares it with the caller's workspace. Without the option the soak is as before.

--- a/features/steps/soak.ts
+++ b/features/steps/soak.ts
@@ -9,15 +9,23 @@
 let violations: readonly GuaranteeViolation[] = [];
 let faultCount = 0;
 
-When("the soak runs for {int} seconds with seed {int}", async (seconds: number, seed: number) => {
+async function soak(seconds: number, seed: number, hasWorkspaces: boolean): Promise<void> {
     const { vmCount, callerCount } = soakConstants;
-    const milliseconds = seconds * millisecondsPerSecond;
+    const durationMilliseconds = seconds * millisecondsPerSecond;
     const result = await runSoak(
-        { seed, durationMilliseconds: milliseconds, vmCount, callerCount, isPlannedOnly: false },
+        { seed, durationMilliseconds, vmCount, callerCount, isPlannedOnly: false, hasWorkspaces },
         createSystemClock(),
     );
     violations = result.violations;
     faultCount = result.faults.length;
+}
+
+When("the soak runs for {int} seconds with seed {int}", async (seconds: number, seed: number) => {
+    await soak(seconds, seed, false);
+});
+
+When("the soak runs with workspaces for {int} seconds with seed {int}", async (seconds: number, seed: number) => {
+    await soak(seconds, seed, true);
 });
 
 Then("the soak finds no violated guarantee", () => {
--- a/src/platform/standIns/createCallerStandIn/index.ts
+++ b/src/platform/standIns/createCallerStandIn/index.ts
@@ -17,6 +17,7 @@
  * @param port Port of the VM's caller server.
  * @param database The database to open.
  * @param host Loopback address of the VM.
+ * @param key Key with which the caller identifies itself.
  * @returns The session and the answer to its startup message.
  *
  * @example
@@ -27,6 +28,7 @@
     port: number,
     database: string,
     host = "127.0.0.1",
+    key = "u1",
 ): Promise<{ readonly caller: CallerStandIn; readonly opening: CallerAnswer; }> {
     const socket = connect({ host, port, noDelay: true });
     const splitter = createLineSplitter(maximumMessageBytes);
@@ -100,6 +102,6 @@
         closed,
         close: () => socket.destroy(),
     };
-    socket.write(encodeMessage({ kind: WireMessageKind.Startup, database, user: "u1" }), "latin1");
+    socket.write(encodeMessage({ kind: WireMessageKind.Startup, database, user: key }), "latin1");
     return { caller, opening: await nextAnswer() };
 }
--- a/src/platform/standIns/createPlatformStandIn/index.ts
+++ b/src/platform/standIns/createPlatformStandIn/index.ts
@@ -9,6 +9,7 @@
 import type { LogEntry } from "../types/LogEntry.js";
 import type { PlatformStandIn } from "../types/PlatformStandIn.js";
 import type { PromotionOrder } from "../types/PromotionOrder.js";
+import type { StandInWorkspace } from "../types/StandInWorkspace.js";
 
 /** Options of `createPlatformStandIn`. */
 interface PlatformStandInOptions {
@@ -161,8 +162,8 @@
         executedStatements,
         promotionOrders,
         promotionPort: (promotionServer.address() as { port: number; }).port,
-        configure: (version, routes) => {
-            configuration = encodeConfiguration(group, version, routes);
+        configure: (version, routes, workspaces) => {
+            configuration = encodeConfiguration(group, version, routes, workspaces);
             store.put("config", "main", configuration);
         },
         restoreStore: ageMilliseconds => {
@@ -199,7 +200,12 @@
     };
 }
 
-function encodeConfiguration(group: string, version: number, routes: readonly Route[]) {
+function encodeConfiguration(
+    group: string,
+    version: number,
+    routes: readonly Route[],
+    workspaces: readonly StandInWorkspace[] | undefined,
+) {
     return {
         version,
         routes: routes.map(route => ({
@@ -216,5 +222,12 @@
         })),
         services: [{ name: group, healthPath: "/health", maxConns: connectionLimit, syncReplicas: 0 }],
         limits: { txIdleMs: idleTransactionMilliseconds },
+        tenants: workspaces?.map(({ name, key, operationsPerSecond }) => ({
+            name,
+            apiKeys: [key],
+            priority: 0,
+            ratePerS: operationsPerSecond,
+            burst: operationsPerSecond,
+        })),
     };
 }
--- a/src/platform/standIns/createStandInSession/index.ts
+++ b/src/platform/standIns/createStandInSession/index.ts
@@ -58,6 +58,7 @@
     const preparedStatements = new Map<string, PreparedStatement>();
     let transaction: StandInTransaction | undefined;
     let hasFailed = false;
+    let owner = "";
 
     function send(result: StatementResult): void {
         if (typeof result === "string") {
@@ -82,7 +83,8 @@
     }
 
     function open(group: string, user: string): void {
-        const [, expectedId] = splitFields(user, 2);
+        const [name = "", expectedId] = splitFields(user, 2);
+        owner = name;
         if (group !== endpoint.group || (expectedId !== undefined && expectedId !== endpoint.id)) {
             const failure = { code: FailureCode.Misrouted, description: endpoint.id };
             options.write(encodeMessage({ kind: WireMessageKind.Error, failure }));
@@ -163,6 +165,7 @@
             id,
             endpointId: endpoint.id,
             connection: options.connection,
+            owner,
             isInTransaction: transaction !== undefined,
             values: Object.fromEntries(values),
             ...shape === undefined ? {} : { shape },
--- a/src/platform/standIns/types/ExecutedStatement.ts
+++ b/src/platform/standIns/types/ExecutedStatement.ts
@@ -4,6 +4,8 @@
     readonly endpointId: string;
     /** Number of the connection on which the statement was executed. */
     readonly connection: number;
+    /** In whose name the connection was opened. */
+    readonly owner: string;
     readonly isInTransaction: boolean;
     /** Values that the session had set. */
     readonly values: Readonly<Record<string, string>>;
--- a/src/platform/standIns/types/PlatformStandIn.ts
+++ b/src/platform/standIns/types/PlatformStandIn.ts
@@ -3,6 +3,7 @@
 import type { ExecutedStatement } from "./ExecutedStatement.js";
 import type { LogEntry } from "./LogEntry.js";
 import type { PromotionOrder } from "./PromotionOrder.js";
+import type { StandInWorkspace } from "./StandInWorkspace.js";
 import type { StoreStandIn } from "./StoreStandIn.js";
 
 /** The platform for tests: its state, and functions that change the state. */
@@ -14,7 +15,7 @@
     readonly promotionOrders: readonly PromotionOrder[];
     readonly promotionPort: number;
     /** Writes a configuration as the operator does. */
-    configure(version: number, routes: readonly Route[]): void;
+    configure(version: number, routes: readonly Route[], workspaces?: readonly StandInWorkspace[]): void;
     /** Registers an endpoint as leaving. */
     announceLeaving(endpoint: EndpointStandIn): void;
     /** Writes an endpoint's record. */
--- a/src/soak/checkGuarantees/index.ts
+++ b/src/soak/checkGuarantees/index.ts
@@ -1,5 +1,6 @@
 import { findDoubledWrites } from "../checks/findDoubledWrites/index.js";
 import { findForeignAnswers } from "../checks/findForeignAnswers/index.js";
+import { findForeignOwners } from "../checks/findForeignOwners/index.js";
 import { findLateAnswers } from "../checks/findLateAnswers/index.js";
 import { findLostWrites } from "../checks/findLostWrites/index.js";
 import { findRefusedWritesInLog } from "../checks/findRefusedWritesInLog/index.js";
@@ -20,6 +21,7 @@
     "reads are as fresh as their route promises": findStaleReads,
     "answers are those of the endpoint that ran the statement": findForeignAnswers,
     "endpoints run what callers sent": findUnrequestedStatements,
+    "statements run in the name of their caller's workspace": findForeignOwners,
     "values belong to their session": findWrongSessionVariables,
     "every statement is answered in time": findLateAnswers,
     "what a VM accepted is answered around planned work": findUnansweredStatements,
--- a/src/soak/isSiteServing/index.ts
+++ b/src/soak/isSiteServing/index.ts
@@ -18,14 +18,16 @@
     const answers = site.vms.map(async vm => {
         const isReady = await vm.isReady().catch(() => false);
         return isReady
-            && await Promise.all(soakDatabases.map(({ name }) => isDatabaseServed(vm.callerLink.port, name)));
+            && await Promise.all(
+                soakDatabases.map(({ name }) => isDatabaseServed(vm.callerLink.port, name, site.workspaces?.[0]?.key)),
+            );
     });
     const served = await waitForAnswer(Promise.all(answers), clock);
     return served?.flat().every(Boolean) === true;
 }
 
-async function isDatabaseServed(port: number, database: string): Promise<boolean> {
-    const { caller, opening } = await createCallerStandIn(port, database);
+async function isDatabaseServed(port: number, database: string, key: string | undefined): Promise<boolean> {
+    const { caller, opening } = await createCallerStandIn(port, database, undefined, key);
     try {
         return opening.state !== undefined && opening.failure === undefined;
     }
--- a/src/soak/runCallerUnit/index.ts
+++ b/src/soak/runCallerUnit/index.ts
@@ -71,9 +71,10 @@
         [UnitKind.Transaction]: runTransaction,
     };
     const outcome = await runners[kind]();
-    const { name, vm, guarantee } = session;
+    const { name, workspace, vm, guarantee } = session;
     const unit: CallerUnit = {
         session: name,
+        ...workspace !== undefined && { workspace },
         vm,
         guarantee,
         startedAt,
--- a/src/soak/runSoak/index.ts
+++ b/src/soak/runSoak/index.ts
@@ -10,6 +10,7 @@
 import { planFaults } from "../planFaults/index.js";
 import { runSoakCaller } from "../runSoakCaller/index.js";
 import { soakDatabases } from "../soakDatabases.js";
+import { soakWorkspaces } from "../soakWorkspaces.js";
 import { startSoakSite } from "../startSoakSite/index.js";
 import type { CallerUnit } from "../types/CallerUnit.js";
 import type { Fault } from "../types/Fault.js";
@@ -37,7 +38,8 @@
  * const { violations } = await runSoak(options, clock);
  */
 export async function runSoak(options: SoakOptions, clock: Clock): Promise<SoakResult> {
-    const site = await startSoakSite(options.vmCount, clock);
+    const workspaces = options.hasWorkspaces ? soakWorkspaces : undefined;
+    const site = await startSoakSite(options.vmCount, clock, workspaces);
     try {
         return await runOnSite(site, options, clock);
     }
@@ -65,6 +67,7 @@
             random: createRandomSource(seed * callerCount + index),
             ports: site.vms.map(vm => vm.callerLink.port),
             databases: soakDatabases,
+            workspace: site.workspaces?.[index % site.workspaces.length],
             onUnit: unit => units.push(unit),
             onUnanswered: statement => unansweredStatements.push(statement),
             signal: closeController.signal,
--- a/src/soak/runSoakCaller/index.ts
+++ b/src/soak/runSoakCaller/index.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import { createCallerStandIn } from "../../platform/standIns/createCallerStandIn/index.js";
+import type { StandInWorkspace } from "../../platform/standIns/types/StandInWorkspace.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { soakConstants } from "../constants.js";
 import { runCallerUnit } from "../runCallerUnit/index.js";
@@ -20,6 +21,8 @@
     readonly ports: readonly number[];
     /** The databases and the guarantees of their reads. */
     readonly databases: readonly { readonly name: string; readonly guarantee: ReadGuarantee; }[];
+    /** The caller's workspace; left out when callers need no key. */
+    readonly workspace?: StandInWorkspace | undefined;
     readonly onUnit: (unit: CallerUnit) => void;
     readonly onUnanswered: (statement: UnansweredStatement) => void;
     readonly signal: AbortSignal;
@@ -111,7 +114,7 @@
 
     async function openSession(name: string): Promise<SoakSession | undefined> {
         const database = options.databases[random.nextInteger(options.databases.length)]!;
-        const opening = createCallerStandIn(options.ports[vm]!, database.name);
+        const opening = createCallerStandIn(options.ports[vm]!, database.name, undefined, options.workspace?.key);
         const opened = await waitForAnswer(opening, clock);
         if (opened?.opening.state === undefined) {
             void opening.then(({ caller }) => caller.close());
@@ -121,6 +124,7 @@
         const session = {
             name,
             vm,
+            ...options.workspace && { workspace: options.workspace.name },
             guarantee: database.guarantee,
             caller: opened.caller,
             prepared: { read: "fetch", write: "store" },
--- a/src/soak/runSoakCommand/index.ts
+++ b/src/soak/runSoakCommand/index.ts
@@ -52,14 +52,14 @@
 }
 
 function summarize(
-    { seed, isPlannedOnly }: SoakOptions,
+    { seed, isPlannedOnly, hasWorkspaces }: SoakOptions,
     { violations, faults, history, recoveredMilliseconds }: SoakResult,
 ): string {
     const { units, unansweredStatements, discardedEntries, faultSpans } = history;
     const stopCount = faultSpans.filter(({ kind }) => kind === FaultKind.VmStopped).length;
     const count = (outcome: UnitOutcome): number => units.filter(unit => unit.outcome === outcome).length;
     return [
-        `seed ${seed}${isPlannedOnly ? ", planned work only" : ""}: ${
+        `seed ${seed}${isPlannedOnly ? ", planned work only" : ""}${hasWorkspaces ? ", with workspaces" : ""}: ${
             violations.length === 0 ? "all promises kept" : `${violations.length} broken`
         }`,
         `${faults.length} faults, among them ${stopCount} planned stops`,
@@ -114,6 +114,7 @@
         .option("--vms <number>", "Number of VMs", { default: soakConstants.vmCount })
         .option("--callers <number>", "Number of callers", { default: soakConstants.callerCount })
         .option("--planned", "Only planned work: stops and starts, reloads and configurations")
+        .option("--workspaces", "Callers belong to workspaces and need their keys")
         .option("--keep <folder>", "Folder for the results of a run that violates a guarantee", {
             default: "soak-results",
         });
@@ -132,6 +133,7 @@
         vmCount: readNumber("vms", options["vms"]),
         callerCount: readNumber("callers", options["callers"]),
         isPlannedOnly: options["planned"] === true,
+        hasWorkspaces: options["workspaces"] === true,
         keep: String(options["keep"]),
     };
 }
--- a/src/soak/startSoakSite/index.ts
+++ b/src/soak/startSoakSite/index.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import type { Clock } from "../../clock/types/Clock.js";
 import { createPlatformStandIn } from "../../platform/standIns/createPlatformStandIn/index.js";
+import type { StandInWorkspace } from "../../platform/standIns/types/StandInWorkspace.js";
 import { reservePorts } from "../../site/reservePorts/index.js";
 import { createRoute } from "../../testing/createRoute/index.js";
 import { soakConstants } from "../constants.js";
@@ -19,12 +20,17 @@
  *
  * @param vmCount Number of VMs.
  * @param clock Source of time.
+ * @param workspaces The workspaces whose keys callers need; left out when they need none.
  * @returns The site; its VMs may not be ready yet.
  *
  * @example
  * const site = await startSoakSite(6, clock);
  */
-export async function startSoakSite(vmCount: number, clock: Clock): Promise<SoakSite> {
+export async function startSoakSite(
+    vmCount: number,
+    clock: Clock,
+    workspaces?: readonly StandInWorkspace[],
+): Promise<SoakSite> {
     const {
         group,
         zones,
@@ -62,6 +68,7 @@
                     priority: version % 2,
                 })
             ),
+            workspaces,
         );
     }
 
@@ -86,5 +93,5 @@
         await release();
     }
 
-    return { platform, vms, endpointLinks, changeConfiguration, stop };
+    return { platform, vms, ...workspaces && { workspaces }, endpointLinks, changeConfiguration, stop };
 }
--- a/src/soak/types/CallerUnit.ts
+++ b/src/soak/types/CallerUnit.ts
@@ -5,6 +5,8 @@
 /** A single statement or a transaction, as recorded by its caller. Times are milliseconds on the clock of the run. */
 export interface CallerUnit {
     readonly session: string;
+    /** Workspace of the caller; left out without workspaces. */
+    readonly workspace?: string;
     /** Number of the VM that the caller was connected to. */
     readonly vm: number;
     readonly guarantee: ReadGuarantee;
--- a/src/soak/types/SoakOptions.ts
+++ b/src/soak/types/SoakOptions.ts
@@ -7,4 +7,6 @@
     readonly callerCount: number;
     /** Whether only planned work happens: stops and starts, reloads and configurations. */
     readonly isPlannedOnly: boolean;
+    /** Whether callers belong to workspaces and need their keys. */
+    readonly hasWorkspaces: boolean;
 }
--- a/src/soak/types/SoakSession.ts
+++ b/src/soak/types/SoakSession.ts
@@ -7,6 +7,8 @@
     readonly name: string;
     /** Number of the VM that the caller is connected to. */
     readonly vm: number;
+    /** Workspace of the caller; left out without workspaces. */
+    readonly workspace?: string;
     readonly guarantee: ReadGuarantee;
     readonly caller: CallerStandIn;
     /** Names of the prepared read and write statement. */
--- a/src/testing/createSoakHistory/index.ts
+++ b/src/testing/createSoakHistory/index.ts
@@ -2,6 +2,7 @@
 import type { CallerUnit } from "../../soak/types/CallerUnit.js";
 import type { SoakHistory } from "../../soak/types/SoakHistory.js";
 import { UnitOutcome } from "../../soak/types/UnitOutcome.js";
+import { workspaceConstants } from "../../workspaces/constants.js";
 
 /**
  * Creates a history of a soak for tests in which every guarantee holds: one session wrote an item and read it.
@@ -48,6 +49,7 @@
             id,
             endpointId: "i-1",
             connection: 1,
+            owner: workspaceConstants.anonymousOwner,
             isInTransaction: false,
             values,
         })),
