Serve a statement on connections of its owner alone

Every connection to an endpoint was opened in the same name and served every caller. The pool now keeps the owner of each connection, opens connections by owner, and at the VM's limit closes an idle connection of another owner: of the one with the most, the least recently used, after a minimum residence. Openings are planned after a pass over the waiting statements, so that the pool knows all owners that wait. With workspaces a VM may hold a larger share of the endpoint's limit; after a refusal it replaces its own connections for a while.

The tests of src/placement and src/metrics pass; no other test was run.

--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -45,6 +45,24 @@
         labelNames: ["outcome"],
         registers,
     });
+    const openings = new Counter({
+        name: "tarragonpost_openings_total",
+        help: "Connections to endpoints that were opened, by class of the owner and by reason.",
+        labelNames: ["owner", "reason"],
+        registers,
+    });
+    const evictions = new Counter({
+        name: "tarragonpost_evictions_total",
+        help: "Idle connections closed to make room for another owner, by class of their owner.",
+        labelNames: ["owner"],
+        registers,
+    });
+    const openingWaits = new Counter({
+        name: "tarragonpost_opening_waits_total",
+        help: "Statements that waited for the first connection of their owner, by class of the owner.",
+        labelNames: ["owner"],
+        registers,
+    });
     const storeFailures = new Counter({
         name: "tarragonpost_store_failures_total",
         help: "Calls to the platform's store that failed.",
@@ -87,6 +105,9 @@
         countRetry: code => retries.inc({ reason: code ?? "Unknown" }),
         countAcquisitionTimeout: () => acquisitionTimeouts.inc(),
         countConnection: failure => connections.inc({ outcome: failure ?? success }),
+        countOpening: (owner, reason) => openings.inc({ owner, reason }),
+        countEviction: evictedOwner => evictions.inc({ owner: evictedOwner }),
+        countOpeningWait: owner => openingWaits.inc({ owner }),
         countStoreFailure: () => storeFailures.inc(),
         countStoreRestore: () => storeRestores.inc(),
         countPrimaryChange: isSuccessful => primaryChanges.inc({ outcome: isSuccessful ? success : "Failure" }),
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -1,6 +1,8 @@
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { FailureCode } from "../../statements/types/FailureCode.js";
+import type { OpeningReason } from "./OpeningReason.js";
+import type { OwnerClass } from "./OwnerClass.js";
 
 /** Counters and histograms of one process. */
 export interface Metrics {
@@ -12,6 +14,12 @@
     countAcquisitionTimeout(): void;
     /** Counts an attempt to open a connection to an endpoint; without a failure it succeeded. */
     countConnection(failure?: ErrorKind): void;
+    /** Counts a connection that was opened in the name of an owner of a class. */
+    countOpening(owner: OwnerClass, reason: OpeningReason): void;
+    /** Counts an idle connection of an owner of a class that was closed to make room for another owner. */
+    countEviction(evictedOwner: OwnerClass): void;
+    /** Counts a statement that waits and whose owner has no connection to any endpoint that may serve it. */
+    countOpeningWait(owner: OwnerClass): void;
     /** Counts a failed call to the platform's store. */
     countStoreFailure(): void;
     /** Counts that a feed found the platform's store restored from a copy. */
--- a/src/placement/computeVmConnectionLimit/test.ts
+++ b/src/placement/computeVmConnectionLimit/test.ts
@@ -13,4 +13,10 @@
         assert.equal(computeVmConnectionLimit(21, 11), 1);
         assert.equal(computeVmConnectionLimit(65, 86), 1);
     });
+
+    it("allows more connections where each serves one workspace alone, and leaves some free", () => {
+        assert.equal(computeVmConnectionLimit(82, 12, true), 6);
+        assert.equal(computeVmConnectionLimit(234, 8, true), 26);
+        assert.equal(computeVmConnectionLimit(5, 12, true), 1);
+    });
 });
--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -21,6 +21,30 @@
     maximumConnections: 6,
     /** Idle time after which a VM closes a connection that other VMs are meant to hold, in milliseconds. */
     unusedMilliseconds: 1_000,
+    /** Connections that a VM opens concurrently to one endpoint for all owners together. */
+    concurrentOwnerOpenings: 2,
+    /** Share of an endpoint's connection limit that all VMs together use where there are workspaces. */
+    workspaceConnectionShare: 0.9,
+    /** Time for which a connection stays after it was opened, whoever else needs one, in milliseconds. */
+    minimumResidenceMilliseconds: 250,
+    /** Time for which a connection stays that has not served its owner yet, in milliseconds. */
+    unservedResidenceMilliseconds: 1_000,
+    /** Idle time after which an owner's only connection yields, although others have several, in milliseconds. */
+    soleIdleMilliseconds: 200,
+    /** Idle time after which a connection yields to an owner that has as many connections, in milliseconds. */
+    abandonedMilliseconds: 2_000,
+    /** Share of a VM's connections to an endpoint up to which an owner takes those that others abandoned. */
+    largeOwnerShare: 0.5,
+    /** Time between two evictions of a pool, so that openings leave an endpoint's slots to statements, in milliseconds. */
+    evictionIntervalMilliseconds: 100,
+    /** Interval of looking for a connection to evict while an owner needs one, in milliseconds. */
+    evictionPollingMilliseconds: 50,
+    /** Time for which an endpoint is expected to accept no more connections than when it refused one, in milliseconds. */
+    refusalMilliseconds: 3_000,
+    /** Pause after a refusal when an idle connection can make room, in milliseconds. */
+    replacementPauseMilliseconds: 50,
+    /** Least time between two log lines on evictions at one endpoint, in milliseconds. */
+    evictionLogMilliseconds: 1_000,
     /** Pause of reads at an endpoint that lagged; doubles up to the maximum, in milliseconds. */
     initialLagPauseMilliseconds: 40,
     maximumLagPauseMilliseconds: 400,
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -1,148 +1,256 @@
-import type { Clock } from "../../clock/types/Clock.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
-import type { LogTopic } from "../../logging/types/LogTopic.js";
-import type { Metrics } from "../../metrics/types/Metrics.js";
+import { OpeningReason } from "../../metrics/types/OpeningReason.js";
+import type { EndpointSession } from "../../statements/types/EndpointSession.js";
 import { workspaceConstants } from "../../workspaces/constants.js";
+import { chooseIdle } from "../chooseIdle/index.js";
+import { classifyOwner } from "../classifyOwner/index.js";
 import { placementConstants } from "../constants.js";
-import type { EndpointOpener } from "../types/EndpointOpener.js";
+import { countByOwner } from "../countByOwner/index.js";
+import { createEvictionLog } from "../createEvictionLog/index.js";
+import { createOpeningPauses } from "../createOpeningPauses/index.js";
+import { createOpeningWishes } from "../createOpeningWishes/index.js";
+import { decideOpening } from "../decideOpening/index.js";
+import { sortByConnectionCount } from "../sortByConnectionCount/index.js";
 import type { EndpointSessionPool } from "../types/EndpointSessionPool.js";
+import type { EndpointSessionPoolOptions } from "../types/EndpointSessionPoolOptions.js";
+import type { OpeningDecision } from "../types/OpeningDecision.js";
+import { OpeningDecisionKind } from "../types/OpeningDecisionKind.js";
+import type { OpeningWish } from "../types/OpeningWish.js";
+import type { OwnedSession } from "../types/OwnedSession.js";
 import type { PooledSession } from "../types/PooledSession.js";
 
-/** Options of `createEndpointSessionPool`. */
-interface EndpointSessionPoolOptions {
-    readonly clock: Clock;
-    readonly open: EndpointOpener;
-    /** Returns the endpoint's newest record; undefined once it is removed. */
-    readonly record: () => EndpointRecord | undefined;
-    /** Returns the number of connections that may be open. */
-    readonly limit: () => number;
-    /** Whether this VM is meant to hold connections to the endpoint; otherwise idle ones are left to other VMs. */
-    readonly isHolding: () => boolean;
-    /** Called when a connection became available, was closed or could not be opened, and after a pause. */
-    readonly onChange: () => void;
-    readonly metrics: Pick<Metrics, "countConnection">;
-    readonly log: LogTopic;
+/** An attempt to open a connection that failed. */
+interface FailedOpening {
+    readonly record: EndpointRecord;
+    readonly owner: string;
+    readonly reason: OpeningReason;
 }
 
 /**
  * Creates the pool of connections of one VM to one endpoint.
  *
- * Connections are opened on demand, and kept where this VM is meant to hold them. The pause after failed attempts to open one doubles up to a maximum.
+ * Connections are opened on demand, each in the name of one owner, and kept where this VM is meant to hold them. At the
+ * limit, an idle connection of another owner makes room. The pause after failed attempts to open one doubles up to a
+ * maximum.
  *
  * @param options Clock, function that opens connections, limit, and listener.
  * @returns The pool, empty.
  *
  * @example
- * const pooled = pool.acquire(values) ?? (pool.tryOpen(), undefined);
+ * const pooled = pool.acquire(values, owner) ?? (pool.tryOpen(owner), undefined);
  */
 export function createEndpointSessionPool(options: EndpointSessionPoolOptions): EndpointSessionPool {
     const { clock, log, metrics } = options;
-    const idle: PooledSession[] = [];
-    let openingCount = 0;
-    let openCount = 0;
-    let failureCount = 0;
-    let failingSince: number | undefined;
-    let pausedUntil = -Infinity;
+    /** The open connections; each is its own key, so that one that is returned is found. */
+    const open = new Map<PooledSession, OwnedSession>();
+    const idle: OwnedSession[] = [];
+    const openingOwners: string[] = [];
+    const wishes = createOpeningWishes(clock);
+    const logEviction = createEvictionLog(clock, log);
+    const pauses = createOpeningPauses(clock);
+    let isPolling = false;
+    let lastEvictionAt = -Infinity;
     let isClosed = false;
 
-    function acquire(values: ReadonlyMap<string, string>): PooledSession | undefined {
+    function acquire(values: ReadonlyMap<string, string>, owner?: string): PooledSession | undefined {
         closeOutdated();
-        const matching = idle.findLastIndex(({ values: currentValues }) =>
-            currentValues.size <= values.size && [...currentValues].every(([name, value]) => values.get(name) === value)
-        );
-        const index = matching >= 0 ? matching : idle.length - 1;
-        return index < 0 ? undefined : idle.splice(index, 1)[0];
+        const chosen = chooseIdle(idle, values, owner);
+        if (chosen !== undefined) {
+            removeIdle(chosen);
+            chosen.isServingOwner = owner !== undefined;
+            if (chosen.isServingOwner) {
+                wishes.remove(chosen.owner);
+            }
+        }
+        return chosen;
+    }
+
+    function removeIdle(session: OwnedSession): void {
+        const index = idle.indexOf(session);
+        if (index >= 0) {
+            idle.splice(index, 1);
+        }
+    }
+
+    function closeIdle(session: OwnedSession): void {
+        removeIdle(session);
+        session.session.close();
     }
 
     function closeOutdated(): void {
         const startedAt = options.record()?.startedAt;
-        for (const pooled of idle.filter(candidate => candidate.endpointStartedAt !== startedAt)) {
-            pooled.session.close();
-        }
+        idle.filter(candidate => candidate.endpointStartedAt !== startedAt).forEach(closeIdle);
     }
 
     function release(pooled: PooledSession): void {
-        if (pooled.session.isClosed) {
+        const session = open.get(pooled);
+        if (session === undefined || session.session.isClosed) {
             return;
         }
-        if (isClosed || openCount > options.limit()) {
-            pooled.session.close();
+        if (isClosed || open.size > options.limit()) {
+            session.session.close();
             return;
         }
-        pooled.idleSince = clock.now();
-        idle.push(pooled);
+        session.idleSince = clock.now();
+        if (session.isServingOwner) {
+            session.lastServedAt = session.idleSince;
+            session.isServingOwner = false;
+        }
+        idle.push(session);
+        openForWishes();
         options.onChange();
     }
 
-    function tryOpen(): boolean {
+    function listOpenOwners(): string[] {
+        return [...open.values()].map(({ owner }) => owner);
+    }
+
+    function countConnections(): ReadonlyMap<string, number> {
+        return countByOwner([...listOpenOwners(), ...openingOwners]);
+    }
+
+    function decide(owner: string): OpeningDecision<OwnedSession> {
+        const occupancy = { idle, counts: countConnections(), limit: options.limit() };
+        return decideOpening(owner, occupancy, { refusal: pauses.lastRefusal(), lastEvictionAt }, clock.now());
+    }
+
+    /** Whether a pause or other openings, whatever the owners hold, prevent opening a connection now. */
+    function isHeldBack(owner: string): boolean {
+        const { concurrentOpenings, concurrentOwnerOpenings } = placementConstants;
+        return isClosed
+            || pauses.isPaused()
+            || openingOwners.length >= concurrentOwnerOpenings
+            || openingOwners.filter(other => other === owner).length >= concurrentOpenings;
+    }
+
+    function tryOpen(requestOwner?: string): boolean {
+        const owner = requestOwner ?? workspaceConstants.anonymousOwner;
         const record = options.record();
-        const isPaused = clock.now() < pausedUntil || openingCount >= placementConstants.concurrentOpenings;
-        if (record === undefined || isClosed || isPaused || openCount + openingCount >= options.limit()) {
+        if (record === undefined || isHeldBack(owner)) {
             return false;
         }
-        if (clock.now() - pausedUntil > placementConstants.maximumReopenMilliseconds) {
-            // Nothing is known of the time since the last attempt.
-            failingSince = undefined;
+        const decision = decide(owner);
+        const isReplacing = decision.kind === OpeningDecisionKind.Replace;
+        if (decision.kind === OpeningDecisionKind.Wait || isReplacing && requestOwner === undefined) {
+            return false;
         }
-        openingCount += 1;
-        void openOne(record);
+        pauses.recordAttempt();
+        wishes.remove(owner);
+        openingOwners.push(owner);
+        if (isReplacing) {
+            evict(record, decision.evicted, owner);
+        }
+        void openOne(record, owner, isReplacing ? OpeningReason.Replacement : OpeningReason.Room);
         return true;
     }
 
-    async function openOne(record: EndpointRecord): Promise<void> {
+    function evict({ id }: EndpointRecord, evicted: OwnedSession, newOwner: string): void {
+        const now = clock.now();
+        open.delete(evicted);
+        closeIdle(evicted);
+        lastEvictionAt = now;
+        metrics.countEviction?.(classifyOwner(evicted.owner));
+        logEviction({
+            endpoint: id,
+            evictedOwner: evicted.owner,
+            newOwner,
+            idleMilliseconds: now - evicted.idleSince,
+        });
+    }
+
+    function requestOpenings(requested: readonly OpeningWish[]): void {
+        for (
+            const { owner, count, expiresAt } of sortByConnectionCount(
+                requested,
+                countConnections(),
+                wish => wish.owner,
+            )
+        ) {
+            const openings = openingOwners.filter(opening => owner === undefined || opening === owner);
+            if (openings.length >= count || tryOpen(owner) || owner === undefined) {
+                continue;
+            }
+            if (openings.length === 0 && listOpenOwners().some(other => other !== owner)) {
+                wishes.record(owner, expiresAt);
+                poll();
+            }
+        }
+    }
+
+    /** Opens connections for owners that found no room, now that a connection became idle. */
+    function openForWishes(): void {
+        sortByConnectionCount(wishes.list(), countConnections(), owner => owner).forEach(owner => tryOpen(owner));
+    }
+
+    /** Looks again for a connection that makes room: the time for which each stays passes without an event. */
+    function poll(): void {
+        if (isPolling) {
+            return;
+        }
+        isPolling = true;
+        clock.startTimer(placementConstants.evictionPollingMilliseconds, () => {
+            isPolling = false;
+            openForWishes();
+            if (wishes.list().length > 0 && !isClosed) {
+                poll();
+            }
+        });
+    }
+
+    async function openOne(record: EndpointRecord, owner: string, reason: OpeningReason): Promise<void> {
         const startedAt = clock.now();
+        let session: EndpointSession;
         try {
-            const session = await options.open(
-                record,
-                workspaceConstants.anonymousOwner,
-                placementConstants.openTimeoutMilliseconds,
-            );
-            openingCount -= 1;
-            openCount += 1;
-            failureCount = 0;
-            failingSince = undefined;
-            metrics.countConnection();
-            const pooled: PooledSession = {
-                session,
-                endpointStartedAt: record.startedAt,
-                idleSince: clock.now(),
-                values: new Map(),
-                prepared: new Set(),
-            };
-            session.onClose(() => {
-                openCount -= 1;
-                const index = idle.indexOf(pooled);
-                if (index >= 0) {
-                    idle.splice(index, 1);
-                }
-                options.onChange();
-            });
-            release(pooled);
+            session = await options.open(record, owner, placementConstants.openTimeoutMilliseconds);
         }
         catch (error) {
-            openingCount -= 1;
-            pauseAfter(record, error, clock.now() - startedAt);
+            removeOpening(owner);
+            pauseAfter({ record, owner, reason }, error, clock.now() - startedAt);
+            return;
         }
+        removeOpening(owner);
+        pauses.recordSuccess();
+        metrics.countConnection();
+        metrics.countOpening?.(classifyOwner(owner), reason);
+        add(session, record, owner);
     }
 
-    function pauseAfter(record: EndpointRecord, error: unknown, tookMilliseconds: number): void {
+    function removeOpening(owner: string): void {
+        openingOwners.splice(openingOwners.indexOf(owner), 1);
+    }
+
+    function add(session: EndpointSession, record: EndpointRecord, owner: string): void {
+        const openedAt = clock.now();
+        const owned: OwnedSession = {
+            session,
+            owner,
+            openedAt,
+            lastServedAt: undefined,
+            isServingOwner: false,
+            endpointStartedAt: record.startedAt,
+            idleSince: openedAt,
+            values: new Map(),
+            prepared: new Set(),
+        };
+        open.set(owned, owned);
+        session.onClose(() => {
+            removeIdle(owned);
+            if (open.delete(owned)) {
+                options.onChange();
+            }
+        });
+        release(owned);
+    }
+
+    function pauseAfter({ record, owner, reason }: FailedOpening, error: unknown, tookMilliseconds: number): void {
         const { kind, message } = toTypedError(error);
-        failureCount += 1;
-        if (kind !== ErrorKind.ConnectionLimitReached) {
-            failingSince ??= clock.now();
-        }
-        metrics.countConnection(kind);
-        const {
-            initialReopenMilliseconds,
-            maximumReopenMilliseconds,
-            connectionLimitPauseMilliseconds,
-        } = placementConstants;
+        const isReplacing = () => reason === OpeningReason.Room && decide(owner).kind === OpeningDecisionKind.Replace;
         const pause = kind === ErrorKind.ConnectionLimitReached
-            ? connectionLimitPauseMilliseconds
-            : Math.min(initialReopenMilliseconds * 2 ** (failureCount - 1), maximumReopenMilliseconds);
-        pausedUntil = clock.now() + pause;
+            ? pauses.recordRefusal(open.size + openingOwners.length, isReplacing)
+            : pauses.recordFailure();
+        metrics.countConnection(kind);
         log("connection to an endpoint could not be opened", {
             endpoint: record.id,
             kind,
@@ -159,25 +267,23 @@
             return;
         }
         const latest = clock.now() - placementConstants.unusedMilliseconds;
-        for (const pooled of idle.filter(({ idleSince }) => idleSince <= latest)) {
-            pooled.session.close();
-        }
+        idle.filter(({ idleSince }) => idleSince <= latest).forEach(closeIdle);
     }
 
     function close(): void {
         isClosed = true;
-        idle.splice(0).forEach(pooled => pooled.session.close());
+        idle.splice(0).forEach(({ session }) => session.close());
     }
 
     return {
         acquire,
         release,
         tryOpen,
+        requestOpenings,
         closeUnused,
         close,
-        openCount: () => openCount,
-        openingCount: () => openingCount,
-        failingSince: () => openCount === 0 ? failingSince : undefined,
-        isFailing: () => failureCount > 0 && openCount === 0 && openingCount === 0,
+        openCount: owner => owner === undefined ? open.size : countByOwner(listOpenOwners()).get(owner) ?? 0,
+        failingSince: () => open.size === 0 ? pauses.failingSince() : undefined,
+        isFailing: () => pauses.hasFailed() && open.size === 0 && openingOwners.length === 0,
     };
 }
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -10,11 +10,14 @@
 import type { Waiter } from "../../waiting/types/Waiter.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
+import { countOpeningWait } from "../countOpeningWait/index.js";
 import { createAcquiredConnection } from "../createAcquiredConnection/index.js";
 import { createEndpointSessionPool } from "../createEndpointSessionPool/index.js";
 import { createLatencyEstimate } from "../createLatencyEstimate/index.js";
+import { createOpeningPlan } from "../createOpeningPlan/index.js";
 import { createUnusedCheck } from "../createUnusedCheck/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
+import type { ConnectionMetrics } from "../types/ConnectionMetrics.js";
 import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { Placement } from "../types/Placement.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
@@ -32,7 +35,7 @@
     readonly vmCount: (group: string) => number;
     /** Whether this VM is one of the VMs that hold connections to a group's endpoints. */
     readonly isHolding: (group: string) => boolean;
-    readonly metrics: Pick<Metrics, "countConnection" | "registerGauge">;
+    readonly metrics: ConnectionMetrics & Pick<Metrics, "registerGauge">;
     readonly log: LogTopic;
 }
 
@@ -74,7 +77,9 @@
     });
 
     function connectionLimit(group: string): number {
-        return computeVmConnectionLimit(directory.groupSettings(group)?.connectionLimit ?? 0, options.vmCount(group));
+        const hasWorkspaces = (directory.routingTable()?.workspaces ?? []).length > 0;
+        const endpointLimit = directory.groupSettings(group)?.connectionLimit ?? 0;
+        return computeVmConnectionLimit(endpointLimit, options.vmCount(group), hasWorkspaces);
     }
 
     function targetOf(endpoint: EndpointRecord): PlacementTarget {
@@ -117,7 +122,9 @@
     function acquire(request: PlacementRequest): Promise<AcquiredConnection> {
         const waiting = waitingByGroup.get(request.group) ?? [];
         waitingByGroup.set(request.group, waiting);
-        const connection = waiting.length === 0 ? tryAcquire(request, new Map()) : undefined;
+        const plan = createOpeningPlan();
+        const connection = waiting.length === 0 ? tryAcquire(request, plan) : undefined;
+        plan.start();
         if (connection !== undefined) {
             return Promise.resolve(connection);
         }
@@ -144,29 +151,36 @@
         const entry: WaitingRequest = { request, waiter };
         const index = waiting.findIndex(other => other.request.priority > request.priority);
         waiting.splice(index < 0 ? waiting.length : index, 0, entry);
+        countOpeningWait(
+            options.metrics,
+            request.owner,
+            () => listCandidates(request).map(each => targetOf(each).pool),
+        );
         dispatch(request.group);
         return waiter.promise;
     }
 
     /** Finds the one endpoint that could serve a request, if it is not expected to accept a connection in time. */
-    function findUnreachable({ endpointId, needsPrimary, group }: PlacementRequest): string | undefined {
+    function findUnreachable({ endpointId, needsPrimary, group, owner }: PlacementRequest): string | undefined {
         if (endpointId !== undefined) {
-            return isFailing(endpointId) ? endpointId : undefined;
+            return isFailing(endpointId, owner) ? endpointId : undefined;
         }
         const primary = needsPrimary ? primaries.primaryOf(group) : undefined;
-        return primary !== undefined && isLost(primary.id) ? primary.id : undefined;
+        return primary !== undefined && isLost(primary.id, owner) ? primary.id : undefined;
     }
 
     /** Whether an endpoint accepted no connection and the pause before the next attempt to open one is not over. */
-    function isFailing(endpointId: string): boolean {
+    function isFailing(endpointId: string, owner: string | undefined): boolean {
         const pool = targets.get(endpointId)?.pool;
-        return pool !== undefined && pool.isFailing() && !pool.tryOpen();
+        return pool !== undefined && pool.isFailing() && !pool.tryOpen(owner);
     }
 
     /** Whether an endpoint has accepted no connection for so long that another one would have replaced it. */
-    function isLost(endpointId: string): boolean {
+    function isLost(endpointId: string, owner: string | undefined): boolean {
         const pool = targets.get(endpointId)?.pool;
-        pool?.tryOpen();
+        if (pool?.failingSince() !== undefined) {
+            pool.tryOpen(owner);
+        }
         const failingSince = pool?.failingSince();
         return failingSince !== undefined && clock.now() - failingSince >= placementConstants.lostPrimaryMilliseconds;
     }
@@ -182,27 +196,28 @@
         if (waiting === undefined || waiting.length === 0) {
             return;
         }
-        const openings = new Map<PlacementTarget, number>();
+        const plan = createOpeningPlan();
         for (const entry of [...waiting]) {
             if (entry.waiter.isSettled) {
                 continue;
             }
-            const connection = tryAcquire(entry.request, openings);
+            const connection = tryAcquire(entry.request, plan);
             if (connection !== undefined) {
                 waiting.splice(waiting.indexOf(entry), 1);
                 entry.waiter.resolve(connection);
             }
         }
+        plan.start();
     }
 
-    /** Acquires an idle connection; starts to open one at each preferred endpoint that has none. */
+    /** Acquires an idle connection; plans to open one at each preferred endpoint that has none. */
     function tryAcquire(
         request: PlacementRequest,
-        openings: Map<PlacementTarget, number>,
+        plan: ReturnType<typeof createOpeningPlan>,
     ): AcquiredConnection | undefined {
         for (const endpoint of listCandidates(request)) {
             const target = targetOf(endpoint);
-            const pooled = target.pool.acquire(request.values);
+            const pooled = target.pool.acquire(request.values, request.owner);
             if (pooled !== undefined) {
                 return createAcquiredConnection({
                     clock,
@@ -212,10 +227,7 @@
                     isPrimary: endpoint.id === primaries.primaryOf(endpoint.group)?.id,
                 });
             }
-            const expectedOpenings = openings.get(target) ?? 0;
-            if (expectedOpenings < target.pool.openingCount() || target.pool.tryOpen()) {
-                openings.set(target, expectedOpenings + 1);
-            }
+            plan.add(target, request);
         }
         return undefined;
     }
--- /dev/null
+++ b/src/placement/decideOpening/test.ts
@@ -0,0 +1,48 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { placementConstants } from "../constants.js";
+import { countByOwner } from "../countByOwner/index.js";
+import { OpeningDecisionKind } from "../types/OpeningDecisionKind.js";
+import { decideOpening } from "./index.js";
+
+const now = 100_000;
+const recentRefusal = { at: now - 1, connectionCount: 3 };
+const { Open, Replace, Wait } = OpeningDecisionKind;
+
+/** Decides for an owner, with connections that are all idle or all in use. */
+function decide(
+    owner: string,
+    owners: readonly string[],
+    { isIdle = true, refusal = undefined as typeof recentRefusal | undefined, lastEvictionAt = -Infinity } = {},
+): OpeningDecisionKind {
+    const idle = owners.map(each => ({ owner: each, openedAt: 0, lastServedAt: now - 500 }));
+    const occupancy = { idle: isIdle ? idle : [], counts: countByOwner(owners), limit: 4 };
+    return decideOpening(owner, occupancy, { refusal, lastEvictionAt }, now).kind;
+}
+
+describe("decideOpening", () => {
+    it("opens up to the limit, then replaces an idle connection of another owner, else waits", () => {
+        assert.equal(decide("a", ["b", "b", "b"]), Open);
+        assert.equal(decide("a", ["b", "b", "b", "b"]), Replace);
+        assert.equal(decide("a", ["b", "b", "b", "b"], { isIdle: false }), Wait);
+        assert.equal(decide("a", ["a", "a", "a", "a"]), Wait);
+    });
+
+    it("replaces at most one connection in an interval", () => {
+        const lastEvictionAt = now - placementConstants.evictionIntervalMilliseconds + 1;
+        assert.equal(decide("a", ["b", "b", "b", "b"], { lastEvictionAt }), Wait);
+    });
+
+    it("replaces or waits for a while after a refusal, and asks again only for an owner without a connection", () => {
+        const refusal = recentRefusal;
+        assert.equal(decide("a", ["b", "b", "b"], { refusal }), Replace);
+        assert.equal(decide("a", ["a", "b", "b"], { refusal, isIdle: false }), Wait);
+        assert.equal(decide("a", ["b", "b", "b"], { refusal, isIdle: false }), Open);
+        const oldRefusal = { ...refusal, at: now - placementConstants.refusalMilliseconds };
+        assert.equal(decide("a", ["a", "b", "b"], { refusal: oldRefusal, isIdle: false }), Open);
+    });
+
+    it("follows the limit alone while there is one owner", () => {
+        assert.equal(decide("a", ["a", "a", "a"], { refusal: recentRefusal }), Open);
+    });
+});
