Give the sessions of a workspace one host in a region

A new session went to any host of the VM's own zone, so that each host needed connections in the name of each workspace. With a workspace, all VMs of a region choose the same host by weighted rendezvous over group and workspace, and the next one while it is unreachable. Without a workspace the choice is as before.

The tests of createSessionHosts, createSessionForwarding, createHostLink and chooseHosts pass; no other test was run.

--- a/src/forwarding/createSessionForwarding/index.ts
+++ b/src/forwarding/createSessionForwarding/index.ts
@@ -29,9 +29,9 @@
     let newestHostRoutingVersion = 0;
 
     return {
-        forward: (connection, database, createLocal) => {
+        forward: (connection, database, createLocal, workspace) => {
             const group = directory.routeOf(database)?.group;
-            const host = group === undefined ? undefined : hosts.hostOf(group);
+            const host = group === undefined ? undefined : hosts.hostOf(group, workspace);
             if (host === undefined) {
                 return undefined;
             }
--- a/src/forwarding/createSessionHosts/index.ts
+++ b/src/forwarding/createSessionHosts/index.ts
@@ -3,6 +3,7 @@
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import { chooseHosts } from "../chooseHosts/index.js";
 import { forwardingConstants } from "../constants.js";
+import { rankWorkspaceHosts } from "../rankWorkspaceHosts/index.js";
 import type { SessionHosts } from "../types/SessionHosts.js";
 
 /** Options of `createSessionHosts`. */
@@ -15,13 +16,16 @@
     readonly otherVms: () => readonly VmIdentity[];
     /** Whether this VM is known to hold connections to endpoints. */
     readonly isHost: () => boolean;
+    /** Returns the region of an availability zone; when left out, each zone counts as a region. */
+    readonly regionOf?: (availabilityZone: string) => string | undefined;
 }
 
 /**
  * Creates the choice of the VMs that serve sessions for others.
  *
- * Sessions of one group are spread over the hosts of the zone. A host that was unreachable gets no new session for a
- * while. When all hosts are avoided, this VM serves the session itself.
+ * Sessions of one group are spread over the hosts of the zone; those of a workspace have one host in the region, so that
+ * few VMs hold its connections. A host that was unreachable gets no new session for a while. When all hosts are avoided,
+ * this VM serves the session itself.
  *
  * @param options Clock, this VM and the others.
  * @returns The choice.
@@ -59,13 +63,33 @@
         return otherVms().filter(({ name }) => names.has(name));
     }
 
-    function hostOf(group: string): VmIdentity | undefined {
+    function isAvoided(name: string): boolean {
+        return clock.now() < (avoidedUntil.get(name) ?? -Infinity);
+    }
+
+    function regionOf({ availabilityZone }: VmIdentity["address"]): string {
+        return options.regionOf?.(availabilityZone) ?? availabilityZone;
+    }
+
+    function hostOfWorkspace(group: string, workspace: string): VmIdentity | undefined {
+        const names = listNames(group);
+        const region = regionOf(self.address);
+        const candidates = [self, ...otherVms()].filter(({ name, address }) =>
+            names.has(name) && regionOf(address) === region
+        );
+        const name = rankWorkspaceHosts(group, workspace, candidates).find(each => !isAvoided(each));
+        return name === self.name ? undefined : otherVms().find(vm => vm.name === name);
+    }
+
+    function hostOf(group: string, workspace?: string): VmIdentity | undefined {
+        if (workspace !== undefined) {
+            return hostOfWorkspace(group, workspace);
+        }
         if (listNames(group).has(self.name)) {
             return undefined;
         }
-        const now = clock.now();
         const hostsInZone = otherHostsOf(group).filter(({ name, address }) =>
-            address.availabilityZone === self.address.availabilityZone && now >= (avoidedUntil.get(name) ?? -Infinity)
+            address.availabilityZone === self.address.availabilityZone && !isAvoided(name)
         );
         forwardedCount += 1;
         return hostsInZone[forwardedCount % Math.max(hostsInZone.length, 1)];
--- a/src/forwarding/types/SessionForwarding.ts
+++ b/src/forwarding/types/SessionForwarding.ts
@@ -7,11 +7,12 @@
      * Forwards a session that was just opened.
      *
      * Returns undefined when this VM serves the session. `createLocal` creates the session at this VM when the host
-     * does not open it.
+     * does not open it. The sessions of a workspace have one host in a region.
      */
     forward(
         connection: CallerConnection,
         database: string,
         createLocal: () => CallerSession,
+        workspace?: string,
     ): CallerSession | undefined;
 }
--- a/src/vm/listForwardingServices/index.ts
+++ b/src/vm/listForwardingServices/index.ts
@@ -23,7 +23,8 @@
  * @example
  * const definitions = listForwardingServices(settings);
  */
-export function listForwardingServices({ name, peerAddress, capacity }: VmSettings): ServiceDefinition[] {
+export function listForwardingServices(settings: VmSettings): ServiceDefinition[] {
+    const { name, peerAddress, capacity, regionsByZone } = settings;
     return [
         {
             name: ServiceName.SessionHosts,
@@ -35,6 +36,7 @@
                     directory,
                     otherVms: duty.otherVms,
                     isHost: duty.isHost,
+                    regionOf: availabilityZone => regionsByZone[availabilityZone],
                 }),
         },
         {
