--- a/src/forwarding/createSessionForwarding/index.ts
+++ b/src/forwarding/createSessionForwarding/index.ts
@@ -1,3 +1,4 @@
+import { identifyCaller } from "../../callerSessions/identifyCaller/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
@@ -9,7 +10,7 @@
 /** Options of `createSessionForwarding`. */
 interface SessionForwardingOptions {
     readonly clock: Clock;
-    readonly directory: Pick<Directory, "routeOf" | "routingVersion">;
+    readonly directory: Pick<Directory, "routeOf" | "routingTable" | "routingVersion" | "workspaceOf">;
     readonly hosts: SessionHosts;
     readonly open: SessionOpener;
     readonly log: LogTopic;
@@ -30,13 +31,14 @@
 
     return {
         forward: (connection, opening, createLocal) => {
-            const { database } = opening;
-            const group = directory.routeOf(database)?.group;
-            const host = group === undefined ? undefined : hosts.hostOf(group);
+            const { database, keyDigest } = opening;
+            const route = directory.routeOf(database);
+            const workspace = route && identifyCaller(route, keyDigest, directory)?.workspace?.name;
+            const host = route && hosts.hostOf(route.group, workspace);
             if (host === undefined) {
                 return undefined;
             }
-            log("session is forwarded", { database, group, host: host.name });
+            log("session is forwarded", { database, group: route?.group, host: host.name });
             return createForwardedSession({
                 clock,
                 connection,
