Merge the connections of workspaces into the queue of waiting statements

The pool by owner keeps its decisions; the return after a loss adds a lower limit, which leaves places to other VMs, and the pause after a refusal. The tests of the queue play their load at its own interface, with connections that serve any owner, since the number of connections of each owner is decided by the pool.

--- a/src/forwarding/createSessionForwarding/index.ts
+++ b/src/forwarding/createSessionForwarding/index.ts
@@ -1,3 +1,4 @@
+import { identifyCaller } from "../../callerSessions/identifyCaller/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
@@ -9,7 +10,7 @@
 /** Options of `createSessionForwarding`. */
 interface SessionForwardingOptions {
     readonly clock: Clock;
-    readonly directory: Pick<Directory, "routeOf" | "routingVersion">;
+    readonly directory: Pick<Directory, "routeOf" | "routingTable" | "routingVersion" | "workspaceOf">;
     readonly hosts: SessionHosts;
     readonly open: SessionOpener;
     readonly log: LogTopic;
@@ -22,26 +23,28 @@
  * @returns The forwarding.
  *
  * @example
- * const session = forwarding.forward(connection, "shop", createLocal) ?? createLocal();
+ * const session = forwarding.forward(connection, { database: "shop", keyDigest }, createLocal) ?? createLocal();
  */
 export function createSessionForwarding(options: SessionForwardingOptions): SessionForwarding {
     const { clock, directory, hosts, log } = options;
     let newestHostRoutingVersion = 0;
 
     return {
-        forward: (connection, database, createLocal) => {
-            const group = directory.routeOf(database)?.group;
-            const host = group === undefined ? undefined : hosts.hostOf(group);
+        forward: (connection, opening, createLocal) => {
+            const { database, keyDigest } = opening;
+            const route = directory.routeOf(database);
+            const workspace = route && identifyCaller(route, keyDigest, directory)?.workspace?.name;
+            const host = route && hosts.hostOf(route.group, workspace);
             if (host === undefined) {
                 return undefined;
             }
-            log("session is forwarded", { database, group, host: host.name });
+            log("session is forwarded", { database, group: route?.group, host: host.name });
             return createForwardedSession({
                 clock,
                 connection,
                 database,
                 hostName: host.name,
-                hosted: options.open(host, database),
+                hosted: options.open(host, opening),
                 createLocal,
                 routingVersion: () => Math.max(directory.routingVersion(), newestHostRoutingVersion),
                 onRoutingVersion: version => {
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -10,12 +10,17 @@
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
+import { countOpeningWait } from "../countOpeningWait/index.js";
 import { createAcquiredConnection } from "../createAcquiredConnection/index.js";
 import { createEndpointSessionPool } from "../createEndpointSessionPool/index.js";
 import { createLatencyEstimate } from "../createLatencyEstimate/index.js";
+import { createOpeningPlan } from "../createOpeningPlan/index.js";
+import { createReadPauses } from "../createReadPauses/index.js";
 import { createUnusedCheck } from "../createUnusedCheck/index.js";
 import { createWaitingStatements } from "../createWaitingStatements/index.js";
+import { registerPlacementGauges } from "../registerPlacementGauges/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
+import type { ConnectionMetrics } from "../types/ConnectionMetrics.js";
 import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { Placement } from "../types/Placement.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
@@ -35,7 +40,7 @@
     readonly vmCount: (group: string) => number;
     /** Whether this VM is one of the VMs that hold connections to a group's endpoints. */
     readonly isHolding: (group: string) => boolean;
-    readonly metrics: Pick<Metrics, "countConnection" | "countWaitRefusal" | "registerGauge">;
+    readonly metrics: ConnectionMetrics & Pick<Metrics, "countWaitRefusal" | "registerGauge">;
     readonly log: LogTopic;
 }
 
@@ -57,6 +62,7 @@
     const startedAt = clock.now();
     const targets = new Map<string, PlacementTarget>();
     const waitingByGroup = new Map<string, WaitingStatements>();
+    const readPauses = createReadPauses(clock, targetOf, dispatch);
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
     directory.onChange(groups => {
@@ -64,23 +70,21 @@
         groups.forEach(dispatch);
     });
     primaries.onChange(dispatch);
-    options.metrics.registerGauge("tarragonpost_waiting_statements", "Statements that wait for a connection.", () => {
-        return [...waitingByGroup.values()].reduce((sum, waiting) => sum + waiting.countWaiting(), 0);
-    });
-    options.metrics.registerGauge("tarragonpost_waiting_by_priority", "Statements that wait, by priority.", () => {
-        const counts = [...waitingByGroup.values()].flatMap(waiting => [...waiting.countByPriority()]);
-        const priorities = new Set(counts.map(([priority]) => priority));
-        return new Map([...priorities].map(priority => [
-            priority,
-            counts.filter(([other]) => other === priority).reduce((sum, [, count]) => sum + count, 0),
-        ]));
-    }, "priority");
-    options.metrics.registerGauge("tarragonpost_open_connections", "Connections to endpoints that are open.", () => {
-        return [...targets.values()].reduce((sum, { pool }) => sum + pool.openCount(), 0);
+    registerPlacementGauges(options.metrics, {
+        listWaiting: () => [...waitingByGroup.values()],
+        listPools: () => [...targets.values()].map(({ pool }) => pool),
     });
 
     function connectionLimit(group: string): number {
-        return computeVmConnectionLimit(directory.groupSettings(group)?.connectionLimit ?? 0, options.vmCount(group));
+        const hasWorkspaces = (directory.routingTable()?.workspaces ?? []).length > 0;
+        const endpointLimit = directory.groupSettings(group)?.connectionLimit ?? 0;
+        return computeVmConnectionLimit(endpointLimit, options.vmCount(group), hasWorkspaces);
+    }
+
+    /** Connections of this VM while the endpoint may still count as many of before the start as all VMs may hold. */
+    function sparingLimit(group: string): number {
+        const endpointLimit = directory.groupSettings(group)?.connectionLimit ?? 0;
+        return Math.max(Math.floor(endpointLimit / options.vmCount(group)) - connectionLimit(group), 1);
     }
 
     function targetOf(endpoint: EndpointRecord): PlacementTarget {
@@ -95,6 +99,7 @@
                     open: options.open,
                     record: () => directory.endpoint(id),
                     limit: () => connectionLimit(group),
+                    sparingLimit: () => sparingLimit(group),
                     isHolding: () => options.isHolding(group),
                     onChange: () => {
                         scheduleUnusedCheck();
@@ -147,7 +152,9 @@
 
     function acquire(request: PlacementRequest): Promise<AcquiredConnection> {
         const waiting = waitingOf(request.group);
-        const connection = waiting.countWaiting() === 0 ? tryAcquire(request, new Map()) : undefined;
+        const plan = createOpeningPlan();
+        const connection = waiting.countWaiting() === 0 ? tryAcquire(request, plan) : undefined;
+        plan.start();
         if (connection !== undefined) {
             return Promise.resolve(connection);
         }
@@ -156,7 +163,15 @@
             return Promise.reject(createLimitLasting(request.group));
         }
         const unreachableId = findUnreachable(request);
-        return unreachableId === undefined ? waiting.wait(request) : Promise.reject(createUnreachable(unreachableId));
+        if (unreachableId !== undefined) {
+            return Promise.reject(createUnreachable(unreachableId));
+        }
+        countOpeningWait(
+            options.metrics,
+            request.owner,
+            () => listCandidates(request).map(each => targetOf(each).pool),
+        );
+        return waiting.wait(request);
     }
 
     /** Whether each endpoint that could serve a caller's request has no place left for a connection of this VM. */
@@ -175,24 +190,26 @@
     }
 
     /** Finds the one endpoint that could serve a request, if it is not expected to accept a connection in time. */
-    function findUnreachable({ endpointId, needsPrimary, group }: PlacementRequest): string | undefined {
+    function findUnreachable({ endpointId, needsPrimary, group, owner }: PlacementRequest): string | undefined {
         if (endpointId !== undefined) {
-            return isFailing(endpointId) ? endpointId : undefined;
+            return isFailing(endpointId, owner) ? endpointId : undefined;
         }
         const primary = needsPrimary ? primaries.primaryOf(group) : undefined;
-        return primary !== undefined && isLost(primary.id) ? primary.id : undefined;
+        return primary !== undefined && isLost(primary.id, owner) ? primary.id : undefined;
     }
 
     /** Whether an endpoint accepted no connection and the pause before the next attempt to open one is not over. */
-    function isFailing(endpointId: string): boolean {
+    function isFailing(endpointId: string, owner: string | undefined): boolean {
         const pool = targets.get(endpointId)?.pool;
-        return pool !== undefined && pool.isFailing() && !pool.tryOpen();
+        return pool !== undefined && pool.isFailing() && !pool.tryOpen(owner);
     }
 
     /** Whether an endpoint has accepted no connection for so long that another one would have replaced it. */
-    function isLost(endpointId: string): boolean {
+    function isLost(endpointId: string, owner: string | undefined): boolean {
         const pool = targets.get(endpointId)?.pool;
-        pool?.tryOpen();
+        if (pool?.failingSince() !== undefined) {
+            pool.tryOpen(owner);
+        }
         const failingSince = pool?.failingSince();
         return failingSince !== undefined && clock.now() - failingSince >= placementConstants.lostPrimaryMilliseconds;
     }
@@ -207,26 +224,23 @@
         waitingByGroup.get(group)?.dispatch();
     }
 
-    /** Acquires an idle connection; starts to open one at each preferred endpoint that has none. */
+    /** Acquires an idle connection; plans to open one at each preferred endpoint that has none. */
     function tryAcquire(
         request: PlacementRequest,
-        openings: Map<PlacementTarget, number>,
+        plan: ReturnType<typeof createOpeningPlan>,
     ): AcquiredConnection | undefined {
         for (const endpoint of listCandidates(request)) {
             const target = targetOf(endpoint);
-            const pooled = target.pool.acquire(request.values);
+            const pooled = target.pool.acquire(request.values, request.owner);
             if (pooled !== undefined) {
                 const isPrimary = endpoint.id === primaries.primaryOf(endpoint.group)?.id;
                 const onEnd = (milliseconds: number): void =>
                     waitingOf(request.group).recordHeld(request, isPrimary, milliseconds);
                 return createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary, onEnd });
             }
-            const expectedOpenings = openings.get(target) ?? 0;
-            if (expectedOpenings < target.pool.openingCount() || target.pool.tryOpen()) {
-                openings.set(target, expectedOpenings + 1);
-                if (target.pool.isSparing()) {
-                    return undefined;
-                }
+            plan.add(target, request);
+            if (target.pool.isOpeningSparingly()) {
+                return undefined;
             }
         }
         return undefined;
@@ -255,28 +269,6 @@
             .sort((left, right) => cost(left) - cost(right));
     }
 
-    function pause(endpoint: EndpointRecord, milliseconds: number): void {
-        targetOf(endpoint).pausedUntil = clock.now() + milliseconds;
-        void clock.sleep(milliseconds + 1).then(() => dispatch(endpoint.group));
-    }
-
-    function recordLagging(endpoint: EndpointRecord): void {
-        const target = targetOf(endpoint);
-        const {
-            initialLagPauseMilliseconds,
-            maximumLagPauseMilliseconds,
-        } = placementConstants;
-        target.lagPauseMilliseconds = Math.min(
-            Math.max(2 * target.lagPauseMilliseconds, initialLagPauseMilliseconds),
-            maximumLagPauseMilliseconds,
-        );
-        pause(endpoint, target.lagPauseMilliseconds);
-    }
-
-    function recordBusy(endpoint: EndpointRecord): void {
-        pause(endpoint, placementConstants.busyPauseMilliseconds);
-    }
-
     async function stop(): Promise<void> {
         for (const target of targets.values()) {
             target.pool.close();
@@ -285,8 +277,8 @@
 
     return {
         acquire,
-        recordLagging,
-        recordBusy,
+        recordLagging: readPauses.recordLagging,
+        recordBusy: readPauses.recordBusy,
         lastContactAt: endpointId => targets.get(endpointId)?.lastContactAt ?? -Infinity,
         stop,
     };
--- a/src/placement/createWaitingStatements/index.ts
+++ b/src/placement/createWaitingStatements/index.ts
@@ -10,22 +10,19 @@
 import { workspaceConstants } from "../../workspaces/constants.js";
 import { placementConstants } from "../constants.js";
 import { createEarlyRefusal } from "../createEarlyRefusal/index.js";
+import { createOpeningPlan } from "../createOpeningPlan/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
-import type { PlacementTarget } from "../types/PlacementTarget.js";
 import type { WaitingStatements } from "../types/WaitingStatements.js";
 
 /** Options of `createWaitingStatements`. */
 interface WaitingStatementsOptions {
     readonly clock: Clock;
     readonly group: string;
-    /**
-     * Acquires an idle connection, or starts to open one; `openings` counts the openings at each endpoint that earlier
-     * statements of the same turn wait for.
-     */
+    /** Acquires an idle connection, or plans to open one. */
     readonly tryAcquire: (
         request: PlacementRequest,
-        openings: Map<PlacementTarget, number>,
+        plan: ReturnType<typeof createOpeningPlan>,
     ) => AcquiredConnection | undefined;
     /** Number of open connections to the group's primary, or to all its endpoints. */
     readonly countConnections: (needsPrimary: boolean) => number;
@@ -128,6 +125,9 @@
     }
 
     function dispatch(): void {
+        if (queue.length === 0) {
+            return;
+        }
         if (isDispatching) {
             // An attempt to acquire a connection may close others, which calls this function.
             mustDispatchAgain = true;
@@ -143,7 +143,7 @@
     }
 
     function serveWaiting(): void {
-        const openings = new Map<PlacementTarget, number>();
+        const plan = createOpeningPlan();
         const unserved = new Set<WaitingRequest>();
         const attemptsByNeed = new Map<string, number>();
         let connection: AcquiredConnection | undefined;
@@ -154,7 +154,7 @@
             if (unserved.has(entry) || attempts >= placementConstants.attemptsPerNeed) {
                 return false;
             }
-            connection = tryAcquire(entry.request, openings);
+            connection = tryAcquire(entry.request, plan);
             if (connection === undefined) {
                 unserved.add(entry);
                 attemptsByNeed.set(need, attempts + 1);
@@ -165,6 +165,7 @@
         for (let entry = queue.shift(tryServe); entry !== undefined; entry = queue.shift(tryServe)) {
             entry.waiter.resolve(connection!);
         }
+        plan.start();
     }
 
     return {
--- a/src/placement/createWaitingStatements/test.ts
+++ b/src/placement/createWaitingStatements/test.ts
@@ -1,49 +1,62 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createPrimaries } from "../../primaries/createPrimaries/index.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
-import { createLimitedEndpoints } from "../../testing/createLimitedEndpoints/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
-import { createPopulatedDirectory } from "../../testing/createPopulatedDirectory/index.js";
 import { offerLoad } from "../../testing/offerLoad/index.js";
 import type { LoadOutcome } from "../../testing/types/LoadOutcome.js";
 import type { OfferedLoad } from "../../testing/types/OfferedLoad.js";
-import { createPlacement } from "../createPlacement/index.js";
+import type { AcquiredConnection } from "../types/AcquiredConnection.js";
+import type { PlacementRequest } from "../types/PlacementRequest.js";
+import { createWaitingStatements } from "./index.js";
 
-/** Two connections that run one statement each in 20 ms. */
-const workMilliseconds = 20;
+/** Two connections, which serve any owner, run one statement each in 20 ms. */
+const connectionCount = 2;
+const ordinaryMilliseconds = 20;
 const capacityPerSecond = 100;
-const record = createEndpointRecord({ isPrimary: true });
+const endpoint = createEndpointRecord({ isPrimary: true });
 
 function createHost(seed: number) {
     const clock = createManualClock();
     const random = createRandomSource(seed);
-    const endpoints = createLimitedEndpoints({
-        clock,
-        connectionLimit: 21,
-        slots: 3,
-        workMilliseconds,
-        openMilliseconds: 5,
-        darkConnections: 0,
-        darkMilliseconds: 0,
-    });
-    const directory = createPopulatedDirectory(clock, [record]);
     const lines: string[] = [];
-    const placement = createPlacement({
+    const state = { workMilliseconds: ordinaryMilliseconds, heldCount: 0 };
+    const waiting = createWaitingStatements({
         clock,
-        random: createRandomSource(1),
-        directory,
-        primaries: createPrimaries(clock, directory, () => {}),
-        open: endpoints.open,
-        vmLocation: { availabilityZone: "a", region: "north", regionsByZone: { a: "north" } },
-        vmCount: () => 8,
-        isHolding: () => true,
-        metrics: { countConnection: () => {}, countWaitRefusal: () => {}, registerGauge: () => {} },
+        group: "orders",
+        tryAcquire,
+        countConnections: () => connectionCount,
+        metrics: { countWaitRefusal: () => {} },
         log: message => lines.push(message),
     });
-    const offer = (load: OfferedLoad) => offerLoad({ clock, random, placement }, load);
-    return { clock, endpoints, offer, lines };
+
+    function tryAcquire(request: PlacementRequest): AcquiredConnection | undefined {
+        if (state.heldCount >= connectionCount) {
+            return undefined;
+        }
+        state.heldCount += 1;
+        const acquiredAt = clock.now();
+        return {
+            endpoint,
+            isPrimary: true,
+            pooled: undefined as never,
+            exchange: async () => {
+                await clock.sleep(state.workMilliseconds);
+                return [];
+            },
+            release: () => {
+                state.heldCount -= 1;
+                waiting.recordHeld(request, true, clock.now() - acquiredAt);
+                waiting.dispatch();
+            },
+            discard: () => {},
+        };
+    }
+
+    const acquire = async (request: PlacementRequest): Promise<AcquiredConnection> =>
+        (waiting.countWaiting() === 0 ? tryAcquire(request) : undefined) ?? await waiting.wait(request);
+    const offer = (load: OfferedLoad) => offerLoad({ clock, random, placement: { acquire } }, load);
+    return { clock, state, offer, lines };
 }
 
 function shareOf(outcomes: readonly LoadOutcome[], isCounted: (outcome: LoadOutcome) => boolean): number {
@@ -114,9 +127,9 @@
         const host = createHost(5);
         const load = host.offer({ owner: "clover", operationsPerSecond: 50, milliseconds: 4_000 });
         await host.clock.advance(2_000);
-        host.endpoints.setWorkMilliseconds(300);
+        host.state.workMilliseconds = 300;
         await host.clock.advance(100);
-        host.endpoints.setWorkMilliseconds(workMilliseconds);
+        host.state.workMilliseconds = ordinaryMilliseconds;
         await host.clock.advance(8_000);
         const refused = shareOf(await load, ({ refusalCount }) => refusalCount > 0);
         assert.equal(refused, 0);
--- a/src/testing/createLimitedEndpoints/index.ts
+++ b/src/testing/createLimitedEndpoints/index.ts
@@ -35,9 +35,9 @@
  * const endpoints = createLimitedEndpoints({ clock, connectionLimit: 21, slots: 3, ... });
  */
 export function createLimitedEndpoints(options: LimitedEndpointsOptions): LimitedEndpoints {
-    const { clock, connectionLimit, slots, openMilliseconds, darkConnections, darkMilliseconds } = options;
+    const { clock, connectionLimit, slots, workMilliseconds, openMilliseconds, darkConnections, darkMilliseconds } =
+        options;
     const states = new Map<string, EndpointState>();
-    let { workMilliseconds } = options;
     let refusedCount = 0;
 
     function stateOf(id: string): EndpointState {
@@ -89,10 +89,6 @@
             await clock.sleep(openMilliseconds);
             return createSession(id, state);
         },
-        setWorkMilliseconds: milliseconds => {
-            workMilliseconds = milliseconds;
-        },
         countRefused: () => refusedCount,
-        countOpen: endpointId => stateOf(endpointId).openCount,
     };
 }
--- a/src/testing/offerLoad/index.ts
+++ b/src/testing/offerLoad/index.ts
@@ -10,7 +10,7 @@
 interface LoadOptions {
     readonly clock: Clock;
     readonly random: RandomSource;
-    readonly placement: Placement;
+    readonly placement: Pick<Placement, "acquire">;
 }
 
 /** Time limit of one attempt, share of it that it may wait, and target latency of an operation. */
