Open connections of workspaces ahead of their first statements

Change: while there is room and nothing waits, a host opens one connection to each endpoint for every workspace that it serves, the one with the largest quota first. Nothing is closed for this, and nothing happens without workspaces.

--- a/src/forwarding/constants.ts
+++ b/src/forwarding/constants.ts
@@ -28,4 +28,6 @@
     /** Time for which a host waits for the routing table that the forwarding VM already has, in milliseconds. */
     routingTimeoutMilliseconds: 1_000,
     routingPollingMilliseconds: 20,
+    /** Time for which the list of the workspaces that a VM serves is kept, in milliseconds. */
+    hostedListMilliseconds: 1_000,
 } as const;
--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -23,6 +23,8 @@
     unusedMilliseconds: 1_000,
     /** Connections that a VM opens concurrently to one endpoint for all owners together. */
     concurrentOwnerOpenings: 2,
+    /** Pause between two passes that open connections ahead of the first statements, in milliseconds. */
+    warmupMilliseconds: 100,
     /** Share of an endpoint's connection limit that all VMs together use where there are workspaces. */
     workspaceConnectionShare: 0.9,
     /** Time for which a connection stays after it was opened, whoever else needs one, in milliseconds. */
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -126,14 +126,21 @@
     }
 
     function tryOpen(requestOwner?: string): boolean {
-        const owner = requestOwner ?? workspaceConstants.anonymousOwner;
+        return start(requestOwner ?? workspaceConstants.anonymousOwner, requestOwner !== undefined);
+    }
+
+    function tryOpenAhead(owner: string): boolean {
+        return !openingOwners.includes(owner) && start(owner, false);
+    }
+
+    function start(owner: string, mayReplace: boolean): boolean {
         const record = options.record();
         if (record === undefined || isHeldBack(owner)) {
             return false;
         }
         const decision = decide(owner);
         const isReplacing = decision.kind === OpeningDecisionKind.Replace;
-        if (decision.kind === OpeningDecisionKind.Wait || isReplacing && requestOwner === undefined) {
+        if (decision.kind === OpeningDecisionKind.Wait || isReplacing && !mayReplace) {
             return false;
         }
         pauses.recordAttempt();
@@ -279,6 +286,7 @@
         acquire,
         release,
         tryOpen,
+        tryOpenAhead,
         requestOpenings,
         closeUnused,
         close,
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -1,44 +1,23 @@
-import type { Clock } from "../../clock/types/Clock.js";
-import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
-import type { LogTopic } from "../../logging/types/LogTopic.js";
-import type { Metrics } from "../../metrics/types/Metrics.js";
-import type { Primaries } from "../../primaries/types/Primaries.js";
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import type { Waiter } from "../../waiting/types/Waiter.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
 import { countOpeningWait } from "../countOpeningWait/index.js";
 import { createAcquiredConnection } from "../createAcquiredConnection/index.js";
+import { createConnectionWarmup } from "../createConnectionWarmup/index.js";
 import { createEndpointSessionPool } from "../createEndpointSessionPool/index.js";
 import { createLatencyEstimate } from "../createLatencyEstimate/index.js";
 import { createOpeningPlan } from "../createOpeningPlan/index.js";
 import { createUnusedCheck } from "../createUnusedCheck/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
-import type { ConnectionMetrics } from "../types/ConnectionMetrics.js";
-import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { Placement } from "../types/Placement.js";
+import type { PlacementOptions } from "../types/PlacementOptions.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
 import type { PlacementTarget } from "../types/PlacementTarget.js";
 
-/** Options of `createPlacement`. */
-interface PlacementOptions {
-    readonly clock: Clock;
-    readonly directory: Directory;
-    readonly primaries: Primaries;
-    readonly open: EndpointOpener;
-    /** Location of this VM. */
-    readonly vmLocation: Parameters<typeof createLatencyEstimate>[1];
-    /** Returns the number of VMs that share the connections of a group's endpoints. */
-    readonly vmCount: (group: string) => number;
-    /** Whether this VM is one of the VMs that hold connections to a group's endpoints. */
-    readonly isHolding: (group: string) => boolean;
-    readonly metrics: ConnectionMetrics & Pick<Metrics, "registerGauge">;
-    readonly log: LogTopic;
-}
-
 /** A request that waits for a connection. */
 interface WaitingRequest {
     readonly request: PlacementRequest;
@@ -64,9 +43,12 @@
     const waitingByGroup = new Map<string, WaitingRequest[]>();
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
+    const scheduleWarmup = createConnectionWarmup(clock, listWarmGroups);
+
     directory.onChange(groups => {
         closeRemoved();
         groups.forEach(dispatch);
+        scheduleWarmup();
     });
     primaries.onChange(dispatch);
     options.metrics.registerGauge("tarragonpost_waiting_statements", "Statements that wait for a connection.", () => {
@@ -82,6 +64,15 @@
         return computeVmConnectionLimit(endpointLimit, options.vmCount(group), hasWorkspaces);
     }
 
+    /** The groups whose connections this VM holds for workspaces. */
+    function listWarmGroups() {
+        return directory.groups().filter(options.isHolding).map(group => ({
+            pools: directory.endpointsOf(group).filter(({ isLeaving }) => !isLeaving).map(each => targetOf(each).pool),
+            hasWaiting: (waitingByGroup.get(group)?.length ?? 0) > 0,
+            listWorkspaces: () => options.listHostedWorkspaces?.(group) ?? [],
+        }));
+    }
+
     function targetOf(endpoint: EndpointRecord): PlacementTarget {
         const { id, group } = endpoint;
         let target = targets.get(id);
@@ -95,6 +86,7 @@
                     isHolding: () => options.isHolding(group),
                     onChange: () => {
                         scheduleUnusedCheck();
+                        scheduleWarmup();
                         dispatch(group);
                     },
                     metrics: options.metrics,
--- a/src/placement/types/EndpointSessionPool.ts
+++ b/src/placement/types/EndpointSessionPool.ts
@@ -15,6 +15,8 @@
      * when the limit, a pause or other openings do not allow it.
      */
     tryOpen(owner?: string): boolean;
+    /** Starts to open a connection that no statement waits for, in free room only; returns whether it did. */
+    tryOpenAhead(owner: string): boolean;
     /** Starts to open connections for waiting statements, first for the owners with the fewest connections. */
     requestOpenings(wishes: readonly OpeningWish[]): void;
     /** Number of open connections of an owner, or of all owners, including idle ones. */
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -11,6 +11,7 @@
 import type { StoreFreshness } from "../../directory/types/StoreFreshness.js";
 import type { WatchPolicy } from "../../directory/types/WatchPolicy.js";
 import type { Duty } from "../../duty/types/Duty.js";
+import { createHostedWorkspaces } from "../../forwarding/createHostedWorkspaces/index.js";
 import type { SessionHost } from "../../forwarding/types/SessionHost.js";
 import type { SessionHosts } from "../../forwarding/types/SessionHosts.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
@@ -164,6 +165,7 @@
                 vmLocation: settings,
                 vmCount: group => Math.max(hosts.hostCountOf(group), vmConstants.minimumAssumedVms),
                 isHolding: hosts.isHostOf,
+                listHostedWorkspaces: createHostedWorkspaces({ clock, directory, hosts }),
                 metrics,
                 log: logger.topic("placement"),
             }),
