--- a/src/admission/createFairQueue/index.ts
+++ b/src/admission/createFairQueue/index.ts
@@ -56,12 +56,13 @@
     }
 
     function list(): readonly T[] {
-        const longest = Math.max(0, ...rotation.map(({ items }) => items.length));
-        const rounds = Array.from(
-            { length: longest },
-            (_, round) => rotation.flatMap(({ items }) => items.slice(round, round + 1)),
-        );
-        return rounds.flat();
+        const listed: T[] = [];
+        let queues: readonly CallerQueue<T>[] = rotation;
+        for (let round = 0; queues.length > 0; round += 1) {
+            queues = queues.filter(({ items }) => items.length > round);
+            listed.push(...queues.map(({ items }) => items[round]!));
+        }
+        return listed;
     }
 
     function removeAt(queue: CallerQueue<T>, index: number): T {
--- a/src/placement/createEarlyRefusal/index.ts
+++ b/src/placement/createEarlyRefusal/index.ts
@@ -121,12 +121,13 @@
         return refused;
     }
 
-    function refusesArrival(request: PlacementRequest, requests: readonly PlacementRequest[]): boolean {
+    function refusesArrival(request: PlacementRequest, listRequests: () => readonly PlacementRequest[]): boolean {
         const lane = laneOf(request);
         if (lane?.refusals.isRefusing() !== true) {
             return false;
         }
         const walk = createWalk(lane);
+        const requests = listRequests();
         requests
             .slice(0, requests.indexOf(request))
             .filter(other => laneOf(other) === lane)
--- a/src/placement/createWaitingStatements/index.ts
+++ b/src/placement/createWaitingStatements/index.ts
@@ -81,7 +81,7 @@
         queue.push(entry);
         earlyRefusal.recordArrival(request);
         dispatch();
-        if (!entry.waiter.isSettled && earlyRefusal.refusesArrival(request, listRequests())) {
+        if (!entry.waiter.isSettled && earlyRefusal.refusesArrival(request, listRequests)) {
             refuseAtOnce(entry, "The expected wait for a connection is longer than the time left.");
         }
         if (queue.length > placementConstants.maximumWaitingStatements) {
--- a/src/placement/types/EarlyRefusal.ts
+++ b/src/placement/types/EarlyRefusal.ts
@@ -8,8 +8,8 @@
     recordHeld(owner: string, isPrimary: boolean, milliseconds: number): void;
     /** Lists the statements to refuse, given all that wait in the order of service. */
     listRefused(requests: readonly PlacementRequest[]): readonly PlacementRequest[];
-    /** Whether a statement that has just begun to wait is refused, given all that wait in the order of service. */
-    refusesArrival(request: PlacementRequest, requests: readonly PlacementRequest[]): boolean;
+    /** Whether a statement that has just begun to wait is refused; `listRequests` lists all in the order of service. */
+    refusesArrival(request: PlacementRequest, listRequests: () => readonly PlacementRequest[]): boolean;
     /** Whether a statement that gets a connection now is expected to end within its target latency. */
     isTimely(request: PlacementRequest): boolean;
     /** Cost of an owner's statements, relative to the mean. */
