--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -36,12 +36,12 @@
     /** Share of a VM's connections to an endpoint up to which an owner takes those that others abandoned. */
     largeOwnerShare: 0.5,
     /** Time between two evictions of a pool, so that openings leave an endpoint's slots to statements, in milliseconds. */
-    evictionIntervalMilliseconds: 100,
+    evictionIntervalMilliseconds: 50,
     /** Interval of looking for a connection to evict while an owner needs one, in milliseconds. */
-    evictionPollingMilliseconds: 50,
+    evictionPollingMilliseconds: 25,
     /** Time for which an endpoint is expected to accept no more connections than when it refused one, in milliseconds. */
     refusalMilliseconds: 3_000,
-    /** Pause after a refusal when an idle connection can make room, in milliseconds. */
+    /** Pause after a refusal before an idle connection makes room for another one, in milliseconds. */
     replacementPauseMilliseconds: 50,
     /** Least time between two log lines on evictions at one endpoint, in milliseconds. */
     evictionLogMilliseconds: 1_000,
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -21,13 +21,6 @@
 import type { OwnedSession } from "../types/OwnedSession.js";
 import type { PooledSession } from "../types/PooledSession.js";
 
-/** An attempt to open a connection that failed. */
-interface FailedOpening {
-    readonly record: EndpointRecord;
-    readonly owner: string;
-    readonly reason: OpeningReason;
-}
-
 /**
  * Creates the pool of connections of one VM to one endpoint.
  *
@@ -133,7 +126,8 @@
         }
         const decision = decide(owner);
         const isReplacing = decision.kind === OpeningDecisionKind.Replace;
-        if (decision.kind === OpeningDecisionKind.Wait || isReplacing && requestOwner === undefined) {
+        const isAllowed = isReplacing ? requestOwner !== undefined : !pauses.isGrowthPaused();
+        if (decision.kind === OpeningDecisionKind.Wait || !isAllowed) {
             return false;
         }
         pauses.recordAttempt();
@@ -207,7 +201,7 @@
         }
         catch (error) {
             removeOpening(owner);
-            pauseAfter({ record, owner, reason }, error, clock.now() - startedAt);
+            pauseAfter(record, reason, error, clock.now() - startedAt);
             return;
         }
         removeOpening(owner);
@@ -244,11 +238,10 @@
         release(owned);
     }
 
-    function pauseAfter({ record, owner, reason }: FailedOpening, error: unknown, tookMilliseconds: number): void {
+    function pauseAfter(record: EndpointRecord, reason: OpeningReason, error: unknown, tookMilliseconds: number): void {
         const { kind, message } = toTypedError(error);
-        const isReplacing = () => reason === OpeningReason.Room && decide(owner).kind === OpeningDecisionKind.Replace;
         const pause = kind === ErrorKind.ConnectionLimitReached
-            ? pauses.recordRefusal(open.size + openingOwners.length, isReplacing)
+            ? pauses.recordRefusal(open.size + openingOwners.length, reason === OpeningReason.Replacement)
             : pauses.recordFailure();
         metrics.countConnection(kind);
         log("connection to an endpoint could not be opened", {
--- a/src/placement/createOpeningPauses/index.ts
+++ b/src/placement/createOpeningPauses/index.ts
@@ -4,7 +4,10 @@
 
 /** What a pool knows of its failed attempts to open a connection. */
 interface OpeningPauses {
+    /** Whether no connection is opened. */
     isPaused(): boolean;
+    /** Whether no connection is opened unless another one is closed for it. */
+    isGrowthPaused(): boolean;
     /** Records that an attempt begins. */
     recordAttempt(): void;
     recordSuccess(): void;
@@ -12,9 +15,9 @@
     recordFailure(): number;
     /**
      * Records that the endpoint refused a connection because it held too many; returns the pause in milliseconds, which
-     * is short when closing an idle connection makes room.
+     * is shorter for a connection in place of another one, unless such a one was refused.
      */
-    recordRefusal(connectionCount: number, isReplacing: () => boolean): number;
+    recordRefusal(connectionCount: number, isReplacement: boolean): number;
     /** Whether the last attempt failed. */
     hasFailed(): boolean;
     /** When the first of the failures in a row was; refusals do not count. */
@@ -36,9 +39,11 @@
     let failingSince: number | undefined;
     let refusal: ConnectionRefusal | undefined;
     let pausedUntil = -Infinity;
+    let growthPausedUntil = -Infinity;
 
-    function pause(milliseconds: number): number {
-        pausedUntil = clock.now() + milliseconds;
+    function pause(milliseconds: number, replacementMilliseconds = milliseconds): number {
+        growthPausedUntil = clock.now() + milliseconds;
+        pausedUntil = clock.now() + replacementMilliseconds;
         return milliseconds;
     }
 
@@ -49,17 +54,21 @@
         return pause(Math.min(initialReopenMilliseconds * 2 ** (failureCount - 1), maximumReopenMilliseconds));
     }
 
-    function recordRefusal(connectionCount: number, isReplacing: () => boolean): number {
+    function recordRefusal(connectionCount: number, isReplacement: boolean): number {
         const { replacementPauseMilliseconds, connectionLimitPauseMilliseconds } = placementConstants;
         failureCount += 1;
         refusal = { at: clock.now(), connectionCount };
-        return pause(isReplacing() ? replacementPauseMilliseconds : connectionLimitPauseMilliseconds);
+        return pause(
+            connectionLimitPauseMilliseconds,
+            isReplacement ? connectionLimitPauseMilliseconds : replacementPauseMilliseconds,
+        );
     }
 
     return {
         isPaused: () => clock.now() < pausedUntil,
+        isGrowthPaused: () => clock.now() < growthPausedUntil,
         recordAttempt: () => {
-            if (clock.now() - pausedUntil > placementConstants.maximumReopenMilliseconds) {
+            if (clock.now() - growthPausedUntil > placementConstants.maximumReopenMilliseconds) {
                 // Nothing is known of the time since the last attempt.
                 failingSince = undefined;
             }
--- a/src/placement/decideOpening/index.ts
+++ b/src/placement/decideOpening/index.ts
@@ -1,3 +1,4 @@
+import { workspaceConstants } from "../../workspaces/constants.js";
 import { chooseEvicted } from "../chooseEvicted/index.js";
 import { placementConstants } from "../constants.js";
 import type { ConnectionRefusal } from "../types/ConnectionRefusal.js";
@@ -18,8 +19,8 @@
  * Decides about a connection that an owner needs and has no idle one of.
  *
  * For a while after the endpoint has refused a connection because it held too many, the VM replaces its own connections
- * instead of asking for more; only for an owner that has none, while none can be replaced, it asks again. A pool with
- * one owner follows the limit alone.
+ * instead of asking for more; only for an owner that has none, while none can be replaced, it asks again. A pool without
+ * connections of workspaces follows the limit alone.
  *
  * @param owner The owner that needs the connection.
  * @param occupancy The open connections and their limit.
@@ -40,7 +41,8 @@
     const ownCount = counts.get(owner) ?? 0;
     const connectionCount = [...counts.values()].reduce((sum, count) => sum + count, 0);
     const isRefusing = refusal !== undefined && now - refusal.at < placementConstants.refusalMilliseconds;
-    const acceptedCount = isRefusing && ownCount < connectionCount ? refusal.connectionCount : limit;
+    const hasWorkspace = owner !== workspaceConstants.anonymousOwner || ownCount < connectionCount;
+    const acceptedCount = isRefusing && hasWorkspace ? refusal.connectionCount : limit;
     if (connectionCount < Math.min(limit, acceptedCount)) {
         return { kind: OpeningDecisionKind.Open };
     }
--- a/src/placement/decideOpening/test.ts
+++ b/src/placement/decideOpening/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { workspaceConstants } from "../../workspaces/constants.js";
 import { placementConstants } from "../constants.js";
 import { countByOwner } from "../countByOwner/index.js";
 import { OpeningDecisionKind } from "../types/OpeningDecisionKind.js";
@@ -42,7 +43,10 @@
         assert.equal(decide("a", ["a", "b", "b"], { refusal: oldRefusal, isIdle: false }), Open);
     });
 
-    it("follows the limit alone while there is one owner", () => {
-        assert.equal(decide("a", ["a", "a", "a"], { refusal: recentRefusal }), Open);
+    it("follows the limit alone where there are no workspaces", () => {
+        const { anonymousOwner } = workspaceConstants;
+        const owners = [anonymousOwner, anonymousOwner, anonymousOwner];
+        assert.equal(decide(anonymousOwner, owners, { refusal: recentRefusal }), Open);
+        assert.equal(decide("a", ["a", "a", "a"], { refusal: recentRefusal }), Wait);
     });
 });
