--- a/src/forwarding/createSessionForwarding/test.ts
+++ b/src/forwarding/createSessionForwarding/test.ts
@@ -1,15 +1,26 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
+import type { CallerSession } from "../../callerSessions/types/CallerSession.js";
 import { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
+import type { VmIdentity } from "../../duty/types/VmIdentity.js";
+import { createError } from "../../errors/createError/index.js";
+import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import { createCallerStandIn } from "../../platform/standIns/createCallerStandIn/index.js";
 import { createPlatformStandIn } from "../../platform/standIns/createPlatformStandIn/index.js";
 import { SessionState } from "../../statements/types/SessionState.js";
+import { StatementKind } from "../../statements/types/StatementKind.js";
+import { createManualClock } from "../../testing/createManualClock/index.js";
+import { createPopulatedDirectory } from "../../testing/createPopulatedDirectory/index.js";
 import { createRoute } from "../../testing/createRoute/index.js";
+import { createVmIdentity } from "../../testing/createVmIdentity/index.js";
 import { startVm } from "../../testing/startVm/index.js";
 import { waitUntilTrue } from "../../testing/waitUntilTrue/index.js";
 import { forwardingConstants } from "../constants.js";
+import { createSessionHosts } from "../createSessionHosts/index.js";
 import type { SessionHosts } from "../types/SessionHosts.js";
+import { createSessionForwarding } from "./index.js";
 
 const vmCount = forwardingConstants.maximumSmallZoneVms + 2;
 const pairCallerCount = 12;
@@ -112,3 +123,82 @@
         assert.deepEqual(halfAnswered, []);
     });
 });
+
+describe("sessions of a workspace", () => {
+    const names = Array.from({ length: 3 * vmCount }, (_, index) => `vm-${index}`);
+    const vms = names.map((name, index) => createVmIdentity(name, { availabilityZone: "abc"[index % 3]! }));
+    const write = { kind: StatementKind.Write as const, text: "WRITE a b" };
+
+    /** Creates the forwarding of one VM; hosts answer with their name unless they were killed. */
+    function createVm(self: VmIdentity, killedNames: ReadonlySet<string>) {
+        const clock = createManualClock();
+        const others = vms.filter(vm => vm !== self);
+        const forwarding = createSessionForwarding({
+            clock,
+            directory: createPopulatedDirectory(clock, []),
+            hosts: createSessionHosts({
+                clock,
+                self,
+                directory: { groups: () => ["orders"], onChange: () => {} },
+                otherVms: () => others,
+                isHost: () => true,
+                regionOf: () => "north",
+            }),
+            open: ({ name }) => ({
+                run: async () => {
+                    if (killedNames.has(name)) {
+                        throw createError(ErrorKind.Unreachable, "The host was killed.", {
+                            remedy: "Use another one.",
+                        });
+                    }
+                    return { rows: [name], state: SessionState.Idle, routingVersion: 1 };
+                },
+                onClose: () => {},
+                close: () => {},
+            }),
+            log: () => {},
+        });
+
+        /** Opens a session and runs one statement; returns the name of the VM that ran it. */
+        return async (workspace: string): Promise<string> => {
+            let ranAt = "";
+            const local: CallerSession = {
+                isInTransaction: () => false,
+                isOver: () => false,
+                handle: async () => {
+                    ranAt = self.name;
+                },
+                abandonTransaction: () => {},
+                end: () => {},
+            };
+            const connection: CallerConnection = {
+                onCommand: () => {},
+                onClose: () => {},
+                sendReady: () => {},
+                sendSuccess: ({ rows }) => {
+                    ranAt = rows[0]!;
+                },
+                sendFailure: ({ code }) => assert.fail(code),
+                refuse: () => {},
+                close: () => {},
+            };
+            const session = forwarding.forward(connection, "shop", () => local, workspace) ?? local;
+            await session.handle({ id: "q1", statement: write, receivedAt: 0 });
+            return ranAt;
+        };
+    }
+
+    it("move to the next host when the one with all connections of the workspace is killed", async () => {
+        const killedNames = new Set<string>();
+        const runs = vms.map(vm => createVm(vm, killedNames));
+        const [first, ...rest] = new Set(await Promise.all(runs.map(run => run("museum-shops"))));
+        assert.deepEqual(rest, []);
+        killedNames.add(first!);
+        const survivors = runs.filter((_, index) => names[index] !== first);
+        const during = await Promise.all(survivors.map(run => run("museum-shops")));
+        assert.ok(!during.includes(first!), "each VM serves the statement that finds the host killed");
+        const [second, ...others] = new Set(await Promise.all(survivors.map(run => run("museum-shops"))));
+        assert.deepEqual(others, []);
+        assert.notEqual(second, first);
+    });
+});
