Forward the sessions of a workspace to the next host after a loss

When the host of a workspace was lost, each VM that noticed served the session itself and opened a connection in the workspace's name; many VMs together exceed the endpoint's limit. The session now goes to the next host first, once.

The tests of createSessionForwarding, createForwardedSession, createSessionHosts and createHostLink pass; no other test was run.

--- a/src/forwarding/createForwardedSession/index.ts
+++ b/src/forwarding/createForwardedSession/index.ts
@@ -43,7 +43,7 @@
  * Creates the session of a caller that another VM serves.
  *
  * When the host does not answer the first statement, and that statement cannot have taken effect there, this VM serves
- * the session. When the connection to the host is lost later, the caller gets a failure that tells whether its statement
+ * the session, or forwards it to the next host. When the connection to the host is lost later, the caller gets a failure that tells whether its statement
  * may have taken effect, and its connection is closed, because the session's values are lost. When the host closes an
  * idle session, the caller's connection stays open for a moment, so that a statement on its way gets an answer.
  *
@@ -75,7 +75,7 @@
     }
 
     function isOver(): boolean {
-        return isHostGone && local === undefined;
+        return local === undefined ? isHostGone : local.isOver();
     }
 
     async function handle(received: ReceivedStatement): Promise<void> {
@@ -112,7 +112,7 @@
             reportLostHost(received, error, isCertainlyNotRun);
             return;
         }
-        log("host did not answer the first statement of a session; it is served by this VM", {
+        log("host did not answer the first statement of a session; it is served elsewhere", {
             id: received.id,
             database,
             host: hostName,
