--- a/src/forwarding/createSessionForwarding/index.ts
+++ b/src/forwarding/createSessionForwarding/index.ts
@@ -1,5 +1,7 @@
+import { identifyCaller } from "../../callerSessions/identifyCaller/index.js";
 import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
 import type { CallerSession } from "../../callerSessions/types/CallerSession.js";
+import type { SessionOpening } from "../../callerSessions/types/SessionOpening.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
@@ -12,7 +14,7 @@
 /** Options of `createSessionForwarding`. */
 interface SessionForwardingOptions {
     readonly clock: Clock;
-    readonly directory: Pick<Directory, "routeOf" | "routingVersion">;
+    readonly directory: Pick<Directory, "routeOf" | "routingTable" | "routingVersion" | "workspaceOf">;
     readonly hosts: SessionHosts;
     readonly open: SessionOpener;
     readonly log: LogTopic;
@@ -21,7 +23,7 @@
 /** A session that is being opened. */
 interface NewSession {
     readonly connection: CallerConnection;
-    readonly database: string;
+    readonly opening: SessionOpening;
     readonly group: string;
     /** The workspace whose host is chosen; undefined when any host serves the session, or no other one is tried. */
     readonly workspace: string | undefined;
@@ -35,21 +37,22 @@
  * @returns The forwarding.
  *
  * @example
- * const session = forwarding.forward(connection, "shop", createLocal) ?? createLocal();
+ * const session = forwarding.forward(connection, { database: "shop", keyDigest }, createLocal) ?? createLocal();
  */
 export function createSessionForwarding(options: SessionForwardingOptions): SessionForwarding {
     const { clock, directory, hosts, log } = options;
     let newestHostRoutingVersion = 0;
 
     function forwardTo(host: VmIdentity, session: NewSession): CallerSession {
-        const { connection, database, group, workspace, createLocal } = session;
+        const { connection, opening, group, workspace, createLocal } = session;
+        const { database } = opening;
         log("session is forwarded", { database, group, host: host.name });
         return createForwardedSession({
             clock,
             connection,
             database,
             hostName: host.name,
-            hosted: options.open(host, database),
+            hosted: options.open(host, opening),
             createLocal: workspace === undefined ? createLocal : () => createAfterLoss(host, session),
             routingVersion: () => Math.max(directory.routingVersion(), newestHostRoutingVersion),
             onRoutingVersion: version => {
@@ -70,12 +73,12 @@
     }
 
     return {
-        forward: (connection, database, createLocal, workspace) => {
-            const group = directory.routeOf(database)?.group;
-            const host = group === undefined ? undefined : hosts.hostOf(group, workspace);
-            return group === undefined || host === undefined
-                ? undefined
-                : forwardTo(host, { connection, database, group, workspace, createLocal });
+        forward: (connection, opening, createLocal) => {
+            const { database, keyDigest } = opening;
+            const route = directory.routeOf(database);
+            const workspace = route && identifyCaller(route, keyDigest, directory)?.workspace?.name;
+            const host = route && hosts.hostOf(route.group, workspace);
+            return host && forwardTo(host, { connection, opening, group: route.group, workspace, createLocal });
         },
     };
 }
--- a/src/forwarding/createSessionForwarding/test.ts
+++ b/src/forwarding/createSessionForwarding/test.ts
@@ -127,15 +127,19 @@
 describe("sessions of a workspace", () => {
     const names = Array.from({ length: 3 * vmCount }, (_, index) => `vm-${index}`);
     const vms = names.map((name, index) => createVmIdentity(name, { availabilityZone: "abc"[index % 3]! }));
+    const opening = { database: "shop", keyDigest: "digest" };
     const write = { kind: StatementKind.Write as const, text: "WRITE a b" };
 
     /** Creates the forwarding of one VM; hosts answer with their name unless they were killed. */
     function createVm(self: VmIdentity, killedNames: ReadonlySet<string>) {
         const clock = createManualClock();
         const others = vms.filter(vm => vm !== self);
+        const directory = createPopulatedDirectory(clock, []);
+        const workspaces = [{ name: "museum-shops", keyDigests: ["digest"], priority: 1 }];
+        directory.applyRoutingTable({ ...directory.routingTable()!, version: 2, workspaces });
         const forwarding = createSessionForwarding({
             clock,
-            directory: createPopulatedDirectory(clock, []),
+            directory,
             hosts: createSessionHosts({
                 clock,
                 self,
@@ -160,7 +164,7 @@
         });
 
         /** Opens a session and runs one statement; returns the name of the VM that ran it. */
-        return async (workspace: string): Promise<string> => {
+        return async (): Promise<string> => {
             let ranAt = "";
             const local: CallerSession = {
                 isInTransaction: () => false,
@@ -182,7 +186,7 @@
                 refuse: () => {},
                 close: () => {},
             };
-            const session = forwarding.forward(connection, "shop", () => local, workspace) ?? local;
+            const session = forwarding.forward(connection, opening, () => local) ?? local;
             await session.handle({ id: "q1", statement: write, receivedAt: 0 });
             return ranAt;
         };
@@ -191,17 +195,17 @@
     it("move to the next host when the one with all connections of the workspace is killed", async () => {
         const killedNames = new Set<string>();
         const runs = vms.map(vm => createVm(vm, killedNames));
-        const [first, ...rest] = new Set(await Promise.all(runs.map(run => run("museum-shops"))));
+        const [first, ...rest] = new Set(await Promise.all(runs.map(run => run())));
         assert.deepEqual(rest, []);
         killedNames.add(first!);
         const survivors = runs.filter((_, index) => names[index] !== first);
-        const [second, ...others] = new Set(await Promise.all(survivors.map(run => run("museum-shops"))));
+        const [second, ...others] = new Set(await Promise.all(survivors.map(run => run())));
         assert.deepEqual(others, [], "also the statements that find the host killed are run by the next one");
         assert.notEqual(second, first);
         names.forEach(name => killedNames.add(name));
         const lastName = vms.findLast(({ name }) => name !== first && name !== second)!.name;
         assert.equal(
-            await runs[names.indexOf(lastName)]!("museum-shops"),
+            await runs[names.indexOf(lastName)]!(),
             lastName,
             "after two losses this VM serves the session",
         );
