--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -85,6 +85,7 @@
         removals: z.array(z.object({ id: z.string(), ...storeVersion })).optional(),
         newsAgeMilliseconds: z.number().optional(),
     }),
+    routingTable,
     token: z.number(),
     endpointId: z.string(),
     recordedHolder: vm.extend({ writtenInEra: z.number().optional(), isHandedOver: z.boolean().optional() }),
--- a/src/forwarding/createHostLink/index.ts
+++ b/src/forwarding/createHostLink/index.ts
@@ -1,5 +1,6 @@
 import type { SessionOpening } from "../../callerSessions/types/SessionOpening.js";
 import type { Clock } from "../../clock/types/Clock.js";
+import type { RoutingTable } from "../../directory/types/RoutingTable.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { mayTakeEffect } from "../../statements/mayTakeEffect/index.js";
@@ -7,6 +8,7 @@
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import { forwardingConstants } from "../constants.js";
 import type { ForwardedAnswer } from "../types/ForwardedAnswer.js";
+import type { ForwardedStatement } from "../types/ForwardedStatement.js";
 import type { ForwardingClient } from "../types/ForwardingClient.js";
 import type { HostedSession } from "../types/HostedSession.js";
 import type { HostLink } from "../types/HostLink.js";
@@ -17,6 +19,8 @@
     readonly client: ForwardingClient;
     /** Name of the host. */
     readonly hostName: string;
+    /** Returns the routing table in force at this VM. */
+    readonly routingTable: () => RoutingTable | undefined;
     /** Prefix of the session keys; unique among all VMs. */
     readonly keyPrefix: string;
 }
@@ -39,10 +43,12 @@
  * @returns The link; the subscription to the host starts with the first session.
  *
  * @example
- * const session = createHostLink({ clock, client, hostName: "vm-2", keyPrefix: "vm-1-83" }).openSession({ database: "shop", keyDigest });
+ * const session = createHostLink({ clock, client, hostName: "vm-2", ...rest }).openSession({ database: "shop", keyDigest });
  */
 export function createHostLink(options: HostLinkOptions): HostLink {
     const { clock, client, hostName, keyPrefix } = options;
+    /** Newest version of the routing table that the host has or was sent; undefined before its first answer. */
+    let hostRoutingVersion: number | undefined;
     const sessions = new Map<string, LinkedSession>();
     let closedKeys: string[] = [];
     let isCloseScheduled = false;
@@ -92,6 +98,7 @@
     /** The connection is lost, and with it all sessions. */
     function end(): void {
         subscribed = undefined;
+        hostRoutingVersion = undefined;
         answeredAt = -Infinity;
         closedKeys = [];
         [...sessions.keys()].forEach(closeByHost);
@@ -121,6 +128,18 @@
         return { closedKeys: taken };
     }
 
+    /** A host that this VM knows to have an older routing table would otherwise wait for news from elsewhere. */
+    function takeNewerTable(): Pick<ForwardedStatement, "routingTable"> {
+        const routingTable = options.routingTable();
+        if (
+            hostRoutingVersion === undefined || routingTable === undefined || routingTable.version <= hostRoutingVersion
+        ) {
+            return {};
+        }
+        hostRoutingVersion = routingTable.version;
+        return { routingTable };
+    }
+
     function closeLater(key: string): void {
         closedKeys.push(key);
         if (!isCloseScheduled) {
@@ -160,10 +179,12 @@
                 sessionKey,
                 ...isOpened ? {} : opening,
                 ...takeClosedKeys(),
+                ...takeNewerTable(),
             });
             isRunning = false;
             isOpened = true;
             answeredAt = clock.now();
+            hostRoutingVersion = Math.max(hostRoutingVersion ?? 0, answer.routingVersion);
             session.state = answer.state;
             return answer;
         }
--- a/src/forwarding/createSessionHost/index.ts
+++ b/src/forwarding/createSessionHost/index.ts
@@ -2,6 +2,7 @@
 import { CallerCommandKind } from "../../callerSessions/types/CallerCommandKind.js";
 import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
 import type { Clock } from "../../clock/types/Clock.js";
+import type { RoutingTable } from "../../directory/types/RoutingTable.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
@@ -24,6 +25,8 @@
     readonly serve: (connection: CallerConnection) => void;
     /** Version of the routing table that is in force at this VM. */
     readonly routingVersion: () => number;
+    /** Applies a newer routing table, which came with a statement. */
+    readonly applyRoutingTable: (table: RoutingTable) => void;
     readonly log: LogTopic;
 }
 
@@ -178,8 +181,11 @@
     }
 
     async function run(forwarded: ForwardedStatement, connectionEnd: AbortSignal): Promise<ForwardedAnswer> {
-        const { sessionKey, id, statement, routingVersion, closedKeys = [] } = forwarded;
+        const { sessionKey, id, statement, routingVersion, routingTable, closedKeys = [] } = forwarded;
         close(closedKeys);
+        if (routingTable !== undefined) {
+            options.applyRoutingTable(routingTable);
+        }
         const session = sessions.get(sessionKey) ?? await openSession(forwarded, connectionEnd);
         const isIdle = session.state() === SessionState.Idle;
         if (isIdle && !await waitForRouting(routingVersion)) {
--- a/src/forwarding/types/ForwardedStatement.ts
+++ b/src/forwarding/types/ForwardedStatement.ts
@@ -1,3 +1,4 @@
+import type { RoutingTable } from "../../directory/types/RoutingTable.js";
 import type { Statement } from "../../statements/types/Statement.js";
 
 /** A caller's statement that is sent to the host of the session. */
@@ -13,6 +14,8 @@
     readonly statement: Statement;
     /** Newest version of the routing table known to the forwarding VM; the host applies no older one. */
     readonly routingVersion: number;
+    /** The sender's routing table; present when the host's last answer told an older version. */
+    readonly routingTable?: RoutingTable;
     /** Keys of sessions that the forwarding VM has closed since its last message. */
     readonly closedKeys?: readonly string[];
 }
