--- a/src/forwarding/createHostLink/test.ts
+++ b/src/forwarding/createHostLink/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { RoutingTable } from "../../directory/types/RoutingTable.js";
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { SessionState } from "../../statements/types/SessionState.js";
@@ -21,7 +22,13 @@
 /** Creates a link to a host that answers as long as `isAnswering` is set. */
 function createSite() {
     const clock = createManualClock();
-    const host = { isAnswering: true, messages: [] as string[], ran: [] as ForwardedStatement[] };
+    const host = {
+        isAnswering: true,
+        messages: [] as string[],
+        ran: [] as ForwardedStatement[],
+        /** The routing table of the forwarding VM. */
+        routingTable: undefined as RoutingTable | undefined,
+    };
     let observer: Parameters<ForwardingClient["watchClosed"]>[0] | undefined;
     const silence = new Promise<never>(() => {});
     const client: ForwardingClient = {
@@ -50,7 +57,13 @@
             return { unsubscribe: () => void host.messages.push("end of watch") };
         },
     };
-    const link = createHostLink({ clock, client, hostName: "vm-2", keyPrefix: "vm-1" });
+    const link = createHostLink({
+        clock,
+        client,
+        hostName: "vm-2",
+        routingTable: () => host.routingTable,
+        keyPrefix: "vm-1",
+    });
     const run = (session: ReturnType<typeof link.openSession>, id: string, statement: Statement) =>
         session.run({ id, statement, routingVersion: 1 });
     return { clock, host, link, run, observer: () => observer! };
@@ -69,6 +82,16 @@
         assert.deepEqual(host.ran.map(({ closedKeys }) => closedKeys), [undefined, ["vm-1-1"], ["vm-1-2"]]);
     });
 
+    it("sends its routing table once, with the first statement after the host told an older version", async () => {
+        const { host, link, run } = createSite();
+        host.routingTable = { version: 2, routes: [], groups: [], idleTransactionMilliseconds: 1 };
+        const session = link.openSession(opening);
+        for (const id of ["q1", "q2", "q3"]) {
+            await run(session, id, read);
+        }
+        assert.deepEqual(host.ran.map(({ routingTable }) => routingTable?.version), [undefined, 2, undefined]);
+    });
+
     it("names the database until the host has answered", async () => {
         const { host, link, run } = createSite();
         const session = link.openSession(opening);
--- a/src/forwarding/forwardingSchemas.ts
+++ b/src/forwarding/forwardingSchemas.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { dutySchemas } from "../duty/dutySchemas.js";
 import { AccessMode } from "../statements/types/AccessMode.js";
 import { StatementKind } from "../statements/types/StatementKind.js";
 
@@ -26,6 +27,7 @@
         id: z.string(),
         statement,
         routingVersion: z.number(),
+        routingTable: dutySchemas.routingTable.optional(),
         closedKeys: sessionKeys.optional(),
     }),
 } as const;
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -23,13 +23,6 @@
 import type { OwnedSession } from "../types/OwnedSession.js";
 import type { PooledSession } from "../types/PooledSession.js";
 
-/** An attempt to open a connection that failed. */
-interface FailedOpening {
-    readonly record: EndpointRecord;
-    readonly owner: string;
-    readonly reason: OpeningReason;
-}
-
 /**
  * Creates the pool of connections of one VM to one endpoint.
  *
@@ -150,7 +143,8 @@
         }
         const decision = decide(owner);
         const isReplacing = decision.kind === OpeningDecisionKind.Replace;
-        if (decision.kind === OpeningDecisionKind.Wait || isReplacing && !mayReplace) {
+        const isAllowed = isReplacing ? mayReplace : !pauses.isGrowthPaused();
+        if (decision.kind === OpeningDecisionKind.Wait || !isAllowed) {
             return false;
         }
         pauses.recordAttempt();
@@ -224,7 +218,7 @@
         }
         catch (error) {
             removeOpening(owner);
-            pauseAfter({ record, owner, reason }, error, clock.now() - startedAt);
+            pauseAfter(record, reason, error, clock.now() - startedAt);
             return;
         }
         removeOpening(owner);
@@ -251,11 +245,14 @@
         release(owned);
     }
 
-    function pauseAfter({ record, owner, reason }: FailedOpening, error: unknown, tookMilliseconds: number): void {
+    function pauseAfter(record: EndpointRecord, reason: OpeningReason, error: unknown, tookMilliseconds: number): void {
         const { kind, message } = toTypedError(error);
-        const isReplacing = () => reason === OpeningReason.Room && decide(owner).kind === OpeningDecisionKind.Replace;
         const pause = kind === ErrorKind.ConnectionLimitReached
-            ? pauses.recordRefusal(open.size + openingOwners.length, isReplacing, pace.recordRefusal())
+            ? pauses.recordRefusal(
+                open.size + openingOwners.length,
+                reason === OpeningReason.Replacement,
+                pace.recordRefusal(),
+            )
             : pauses.recordFailure();
         metrics.countConnection(kind);
         log("connection to an endpoint could not be opened", {
@@ -292,7 +289,7 @@
         close,
         openCount: owner => owner === undefined ? open.size : countByOwner(listOpenOwners()).get(owner) ?? 0,
         isOpeningSparingly: () =>
-            pace.isSparing() && (openingOwners.length > 0 || !pauses.isPaused() && open.size < limit()),
+            pace.isSparing() && (openingOwners.length > 0 || !pauses.isGrowthPaused() && open.size < limit()),
         isLimitLasting: () => pace.isLimitLasting() && open.size + openingOwners.length === 0,
         failingSince: () => open.size === 0 ? pauses.failingSince() : undefined,
         isFailing: () => pauses.hasFailed() && open.size === 0 && openingOwners.length === 0,
