--- a/src/admission/createWaitEstimate/index.ts
+++ b/src/admission/createWaitEstimate/index.ts
@@ -60,8 +60,11 @@
         return { count, updatedAt: clock.now() };
     }
 
-    function recordArrival(priority: number, caller: string): void {
+    function recordAdmission(priority: number): void {
         arrivalsByPriority.set(priority, addArrival(arrivalsByPriority.get(priority), arrivalMilliseconds));
+    }
+
+    function recordArrival(caller: string): void {
         const arrivals = addArrival(arrivalsByCaller.get(caller), fairShareMilliseconds);
         // Deleting first moves the caller to the end of the map, so that the first key is the least recently used.
         arrivalsByCaller.delete(caller);
@@ -125,6 +128,7 @@
     return {
         recordService,
         recordArrival,
+        recordAdmission,
         isBelowFairShare,
         expectedMilliseconds,
         neededMilliseconds,
--- a/src/admission/types/WaitEstimate.ts
+++ b/src/admission/types/WaitEstimate.ts
@@ -4,8 +4,10 @@
 export interface WaitEstimate {
     /** Records for how long a statement held its connection. */
     recordService(caller: string, milliseconds: number): void;
-    /** Records that a caller's statement of a class began to wait. */
-    recordArrival(priority: number, caller: string): void;
+    /** Records a caller's statement that no connection was free for. */
+    recordArrival(caller: string): void;
+    /** Records a statement of a class that is not refused at once: others may have to wait for it. */
+    recordAdmission(priority: number): void;
     /** Whether a caller's recent statements need less than its fair share of the connections. */
     isBelowFairShare(caller: string, connections: number): boolean;
     /** Expected wait in milliseconds, infinite when it would never be served; undefined without evidence. */
--- a/src/placement/createEarlyRefusal/index.ts
+++ b/src/placement/createEarlyRefusal/index.ts
@@ -177,7 +177,8 @@
     }
 
     return {
-        recordArrival: request => laneOf(request)?.estimate.recordArrival(request.priority, ownerOf(request)),
+        recordArrival: request => laneOf(request)?.estimate.recordArrival(ownerOf(request)),
+        recordAdmission: request => laneOf(request)?.estimate.recordAdmission(request.priority),
         recordHeld,
         listRefused,
         refusesArrival,
--- a/src/placement/createWaitingStatements/index.ts
+++ b/src/placement/createWaitingStatements/index.ts
@@ -84,6 +84,9 @@
         if (!entry.waiter.isSettled && earlyRefusal.refusesArrival(request, listRequests)) {
             refuseAtOnce(entry, "The expected wait for a connection is longer than the time left.");
         }
+        else {
+            earlyRefusal.recordAdmission(request);
+        }
         if (queue.length > placementConstants.maximumWaitingStatements) {
             refuseAtOnce(queue.dropFor(entry) ?? entry, "Too many statements wait for a connection.");
         }
--- a/src/placement/types/EarlyRefusal.ts
+++ b/src/placement/types/EarlyRefusal.ts
@@ -2,8 +2,10 @@
 
 /** The decision which of a group's waiting statements are refused at once, because they cannot be served in time. */
 export interface EarlyRefusal {
-    /** Records that a statement began to wait. */
+    /** Records a statement that no connection was free for. */
     recordArrival(request: PlacementRequest): void;
+    /** Records that a statement waits and was not refused at once. */
+    recordAdmission(request: PlacementRequest): void;
     /** Records for how long a statement held its connection. */
     recordHeld(owner: string, isPrimary: boolean, milliseconds: number): void;
     /** Lists the statements to refuse, given all that wait in the order of service. */
