Admit waits of two turns, and leave a statement's service out of the bound of its wait

With transactions that hold connections for a while, a wait of a quarter of the target was refused although the statement would have ended in time: what a statement needs after its wait was taken off after the share and not before.

--- a/src/admission/constants.ts
+++ b/src/admission/constants.ts
@@ -35,9 +35,11 @@
     serviceEvidenceMilliseconds: 1_000,
     /** Bound of one measured service time, relative to the mean, so that a stall is no evidence of slow service. */
     maximumServiceFactor: 4,
+    /** Turns of the connections for which statements may always wait. */
+    admittedTurns: 2,
     /**
-     * Share of the time to a statement's target latency that its wait may use during an overload. Callers try a refused
-     * statement up to three times.
+     * Share of the time to a statement's target latency, without its service, that its wait may use during an overload:
+     * callers try a refused statement up to three times.
      */
     attemptTargetShare: 1 / 3,
     /** Time constant of the moving rate of arrivals, in milliseconds. */
--- a/src/admission/createWaitEstimate/index.ts
+++ b/src/admission/createWaitEstimate/index.ts
@@ -22,7 +22,7 @@
  * @returns The estimate, without evidence.
  *
  * @example
- * const wait = estimate.expectedMilliseconds({ priority: 1, ahead: 12, aheadInClass: 3, connections: 4, targetMilliseconds: 80 });
+ * const wait = estimate.expectedMilliseconds({ priority: 1, ahead: 12, aheadInClass: 3, connections: 4, waitMilliseconds: 80 });
  */
 export function createWaitEstimate(clock: Clock): WaitEstimate {
     const {
@@ -105,7 +105,7 @@
     }
 
     function expectedMilliseconds(place: QueuePlace): number | undefined {
-        const { priority, ahead, aheadInClass, connections, targetMilliseconds } = place;
+        const { priority, ahead, aheadInClass, connections, waitMilliseconds } = place;
         const isOld = clock.now() - sampledAt > serviceEvidenceMilliseconds;
         if (sampleCount < minimumServiceSamples || isOld || connections === 0) {
             return undefined;
@@ -120,7 +120,7 @@
             return Math.min(inOrder, byFloor);
         };
         const timelyWait = waitIn(0);
-        return timelyWait + neededMilliseconds() <= targetMilliseconds
+        return timelyWait <= waitMilliseconds
             ? timelyWait
             : waitIn(loadOf(turnMilliseconds, other => other === priority));
     }
--- a/src/admission/types/QueuePlace.ts
+++ b/src/admission/types/QueuePlace.ts
@@ -6,6 +6,6 @@
     readonly aheadInClass: number;
     /** Number of connections that serve the queue. */
     readonly connections: number;
-    /** Time within which it should end, in milliseconds; negative when it is late already. */
-    readonly targetMilliseconds: number;
+    /** Wait after which it would end too late, in milliseconds; negative when it is late already. */
+    readonly waitMilliseconds: number;
 }
--- a/src/placement/createEarlyRefusal/index.ts
+++ b/src/placement/createEarlyRefusal/index.ts
@@ -76,7 +76,7 @@
     function computeRatio(request: PlacementRequest, { estimate }: Lane, walk: Walk, targetShare: number): number {
         const { priority, expiresAt, targetAt } = request;
         const aheadInClass = walk.aheadByPriority.get(priority) ?? 0;
-        if (walk.ahead < walk.connections || aheadInClass === 0) {
+        if (walk.ahead < admissionConstants.admittedTurns * walk.connections || aheadInClass === 0) {
             // A connection that is released, or a turn that a class is owed, needs a statement that waits for it.
             return 0;
         }
@@ -88,7 +88,9 @@
             ahead: walk.ahead,
             aheadInClass,
             connections: walk.connections,
-            targetMilliseconds: isBelowShare ? Infinity : targetShare * ((targetAt ?? Infinity) - now),
+            waitMilliseconds: isBelowShare
+                ? Infinity
+                : targetShare * ((targetAt ?? Infinity) - now - estimate.neededMilliseconds()),
         });
         return expected === undefined ? 0 : expected / Math.max(expiresAt - now, 1);
     }
--- a/src/placement/createWaitingStatements/test.ts
+++ b/src/placement/createWaitingStatements/test.ts
@@ -125,6 +125,24 @@
         assert.ok(lines.filter(line => line.startsWith("statement refused at once")).length <= 6);
     });
 
+    it("does not keep up refusals because callers try again at once", async () => {
+        const host = createHost(7);
+        const impatient = Array.from({ length: 4 }, async () => {
+            let refusalCount = 0;
+            while (host.clock.now() < 4_000) {
+                const [outcome] = await host.offer({
+                    owner: "clover",
+                    operationsPerSecond: 1_000,
+                    milliseconds: 0.001,
+                });
+                refusalCount += outcome!.refusalCount;
+            }
+            return refusalCount;
+        });
+        await host.clock.advance(12_000);
+        assert.deepEqual(await Promise.all(impatient), [0, 0, 0, 0]);
+    });
+
     it("refuses nobody during a short stall of the endpoint", async () => {
         const host = createHost(5);
         const load = host.offer({ owner: "clover", operationsPerSecond: 50, milliseconds: 4_000 });
