--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -9,8 +9,10 @@
 import { placementConstants } from "../constants.js";
 import { countByOwner } from "../countByOwner/index.js";
 import { createEvictionLog } from "../createEvictionLog/index.js";
+import { createOpeningPace } from "../createOpeningPace/index.js";
 import { createOpeningPauses } from "../createOpeningPauses/index.js";
 import { createOpeningWishes } from "../createOpeningWishes/index.js";
+import { createOwnedSession } from "../createOwnedSession/index.js";
 import { decideOpening } from "../decideOpening/index.js";
 import { sortByConnectionCount } from "../sortByConnectionCount/index.js";
 import type { EndpointSessionPool } from "../types/EndpointSessionPool.js";
@@ -43,6 +45,7 @@
     const wishes = createOpeningWishes(clock);
     const logEviction = createEvictionLog(clock, log);
     const pauses = createOpeningPauses(clock);
+    const pace = createOpeningPace(options);
     let isPolling = false;
     let lastEvictionAt = -Infinity;
     let isClosed = false;
@@ -94,6 +97,13 @@
         idle.push(session);
         openForWishes();
         options.onChange();
+        if (pace.isSparing() && idle.includes(session)) {
+            closeIdle(session);
+        }
+    }
+
+    function limit(): number {
+        return pace.isSparing() ? Math.min(options.sparingLimit(), options.limit()) : options.limit();
     }
 
     function listOpenOwners(): string[] {
@@ -105,7 +115,7 @@
     }
 
     function decide(owner: string): OpeningDecision<OwnedSession> {
-        const occupancy = { idle, counts: countConnections(), limit: options.limit() };
+        const occupancy = { idle, counts: countConnections(), limit: limit() };
         return decideOpening(owner, occupancy, { refusal: pauses.lastRefusal(), lastEvictionAt }, clock.now());
     }
 
@@ -123,7 +133,7 @@
     }
 
     function tryOpenAhead(owner: string): boolean {
-        return !openingOwners.includes(owner) && start(owner, false);
+        return !pace.isSparing() && !openingOwners.includes(owner) && start(owner, false);
     }
 
     function start(owner: string, mayReplace: boolean): boolean {
@@ -213,6 +223,7 @@
         }
         removeOpening(owner);
         pauses.recordSuccess();
+        pace.recordOpened();
         metrics.countConnection();
         metrics.countOpening?.(classifyOwner(owner), reason);
         add(session, record, owner);
@@ -223,18 +234,7 @@
     }
 
     function add(session: EndpointSession, record: EndpointRecord, owner: string): void {
-        const openedAt = clock.now();
-        const owned: OwnedSession = {
-            session,
-            owner,
-            openedAt,
-            lastServedAt: undefined,
-            isServingOwner: false,
-            endpointStartedAt: record.startedAt,
-            idleSince: openedAt,
-            values: new Map(),
-            prepared: new Set(),
-        };
+        const owned = createOwnedSession(session, record, owner, clock.now());
         open.set(owned, owned);
         session.onClose(() => {
             removeIdle(owned);
@@ -248,7 +248,11 @@
     function pauseAfter(record: EndpointRecord, reason: OpeningReason, error: unknown, tookMilliseconds: number): void {
         const { kind, message } = toTypedError(error);
         const pause = kind === ErrorKind.ConnectionLimitReached
-            ? pauses.recordRefusal(open.size + openingOwners.length, reason === OpeningReason.Replacement)
+            ? pauses.recordRefusal(
+                open.size + openingOwners.length,
+                reason === OpeningReason.Replacement,
+                pace.recordRefusal(),
+            )
             : pauses.recordFailure();
         metrics.countConnection(kind);
         log("connection to an endpoint could not be opened", {
@@ -284,6 +288,9 @@
         closeUnused,
         close,
         openCount: owner => owner === undefined ? open.size : countByOwner(listOpenOwners()).get(owner) ?? 0,
+        isOpeningSparingly: () =>
+            pace.isSparing() && (openingOwners.length > 0 || !pauses.isPaused() && open.size < limit()),
+        isLimitLasting: () => pace.isLimitLasting() && open.size + openingOwners.length === 0,
         failingSince: () => open.size === 0 ? pauses.failingSince() : undefined,
         isFailing: () => pauses.hasFailed() && open.size === 0 && openingOwners.length === 0,
     };
--- a/src/placement/createEndpointSessionPool/test.ts
+++ b/src/placement/createEndpointSessionPool/test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createOwnedEndpoint } from "../../testing/createOwnedEndpoint/index.js";
@@ -20,6 +21,8 @@
     const state = { startedAt: 1, isHolding: true, held: [] as PooledSession[] };
     const pool = createEndpointSessionPool({
         clock,
+        random: createRandomSource(1),
+        startedAt: 0,
         open: async (record, owner, timeoutMilliseconds) => {
             const session = await endpoint.open(record, owner, timeoutMilliseconds);
             ownersBySession.set(session, owner);
@@ -27,6 +30,7 @@
         },
         record: () => createEndpointRecord({ startedAt: state.startedAt }),
         limit: () => limit,
+        sparingLimit: () => limit,
         isHolding: () => state.isHolding,
         onChange: () => {},
         metrics: { countConnection: () => {} },
--- a/src/placement/createOpeningPauses/index.ts
+++ b/src/placement/createOpeningPauses/index.ts
@@ -17,7 +17,7 @@
      * Records that the endpoint refused a connection because it held too many; returns the pause in milliseconds, which
      * is shorter for a connection in place of another one, unless such a one was refused.
      */
-    recordRefusal(connectionCount: number, isReplacement: boolean): number;
+    recordRefusal(connectionCount: number, isReplacement: boolean, limitPauseMilliseconds: number): number;
     /** Whether the last attempt failed. */
     hasFailed(): boolean;
     /** When the first of the failures in a row was; refusals do not count. */
@@ -54,13 +54,14 @@
         return pause(Math.min(initialReopenMilliseconds * 2 ** (failureCount - 1), maximumReopenMilliseconds));
     }
 
-    function recordRefusal(connectionCount: number, isReplacement: boolean): number {
-        const { replacementPauseMilliseconds, connectionLimitPauseMilliseconds } = placementConstants;
+    function recordRefusal(connectionCount: number, isReplacement: boolean, limitPauseMilliseconds: number): number {
         failureCount += 1;
         refusal = { at: clock.now(), connectionCount };
         return pause(
-            connectionLimitPauseMilliseconds,
-            isReplacement ? connectionLimitPauseMilliseconds : replacementPauseMilliseconds,
+            limitPauseMilliseconds,
+            isReplacement
+                ? limitPauseMilliseconds
+                : Math.min(limitPauseMilliseconds, placementConstants.replacementPauseMilliseconds),
         );
     }
 
--- a/src/placement/createPlacement/test.ts
+++ b/src/placement/createPlacement/test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { EndpointSession } from "../../statements/types/EndpointSession.js";
 import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
 import { SessionState } from "../../statements/types/SessionState.js";
@@ -69,13 +70,14 @@
 
     const placement = createPlacement({
         clock,
+        random: createRandomSource(1),
         directory,
         primaries,
         open,
         vmLocation,
         vmCount: () => 8,
         isHolding: () => site.isHolding,
-        metrics: { countConnection: () => {}, registerGauge: () => {} },
+        metrics: { countConnection: () => {}, countWaitRefusal: () => {}, registerGauge: () => {} },
         log: () => {},
     });
 
@@ -188,13 +190,14 @@
         const directory = createPopulatedDirectory(clock, records);
         const placement = createPlacement({
             clock,
+            random: createRandomSource(1),
             directory,
             primaries: createPrimaries(clock, directory, () => {}),
             open: () => Promise.reject(new Error("refused")),
             vmLocation,
             vmCount: () => 8,
             isHolding: () => true,
-            metrics: { countConnection: () => {}, registerGauge: () => {} },
+            metrics: { countConnection: () => {}, countWaitRefusal: () => {}, registerGauge: () => {} },
             log: () => {},
         });
         const request = { group: "orders", endpointId: "i-1", needsPrimary: false, priority: -1, expiresAt: 400 };
--- a/src/placement/types/EndpointSessionPool.ts
+++ b/src/placement/types/EndpointSessionPool.ts
@@ -23,6 +23,10 @@
     openCount(owner?: string): number;
     /** Whether the last attempt to open a connection failed and none is open. */
     isFailing(): boolean;
+    /** Whether a connection is opened, or can be, while this VM leaves places to other VMs: one endpoint is enough then. */
+    isOpeningSparingly(): boolean;
+    /** Whether the endpoint's connection limit has left this VM without a connection for several attempts. */
+    isLimitLasting(): boolean;
     /** Since when the endpoint has accepted no connection; undefined while one is open or none was refused. */
     failingSince(): number | undefined;
     /** Closes connections that have been idle for a while, unless this VM is meant to hold connections. */
