--- a/src/placement/createEndpointSessionPool/test.ts
+++ b/src/placement/createEndpointSessionPool/test.ts
@@ -1,10 +1,12 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createOwnedEndpoint } from "../../testing/createOwnedEndpoint/index.js";
 import { workspaceConstants } from "../../workspaces/constants.js";
+import { placementConstants } from "../constants.js";
 import type { PooledSession } from "../types/PooledSession.js";
 import { createEndpointSessionPool } from "./index.js";
 
@@ -20,6 +22,9 @@
     const state = { startedAt: 1, isHolding: true, held: [] as PooledSession[] };
     const pool = createEndpointSessionPool({
         clock,
+        random: createRandomSource(1),
+        startedAt: -2 * placementConstants.darkConnectionMilliseconds,
+        sparingLimit: () => 1,
         open: async (record, owner, timeoutMilliseconds) => {
             const session = await endpoint.open(record, owner, timeoutMilliseconds);
             ownersBySession.set(session, owner);
--- a/src/placement/createOpeningPlan/test.ts
+++ b/src/placement/createOpeningPlan/test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
 import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
@@ -28,6 +29,7 @@
     const counts = { evictions: 0, openingWaits: 0, lines: 0 };
     const placement = createPlacement({
         clock,
+        random: createRandomSource(1),
         directory,
         primaries: createPrimaries(clock, directory, () => {}),
         open: endpoint.open,
@@ -36,6 +38,7 @@
         isHolding: () => true,
         metrics: {
             countConnection: () => {},
+            countWaitRefusal: () => {},
             countEviction: () => counts.evictions += 1,
             countOpeningWait: () => counts.openingWaits += 1,
             registerGauge: () => {},
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -1,8 +1,7 @@
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
-import { createWaiter } from "../../waiting/createWaiter/index.js";
-import type { Waiter } from "../../waiting/types/Waiter.js";
+import { RefusalMoment } from "../../metrics/types/RefusalMoment.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
 import { countOpeningWait } from "../countOpeningWait/index.js";
@@ -11,18 +10,16 @@
 import { createEndpointSessionPool } from "../createEndpointSessionPool/index.js";
 import { createLatencyEstimate } from "../createLatencyEstimate/index.js";
 import { createOpeningPlan } from "../createOpeningPlan/index.js";
+import { createReadPauses } from "../createReadPauses/index.js";
 import { createUnusedCheck } from "../createUnusedCheck/index.js";
+import { createWaitingStatements } from "../createWaitingStatements/index.js";
+import { registerPlacementGauges } from "../registerPlacementGauges/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
 import type { Placement } from "../types/Placement.js";
 import type { PlacementOptions } from "../types/PlacementOptions.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
 import type { PlacementTarget } from "../types/PlacementTarget.js";
-
-/** A request that waits for a connection. */
-interface WaitingRequest {
-    readonly request: PlacementRequest;
-    readonly waiter: Waiter<AcquiredConnection>;
-}
+import type { WaitingStatements } from "../types/WaitingStatements.js";
 
 /**
  * Creates the placement of statements on endpoints.
@@ -39,8 +36,10 @@
  */
 export function createPlacement(options: PlacementOptions): Placement {
     const { clock, directory, primaries, log } = options;
+    const startedAt = clock.now();
     const targets = new Map<string, PlacementTarget>();
-    const waitingByGroup = new Map<string, WaitingRequest[]>();
+    const waitingByGroup = new Map<string, WaitingStatements>();
+    const readPauses = createReadPauses(clock, targetOf, dispatch);
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
     const scheduleWarmup = createConnectionWarmup(clock, listWarmGroups);
@@ -51,11 +50,9 @@
         scheduleWarmup();
     });
     primaries.onChange(dispatch);
-    options.metrics.registerGauge("tarragonpost_waiting_statements", "Statements that wait for a connection.", () => {
-        return [...waitingByGroup.values()].reduce((sum, waiting) => sum + waiting.length, 0);
-    });
-    options.metrics.registerGauge("tarragonpost_open_connections", "Connections to endpoints that are open.", () => {
-        return [...targets.values()].reduce((sum, { pool }) => sum + pool.openCount(), 0);
+    registerPlacementGauges(options.metrics, {
+        listWaiting: () => [...waitingByGroup.values()],
+        listPools: () => [...targets.values()].map(({ pool }) => pool),
     });
 
     function connectionLimit(group: string): number {
@@ -64,11 +61,17 @@
         return computeVmConnectionLimit(endpointLimit, options.vmCount(group), hasWorkspaces);
     }
 
+    /** Connections of this VM while the endpoint may still count as many of before the start as all VMs may hold. */
+    function sparingLimit(group: string): number {
+        const endpointLimit = directory.groupSettings(group)?.connectionLimit ?? 0;
+        return Math.max(Math.floor(endpointLimit / options.vmCount(group)) - connectionLimit(group), 1);
+    }
+
     /** The groups whose connections this VM holds for workspaces. */
     function listWarmGroups() {
         return directory.groups().filter(options.isHolding).map(group => ({
             pools: directory.endpointsOf(group).filter(({ isLeaving }) => !isLeaving).map(each => targetOf(each).pool),
-            hasWaiting: (waitingByGroup.get(group)?.length ?? 0) > 0,
+            hasWaiting: (waitingByGroup.get(group)?.countWaiting() ?? 0) > 0,
             listWorkspaces: () => options.listHostedWorkspaces?.(group) ?? [],
         }));
     }
@@ -80,9 +83,12 @@
             target = {
                 pool: createEndpointSessionPool({
                     clock,
+                    random: options.random,
+                    startedAt,
                     open: options.open,
                     record: () => directory.endpoint(id),
                     limit: () => connectionLimit(group),
+                    sparingLimit: () => sparingLimit(group),
                     isHolding: () => options.isHolding(group),
                     onChange: () => {
                         scheduleUnusedCheck();
@@ -111,45 +117,66 @@
         }
     }
 
+    function waitingOf(group: string): WaitingStatements {
+        let waiting = waitingByGroup.get(group);
+        if (waiting === undefined) {
+            waiting = createWaitingStatements({
+                clock,
+                group,
+                tryAcquire,
+                countConnections: needsPrimary => countConnections(group, needsPrimary),
+                metrics: options.metrics,
+                log,
+            });
+            waitingByGroup.set(group, waiting);
+        }
+        return waiting;
+    }
+
+    function countConnections(group: string, needsPrimary: boolean): number {
+        const primaryId = primaries.primaryOf(group)?.id;
+        return directory.endpointsOf(group)
+            .filter(({ id }) => !needsPrimary || id === primaryId)
+            .reduce((sum, { id }) => sum + (targets.get(id)?.pool.openCount() ?? 0), 0);
+    }
+
     function acquire(request: PlacementRequest): Promise<AcquiredConnection> {
-        const waiting = waitingByGroup.get(request.group) ?? [];
-        waitingByGroup.set(request.group, waiting);
+        const waiting = waitingOf(request.group);
         const plan = createOpeningPlan();
-        const connection = waiting.length === 0 ? tryAcquire(request, plan) : undefined;
+        const connection = waiting.countWaiting() === 0 ? tryAcquire(request, plan) : undefined;
         plan.start();
         if (connection !== undefined) {
             return Promise.resolve(connection);
         }
+        if (isLimitLasting(request)) {
+            options.metrics.countWaitRefusal(RefusalMoment.AtOnce, request.priority);
+            return Promise.reject(createLimitLasting(request.group));
+        }
         const unreachableId = findUnreachable(request);
         if (unreachableId !== undefined) {
             return Promise.reject(createUnreachable(unreachableId));
         }
-        const waiter = createWaiter<AcquiredConnection>({
-            clock,
-            timeoutMilliseconds: request.expiresAt - clock.now(),
-            signal: request.signal,
-            onTimeout: () => {
-                waiting.splice(waiting.indexOf(entry), 1);
-            },
-            createTimeoutError: () =>
-                createError(
-                    ErrorKind.Overloaded,
-                    `No connection to an endpoint of ${request.group} became available in time.`,
-                    {
-                        remedy: "Send the request again after a pause.",
-                    },
-                ),
-        });
-        const entry: WaitingRequest = { request, waiter };
-        const index = waiting.findIndex(other => other.request.priority > request.priority);
-        waiting.splice(index < 0 ? waiting.length : index, 0, entry);
         countOpeningWait(
             options.metrics,
             request.owner,
             () => listCandidates(request).map(each => targetOf(each).pool),
         );
-        dispatch(request.group);
-        return waiter.promise;
+        return waiting.wait(request);
+    }
+
+    /** Whether each endpoint that could serve a caller's request has no place left for a connection of this VM. */
+    function isLimitLasting(request: PlacementRequest): boolean {
+        const isSpecific = request.endpointId !== undefined || request.needsPrimary;
+        const candidates = isSpecific ? listCandidates(request) : directory.endpointsOf(request.group);
+        return request.priority >= 0
+            && candidates.length > 0
+            && candidates.every(({ id }) => targets.get(id)?.pool.isLimitLasting() === true);
+    }
+
+    function createLimitLasting(group: string): Error {
+        return createError(ErrorKind.Overloaded, `The endpoints of ${group} accept no more connections now.`, {
+            remedy: "Send the request again after a pause.",
+        });
     }
 
     /** Finds the one endpoint that could serve a request, if it is not expected to accept a connection in time. */
@@ -184,22 +211,7 @@
     }
 
     function dispatch(group: string): void {
-        const waiting = waitingByGroup.get(group);
-        if (waiting === undefined || waiting.length === 0) {
-            return;
-        }
-        const plan = createOpeningPlan();
-        for (const entry of [...waiting]) {
-            if (entry.waiter.isSettled) {
-                continue;
-            }
-            const connection = tryAcquire(entry.request, plan);
-            if (connection !== undefined) {
-                waiting.splice(waiting.indexOf(entry), 1);
-                entry.waiter.resolve(connection);
-            }
-        }
-        plan.start();
+        waitingByGroup.get(group)?.dispatch();
     }
 
     /** Acquires an idle connection; plans to open one at each preferred endpoint that has none. */
@@ -211,15 +223,15 @@
             const target = targetOf(endpoint);
             const pooled = target.pool.acquire(request.values, request.owner);
             if (pooled !== undefined) {
-                return createAcquiredConnection({
-                    clock,
-                    endpoint,
-                    target,
-                    pooled,
-                    isPrimary: endpoint.id === primaries.primaryOf(endpoint.group)?.id,
-                });
+                const isPrimary = endpoint.id === primaries.primaryOf(endpoint.group)?.id;
+                const onEnd = (milliseconds: number): void =>
+                    waitingOf(request.group).recordHeld(request, isPrimary, milliseconds);
+                return createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary, onEnd });
             }
             plan.add(target, request);
+            if (target.pool.isOpeningSparingly()) {
+                return undefined;
+            }
         }
         return undefined;
     }
@@ -247,28 +259,6 @@
             .sort((left, right) => cost(left) - cost(right));
     }
 
-    function pause(endpoint: EndpointRecord, milliseconds: number): void {
-        targetOf(endpoint).pausedUntil = clock.now() + milliseconds;
-        void clock.sleep(milliseconds + 1).then(() => dispatch(endpoint.group));
-    }
-
-    function recordLagging(endpoint: EndpointRecord): void {
-        const target = targetOf(endpoint);
-        const {
-            initialLagPauseMilliseconds,
-            maximumLagPauseMilliseconds,
-        } = placementConstants;
-        target.lagPauseMilliseconds = Math.min(
-            Math.max(2 * target.lagPauseMilliseconds, initialLagPauseMilliseconds),
-            maximumLagPauseMilliseconds,
-        );
-        pause(endpoint, target.lagPauseMilliseconds);
-    }
-
-    function recordBusy(endpoint: EndpointRecord): void {
-        pause(endpoint, placementConstants.busyPauseMilliseconds);
-    }
-
     async function stop(): Promise<void> {
         for (const target of targets.values()) {
             target.pool.close();
@@ -277,8 +267,8 @@
 
     return {
         acquire,
-        recordLagging,
-        recordBusy,
+        recordLagging: readPauses.recordLagging,
+        recordBusy: readPauses.recordBusy,
         lastContactAt: endpointId => targets.get(endpointId)?.lastContactAt ?? -Infinity,
         stop,
     };
--- a/src/placement/types/PlacementOptions.ts
+++ b/src/placement/types/PlacementOptions.ts
@@ -3,6 +3,7 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
+import type { RandomSource } from "../../random/types/RandomSource.js";
 import type { createLatencyEstimate } from "../createLatencyEstimate/index.js";
 import type { ConnectionMetrics } from "./ConnectionMetrics.js";
 import type { EndpointOpener } from "./EndpointOpener.js";
@@ -10,6 +11,7 @@
 /** Options of `createPlacement`. */
 export interface PlacementOptions {
     readonly clock: Clock;
+    readonly random: RandomSource;
     readonly directory: Directory;
     readonly primaries: Primaries;
     readonly open: EndpointOpener;
@@ -21,6 +23,6 @@
     readonly isHolding: (group: string) => boolean;
     /** Returns the names of the workspaces whose sessions this VM serves for a group, the largest first. */
     readonly listHostedWorkspaces?: (group: string) => readonly string[];
-    readonly metrics: ConnectionMetrics & Pick<Metrics, "registerGauge">;
+    readonly metrics: ConnectionMetrics & Pick<Metrics, "countWaitRefusal" | "registerGauge">;
     readonly log: LogTopic;
 }
