Open one connection for a statement of a workspace, and let less urgent statements yield

A read that found no connection of its workspace opened one at each endpoint of the group and evicted others everywhere. It now opens one, at the first endpoint that allows it, and at another one when that opening takes long. Evictions follow the priorities of statements: an owner of less urgent ones takes a connection in use in intervals only. A connection that was opened ahead yields to an owner without any. While an endpoint refuses more, an owner without a connection asks again after a pause, so that a released connection makes room first.

The tests of src/placement that are touched pass; no other test was run.

--- a/src/placement/chooseEvicted/test.ts
+++ b/src/placement/chooseEvicted/test.ts
@@ -11,12 +11,17 @@
 
 /** Creates an idle connection that was opened long ago and served its owner last this many milliseconds ago. */
 function createCandidate(owner: string, idleMilliseconds: number, changes: Partial<EvictionCandidate> = {}) {
-    return { owner, openedAt: 0, lastServedAt: now - idleMilliseconds, ...changes };
+    return { owner, priority: 1, openedAt: 0, lastServedAt: now - idleMilliseconds, ...changes };
 }
 
-function choose(owner: string, idle: readonly EvictionCandidate[], busyOwners: readonly string[] = []) {
-    const counts = countByOwner([...idle.map(candidate => candidate.owner), ...busyOwners]);
-    return chooseEvicted(owner, { idle, counts, limit }, now);
+function choose(
+    owner: string,
+    idle: readonly EvictionCandidate[],
+    busyOwners: readonly string[] = [],
+    { priority = 1, lastLessUrgentAt = -Infinity } = {},
+) {
+    const counts = countByOwner([...idle, ...busyOwners.map(owner => ({ owner }))]);
+    return chooseEvicted({ owner, priority }, { idle, counts, limit }, { lastLessUrgentAt }, now);
 }
 
 describe("chooseEvicted", () => {
@@ -51,6 +56,25 @@
         assert.equal(choose("new", [unservedOf(unservedResidenceMilliseconds)])?.owner, "other");
     });
 
+    it("chooses connections of less urgent statements first, and those of urgent ones in use in intervals", () => {
+        const urgent = createCandidate("urgent", 10, { priority: 0 });
+        const other = createCandidate("other", 10, { priority: 2 });
+        assert.equal(choose("new", [urgent, other], ["urgent"]), other);
+        assert.equal(choose("urgent", [other], ["urgent", "urgent"], { priority: 0 }), other);
+        assert.equal(choose("new", [urgent], ["urgent"]), urgent);
+        assert.equal(choose("new", [urgent], ["urgent"], { lastLessUrgentAt: now - 1 }), undefined);
+        assert.equal(choose("new", [urgent], ["urgent", "new"]), undefined);
+        const unused = createCandidate("urgent", 200, { priority: 0 });
+        assert.equal(choose("new", [unused], ["urgent"], { lastLessUrgentAt: now - 1 }), unused);
+    });
+
+    it("chooses a connection that was opened ahead for a new owner, but not for one that has several", () => {
+        const ahead = createCandidate("small", 150, { priority: placementConstants.aheadPriority });
+        const used = createCandidate("other", 300);
+        assert.equal(choose("new", [used, ahead]), ahead);
+        assert.equal(choose("large", [used, ahead], ["large", "large"]), undefined);
+    });
+
     it("evens out two owners and then stops: neither takes back what the other got", () => {
         const owners = ["a", "a", "a", "a", "b"];
         let evictionCount = 0;
--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -35,10 +35,12 @@
     /** Share of an endpoint's connection limit that all VMs together use where there are workspaces. */
     workspaceConnectionShare: 0.9,
     /** Time for which a connection stays after it was opened, whoever else needs one, in milliseconds. */
-    minimumResidenceMilliseconds: 250,
+    minimumResidenceMilliseconds: 100,
     /** Time for which a connection stays that has not served its owner yet, in milliseconds. */
     unservedResidenceMilliseconds: 1_000,
-    /** Idle time after which an owner's only connection yields, although others have several, in milliseconds. */
+    /** Time between two connections of a pool that yield to less urgent statements, in milliseconds. */
+    lessUrgentIntervalMilliseconds: 500,
+    /** Idle time after which a connection yields that others would otherwise spare, in milliseconds. */
     soleIdleMilliseconds: 200,
     /** Idle time after which a connection yields to an owner that has as many connections, in milliseconds. */
     abandonedMilliseconds: 2_000,
@@ -48,10 +50,12 @@
     evictionIntervalMilliseconds: 50,
     /** Interval of looking for a connection to evict while an owner needs one, in milliseconds. */
     evictionPollingMilliseconds: 25,
-    /** Time for which an endpoint is expected to accept no more connections than when it refused one, in milliseconds. */
-    refusalMilliseconds: 3_000,
     /** Pause after a refusal before an idle connection makes room for another one, in milliseconds. */
     replacementPauseMilliseconds: 50,
+    /** Priority of a connection that no statement waits for; it yields to any other. */
+    aheadPriority: 1_000_000,
+    /** Time after which an opening in a workspace's name keeps its statements from no other endpoint, in milliseconds. */
+    slowOpeningMilliseconds: 150,
     /** Least time between two log lines on evictions at one endpoint, in milliseconds. */
     evictionLogMilliseconds: 1_000,
     /** Pause of reads at an endpoint that lagged; doubles up to the maximum, in milliseconds. */
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -11,16 +11,19 @@
 import { createEvictionLog } from "../createEvictionLog/index.js";
 import { createOpeningPace } from "../createOpeningPace/index.js";
 import { createOpeningPauses } from "../createOpeningPauses/index.js";
+import { createOpenings } from "../createOpenings/index.js";
 import { createOpeningWishes } from "../createOpeningWishes/index.js";
 import { createOwnedSession } from "../createOwnedSession/index.js";
 import { decideOpening } from "../decideOpening/index.js";
-import { sortByConnectionCount } from "../sortByConnectionCount/index.js";
+import { sortWishes } from "../sortWishes/index.js";
 import type { EndpointSessionPool } from "../types/EndpointSessionPool.js";
 import type { EndpointSessionPoolOptions } from "../types/EndpointSessionPoolOptions.js";
 import type { OpeningDecision } from "../types/OpeningDecision.js";
 import { OpeningDecisionKind } from "../types/OpeningDecisionKind.js";
+import type { OpeningInProgress } from "../types/OpeningInProgress.js";
 import type { OpeningWish } from "../types/OpeningWish.js";
 import type { OwnedSession } from "../types/OwnedSession.js";
+import type { PlacementRequest } from "../types/PlacementRequest.js";
 import type { PooledSession } from "../types/PooledSession.js";
 
 /**
@@ -38,25 +41,28 @@
  */
 export function createEndpointSessionPool(options: EndpointSessionPoolOptions): EndpointSessionPool {
     const { clock, log, metrics } = options;
+    const { anonymousOwner } = workspaceConstants;
     /** The open connections; each is its own key, so that one that is returned is found. */
     const open = new Map<PooledSession, OwnedSession>();
     const idle: OwnedSession[] = [];
-    const openingOwners: string[] = [];
+    const openings = createOpenings(clock, options.onChange);
     const wishes = createOpeningWishes(clock);
     const logEviction = createEvictionLog(clock, log);
     const pauses = createOpeningPauses(clock);
     const pace = createOpeningPace(options);
     let isPolling = false;
     let lastEvictionAt = -Infinity;
+    let lastLessUrgentAt = -Infinity;
     let isClosed = false;
 
-    function acquire(values: ReadonlyMap<string, string>, owner?: string): PooledSession | undefined {
+    function acquire(values: ReadonlyMap<string, string>, owner?: string, priority = 0): PooledSession | undefined {
         closeOutdated();
         const chosen = chooseIdle(idle, values, owner);
         if (chosen !== undefined) {
             removeIdle(chosen);
             chosen.isServingOwner = owner !== undefined;
             if (chosen.isServingOwner) {
+                chosen.priority = priority;
                 wishes.remove(chosen.owner);
             }
         }
@@ -106,17 +112,14 @@
         return pace.isSparing() ? Math.min(options.sparingLimit(), options.limit()) : options.limit();
     }
 
-    function listOpenOwners(): string[] {
-        return [...open.values()].map(({ owner }) => owner);
-    }
-
     function countConnections(): ReadonlyMap<string, number> {
-        return countByOwner([...listOpenOwners(), ...openingOwners]);
+        return countByOwner([...open.values(), ...openings.list()]);
     }
 
-    function decide(owner: string): OpeningDecision<OwnedSession> {
+    function decide(wish: OpeningWish): OpeningDecision<OwnedSession> {
         const occupancy = { idle, counts: countConnections(), limit: limit() };
-        return decideOpening(owner, occupancy, { refusal: pauses.lastRefusal(), lastEvictionAt }, clock.now());
+        const history = { refusal: pauses.lastRefusal(), lastEvictionAt, lastLessUrgentAt };
+        return decideOpening(wish, occupancy, history, clock.now());
     }
 
     /** Whether a pause or other openings, whatever the owners hold, prevent opening a connection now. */
@@ -124,24 +127,26 @@
         const { concurrentOpenings, concurrentOwnerOpenings } = placementConstants;
         return isClosed
             || pauses.isPaused()
-            || openingOwners.length >= concurrentOwnerOpenings
-            || openingOwners.filter(other => other === owner).length >= concurrentOpenings;
+            || openings.list().length >= concurrentOwnerOpenings
+            || openings.countOf(owner) >= concurrentOpenings;
     }
 
-    function tryOpen(requestOwner?: string): boolean {
-        return start(requestOwner ?? workspaceConstants.anonymousOwner, requestOwner !== undefined);
+    function tryOpen(owner?: string): boolean {
+        return start({ owner: owner ?? anonymousOwner, priority: 0 }, owner !== undefined);
     }
 
     function tryOpenAhead(owner: string): boolean {
-        return !pace.isSparing() && !openingOwners.includes(owner) && start(owner, false);
+        return !pace.isSparing() && openings.countOf(owner) === 0
+            && start({ owner, priority: placementConstants.aheadPriority }, false);
     }
 
-    function start(owner: string, mayReplace: boolean): boolean {
+    function start(wish: OpeningWish, mayReplace: boolean): boolean {
+        const { owner } = wish;
         const record = options.record();
         if (record === undefined || isHeldBack(owner)) {
             return false;
         }
-        const decision = decide(owner);
+        const decision = decide(wish);
         const isReplacing = decision.kind === OpeningDecisionKind.Replace;
         const isAllowed = isReplacing ? mayReplace : !pauses.isGrowthPaused();
         if (decision.kind === OpeningDecisionKind.Wait || !isAllowed) {
@@ -149,19 +154,20 @@
         }
         pauses.recordAttempt();
         wishes.remove(owner);
-        openingOwners.push(owner);
+        const opening = openings.begin(wish);
         if (isReplacing) {
-            evict(record, decision.evicted, owner);
+            evict(record, decision.evicted, wish);
         }
-        void openOne(record, owner, isReplacing ? OpeningReason.Replacement : OpeningReason.Room);
+        void openOne(record, opening, isReplacing ? OpeningReason.Replacement : OpeningReason.Room);
         return true;
     }
 
-    function evict({ id }: EndpointRecord, evicted: OwnedSession, newOwner: string): void {
+    function evict({ id }: EndpointRecord, evicted: OwnedSession, { owner: newOwner, priority }: OpeningWish): void {
         const now = clock.now();
         open.delete(evicted);
         closeIdle(evicted);
         lastEvictionAt = now;
+        lastLessUrgentAt = evicted.priority < priority ? now : lastLessUrgentAt;
         metrics.countEviction?.(classifyOwner(evicted.owner));
         logEviction({
             endpoint: id,
@@ -171,28 +177,25 @@
         });
     }
 
-    function requestOpenings(requested: readonly OpeningWish[]): void {
-        for (
-            const { owner, count, expiresAt } of sortByConnectionCount(
-                requested,
-                countConnections(),
-                wish => wish.owner,
-            )
-        ) {
-            const openings = openingOwners.filter(opening => owner === undefined || opening === owner);
-            if (openings.length >= count || tryOpen(owner) || owner === undefined) {
-                continue;
-            }
-            if (openings.length === 0 && listOpenOwners().some(other => other !== owner)) {
-                wishes.record(owner, expiresAt);
-                poll();
-            }
+    function requestOpening(
+        { owner, priority }: Pick<PlacementRequest, "owner" | "priority">,
+        expectedCount: number,
+        mayReplace: boolean,
+    ): boolean {
+        return expectedCount < openings.countExpected(owner)
+            || start({ owner: owner ?? anonymousOwner, priority }, mayReplace && owner !== undefined);
+    }
+
+    function recordWish(wish: OpeningWish, expiresAt: number): void {
+        if (openings.countOf(wish.owner) === 0 && [...open.values()].some(({ owner }) => owner !== wish.owner)) {
+            wishes.record(wish, expiresAt);
+            poll();
         }
     }
 
     /** Opens connections for owners that found no room, now that a connection became idle. */
     function openForWishes(): void {
-        sortByConnectionCount(wishes.list(), countConnections(), owner => owner).forEach(owner => tryOpen(owner));
+        sortWishes(wishes.list(), countConnections()).forEach(wish => start(wish, true));
     }
 
     /** Looks again for a connection that makes room: the time for which each stays passes without an event. */
@@ -210,31 +213,27 @@
         });
     }
 
-    async function openOne(record: EndpointRecord, owner: string, reason: OpeningReason): Promise<void> {
-        const startedAt = clock.now();
+    async function openOne(record: EndpointRecord, opening: OpeningInProgress, reason: OpeningReason): Promise<void> {
+        const { owner, startedAt } = opening;
         let session: EndpointSession;
         try {
             session = await options.open(record, owner, placementConstants.openTimeoutMilliseconds);
         }
         catch (error) {
-            removeOpening(owner);
+            openings.end(opening);
             pauseAfter(record, reason, error, clock.now() - startedAt);
             return;
         }
-        removeOpening(owner);
+        openings.end(opening);
         pauses.recordSuccess();
         pace.recordOpened();
         metrics.countConnection();
         metrics.countOpening?.(classifyOwner(owner), reason);
-        add(session, record, owner);
-    }
-
-    function removeOpening(owner: string): void {
-        openingOwners.splice(openingOwners.indexOf(owner), 1);
+        add(session, record, opening);
     }
 
-    function add(session: EndpointSession, record: EndpointRecord, owner: string): void {
-        const owned = createOwnedSession(session, record, owner, clock.now());
+    function add(session: EndpointSession, record: EndpointRecord, opening: OpeningInProgress): void {
+        const owned = createOwnedSession(session, record, opening, clock.now());
         open.set(owned, owned);
         session.onClose(() => {
             removeIdle(owned);
@@ -249,7 +248,7 @@
         const { kind, message } = toTypedError(error);
         const pause = kind === ErrorKind.ConnectionLimitReached
             ? pauses.recordRefusal(
-                open.size + openingOwners.length,
+                open.size + openings.list().length,
                 reason === OpeningReason.Replacement,
                 pace.recordRefusal(),
             )
@@ -284,14 +283,15 @@
         release,
         tryOpen,
         tryOpenAhead,
-        requestOpenings,
+        requestOpening,
+        recordWish,
         closeUnused,
         close,
-        openCount: owner => owner === undefined ? open.size : countByOwner(listOpenOwners()).get(owner) ?? 0,
+        openCount: owner => owner === undefined ? open.size : countByOwner(open.values()).get(owner) ?? 0,
         isOpeningSparingly: () =>
-            pace.isSparing() && (openingOwners.length > 0 || !pauses.isPaused() && open.size < limit()),
-        isLimitLasting: () => pace.isLimitLasting() && open.size + openingOwners.length === 0,
+            pace.isSparing() && (openings.list().length > 0 || !pauses.isPaused() && open.size < limit()),
+        isLimitLasting: () => pace.isLimitLasting() && open.size + openings.list().length === 0,
         failingSince: () => open.size === 0 ? pauses.failingSince() : undefined,
-        isFailing: () => pauses.hasFailed() && open.size === 0 && openingOwners.length === 0,
+        isFailing: () => pauses.hasFailed() && open.size === 0 && openings.list().length === 0,
     };
 }
--- a/src/placement/createEndpointSessionPool/test.ts
+++ b/src/placement/createEndpointSessionPool/test.ts
@@ -23,8 +23,8 @@
     const pool = createEndpointSessionPool({
         clock,
         random: createRandomSource(1),
-        startedAt: -2 * placementConstants.darkConnectionMilliseconds,
         sparingLimit: () => 1,
+        startedAt: -2 * placementConstants.darkConnectionMilliseconds,
         open: async (record, owner, timeoutMilliseconds) => {
             const session = await endpoint.open(record, owner, timeoutMilliseconds);
             ownersBySession.set(session, owner);
@@ -56,6 +56,10 @@
     return { clock, endpoint, pool, state, acquire, endHeld };
 }
 
+function createWish(choice: number) {
+    return { owner: owners[choice % owners.length]!, priority: choice % 3 };
+}
+
 type Pool = ReturnType<typeof createPool>;
 
 /** What happens to a pool, by name; the number selects the owner, the connection or the time. */
@@ -65,11 +69,9 @@
     open: ({ pool }, choice) => void pool.tryOpen(owners[choice % owners.length]),
     openAny: ({ pool }) => void pool.tryOpen(),
     request: ({ pool, clock }, choice) =>
-        pool.requestOpenings([
-            { owner: owners[choice % owners.length], count: 1, expiresAt: clock.now() + 500 },
-            { owner: owners[(choice + 1) % owners.length], count: 2, expiresAt: clock.now() + 100 },
-            { owner: undefined, count: 1, expiresAt: clock.now() + 100 },
-        ]),
+        void (pool.requestOpening(createWish(choice), 0, choice % 2 === 0)
+            || pool.recordWish(createWish(choice), clock.now() + 500)),
+    requestAny: ({ pool }, choice) => void pool.requestOpening({ priority: -1 }, choice % 2, true),
     release: ({ pool, endHeld }, choice) => endHeld(choice, pool.release),
     discard: ({ endHeld }, choice) => endHeld(choice, pooled => pooled.session.close()),
     closeByEndpoint: ({ endpoint }, choice) => endpoint.closeAt(choice),
@@ -126,7 +128,8 @@
             acquire("a");
         }
         await clock.advance(1_000);
-        pool.requestOpenings([{ owner: "b", count: 1, expiresAt: clock.now() + 600 }]);
+        assert.equal(pool.requestOpening({ owner: "b", priority: 0 }, 0, true), false);
+        pool.recordWish({ owner: "b", priority: 0 }, clock.now() + 600);
         await clock.advance(100);
         assert.equal(acquire("b"), undefined);
         endHeld(0, pool.release);
--- a/src/placement/createOpeningPlan/test.ts
+++ b/src/placement/createOpeningPlan/test.ts
@@ -7,8 +7,12 @@
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createOwnedEndpoint } from "../../testing/createOwnedEndpoint/index.js";
 import { createPopulatedDirectory } from "../../testing/createPopulatedDirectory/index.js";
+import { workspaceConstants } from "../../workspaces/constants.js";
 import { placementConstants } from "../constants.js";
 import { createPlacement } from "../createPlacement/index.js";
+import type { EndpointSessionPool } from "../types/EndpointSessionPool.js";
+import type { PlacementTarget } from "../types/PlacementTarget.js";
+import { createOpeningPlan } from "./index.js";
 
 const openMilliseconds = 12;
 const workMilliseconds = 20;
@@ -76,6 +80,53 @@
     return { clock, endpoint, counts, run, runUntil };
 }
 
+/** Creates targets whose pools record what is asked of them and open as many connections as given, by target. */
+function createTargets(roomByTarget: readonly number[]) {
+    const asked: string[] = [];
+    const targets = roomByTarget.map((room, index) => {
+        const pool: Partial<EndpointSessionPool> = {
+            openCount: () => 0,
+            requestOpening: ({ owner }, expectedCount, mayReplace) => {
+                asked.push(`${owner} at ${index}${mayReplace ? "" : ", in free room"}`);
+                return expectedCount < room;
+            },
+            recordWish: ({ owner }) => asked.push(`${owner} waits at ${index}`),
+        };
+        return { pool } as PlacementTarget;
+    });
+    return { asked, targets };
+}
+
+describe("createOpeningPlan", () => {
+    const { anonymousOwner } = workspaceConstants;
+    const request = { priority: 1, expiresAt: 600 };
+
+    it("opens one connection for a statement of a workspace, at the first endpoint that allows it", () => {
+        const { asked, targets } = createTargets([0, 1, 1]);
+        const plan = createOpeningPlan();
+        plan.add({ ...request, owner: "a" }, targets, false);
+        plan.start();
+        assert.deepEqual(asked, ["a at 0", "a at 1"]);
+    });
+
+    it("opens one at each endpoint for others, and evicts for the first alone", () => {
+        const { asked, targets } = createTargets([1, 1]);
+        const plan = createOpeningPlan();
+        plan.add({ ...request, owner: anonymousOwner }, targets, false);
+        plan.start();
+        assert.deepEqual(asked, [`${anonymousOwner} at 0`, `${anonymousOwner} at 1, in free room`]);
+    });
+
+    it("evicts nothing for a statement that is served, and asks for urgent statements first", () => {
+        const { asked, targets } = createTargets([0]);
+        const plan = createOpeningPlan();
+        plan.add({ ...request, owner: "a" }, targets, true);
+        plan.add({ ...request, owner: "b", priority: 0 }, targets, false);
+        plan.start();
+        assert.deepEqual(asked, ["b at 0", "b waits at 0", "a at 0, in free room"]);
+    });
+});
+
 describe("connections of several owners", () => {
     it("serves small workspaces in time while a large one has more statements than there are connections", async () => {
         const { clock, endpoint, counts, runUntil } = createSite(6);
--- a/src/placement/createOwnedSession/index.ts
+++ b/src/placement/createOwnedSession/index.ts
@@ -1,33 +1,37 @@
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import type { EndpointSession } from "../../statements/types/EndpointSession.js";
+import { placementConstants } from "../constants.js";
+import type { OpeningWish } from "../types/OpeningWish.js";
 import type { OwnedSession } from "../types/OwnedSession.js";
 
 /**
- * Creates a pool's record of a connection that has just been opened.
+ * Creates the pool's record of a connection that was just opened.
  *
  * @param session The connection.
- * @param record The endpoint that accepted it.
- * @param owner In whose name it was opened.
- * @param openedAt When it was opened, on the process's clock in milliseconds.
- * @returns The record; nothing is set or prepared on the connection.
+ * @param endpoint The endpoint as it was known when the opening began.
+ * @param wish In whose name it was opened, and how urgently.
+ * @param now Time on the process's clock in milliseconds.
+ * @returns The record of a connection that has served nothing.
  *
  * @example
- * const owned = createOwnedSession(session, record, "museum-shops", clock.now());
+ * const owned = createOwnedSession(session, endpoint, { owner: "museum-shops", priority: 1 }, clock.now());
  */
 export function createOwnedSession(
     session: EndpointSession,
-    record: Pick<EndpointRecord, "startedAt">,
-    owner: string,
-    openedAt: number,
+    endpoint: Pick<EndpointRecord, "startedAt">,
+    { owner, priority }: OpeningWish,
+    now: number,
 ): OwnedSession {
     return {
         session,
         owner,
-        openedAt,
-        lastServedAt: undefined,
+        priority,
+        openedAt: now,
+        // One that no statement waits for may yield as if it had served.
+        lastServedAt: priority === placementConstants.aheadPriority ? now : undefined,
         isServingOwner: false,
-        endpointStartedAt: record.startedAt,
-        idleSince: openedAt,
+        endpointStartedAt: endpoint.startedAt,
+        idleSince: now,
         values: new Map(),
         prepared: new Set(),
     };
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -15,6 +15,7 @@
 import { createWaitingStatements } from "../createWaitingStatements/index.js";
 import { registerPlacementGauges } from "../registerPlacementGauges/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
+import type { OpeningPlan } from "../types/OpeningPlan.js";
 import type { Placement } from "../types/Placement.js";
 import type { PlacementOptions } from "../types/PlacementOptions.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
@@ -217,22 +218,25 @@
     /** Acquires an idle connection; plans to open one at each preferred endpoint that has none. */
     function tryAcquire(
         request: PlacementRequest,
-        plan: ReturnType<typeof createOpeningPlan>,
+        plan: OpeningPlan,
     ): AcquiredConnection | undefined {
+        const missing: PlacementTarget[] = [];
         for (const endpoint of listCandidates(request)) {
             const target = targetOf(endpoint);
-            const pooled = target.pool.acquire(request.values, request.owner);
+            const pooled = target.pool.acquire(request.values, request.owner, request.priority);
             if (pooled !== undefined) {
+                plan.add(request, missing, true);
                 const isPrimary = endpoint.id === primaries.primaryOf(endpoint.group)?.id;
                 const onEnd = (milliseconds: number): void =>
                     waitingOf(request.group).recordHeld(request, isPrimary, milliseconds);
                 return createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary, onEnd });
             }
-            plan.add(target, request);
+            missing.push(target);
             if (target.pool.isOpeningSparingly()) {
-                return undefined;
+                break;
             }
         }
+        plan.add(request, missing, false);
         return undefined;
     }
 
--- a/src/placement/createWaitingStatements/index.ts
+++ b/src/placement/createWaitingStatements/index.ts
@@ -12,6 +12,7 @@
 import { createEarlyRefusal } from "../createEarlyRefusal/index.js";
 import { createOpeningPlan } from "../createOpeningPlan/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
+import type { OpeningPlan } from "../types/OpeningPlan.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
 import type { WaitingStatements } from "../types/WaitingStatements.js";
 
@@ -22,7 +23,7 @@
     /** Acquires an idle connection, or plans to open one. */
     readonly tryAcquire: (
         request: PlacementRequest,
-        plan: ReturnType<typeof createOpeningPlan>,
+        plan: OpeningPlan,
     ) => AcquiredConnection | undefined;
     /** Number of open connections to the group's primary, or to all its endpoints. */
     readonly countConnections: (needsPrimary: boolean) => number;
--- a/src/placement/types/EndpointSessionPool.ts
+++ b/src/placement/types/EndpointSessionPool.ts
@@ -1,4 +1,5 @@
 import type { OpeningWish } from "./OpeningWish.js";
+import type { PlacementRequest } from "./PlacementRequest.js";
 import type { PooledSession } from "./PooledSession.js";
 
 /**
@@ -7,7 +8,7 @@
  */
 export interface EndpointSessionPool {
     /** Takes an idle connection of an owner, preferably one without conflicting values; undefined when none is idle. */
-    acquire(values: ReadonlyMap<string, string>, owner?: string): PooledSession | undefined;
+    acquire(values: ReadonlyMap<string, string>, owner?: string, priority?: number): PooledSession | undefined;
     /** Returns a connection to the pool. */
     release(pooled: PooledSession): void;
     /**
@@ -17,8 +18,20 @@
     tryOpen(owner?: string): boolean;
     /** Starts to open a connection that no statement waits for, in free room only; returns whether it did. */
     tryOpenAhead(owner: string): boolean;
-    /** Starts to open connections for waiting statements, first for the owners with the fewest connections. */
-    requestOpenings(wishes: readonly OpeningWish[]): void;
+    /**
+     * Whether a connection for a waiting statement is being opened; starts to open one if need be.
+     *
+     * @param statement Owner and priority of the statement.
+     * @param expectedCount Number of openings of the owner that earlier statements wait for.
+     * @param mayReplace Whether an idle connection of another owner may be closed for it.
+     */
+    requestOpening(
+        statement: Pick<PlacementRequest, "owner" | "priority">,
+        expectedCount: number,
+        mayReplace: boolean,
+    ): boolean;
+    /** Records that an owner without an opening needs a connection; one that is released or rested makes room for it. */
+    recordWish(wish: OpeningWish, expiresAt: number): void;
     /** Number of open connections of an owner, or of all owners, including idle ones. */
     openCount(owner?: string): number;
     /** Whether the last attempt to open a connection failed and none is open. */
--- /dev/null
+++ b/src/placement/types/OpeningHistory.ts
@@ -0,0 +1,11 @@
+import type { ConnectionRefusal } from "./ConnectionRefusal.js";
+
+/** What happened at a pool before, on this VM's clock in milliseconds; minus infinity before the first time. */
+export interface OpeningHistory {
+    /** The endpoint's last refusal because it held too many connections. */
+    readonly refusal: ConnectionRefusal | undefined;
+    /** When a connection was last evicted. */
+    readonly lastEvictionAt: number;
+    /** When a connection was last evicted for a less urgent statement. */
+    readonly lastLessUrgentAt: number;
+}
--- a/src/placement/types/OpeningWish.ts
+++ b/src/placement/types/OpeningWish.ts
@@ -1,9 +1,6 @@
-/** Connections of one owner for which statements wait. */
+/** A connection that an owner needs. */
 export interface OpeningWish {
-    /** Undefined when a connection of any owner serves the statements. */
-    readonly owner: string | undefined;
-    /** Number of the statements. */
-    readonly count: number;
-    /** When the last of them expires, on this VM's clock in milliseconds. */
-    readonly expiresAt: number;
+    readonly owner: string;
+    /** Priority of the statement that needs it. */
+    readonly priority: number;
 }
