--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -289,7 +289,7 @@
         close,
         openCount: owner => owner === undefined ? open.size : countByOwner(open.values()).get(owner) ?? 0,
         isOpeningSparingly: () =>
-            pace.isSparing() && (openings.list().length > 0 || !pauses.isPaused() && open.size < limit()),
+            pace.isSparing() && (openings.list().length > 0 || !pauses.isGrowthPaused() && open.size < limit()),
         isLimitLasting: () => pace.isLimitLasting() && open.size + openings.list().length === 0,
         failingSince: () => open.size === 0 ? pauses.failingSince() : undefined,
         isFailing: () => pauses.hasFailed() && open.size === 0 && openings.list().length === 0,
