Hold quotas of workspaces for all VMs by grants that ride on the renewals

Each VM asks the holder of the failover duty for the workspaces with recent operations, and gets operations, a rate and a greatest number that it may hold. The holder counts what a VM may follow until it has ended or was replaced for sure, so that rates never exceed the rate of the quota, and what is held never its burst and a named part of the excess. A new holder first only goes on with the grants that VMs report. Without a grant, a VM spends its part of the rest of the excess.

--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { Quota } from "../../workspaces/types/Quota.js";
 import type { Workspace } from "../../workspaces/types/Workspace.js";
 import { compareReports } from "../compareReports/index.js";
 import { compareStoreVersions } from "../compareStoreVersions/index.js";
@@ -46,6 +47,7 @@
     let routes = new Map<string, Route>();
     let groupsByName = new Map<string, GroupSettings>();
     let workspacesByKey = new Map<string, Workspace>();
+    let quotasByName = new Map<string, Quota | undefined>();
 
     function applyEndpoints(update: FeedUpdate<EndpointRecord>): void {
         const changed = new Set<string>();
@@ -208,6 +210,7 @@
         routes = new Map(next.routes.map(route => [route.database, route]));
         groupsByName = new Map(next.groups.map(settings => [settings.group, settings]));
         workspacesByKey = new Map(listKeys(next));
+        quotasByName = new Map(next.workspaces?.map(({ name, quota }) => [name, quota]));
         notify(new Set(groupsByName.keys()));
         return true;
     }
@@ -230,6 +233,7 @@
         routingTable: () => table,
         routeOf: database => routes.get(database),
         workspaceOf: keyDigest => workspacesByKey.get(keyDigest),
+        quotaOf: workspace => quotasByName.get(workspace),
         groupSettings: group => groupsByName.get(group),
         endpoint: id => endpoints.get(id),
         endpointsOf: group => [...endpoints.values()].filter(endpoint => endpoint.group === group),
--- a/src/directory/types/Directory.ts
+++ b/src/directory/types/Directory.ts
@@ -1,3 +1,4 @@
+import type { Quota } from "../../workspaces/types/Quota.js";
 import type { Workspace } from "../../workspaces/types/Workspace.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { FeedUpdate } from "./FeedUpdate.js";
@@ -21,6 +22,8 @@
     routeOf(database: string): Route | undefined;
     /** The workspace that holds the key with this digest; undefined for an unknown key. */
     workspaceOf(keyDigest: string): Workspace | undefined;
+    /** The quota of a workspace, by its name; undefined when it has none. */
+    quotaOf(workspace: string): Quota | undefined;
     groupSettings(group: string): GroupSettings | undefined;
     endpoint(id: string): EndpointRecord | undefined;
     /** The endpoints of a group, including leaving ones. */
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -5,6 +5,7 @@
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { QuotaExchange } from "../../quotas/types/QuotaExchange.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { dutyConstants } from "../constants.js";
 import { createAnnouncementDelivery } from "../createAnnouncementDelivery/index.js";
@@ -48,6 +49,7 @@
     readonly peerOf: (vm: VmIdentity) => VmPeer;
     /** Called with each new announcement. */
     readonly onAnnouncement: (announcement: Announcement) => void;
+    readonly quotas?: QuotaExchange;
     readonly log: LogTopic;
 }
 
@@ -56,12 +58,11 @@
 /**
  * Creates a VM's part in the failover duty: its holder is the only VM that may change primaries.
  *
- * One object of the store records the holder; a VM that replaces it at its revision is the holder. The version of the record
- * is the fencing token, which rises also when the store is restored from a copy: the era comes before the revision.
- * VMs that hold connections to endpoints need a lease, and send the holder several renewals a second. The other VMs of
- * a zone send fewer renewals, to a relay: one of the hosts of their zone. A host whose renewals are not answered, and
- * that finds no other host in contact with the holder, takes over; any other VM does so only much later. The holder
- * renews nothing in the store; it verifies itself before each order.
+ * One object of the store records the holder; a VM that replaces it at its revision is the holder. The version of the
+ * record, era before revision, is the fencing token, which rises also when the store is restored from a copy. VMs that
+ * hold connections to endpoints need a lease, and send the holder several renewals a second. The others send fewer, to a
+ * relay: a host of their zone. A host whose renewals are not answered, and that finds no other host in contact with the
+ * holder, takes over; any other VM does so only much later. The holder verifies itself before each order.
  *
  * @param options Clock, store, this VM and clients for calls to other VMs.
  * @returns The duty, not started yet.
@@ -79,7 +80,7 @@
     const attemptTakeover = createTakeover({ ...options, view, signal: end.signal });
     const known = createKnownHolder(self, handleNewHolder, log);
     const { heldToken } = known;
-    const grantedLeases = createGrantedLeases(clock);
+    const grantedLeases = createGrantedLeases(clock, options.quotas?.startGranting);
     const lease = createLease(clock);
     const verification = createHolderVerification({
         ...options,
@@ -248,7 +249,7 @@
 
     function answerRenewal(renewal: Renewal): RenewalAnswer {
         const isHolder = heldToken() !== undefined;
-        const state = { isHolder, isCertain: isCertain(), holder: known.holder() };
+        const state = { isHolder, isCertain: isCertain(), isOnly: verification.isCertain(), holder: known.holder() };
         if (isHolder) {
             grantedLeases.recordContact(renewal.vm, state.isCertain && renewal.isHost);
         }
@@ -273,6 +274,7 @@
         hostVms: () => !vms.isKnown() ? unknownVms : view.hostVms(),
         isHost,
         isInContact: () => heldToken() !== undefined || failedRenewals === 0 && answeredAt > startedAt,
+        isCertainHolder: verification.isCertain,
         hasLease: () => heldToken() === undefined ? lease.isHeld() : isCertain(),
         isGranting: grantedLeases.isGranting,
         startGranting: grantedLeases.startGranting,
--- a/src/duty/createGrantedLeases/index.ts
+++ b/src/duty/createGrantedLeases/index.ts
@@ -14,12 +14,13 @@
  * Creates the holder's record of the leases that it has granted, and of those that a previous holder may have granted.
  *
  * @param clock Source of time.
+ * @param onStart Called when a new record begins, with the time after which no predecessor grants anything.
  * @returns The record, empty.
  *
  * @example
  * const vms = leases.listPossibleVms(otherVms);
  */
-export function createGrantedLeases(clock: Clock): GrantedLeases {
+export function createGrantedLeases(clock: Clock, onStart = (_lastGrantAt: number): void => {}): GrantedLeases {
     const { formerOrdersMilliseconds, leaseMilliseconds, verifiedMilliseconds } = dutyConstants;
     const startedAt = clock.now();
     const leases = new Map<string, GrantedLease>();
@@ -33,6 +34,7 @@
         const now = clock.now();
         leases.clear();
         mayGrant = false;
+        onStart(lastLeaseAt(predecessor));
         formerLeasesEndAt = lastLeaseAt(predecessor) + leaseMilliseconds;
         formerOrdersEndAt = predecessor === Predecessor.HandedOver
             ? now
--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -3,6 +3,8 @@
 import type { Directory } from "../../directory/types/Directory.js";
 import type { StoreFreshness } from "../../directory/types/StoreFreshness.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import type { QuotaExchange } from "../../quotas/types/QuotaExchange.js";
+import type { QuotaGrants } from "../../quotas/types/QuotaGrants.js";
 import { applyDirectoryUpdate } from "../applyDirectoryUpdate/index.js";
 import { compareHolderNumbers } from "../compareHolderNumbers/index.js";
 import { dutyConstants } from "../constants.js";
@@ -27,6 +29,7 @@
     /** The VMs whose renewals this VM answers as a relay. */
     readonly members: RelayedMembers;
     readonly announcements: ReturnType<typeof createAnnouncements>;
+    readonly quotas?: QuotaExchange;
     readonly log: LogTopic;
 }
 
@@ -34,7 +37,10 @@
 type KnownVersions = Pick<DirectoryUpdate, "routingVersion" | "endpointVersion">;
 
 /** State of the failover duty that a VM reports when it answers a renewal. */
-type HolderState = Pick<RenewalAnswer, "isHolder" | "isCertain" | "holder">;
+type HolderState = Pick<RenewalAnswer, "isHolder" | "isCertain" | "holder"> & {
+    /** Whether the VM is the holder, and no other VM can have become it; it may not know the primaries yet. */
+    readonly isOnly?: boolean;
+};
 
 /** State of the failover duty that a VM reports in a renewal. */
 type SenderState = Pick<Renewal, "isHost" | "isLeaving" | "hasHeardHolder"> & {
@@ -66,7 +72,7 @@
  * exchange.applyAnswer(renewal, await peerOf(holder).renew(renewal), sentAt);
  */
 export function createRenewalExchange(options: RenewalExchangeOptions): RenewalExchange {
-    const { clock, self, directory, freshness, vms, members, announcements } = options;
+    const { clock, self, directory, freshness, vms, members, announcements, quotas } = options;
     /** Versions that the last answering VM reported; only versions are sent before its first answer. */
     let answerer: { readonly incarnation: string; readonly versions: KnownVersions; } | undefined;
     let target: VmIdentity | undefined;
@@ -76,6 +82,7 @@
         target = nextTarget;
         const isKnown = answerer?.incarnation === nextTarget.incarnation;
         const unreported = state.isHost ? members.listUnreported(token) : undefined;
+        const quotaDemands = quotas?.createDemands();
         return {
             ...createUpdate(isKnown ? answerer!.versions : undefined),
             ...state,
@@ -84,6 +91,7 @@
             vmListVersion: state.isHost && !hasVmsOfAllZones ? dutyConstants.noHolderNumber : vms.version(),
             announcementSequence: announcements.completeSequence(),
             ...unreported === undefined ? {} : { members: unreported },
+            ...quotaDemands === undefined ? {} : { quotaDemands },
         };
     }
 
@@ -115,6 +123,9 @@
         }
         applyVmList(renewal, answer);
         announcements.applyAnswer(answer.announcements);
+        if (answer.quotaGrants !== undefined) {
+            quotas?.applyGrants(answer.quotaGrants);
+        }
     }
 
     function applyVmList(renewal: Renewal, { vmList }: RenewalAnswer): void {
@@ -130,7 +141,7 @@
         hasVmsOfAllZones = renewal.isHost && (hasVmsOfAllZones || vmList?.isSnapshot === true);
     }
 
-    function answer(renewal: Renewal, state: HolderState): RenewalAnswer {
+    function answer(renewal: Renewal, { isOnly, ...state }: HolderState): RenewalAnswer {
         applyDirectoryUpdate(directory, renewal);
         if (renewal.newsAgeMilliseconds !== undefined) {
             freshness.applyAge(renewal.newsAgeMilliseconds + dutyConstants.callTimeoutMilliseconds, clock.now());
@@ -140,14 +151,21 @@
             renewal.vmListVersion,
             renewal.isHost ? undefined : renewal.vm.address.availabilityZone,
         );
+        const quotaGrants = isOnly === true ? grantQuotas(renewal) : undefined;
         return {
             ...state,
             ...createUpdate(renewal),
             ...vmList === undefined ? {} : { vmList },
             announcements: listAnnouncements(renewal, state),
+            ...quotaGrants === undefined ? {} : { quotaGrants },
         };
     }
 
+    /** Grants do not depend on the primaries, so the holder makes them also before it grants leases. */
+    function grantQuotas({ vm, quotaDemands }: Renewal): QuotaGrants | undefined {
+        return quotaDemands && quotas?.answerDemands(vm, quotaDemands);
+    }
+
     /** A relay sends nothing beyond what it has completely: the sender would count an announcement it lacks as known. */
     function listAnnouncements({ announcementSequence }: Renewal, { isHolder }: HolderState): readonly Announcement[] {
         const unknown = announcements.listAfter(announcementSequence);
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { ReadGuarantee } from "../directory/types/ReadGuarantee.js";
+import { quotaDemandsSchema } from "../quotas/quotaDemandsSchema.js";
 import { AccessMode } from "../statements/types/AccessMode.js";
 import { OutgoingKind } from "../statements/types/OutgoingKind.js";
 import { AnnouncementPhase } from "./types/AnnouncementPhase.js";
@@ -84,6 +85,7 @@
         endpoints: z.array(endpoint).optional(),
         removals: z.array(z.object({ id: z.string(), ...storeVersion })).optional(),
         newsAgeMilliseconds: z.number().optional(),
+        quotaDemands: quotaDemandsSchema.optional(),
     }),
     token: z.number(),
     endpointId: z.string(),
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -23,6 +23,8 @@
     isHost(): boolean;
     /** Whether the holder or a relay answered the last renewal of this VM, or this VM is the holder. */
     isInContact(): boolean;
+    /** Whether this VM is the holder, and no other VM can have become it. */
+    isCertainHolder(): boolean;
     /** Whether this VM may rely on its known primaries: none can have been replaced without an announcement. */
     hasLease(): boolean;
     /** Whether this VM grants leases while it is the holder; a new holder does not before `startGranting`. */
--- a/src/duty/types/Renewal.ts
+++ b/src/duty/types/Renewal.ts
@@ -1,3 +1,4 @@
+import type { QuotaDemands } from "../../quotas/types/QuotaDemands.js";
 import type { DirectoryUpdate } from "./DirectoryUpdate.js";
 import type { HolderNumber } from "./HolderNumber.js";
 import type { VmIdentity } from "./VmIdentity.js";
@@ -17,4 +18,6 @@
     readonly announcementSequence: HolderNumber;
     /** The VMs whose renewals the sender answers; left out when the holder already has this list. */
     readonly members?: readonly VmIdentity[];
+    /** What the sender asks of quotas; left out without recent operations of a workspace that has one. */
+    readonly quotaDemands?: QuotaDemands;
 }
--- a/src/duty/types/RenewalAnswer.ts
+++ b/src/duty/types/RenewalAnswer.ts
@@ -1,3 +1,4 @@
+import type { QuotaGrants } from "../../quotas/types/QuotaGrants.js";
 import type { Announcement } from "./Announcement.js";
 import type { DirectoryUpdate } from "./DirectoryUpdate.js";
 import type { DutyHolder } from "./DutyHolder.js";
@@ -14,4 +15,6 @@
     /** Left out when the requesting VM already has this version of the list. */
     readonly vmList?: VmListUpdate;
     readonly announcements: readonly Announcement[];
+    /** Left out when the renewal has no demands, or the answering VM may not grant. */
+    readonly quotaGrants?: QuotaGrants;
 }
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -78,6 +78,17 @@
         help: "Times that a caller's connection was no longer read, until commands are answered.",
         registers,
     });
+    const quotaDecisions = new Counter({
+        name: "tarragonpost_quota_decisions_total",
+        help: "Operations of workspaces with a quota, by decision.",
+        labelNames: ["outcome"],
+        registers,
+    });
+    const quotaGrants = new Counter({
+        name: "tarragonpost_quota_grants_total",
+        help: "Parts of quotas that this VM granted as the holder of the failover duty.",
+        registers,
+    });
 
     return {
         countStatement: (guarantee, milliseconds, code) => {
@@ -94,6 +105,8 @@
             primaryVerifications.inc({ outcome: isVerified ? "Confirmed" : "Unconfirmed" }),
         countMemoryRefusal: () => memoryRefusals.inc(),
         countReadPause: () => readPauses.inc(),
+        countQuotaDecision: outcome => quotaDecisions.inc({ outcome }),
+        countQuotaGrants: count => quotaGrants.inc(count),
         registerGauge: (name, description, read) => {
             const gauge: Gauge = new Gauge({
                 name,
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -1,5 +1,6 @@
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { QuotaOutcome } from "../../quotas/types/QuotaOutcome.js";
 import type { FailureCode } from "../../statements/types/FailureCode.js";
 
 /** Counters and histograms of one process. */
@@ -24,6 +25,10 @@
     countMemoryRefusal(): void;
     /** Counts that a caller's connection was no longer read, until commands are answered. */
     countReadPause(): void;
+    /** Counts a decision on an operation of a workspace with a quota. */
+    countQuotaDecision(outcome: QuotaOutcome): void;
+    /** Counts parts of quotas that this VM granted as the holder. */
+    countQuotaGrants(count: number): void;
     /** Registers a gauge whose value is read at each rendering. */
     registerGauge(name: string, description: string, read: () => number): void;
     /** Renders the metrics in the Prometheus text format. */
--- /dev/null
+++ b/src/quotas/createQuotaLedger/index.ts
@@ -0,0 +1,219 @@
+import type { Clock } from "../../clock/types/Clock.js";
+import type { Quota } from "../../workspaces/types/Quota.js";
+import { quotaConstants } from "../constants.js";
+import { divideExcess } from "../divideExcess/index.js";
+import { shareFairly } from "../shareFairly/index.js";
+import type { QuotaDemand } from "../types/QuotaDemand.js";
+import type { QuotaExcess } from "../types/QuotaExcess.js";
+import type { QuotaGrant } from "../types/QuotaGrant.js";
+import type { QuotaLedger } from "../types/QuotaLedger.js";
+
+/** Options of `createQuotaLedger`. */
+interface QuotaLedgerOptions {
+    /** Source of monotonic time. It may stop while the VM is suspended, which only keeps grants counted longer. */
+    readonly clock: Pick<Clock, "now">;
+    /** What may be admitted beyond the quota. */
+    readonly excess: QuotaExcess;
+    /** Time at which the bucket was empty, in milliseconds; it may be in the future. */
+    readonly emptyAt: number;
+    /** The quota in force at the creation. */
+    readonly firstQuota: Quota;
+}
+
+/** A grant that its VM may follow. */
+interface OutstandingGrant {
+    readonly number: number;
+    readonly operationsPerSecond: number;
+    readonly maximumOperations: number;
+    readonly endsAt: number;
+}
+
+/** A VM with grants or demand. */
+interface Member {
+    /** Rate that the VM uses up for sure. */
+    wantedPerSecond: number;
+    waitingOperations: number;
+    /** Operations that the VM should hold beside those for which it waits. */
+    wantedOperations: number;
+    askedAt: number;
+    outstanding: readonly OutstandingGrant[];
+}
+
+const millisecondsPerSecond = 1_000;
+
+/**
+ * Creates the holder's record of the grants of one workspace: a token bucket of which VMs hold parts.
+ *
+ * A VM holds at most `maximumOperations` and gains `operationsPerSecond`. The greatest of these that a VM may follow are
+ * counted until its grants have ended or were replaced for sure. The rates of all VMs together never exceed the rate of
+ * the quota, and what they hold and the bucket never exceed its burst and the part of the excess that covers one
+ * operation a VM.
+ *
+ * @param options Clock, the quota in force, the excess, and when the bucket was empty.
+ * @returns The record, without grants.
+ *
+ * @example
+ * const grant = ledger.grant("vm-1", demand, 17, quota);
+ */
+export function createQuotaLedger(options: QuotaLedgerOptions): QuotaLedger {
+    const { clock, excess, emptyAt, firstQuota } = options;
+    const members = new Map<string, Member>();
+    let bucketOperations = 0;
+    let filledAt = emptyAt;
+    let lastQuota = firstQuota;
+
+    function grant(vm: string, demand: QuotaDemand, number: number, quota: Quota): QuotaGrant {
+        settle(quota);
+        const member = memberOf(vm);
+        recordDemand(member, demand);
+        const wantedPerSecond = keepNearlyEqual(rateOf(member, quota), member.outstanding.at(-1));
+        const operationsPerSecond = Math.max(0, Math.min(wantedPerSecond, rateLeft(member, quota)));
+        const maximumOperations = Math.max(0, Math.min(capOf(member, quota), capLeft(member, quota)));
+        const lacking = Math.max(0, maximumOperations - demand.heldOperations);
+        const operations = Math.min(bucketOperations, lacking);
+        bucketOperations -= operations;
+        addGrant(member, { number, operationsPerSecond, maximumOperations });
+        limitBucket(quota);
+        return {
+            workspace: demand.workspace,
+            operations,
+            operationsPerSecond,
+            maximumOperations,
+            quota,
+            isLimited: bucketOperations < 1 && demand.operationsPerSecond > operationsPerSecond,
+        };
+    }
+
+    function memberOf(vm: string): Member {
+        let member = members.get(vm);
+        if (member === undefined) {
+            member = {
+                wantedPerSecond: 0,
+                waitingOperations: 0,
+                wantedOperations: 0,
+                askedAt: -Infinity,
+                outstanding: [],
+            };
+            members.set(vm, member);
+        }
+        return member;
+    }
+
+    function recordDemand(member: Member, demand: QuotaDemand): void {
+        const { deviations, heldMilliseconds } = quotaConstants;
+        const { operationsPerSecond, waitingOperations } = demand;
+        member.waitingOperations = waitingOperations;
+        member.wantedOperations = quotaConstants.heldOperations
+            + operationsPerSecond * heldMilliseconds / millisecondsPerSecond;
+        member.wantedPerSecond = Math.max(0, operationsPerSecond - deviations * Math.sqrt(operationsPerSecond));
+        member.askedAt = clock.now();
+    }
+
+    function addGrant(member: Member, grant: Omit<OutstandingGrant, "endsAt">): void {
+        const endsAt = clock.now() + quotaConstants.grantMilliseconds;
+        member.outstanding = [...member.outstanding, { ...grant, endsAt }];
+    }
+
+    /** Fills the bucket with what no VM gained since the last time, and only then removes what has ended. */
+    function settle(quota: Quota): void {
+        const now = clock.now();
+        const elapsedSeconds = Math.max(0, now - filledAt) / millisecondsPerSecond;
+        const unsharedPerSecond = Math.min(rateLeft(undefined, quota), rateLeft(undefined, lastQuota));
+        bucketOperations += Math.max(0, unsharedPerSecond) * elapsedSeconds;
+        filledAt = Math.max(filledAt, now);
+        lastQuota = quota;
+        prune();
+        limitBucket(quota);
+    }
+
+    function limitBucket(quota: Quota): void {
+        const room = Math.min(quota.burstOperations, capLeft(undefined, quota));
+        bucketOperations = Math.max(0, Math.min(bucketOperations, room));
+    }
+
+    function prune(): void {
+        const now = clock.now();
+        for (const [vm, member] of members) {
+            member.outstanding = member.outstanding.filter(({ endsAt }) => now < endsAt);
+            if (member.outstanding.length === 0 && !isAsking(member)) {
+                members.delete(vm);
+            }
+        }
+    }
+
+    function sumOthers(member: Member | undefined, count: (other: Member) => number): number {
+        let sum = 0;
+        for (const other of members.values()) {
+            sum += other === member ? 0 : count(other);
+        }
+        return sum;
+    }
+
+    function rateLeft(member: Member | undefined, quota: Quota): number {
+        return quota.operationsPerSecond - sumOthers(member, rateCounted);
+    }
+
+    function capLeft(member: Member | undefined, quota: Quota): number {
+        return holdable(quota) - sumOthers(member, capCounted);
+    }
+
+    /** The operations that the bucket and all VMs may hold together. */
+    function holdable(quota: Quota): number {
+        return quota.burstOperations + divideExcess(quota, excess).heldOperations;
+    }
+
+    function isAsking({ askedAt }: Member): boolean {
+        return clock.now() - askedAt < quotaConstants.askingMilliseconds;
+    }
+
+    function listAsking(): readonly Member[] {
+        return [...members.values()].filter(isAsking);
+    }
+
+    /** The part of the rate that a VM should get. */
+    function rateOf(member: Member, quota: Quota): number {
+        const asking = listAsking();
+        const wanted = asking.map(({ wantedPerSecond }) => wantedPerSecond);
+        return shareFairly(quota.operationsPerSecond * quotaConstants.rateShare, wanted)[asking.indexOf(member)]!;
+    }
+
+    /** The operations that a VM should be able to hold: one at least, so that it can start any. */
+    function capOf(member: Member, quota: Quota): number {
+        const asking = listAsking();
+        const wanted = asking.map(({ wantedOperations }) => wantedOperations);
+        const held = shareFairly(holdable(quota) * quotaConstants.heldShare, wanted)[asking.indexOf(member)]!;
+        return Math.max(1, held) + Math.min(member.waitingOperations, bucketOperations);
+    }
+
+    return {
+        grant,
+        continueGrant: (vm, { operationsPerSecond, maximumOperations }, number) =>
+            addGrant(memberOf(vm), { number, operationsPerSecond, maximumOperations }),
+        confirm: (vm, appliedNumber) => {
+            const member = members.get(vm);
+            if (member !== undefined) {
+                settle(lastQuota);
+                member.outstanding = member.outstanding.filter(({ number }) => number === appliedNumber);
+            }
+        },
+        isForgettable: () => {
+            settle(lastQuota);
+            return members.size === 0 && bucketOperations >= lastQuota.burstOperations;
+        },
+    };
+}
+
+function rateCounted({ outstanding }: Member): number {
+    return Math.max(0, ...outstanding.map(({ operationsPerSecond }) => operationsPerSecond));
+}
+
+function capCounted({ outstanding }: Member): number {
+    return Math.max(0, ...outstanding.map(({ maximumOperations }) => maximumOperations));
+}
+
+/** Keeps the rate of the last grant where the new one differs little, since a change is counted twice for a while. */
+function keepNearlyEqual(operationsPerSecond: number, last: OutstandingGrant | undefined): number {
+    const isNearlyEqual = last !== undefined
+        && Math.abs(last.operationsPerSecond - operationsPerSecond) < operationsPerSecond * quotaConstants.steadyShare;
+    return isNearlyEqual ? last.operationsPerSecond : operationsPerSecond;
+}
--- a/src/quotas/types/QuotaDemand.ts
+++ b/src/quotas/types/QuotaDemand.ts
@@ -1,3 +1,5 @@
+import type { HeldQuotaGrant } from "./HeldQuotaGrant.js";
+
 /** What a VM asks of the quota of one workspace. */
 export interface QuotaDemand {
     /** Name of the workspace. */
@@ -8,4 +10,6 @@
     readonly waitingOperations: number;
     /** Operations that the VM may start at once. */
     readonly heldOperations: number;
+    /** The grant that the VM follows; left out when none has not ended. */
+    readonly grant?: HeldQuotaGrant;
 }
--- a/src/quotas/types/QuotaExchange.ts
+++ b/src/quotas/types/QuotaExchange.ts
@@ -8,8 +8,15 @@
     createDemands(): QuotaDemands | undefined;
     /** Applies grants that answer the last demands. */
     applyGrants(grants: QuotaGrants): void;
-    /** Answers the demands of a VM; only the holder that is certain to be the only one may call it. */
-    answerDemands(vm: Pick<VmIdentity, "name" | "incarnation">, demands: QuotaDemands): QuotaGrants;
-    /** Forgets all grants because this VM becomes the holder; no grant of a predecessor holds at the first answer. */
-    startGranting(): void;
+    /**
+     * Answers the demands of a VM; only the holder that is certain to be the only one may call it. Undefined while a
+     * predecessor may still make grants.
+     */
+    answerDemands(vm: Pick<VmIdentity, "name" | "incarnation">, demands: QuotaDemands): QuotaGrants | undefined;
+    /**
+     * Forgets all grants because this VM becomes the holder.
+     *
+     * @param predecessorEndsAt Time after which no predecessor makes a grant, by the monotonic clock in milliseconds.
+     */
+    startGranting(predecessorEndsAt: number): void;
 }
--- a/src/quotas/types/QuotaGrant.ts
+++ b/src/quotas/types/QuotaGrant.ts
@@ -1,3 +1,5 @@
+import type { Quota } from "../../workspaces/types/Quota.js";
+
 /** Part of the quota of one workspace that the holder gives to a VM, until the grant ends. */
 export interface QuotaGrant {
     /** Name of the workspace. */
@@ -8,6 +10,8 @@
     readonly operationsPerSecond: number;
     /** Operations that the VM may hold at most. */
     readonly maximumOperations: number;
-    /** Whether the workspace asks for more than its quota, at all VMs together. */
+    /** The quota that the grant is a part of. */
+    readonly quota: Quota;
+    /** Whether the VM asks for more than it can get, so that nothing is gained by waiting. */
     readonly isLimited: boolean;
 }
--- a/src/quotas/types/QuotaGrants.ts
+++ b/src/quotas/types/QuotaGrants.ts
@@ -8,5 +8,7 @@
     readonly granter: string;
     /** Grows with each answer of the granter. */
     readonly number: number;
+    /** Whether the grants only go on with those that the VM had of a predecessor, and hold only if these have not ended. */
+    readonly isContinuation: boolean;
     readonly grants: readonly QuotaGrant[];
 }
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -150,6 +150,8 @@
         countPrimaryVerification: ignore,
         countMemoryRefusal: ignore,
         countReadPause: ignore,
+        countQuotaDecision: ignore,
+        countQuotaGrants: ignore,
         registerGauge: ignore,
         render: async () => "",
     };
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -32,6 +32,7 @@
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
 import type { PromotionCoordinator } from "../../promotions/types/PromotionCoordinator.js";
 import type { PromotionOrders } from "../../promotions/types/PromotionOrders.js";
+import type { VmQuotas } from "../../quotas/types/VmQuotas.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { createPeers } from "../../transport/createPeers/index.js";
 import { createTransportServer } from "../../transport/createTransportServer/index.js";
@@ -78,6 +79,7 @@
                 ServiceName.StoreFreshness,
                 ServiceName.Primaries,
                 ServiceName.Peers,
+                ServiceName.QuotaExchange,
                 ServiceName.Logger,
             ],
             create: (
@@ -88,6 +90,7 @@
                 freshness: StoreFreshness,
                 primaries: Primaries,
                 peers: Peers,
+                quotas: VmQuotas,
                 logger: Logger,
             ) => createDuty({
                 clock,
@@ -99,6 +102,7 @@
                 self: { name, address: peerAddress, capacity, incarnation: `${random.nextInteger(2 ** 32)}` },
                 peerOf: createVmPeers(peers, clock),
                 onAnnouncement: announcement => applyAnnouncement(primaries, announcement),
+                quotas,
                 log: logger.topic("duty"),
             }),
         },
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -40,6 +40,7 @@
 import { defineSessionService } from "../defineSessionService/index.js";
 import { listDutyServices } from "../listDutyServices/index.js";
 import { listForwardingServices } from "../listForwardingServices/index.js";
+import { listQuotaServices } from "../listQuotaServices/index.js";
 import { openEndpoint } from "../openEndpoint/index.js";
 import { registerVmGauges } from "../registerVmGauges/index.js";
 import type { VmSettings } from "../types/VmSettings.js";
@@ -211,6 +212,7 @@
         defineSessionService(settings),
         ...listForwardingServices(settings),
         ...listDutyServices(settings),
+        ...listQuotaServices(settings),
         { name: ServiceName.Metrics, dependencies: [], create: createMetrics },
         {
             name: ServiceName.MetricsServer,
