Charge each operation to the quota of its workspace

Cause: no quota was kept. Change: a statement outside a transaction, or the beginning of one, asks the quota once; beyond it the answer is immediate (Busy, with the time to wait), and what did not run is refunded.

--- a/src/callerSessions/createCallerSession/index.ts
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -7,6 +7,7 @@
 import { callerSessionConstants } from "../constants.js";
 import { createCallerTransaction } from "../createCallerTransaction/index.js";
 import { createFailure } from "../createFailure/index.js";
+import { createOperationCharge } from "../createOperationCharge/index.js";
 import { createSessionContext } from "../createSessionContext/index.js";
 import { identifyCaller } from "../identifyCaller/index.js";
 import { runSingleStatement } from "../runSingleStatement/index.js";
@@ -43,6 +44,7 @@
 ): CallerSession {
     const { clock, directory, log } = services;
     const context = createSessionContext(database);
+    const charge = createOperationCharge(services.quotas);
     let isKeyWithdrawn = false;
     let transaction: CallerTransaction | undefined;
     /** Why this process rolled back the transaction; undefined when the caller did or has been informed. */
@@ -142,7 +144,10 @@
         return createFailure(FailureCode.UnknownDatabase, `no route exists for a database of this name`);
     }
 
-    function begin({ isReadOnly }: { readonly isReadOnly: boolean; }, { id, receivedAt }: ReceivedStatement): void {
+    async function begin(
+        { isReadOnly }: { readonly isReadOnly: boolean; },
+        { id, receivedAt }: ReceivedStatement,
+    ): Promise<void> {
         if (transaction !== undefined) {
             sendOutcome(id, createFailure(FailureCode.Malformed, "a transaction is open already"));
             return;
@@ -152,6 +157,11 @@
             sendOutcome(id, createUnknownDatabaseFailure());
             return;
         }
+        const refusal = await charge.begin(context.identity.workspace);
+        if (refusal !== undefined) {
+            sendOutcome(id, refusal);
+            return;
+        }
         transaction = createCallerTransaction({ route, session: context, isReadOnly, receivedAt }, services);
         sendEmptySuccess();
     }
@@ -166,11 +176,17 @@
             sendOutcome(received.id, createUnknownDatabaseFailure());
             return;
         }
+        const refusal = transaction === undefined ? await charge.begin(context.identity.workspace) : undefined;
+        if (refusal !== undefined) {
+            sendOutcome(received.id, refusal);
+            return;
+        }
         const callerStatement = toCallerStatement(received, { route, mode, prepared });
         const startedAt = clock.now();
         const outcome = transaction === undefined
             ? await runSingleStatement(callerStatement, services)
             : await transaction.run(callerStatement);
+        charge.settle(outcome);
         services.metrics.countStatement(route.guarantee, clock.now() - startedAt, outcome.failure?.code);
         const isOwnCommit = transaction === undefined && mode === AccessMode.Write && outcome.failure === undefined;
         if (isOwnCommit && outcome.position !== undefined) {
@@ -214,6 +230,7 @@
         const statement = toCallerStatement(received, { route: ending.route, mode: AccessMode.Read });
         const startedAt = clock.now();
         const outcome = await ending.commit(statement);
+        charge.settle(outcome);
         services.metrics.countStatement(statement.route.guarantee, clock.now() - startedAt, outcome.failure?.code);
         clearTransaction();
         sendOutcome(received.id, outcome);
@@ -230,6 +247,7 @@
 
     function clearTransaction(): void {
         transaction?.abandon();
+        charge.end();
         transaction = undefined;
         abandonReason = undefined;
     }
--- a/src/callerSessions/types/SessionServices.ts
+++ b/src/callerSessions/types/SessionServices.ts
@@ -7,6 +7,7 @@
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import type { PrimaryVerification } from "../../primaries/types/PrimaryVerification.js";
+import type { Quotas } from "../../quotas/types/Quotas.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import type { EvidenceRenewal } from "./EvidenceRenewal.js";
 import type { GracefulStop } from "./GracefulStop.js";
@@ -22,6 +23,7 @@
     readonly verification: PrimaryVerification;
     readonly placement: Placement;
     readonly renewal: EvidenceRenewal;
+    readonly quotas: Quotas;
     readonly preparedNames: PreparedNames;
     readonly budget: ByteBudget;
     readonly stop: GracefulStop;
--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -46,6 +46,7 @@
             stop: async () => {},
         },
         renewal: { renew: async () => {}, renewIfOld: () => {} },
+        quotas: { take: () => ({ isAdmitted: true, refund: () => {} }) },
         preparedNames: createPreparedNames(),
         stop: createGracefulStop(clock, graceMilliseconds),
         budget: createByteBudget({
--- a/src/vm/defineSessionService/index.ts
+++ b/src/vm/defineSessionService/index.ts
@@ -15,6 +15,7 @@
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import type { PrimaryVerification } from "../../primaries/types/PrimaryVerification.js";
+import type { Quotas } from "../../quotas/types/Quotas.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { createRouteFreshness } from "../createRouteFreshness/index.js";
 import type { VmSettings } from "../types/VmSettings.js";
@@ -39,6 +40,7 @@
             ServiceName.PositionEvidence,
             ServiceName.PrimaryVerification,
             ServiceName.Placement,
+            ServiceName.Quotas,
             ServiceName.SessionForwarding,
             ServiceName.Duty,
             ServiceName.ByteBudget,
@@ -53,6 +55,7 @@
             evidence: PositionEvidence,
             verification: PrimaryVerification,
             placement: Placement,
+            quotas: Quotas,
             forwarding: SessionForwarding,
             duty: Duty,
             budget: ByteBudget,
@@ -69,6 +72,7 @@
                 evidence,
                 verification,
                 placement,
+                quotas,
                 preparedNames,
                 stop: createGracefulStop(clock, settings.graceMilliseconds),
                 budget,
