--- a/src/model/listQuotaSteps/index.ts
+++ b/src/model/listQuotaSteps/index.ts
@@ -57,7 +57,7 @@
 
 /** Gives what no longer matters one value, so that states which behave alike are one. */
 function normalize(vm: GrantedVm): GrantedVm {
-    const isAsking = vm.demand !== null || vm.answer !== null;
+    const isAsking = vm.demand !== undefined || vm.answer !== undefined;
     return { ...vm, age: isAsking ? vm.age : 0, limit: vm.left > 0 ? vm.limit : 0 };
 }
 
@@ -102,15 +102,15 @@
 function* listVmSteps(state: QuotaGrantState, index: number, omitted?: QuotaProtection): Generator<QuotaStep> {
     const vm = state.vms[index]!;
     const hasGrant = vm.left > 0;
-    if (vm.demand === null) {
-        const asked = { ...vm, demand: { held: hasGrant ? vm.held : 0, hasGrant }, age: 0, answer: null };
+    if (vm.demand === undefined) {
+        const asked = { ...vm, demand: { held: hasGrant ? vm.held : 0, hasGrant }, age: 0, answer: undefined };
         yield { name: `VM ${index} sends a demand`, state: withVm(state, index, asked) };
     }
     if (hasGrant && vm.held > 0) {
         const spent = withVm(state, index, { ...vm, held: vm.held - 1 });
         yield { name: `VM ${index} starts an operation`, state: { ...spent, allowed: state.allowed - 1 } };
     }
-    if (vm.answer !== null) {
+    if (vm.answer !== undefined) {
         yield { name: `VM ${index} applies a grant`, state: withVm(state, index, applyAnswer(vm, omitted)) };
     }
 }
@@ -120,18 +120,18 @@
     const { operations, most, isContinuation, limit } = vm.answer!;
     const left = omitted === QuotaProtection.EndCountsFromDemand ? grantDuration : grantDuration - vm.age;
     if (left === 0 || isContinuation && vm.left === 0) {
-        return normalize({ ...vm, answer: null });
+        return normalize({ ...vm, answer: undefined });
     }
-    return normalize({ ...vm, held: Math.min(vm.held + operations, most), limit, left, answer: null });
+    return normalize({ ...vm, held: Math.min(vm.held + operations, most), limit, left, answer: undefined });
 }
 
 function* listGrantSteps(state: QuotaGrantState, index: number): Generator<QuotaStep> {
     const vm = state.vms[index]!;
-    if (vm.demand === null) {
+    if (vm.demand === undefined) {
         return;
     }
     const { held, hasGrant } = vm.demand;
-    const asking = { ...vm, demand: null };
+    const asking = { ...vm, demand: undefined };
     yield { name: `demand of VM ${index} is lost`, state: withVm(state, index, normalize(asking)) };
     if (state.sharesIn === 0) {
         const { bucket: operations, limit } = state;
--- a/src/model/searchQuota/index.ts
+++ b/src/model/searchQuota/index.ts
@@ -16,7 +16,7 @@
  * searchQuota().violation; // => undefined
  */
 export function searchQuota(omitted?: QuotaProtection): ReturnType<typeof searchStates> {
-    const vm = { held: 0, left: 0, limit: 0, demand: null, age: 0, answer: null };
+    const vm = { held: 0, left: 0, limit: 0, demand: undefined, age: 0, answer: undefined };
     return searchStates<QuotaGrantState>({
         initialState: {
             limit,
--- a/src/model/types/QuotaGrantState.ts
+++ b/src/model/types/QuotaGrantState.ts
@@ -7,7 +7,7 @@
     /** The limit that the grant is a part of. */
     readonly limit: number;
     /** The newest demand, on its way to the holder: what the VM held when it was sent, and whether it had a grant. */
-    readonly demand: { readonly held: number; readonly hasGrant: boolean; } | null;
+    readonly demand: { readonly held: number; readonly hasGrant: boolean; } | undefined;
     /** Time since the newest demand was sent, by the clock of the VM. */
     readonly age: number;
     /** The answer to the newest demand, on its way to the VM. */
@@ -17,7 +17,7 @@
         readonly most: number;
         readonly isContinuation: boolean;
         readonly limit: number;
-    } | null;
+    } | undefined;
 }
 
 /** A state of the model of quotas: two VMs that start operations, and the record of the present holder. */
--- a/src/quotas/constants.ts
+++ b/src/quotas/constants.ts
@@ -35,6 +35,10 @@
     heldOperations: 1,
     /** Share of the rate of a quota that VMs gain by themselves; the rest fills the bucket, for those that lack most. */
     rateShare: 0.75,
+    /** Share of the rate of a quota up to which VMs gain more than their demand, while the bucket is full. */
+    headroomShare: 0.9,
+    /** Share of the bucket below which VMs gain no more than their demand. */
+    emptyShare: 0.8,
     /** Standard deviations of a count by which the rate of a VM stays below its demand, so that it is used up. */
     deviations: 1.5,
     /** Share of what may be held that VMs hold for operations to come; the rest stays with the holder. */
--- a/src/quotas/createQuotaLedger/index.ts
+++ b/src/quotas/createQuotaLedger/index.ts
@@ -30,6 +30,7 @@
 
 /** A VM with grants or demand. */
 interface Member {
+    demandPerSecond: number;
     /** Rate that the VM uses up for sure. */
     wantedPerSecond: number;
     waitingOperations: number;
@@ -88,6 +89,7 @@
         let member = members.get(vm);
         if (member === undefined) {
             member = {
+                demandPerSecond: 0,
                 wantedPerSecond: 0,
                 waitingOperations: 0,
                 wantedOperations: 0,
@@ -105,6 +107,7 @@
         member.waitingOperations = waitingOperations;
         member.wantedOperations = quotaConstants.heldOperations
             + operationsPerSecond * heldMilliseconds / millisecondsPerSecond;
+        member.demandPerSecond = operationsPerSecond;
         member.wantedPerSecond = Math.max(0, operationsPerSecond - deviations * Math.sqrt(operationsPerSecond));
         member.askedAt = clock.now();
     }
@@ -127,8 +130,11 @@
     }
 
     function limitBucket(quota: Quota): void {
-        const room = Math.min(quota.burstOperations, capLeft(undefined, quota));
-        bucketOperations = Math.max(0, Math.min(bucketOperations, room));
+        bucketOperations = Math.max(0, Math.min(bucketOperations, roomOf(quota)));
+    }
+
+    function roomOf(quota: Quota): number {
+        return Math.min(quota.burstOperations, capLeft(undefined, quota));
     }
 
     function prune(): void {
@@ -170,11 +176,27 @@
         return [...members.values()].filter(isAsking);
     }
 
-    /** The part of the rate that a VM should get. */
+    /** The part of the rate that a VM should get: what it uses up for sure, and headroom while the bucket is full. */
     function rateOf(member: Member, quota: Quota): number {
         const asking = listAsking();
         const wanted = asking.map(({ wantedPerSecond }) => wantedPerSecond);
-        return shareFairly(quota.operationsPerSecond * quotaConstants.rateShare, wanted)[asking.indexOf(member)]!;
+        const share = shareFairly(
+            quota.operationsPerSecond * quotaConstants.rateShare,
+            wanted,
+        )[asking.indexOf(member)]!;
+        const demanded = asking.reduce((sum, { demandPerSecond }) => sum + demandPerSecond, 0);
+        const part = demanded === 0 ? 1 / asking.length : member.demandPerSecond / demanded;
+        return share + headroomOf(quota, wanted) * (1 / asking.length + part) / 2;
+    }
+
+    /** The rate that is spread beyond the demands: as much of what is left as the bucket is full. */
+    function headroomOf(quota: Quota, wanted: readonly number[]): number {
+        const left = quota.operationsPerSecond * quotaConstants.headroomShare
+            - wanted.reduce((sum, rate) => sum + rate, 0);
+        const { emptyShare } = quotaConstants;
+        const room = roomOf(quota);
+        const fullShare = room <= 0 ? 0 : bucketOperations / room;
+        return Math.max(0, left) * Math.max(0, (fullShare - emptyShare) / (1 - emptyShare));
     }
 
     /** The operations that a VM should be able to hold: one at least, so that it can start any. */
