Find the pace of an endpoint from how it answers

An endpoint that starts, returns or becomes the primary was flooded at once, and a failing one kept its share of reads: of an endpoint a VM knew only a mean latency. Each VM now keeps a limit of its own for each endpoint (src/pace), sets aside replicas that fail more than others, and bounds retries of statements that found no slot. Without evidence nothing changes.

--- a/src/admission/createAdaptiveLimit/index.ts
+++ b/src/admission/createAdaptiveLimit/index.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import { admissionConstants } from "../constants.js";
 import type { AdaptiveLimit } from "../types/AdaptiveLimit.js";
+import type { AdaptiveLimitSettings } from "../types/AdaptiveLimitSettings.js";
 
 /**
  * Creates a limit on requests in flight that adapts to refusals: additive increase, multiplicative decrease (AIMD).
@@ -10,6 +11,7 @@
  * The limit grows only while at least half of it is in use.
  *
  * @param clock Source of time.
+ * @param settings Bounds and steps; those of the requests of an entry when left out.
  * @returns The limit, at its initial value.
  *
  * @example
@@ -17,42 +19,78 @@
  * const reply = await send();
  * limit.release(reply.outcome === OutcomeKind.NotRun && reply.reason === NotRunReason.Overloaded);
  */
-export function createAdaptiveLimit(clock: Clock): AdaptiveLimit {
-    const {
-        initialLimit,
-        minimumLimit,
-        maximumLimit,
-        decreaseFactor,
-        decreaseIntervalMilliseconds,
-    } = admissionConstants;
-    let limit: number = initialLimit;
+export function createAdaptiveLimit(
+    clock: Clock,
+    settings: AdaptiveLimitSettings = admissionConstants,
+): AdaptiveLimit {
+    const { minimumLimit, maximumLimit, requestMilliseconds } = settings;
+    const increaseRequests = settings.increaseRequests ?? 1;
+    const fractionRequests = settings.fractionRequests ?? 1;
+    let limit = settings.initialLimit;
     let requestsInFlight = 0;
     let decreasedAt = -Infinity;
+    /** When the next request beyond the whole ones may start. */
+    let fractionFreeAt = -Infinity;
+
+    /** Interval at which requests beyond the whole ones may start, in milliseconds. */
+    function fractionInterval(): number {
+        return (requestMilliseconds?.() ?? Infinity) / (limit - Math.floor(limit));
+    }
+
+    function millisecondsUntilFree(): number {
+        const wholeRequests = Math.floor(limit);
+        if (requestsInFlight < wholeRequests) {
+            return 0;
+        }
+        if (requestsInFlight >= wholeRequests + fractionRequests || fractionInterval() === Infinity) {
+            return Infinity;
+        }
+        return Math.max(fractionFreeAt - clock.now(), 0);
+    }
 
     function tryAcquire(): boolean {
-        if (requestsInFlight >= Math.floor(limit)) {
+        if (millisecondsUntilFree() > 0) {
             return false;
         }
-        requestsInFlight += 1;
+        acquire();
         return true;
     }
 
+    function acquire(): void {
+        if (requestsInFlight >= Math.floor(limit)) {
+            const interval = fractionInterval();
+            // Unused intervals are saved up for as many requests.
+            fractionFreeAt = Math.max(fractionFreeAt, clock.now() - (fractionRequests - 1) * interval) + interval;
+        }
+        requestsInFlight += 1;
+    }
+
     function release(wasRefused: boolean): void {
         const isUsed = requestsInFlight >= limit / 2;
         requestsInFlight -= 1;
         if (!wasRefused) {
-            limit = isUsed ? Math.min(limit + 1 / limit, maximumLimit) : limit;
+            limit = isUsed ? Math.min(limit + increaseRequests / Math.max(limit, 1), maximumLimit) : limit;
         }
-        else if (clock.now() - decreasedAt >= decreaseIntervalMilliseconds) {
+        else if (clock.now() - decreasedAt >= settings.decreaseIntervalMilliseconds) {
             decreasedAt = clock.now();
-            limit = Math.max(limit * decreaseFactor, minimumLimit);
+            limit = Math.max(limit * settings.decreaseFactor, minimumLimit);
         }
     }
 
     return {
         tryAcquire,
+        acquire,
+        millisecondsUntilFree,
         release,
+        cancel: () => {
+            requestsInFlight -= 1;
+        },
+        reset: next => {
+            fractionFreeAt = Math.max(fractionFreeAt, clock.now());
+            limit = Math.min(Math.max(next, minimumLimit), maximumLimit);
+        },
         limit: () => Math.floor(limit),
+        exactLimit: () => limit,
         countInFlight: () => requestsInFlight,
     };
 }
--- a/src/admission/createAdaptiveLimit/test.ts
+++ b/src/admission/createAdaptiveLimit/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createManualClock } from "../../testing/createManualClock/index.js";
 import { admissionConstants } from "../constants.js";
 import { createAdaptiveLimit } from "./index.js";
 
@@ -49,3 +50,24 @@
     }
     assert.ok(limit.limit() <= limitBefore + 2);
 });
+
+test("a limit below one request spreads requests over time, and saves up unused ones", async () => {
+    const clock = createManualClock();
+    const limit = createAdaptiveLimit(clock, {
+        ...admissionConstants,
+        initialLimit: 0.5,
+        minimumLimit: 0.25,
+        requestMilliseconds: () => 20,
+        fractionRequests: 2,
+    });
+    await clock.advance(1_000);
+    assert.equal(limit.tryAcquire() && limit.tryAcquire(), true);
+    assert.equal(limit.millisecondsUntilFree(), Infinity, "both are in flight");
+    limit.cancel();
+    limit.cancel();
+    assert.equal(limit.millisecondsUntilFree(), 40);
+    await clock.advance(40);
+    assert.equal(limit.tryAcquire(), true);
+    limit.reset(0);
+    assert.equal(limit.exactLimit(), 0.25);
+});
--- a/src/admission/createRetryBudget/index.ts
+++ b/src/admission/createRetryBudget/index.ts
@@ -8,14 +8,18 @@
  * infrequent requests can be retried too.
  *
  * @param share Share of a retry added by each request, from 0 to 1; read at each request.
+ * @param maximumRetryBalance Maximum balance of a key, in retries.
  * @returns The budget.
  *
  * @example
  * budget.countRequest("stock-1");
  * if (isAnswerLost && budget.tryConsumeRetry("stock-1")) { await retry(); }
  */
-export function createRetryBudget(share: () => number): RetryBudget {
-    const { maximumRetryBalance, maximumTrackedBudgets } = admissionConstants;
+export function createRetryBudget(
+    share: () => number,
+    maximumRetryBalance: number = admissionConstants.maximumRetryBalance,
+): RetryBudget {
+    const { maximumTrackedBudgets } = admissionConstants;
     const balances = new Map<string, number>();
 
     function countRequest(key: string): void {
--- a/src/admission/types/AdaptiveLimit.ts
+++ b/src/admission/types/AdaptiveLimit.ts
@@ -2,9 +2,19 @@
 export interface AdaptiveLimit {
     /** Counts one more request in flight; returns false if the limit is reached. */
     tryAcquire(): boolean;
+    /** Counts one more request in flight, regardless of the limit. */
+    acquire(): void;
+    /** Time until `tryAcquire` succeeds without a release, in milliseconds; infinite if only a release helps. */
+    millisecondsUntilFree(): number;
     /** Counts the request as ended and adapts the limit to its outcome. */
     release(wasRefused: boolean): void;
-    /** Number of requests that may be in flight now. */
+    /** Counts the request as ended without adapting the limit. */
+    cancel(): void;
+    /** Replaces the limit, within its bounds; what was saved up is lost. */
+    reset(limit: number): void;
+    /** Number of requests that may be in flight now, rounded down. */
     limit(): number;
+    /** The limit with its fraction. */
+    exactLimit(): number;
     countInFlight(): number;
 }
--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -126,7 +126,9 @@
     if (failure !== undefined) {
         const didNotRun = recordRefusal(connection, failure.code, services);
         const outcome = { rows: [], failure };
-        return { kind: didNotRun ? AttemptKind.Retryable : AttemptKind.Final, outcome };
+        return didNotRun || isFailedProbe(callerStatement, connection, failure.code)
+            ? { kind: AttemptKind.Retryable, outcome, hadNoSlot: failure.code === FailureCode.Busy }
+            : { kind: AttemptKind.Final, outcome };
     }
     if (signature === undefined) {
         connection.discard();
@@ -134,3 +136,12 @@
     }
     return { kind: AttemptKind.Final, outcome: { rows, signature, position } };
 }
+
+/** Whether a read found out that an endpoint still fails statements; another endpoint may serve it. */
+function isFailedProbe(
+    { mode }: CallerStatement,
+    { isProbe }: EligibleConnection["connection"],
+    code: FailureCode,
+): boolean {
+    return isProbe === true && mode === AccessMode.Read && code === FailureCode.Failed;
+}
--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -121,4 +121,21 @@
         const attempt = await createAttempt(AccessMode.Write, [true], { signature: undefined, failure }).run();
         assert.equal(attempt.kind, AttemptKind.Retryable);
     });
+
+    it("retries a read whose probe of an endpoint failed, and marks one that found no slot", async () => {
+        const answer = (code: FailureCode) => ({ signature: undefined, failure: { code, description: code } });
+        for (
+            const [isProbe, code, kind, hadNoSlot] of [
+                [true, FailureCode.Failed, AttemptKind.Retryable, false],
+                [false, FailureCode.Failed, AttemptKind.Final, undefined],
+                [false, FailureCode.Busy, AttemptKind.Retryable, true],
+            ] as const
+        ) {
+            const { run, connection } = createAttempt(AccessMode.Read, [true, true], answer(code));
+            Object.assign(connection, { isProbe });
+            const attempt = await run();
+            assert.equal(attempt.kind, kind);
+            assert.equal(attempt.kind === AttemptKind.Retryable ? attempt.hadNoSlot : undefined, hadNoSlot);
+        }
+    });
 });
--- a/src/callerSessions/createCallerTransaction/index.ts
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -78,6 +78,7 @@
     function runFirst(statement: CallerStatement): Promise<StatementOutcome> {
         const excluded = new Set<string>();
         return retryAttempts({
+            group: route.group,
             expiresAt: statement.expiresAt,
             attempt: () => attemptFirst(statement, excluded),
             onRetryable: ({ failure }) =>
--- a/src/callerSessions/retryAttempts/test.ts
+++ b/src/callerSessions/retryAttempts/test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createMetrics } from "../../metrics/createMetrics/index.js";
+import { createRetryAllowance } from "../../pace/createRetryAllowance/index.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
@@ -18,7 +19,9 @@
     const remaining = [...attempts];
     const seen = { attempts: 0, retryable: 0 };
     const stop = createGracefulStop(clock, 6_000);
+    const retryAllowance = createRetryAllowance(clock);
     const outcome = retryAttempts({
+        group: "orders",
         expiresAt,
         attempt: async () => {
             seen.attempts += 1;
@@ -27,8 +30,14 @@
         onRetryable: () => {
             seen.retryable += 1;
         },
-    }, { clock, random: createRandomSource(1), metrics: createMetrics(), stop });
-    return { clock, seen, outcome, stop };
+    }, {
+        clock,
+        random: createRandomSource(1),
+        metrics: createMetrics(),
+        stop,
+        retryAllowance,
+    });
+    return { clock, seen, outcome, stop, retryAllowance };
 }
 
 describe("retryAttempts", () => {
@@ -54,4 +63,16 @@
         await clock.advance(1_000);
         assert.equal(seen.attempts, attempts);
     });
+
+    it("makes a retry wait while the allowance is used up by statements that found no slot", async () => {
+        const noSlot: Attempt = { ...refused, hadNoSlot: true };
+        const { clock, retryAllowance, seen, outcome } = createSite([noSlot, finalAttempt], 10_000);
+        while (await retryAllowance.waitForRetry("orders", 0, AbortSignal.abort())) {
+            // Uses up the reserve.
+        }
+        await clock.advance(100);
+        assert.equal(seen.attempts, 1);
+        await clock.advance(200);
+        assert.deepEqual((await outcome).rows, ["data"]);
+    });
 });
--- a/src/callerSessions/runSingleStatement/index.ts
+++ b/src/callerSessions/runSingleStatement/index.ts
@@ -34,7 +34,7 @@
     const isReadOnly = mode === AccessMode.Read;
     const excluded = new Set<string>();
     let eligible: EligibleConnection;
-    return retryAttempts({ expiresAt, attempt, onRetryable }, services);
+    return retryAttempts({ group: route.group, expiresAt, attempt, onRetryable }, services);
 
     async function attempt(previous: StatementOutcome): Promise<Attempt> {
         try {
--- a/src/callerSessions/types/SessionServices.ts
+++ b/src/callerSessions/types/SessionServices.ts
@@ -3,6 +3,7 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { ByteBudget } from "../../memory/types/ByteBudget.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
+import type { RetryAllowance } from "../../pace/types/RetryAllowance.js";
 import type { Placement } from "../../placement/types/Placement.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
@@ -21,6 +22,7 @@
     readonly evidence: PositionEvidence;
     readonly verification: PrimaryVerification;
     readonly placement: Placement;
+    readonly retryAllowance: RetryAllowance;
     readonly renewal: EvidenceRenewal;
     readonly preparedNames: PreparedNames;
     readonly budget: ByteBudget;
--- a/src/placement/createAcquiredConnection/index.ts
+++ b/src/placement/createAcquiredConnection/index.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { PacedUse } from "../../pace/types/PacedUse.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
 import type { PlacementTarget } from "../types/PlacementTarget.js";
 import type { PooledSession } from "../types/PooledSession.js";
@@ -11,6 +12,8 @@
     /** Local state of the endpoint, which the answers update. */
     readonly target: PlacementTarget;
     readonly pooled: PooledSession;
+    /** The use of the endpoint, which the answers and the release end. */
+    readonly use: PacedUse;
     /** Whether the endpoint is the known primary of its group. */
     readonly isPrimary: boolean;
 }
@@ -22,15 +25,16 @@
  * @returns The connection, held.
  *
  * @example
- * const connection = createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary: true });
+ * const connection = createAcquiredConnection({ clock, endpoint, target, pooled, use, isPrimary: true });
  */
 export function createAcquiredConnection(options: AcquiredConnectionOptions): AcquiredConnection {
-    const { clock, endpoint, target, pooled, isPrimary } = options;
+    const { clock, endpoint, target, pooled, use, isPrimary } = options;
     let isHeld = true;
 
     function end(finish: () => void): void {
         if (isHeld) {
             isHeld = false;
+            use.end();
             finish();
         }
     }
@@ -38,12 +42,19 @@
     return {
         endpoint,
         isPrimary,
+        isProbe: use.isProbe,
         pooled,
         exchange: async (statements, timeoutMilliseconds) => {
             const sentAt = clock.now();
-            const answers = await pooled.session.exchange(statements, timeoutMilliseconds);
+            const answers = await use.observe(
+                statements,
+                timeoutMilliseconds,
+                limitMilliseconds => pooled.session.exchange(statements, limitMilliseconds),
+            );
             target.lastContactAt = clock.now();
-            target.latencyEstimate.recordLatency(target.lastContactAt - sentAt);
+            if (answers.at(-1)?.failure === undefined) {
+                target.latencyEstimate.recordLatency(target.lastContactAt - sentAt);
+            }
             target.lagPauseMilliseconds = 0;
             return answers;
         },
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -5,6 +5,7 @@
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
+import { createPacing } from "../../pace/createPacing/index.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import type { Waiter } from "../../waiting/types/Waiter.js";
@@ -61,6 +62,8 @@
     const waitingByGroup = new Map<string, WaitingRequest[]>();
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
+    const pacing = createPacing({ ...options, isAble, onFree: dispatch });
+
     directory.onChange(groups => {
         closeRemoved();
         groups.forEach(dispatch);
@@ -105,6 +108,11 @@
         return target;
     }
 
+    function isAble(endpointId: string): boolean {
+        const target = targets.get(endpointId);
+        return target !== undefined && target.pool.openCount() > 0 && target.lagPauseMilliseconds === 0;
+    }
+
     function closeRemoved(): void {
         for (const [id, target] of targets) {
             if (directory.endpoint(id) === undefined) {
@@ -200,7 +208,7 @@
         request: PlacementRequest,
         openings: Map<PlacementTarget, number>,
     ): AcquiredConnection | undefined {
-        for (const endpoint of listCandidates(request)) {
+        for (const endpoint of pacing.listUsable(request, listCandidates(request))) {
             const target = targetOf(endpoint);
             const pooled = target.pool.acquire(request.values);
             if (pooled !== undefined) {
@@ -209,6 +217,7 @@
                     endpoint,
                     target,
                     pooled,
+                    use: pacing.begin(request, endpoint),
                     isPrimary: endpoint.id === primaries.primaryOf(endpoint.group)?.id,
                 });
             }
@@ -236,6 +245,7 @@
         });
         const cost = (endpoint: EndpointRecord) =>
             targetOf(endpoint).latencyEstimate.expectedMilliseconds(endpoint)
+            + pacing.penaltyMilliseconds(endpoint)
             + (endpoint.id === primary?.id ? placementConstants.primaryPenaltyMilliseconds : 0);
         // During a change of primary, an endpoint registered as the primary does not serve reads as a replica.
         return usable
--- a/src/placement/types/AcquiredConnection.ts
+++ b/src/placement/types/AcquiredConnection.ts
@@ -8,6 +8,8 @@
     readonly endpoint: EndpointRecord;
     /** Whether the endpoint was the known primary when the connection was acquired. */
     readonly isPrimary: boolean;
+    /** Whether the endpoint was set aside and the statement finds out if it serves again; left out means no. */
+    readonly isProbe?: boolean;
     readonly pooled: PooledSession;
     /** Sends statements and waits for the answers; fails as `EndpointSession.exchange`. */
     exchange(
--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -6,6 +6,7 @@
 import { memoryConstants } from "../../memory/constants.js";
 import { createByteBudget } from "../../memory/createByteBudget/index.js";
 import { createMetrics } from "../../metrics/createMetrics/index.js";
+import { createRetryAllowance } from "../../pace/createRetryAllowance/index.js";
 import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
@@ -45,6 +46,7 @@
             lastContactAt: () => 0,
             stop: async () => {},
         },
+        retryAllowance: createRetryAllowance(clock),
         renewal: { renew: async () => {}, renewIfOld: () => {} },
         preparedNames: createPreparedNames(),
         stop: createGracefulStop(clock, graceMilliseconds),
--- a/src/vm/defineSessionService/index.ts
+++ b/src/vm/defineSessionService/index.ts
@@ -11,6 +11,7 @@
 import type { Logger } from "../../logging/types/Logger.js";
 import type { ByteBudget } from "../../memory/types/ByteBudget.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
+import { createRetryAllowance } from "../../pace/createRetryAllowance/index.js";
 import type { Placement } from "../../placement/types/Placement.js";
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
@@ -69,6 +70,7 @@
                 evidence,
                 verification,
                 placement,
+                retryAllowance: createRetryAllowance(clock),
                 preparedNames,
                 stop: createGracefulStop(clock, settings.graceMilliseconds),
                 budget,
