--- a/src/pace/constants.ts
+++ b/src/pace/constants.ts
@@ -38,11 +38,9 @@
     maximumStatementMilliseconds: 200,
     assumedStatementMilliseconds: 20,
     /** Weight of the newest latency in the moving average. */
-    latencyWeight: 0.2,
-    /** Weight of a latency below the baseline. */
-    baselineFallWeight: 0.05,
-    /** Half-life of a baseline that is below the observed latencies, in milliseconds. */
-    baselineRiseMilliseconds: 20_000,
+    latencyWeight: 0.1,
+    /** Half-life of the baseline, in milliseconds. */
+    baselineHalfLifeMilliseconds: 20_000,
     /** Latencies after which a baseline is relied on. */
     baselineAnswers: 10,
     /** Multiple of the baseline above which a limit in force does not grow but falls. */
