Pause for the expected rest of a statement after a refusal, without doubling

Hosts that met several refusals in a row waited too long beside others (p99 near the time limit at full load; a trial of growing pauses).

--- a/src/pace/constants.ts
+++ b/src/pace/constants.ts
@@ -25,9 +25,8 @@
     refusalFloorStatements: 1,
     /** Share of the endpoint's slots per VM at which the limit is held while the endpoint is slow. */
     slowShare: 1.5,
-    /** Pause after a refusal; doubles up to the maximum, as a share of a statement's duration. */
-    refusalPauseShare: 0.25,
-    maximumRefusalPauseShare: 2,
+    /** Pause after a refusal, as a share of a statement's duration: the expected rest of one that runs. */
+    refusalPauseShare: 0.5,
     /** Statements that may start beyond the whole ones of a limit, if it was not used before. */
     fractionStatements: 2,
     /** Time without a bad answer after which the limit is lifted, in milliseconds, and the good answers needed in it. */
--- a/src/pace/createEndpointPace/index.ts
+++ b/src/pace/createEndpointPace/index.ts
@@ -38,7 +38,6 @@
     let badAt = -Infinity;
     let reducedAt = -Infinity;
     let goodAnswers = 0;
-    let pauseShare = 0;
     let pausedUntil = -Infinity;
 
     function statementMilliseconds(): number {
@@ -74,7 +73,6 @@
     function handleAnswer(latencyMilliseconds: number): void {
         trend.record(latencyMilliseconds);
         refusals.record(false);
-        pauseShare = 0;
         const slowdown = trend.slowdown();
         const isCrowded = limit.countInFlight() >= paceConstants.latencyFloorStatements;
         if (slowdown >= paceConstants.slowFactor && (isStarting || isLimited())) {
@@ -138,24 +136,17 @@
         [StatementEnd.Neutral]: limit.cancel,
     };
 
-    /** Single refusals are left to the retries; a share of them reduces the limit. */
+    /** Single refusals are left to the retries; a share of them reduces the limit and makes each one pause. */
     function handleRefusal(): void {
         const { toleratedRefusalShare, countedRefusals } = paceConstants;
         refusals.record(true);
         if (refusals.failures() >= countedRefusals && refusals.rate() > toleratedRefusalShare) {
             reduce(Math.max(share(), paceConstants.refusalFloorStatements));
-            pauseAfterRefusal();
+            pausedUntil = clock.now() + paceConstants.refusalPauseShare * statementMilliseconds();
         }
         limit.cancel();
     }
 
-    /** With a whole statement at a time, refusals are spaced by pauses that grow until the next answer. */
-    function pauseAfterRefusal(): void {
-        const { refusalPauseShare, maximumRefusalPauseShare } = paceConstants;
-        pauseShare = Math.min(Math.max(2 * pauseShare, refusalPauseShare), maximumRefusalPauseShare);
-        pausedUntil = clock.now() + pauseShare * statementMilliseconds();
-    }
-
     function endBadly(): void {
         reduce(minimum());
         limit.cancel();
