--- a/src/pace/createPacing/test.ts
+++ b/src/pace/createPacing/test.ts
@@ -98,8 +98,8 @@
         assert.ok(probes > 0 && probes < 0.02 * reports.length, `${probes} probes of ${reports.length}`);
         site.endpoints.get("i-2")!.failingShare = 0;
         const mendedAt = site.clock.now();
-        await site.load({ perSecond: 200, milliseconds: 7_000 });
-        const returned = countArrivals(site, "i-2", mendedAt + 5_000, mendedAt + 7_000) / 2;
+        await site.load({ perSecond: 200, milliseconds: 10_000 });
+        const returned = countArrivals(site, "i-2", mendedAt + 7_000, mendedAt + 10_000) / 3;
         assert.ok(returned > 0.7 * usualShare, `${returned} of ${usualShare} a second`);
         assert.ok(site.lines.includes("endpoint is set aside") && site.lines.includes("endpoint is back in service"));
     });
