--- a/src/forwarding/createSessionHost/index.ts
+++ b/src/forwarding/createSessionHost/index.ts
@@ -2,6 +2,7 @@
 import { CallerCommandKind } from "../../callerSessions/types/CallerCommandKind.js";
 import type { CallerConnection } from "../../callerSessions/types/CallerConnection.js";
 import type { Clock } from "../../clock/types/Clock.js";
+import type { RoutingTable } from "../../directory/types/RoutingTable.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
@@ -11,6 +12,7 @@
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import type { Waiter } from "../../waiting/types/Waiter.js";
 import { waitForCondition } from "../../waiting/waitForCondition/index.js";
+import { digestKey } from "../../workspaces/digestKey/index.js";
 import { forwardingConstants } from "../constants.js";
 import type { ForwardedAnswer } from "../types/ForwardedAnswer.js";
 import type { ForwardedStatement } from "../types/ForwardedStatement.js";
@@ -23,6 +25,8 @@
     readonly serve: (connection: CallerConnection) => void;
     /** Version of the routing table that is in force at this VM. */
     readonly routingVersion: () => number;
+    /** Applies a newer routing table, which came with a statement. */
+    readonly applyRoutingTable: (table: RoutingTable) => void;
     readonly log: LogTopic;
 }
 
@@ -87,14 +91,14 @@
     }
 
     async function openSession(
-        { sessionKey, database }: ForwardedStatement,
+        { sessionKey, database, keyDigest = digestKey("") }: ForwardedStatement,
         connectionEnd: AbortSignal,
     ): Promise<OpenSession> {
         if (database === undefined || connectionEnd.aborted) {
             throw createClosedError();
         }
         const session = createSession(sessionKey, linkOf(connectionEnd));
-        const { failure } = await session.run({ kind: CallerCommandKind.Open, database });
+        const { failure } = await session.run({ kind: CallerCommandKind.Open, database, keyDigest });
         if (failure !== undefined) {
             session.close();
             throw createError(ErrorKind.NotFound, `The session was not opened: ${failure.description}.`, {
@@ -177,8 +181,11 @@
     }
 
     async function run(forwarded: ForwardedStatement, connectionEnd: AbortSignal): Promise<ForwardedAnswer> {
-        const { sessionKey, id, statement, routingVersion, closedKeys = [] } = forwarded;
+        const { sessionKey, id, statement, routingVersion, routingTable, closedKeys = [] } = forwarded;
         close(closedKeys);
+        if (routingTable !== undefined) {
+            options.applyRoutingTable(routingTable);
+        }
         const session = sessions.get(sessionKey) ?? await openSession(forwarded, connectionEnd);
         const isIdle = session.state() === SessionState.Idle;
         if (isIdle && !await waitForRouting(routingVersion)) {
--- a/src/forwarding/createSessionHost/test.ts
+++ b/src/forwarding/createSessionHost/test.ts
@@ -25,6 +25,9 @@
             });
         },
         routingVersion: () => site.version,
+        applyRoutingTable: ({ version }) => {
+            site.version = Math.max(site.version, version);
+        },
         log: () => {},
     });
     return { clock, site, host };
@@ -56,6 +59,16 @@
         await assert.rejects(host.run(next, new AbortController().signal), /closed/);
     });
 
+    it("applies the newer routing table that comes with a statement, and doesn't wait for it from elsewhere", async () => {
+        const { site, host } = createSite(answer);
+        const connection = new AbortController();
+        const routingTable = { version: 5, routes: [], groups: [], idleTransactionMilliseconds: 1 };
+        const answered = await host.run({ ...first, routingVersion: 5, routingTable }, connection.signal);
+        assert.equal(answered.failure, undefined);
+        assert.equal(answered.routingVersion, 5);
+        assert.equal(site.version, 5);
+    });
+
     it("closes the sessions that the forwarding VM reports as ended", async () => {
         const { site, host } = createSite(answer);
         const { signal } = new AbortController();
--- a/src/forwarding/forwardingSchemas.ts
+++ b/src/forwarding/forwardingSchemas.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { dutySchemas } from "../duty/dutySchemas.js";
 import { AccessMode } from "../statements/types/AccessMode.js";
 import { StatementKind } from "../statements/types/StatementKind.js";
 
@@ -22,9 +23,11 @@
     statement: z.object({
         sessionKey: z.string(),
         database: z.string().optional(),
+        keyDigest: z.string().optional(),
         id: z.string(),
         statement,
         routingVersion: z.number(),
+        routingTable: dutySchemas.routingTable.optional(),
         closedKeys: sessionKeys.optional(),
     }),
 } as const;
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -39,12 +39,36 @@
         help: "Statements that found no connection in time.",
         registers,
     });
+    const waitRefusals = new Counter({
+        name: "tarragonpost_wait_refusals_total",
+        help: "Statements refused while they waited for a connection, by moment and priority.",
+        labelNames: ["moment", "priority"],
+        registers,
+    });
     const connections = new Counter({
         name: "tarragonpost_connections_total",
         help: "Connections to endpoints that were opened or failed to be, by outcome.",
         labelNames: ["outcome"],
         registers,
     });
+    const openings = new Counter({
+        name: "tarragonpost_openings_total",
+        help: "Connections to endpoints that were opened, by class of the owner and by reason.",
+        labelNames: ["owner", "reason"],
+        registers,
+    });
+    const evictions = new Counter({
+        name: "tarragonpost_evictions_total",
+        help: "Idle connections closed to make room for another owner, by class of their owner.",
+        labelNames: ["owner"],
+        registers,
+    });
+    const openingWaits = new Counter({
+        name: "tarragonpost_opening_waits_total",
+        help: "Statements that waited for the first connection of their owner, by class of the owner.",
+        labelNames: ["owner"],
+        registers,
+    });
     const storeFailures = new Counter({
         name: "tarragonpost_store_failures_total",
         help: "Calls to the platform's store that failed.",
@@ -86,7 +110,11 @@
         },
         countRetry: code => retries.inc({ reason: code ?? "Unknown" }),
         countAcquisitionTimeout: () => acquisitionTimeouts.inc(),
+        countWaitRefusal: (moment, priority) => waitRefusals.inc({ moment, priority }),
         countConnection: failure => connections.inc({ outcome: failure ?? success }),
+        countOpening: (owner, reason) => openings.inc({ owner, reason }),
+        countEviction: evictedOwner => evictions.inc({ owner: evictedOwner }),
+        countOpeningWait: owner => openingWaits.inc({ owner }),
         countStoreFailure: () => storeFailures.inc(),
         countStoreRestore: () => storeRestores.inc(),
         countPrimaryChange: isSuccessful => primaryChanges.inc({ outcome: isSuccessful ? success : "Failure" }),
@@ -94,13 +122,25 @@
             primaryVerifications.inc({ outcome: isVerified ? "Confirmed" : "Unconfirmed" }),
         countMemoryRefusal: () => memoryRefusals.inc(),
         countReadPause: () => readPauses.inc(),
-        registerGauge: (name, description, read) => {
+        registerGauge: (
+            name: string,
+            description: string,
+            read: () => number | ReadonlyMap<string | number, number>,
+            label?: string,
+        ) => {
             const gauge: Gauge = new Gauge({
                 name,
                 help: description,
+                labelNames: label === undefined ? [] : [label],
                 registers,
                 collect: () => {
-                    gauge.set(read());
+                    const values = read();
+                    if (typeof values === "number") {
+                        gauge.set(values);
+                        return;
+                    }
+                    gauge.reset();
+                    values.forEach((value, key) => gauge.set({ [label!]: key }, value));
                 },
             });
         },
--- a/src/placement/createAcquiredConnection/index.ts
+++ b/src/placement/createAcquiredConnection/index.ts
@@ -16,6 +16,8 @@
     readonly use: PacedUse;
     /** Whether the endpoint is the known primary of its group. */
     readonly isPrimary: boolean;
+    /** Called once with the time for which the connection was held, in milliseconds. */
+    readonly onEnd: (heldMilliseconds: number) => void;
 }
 
 /**
@@ -25,16 +27,18 @@
  * @returns The connection, held.
  *
  * @example
- * const connection = createAcquiredConnection({ clock, endpoint, target, pooled, use, isPrimary: true });
+ * const connection = createAcquiredConnection({ clock, endpoint, target, pooled, use, isPrimary: true, onEnd });
  */
 export function createAcquiredConnection(options: AcquiredConnectionOptions): AcquiredConnection {
     const { clock, endpoint, target, pooled, use, isPrimary } = options;
+    const acquiredAt = clock.now();
     let isHeld = true;
 
     function end(finish: () => void): void {
         if (isHeld) {
             isHeld = false;
             use.end();
+            options.onEnd(clock.now() - acquiredAt);
             finish();
         }
     }
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -1,47 +1,26 @@
-import type { Clock } from "../../clock/types/Clock.js";
-import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
-import type { LogTopic } from "../../logging/types/LogTopic.js";
-import type { Metrics } from "../../metrics/types/Metrics.js";
+import { RefusalMoment } from "../../metrics/types/RefusalMoment.js";
 import { createPacing } from "../../pace/createPacing/index.js";
-import type { Primaries } from "../../primaries/types/Primaries.js";
-import { createWaiter } from "../../waiting/createWaiter/index.js";
-import type { Waiter } from "../../waiting/types/Waiter.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
+import { countOpeningWait } from "../countOpeningWait/index.js";
 import { createAcquiredConnection } from "../createAcquiredConnection/index.js";
+import { createConnectionWarmup } from "../createConnectionWarmup/index.js";
 import { createEndpointSessionPool } from "../createEndpointSessionPool/index.js";
 import { createLatencyEstimate } from "../createLatencyEstimate/index.js";
+import { createOpeningPlan } from "../createOpeningPlan/index.js";
+import { createReadPauses } from "../createReadPauses/index.js";
 import { createUnusedCheck } from "../createUnusedCheck/index.js";
+import { createWaitingStatements } from "../createWaitingStatements/index.js";
+import { registerPlacementGauges } from "../registerPlacementGauges/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
-import type { EndpointOpener } from "../types/EndpointOpener.js";
 import type { Placement } from "../types/Placement.js";
+import type { PlacementOptions } from "../types/PlacementOptions.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
 import type { PlacementTarget } from "../types/PlacementTarget.js";
-
-/** Options of `createPlacement`. */
-interface PlacementOptions {
-    readonly clock: Clock;
-    readonly directory: Directory;
-    readonly primaries: Primaries;
-    readonly open: EndpointOpener;
-    /** Location of this VM. */
-    readonly vmLocation: Parameters<typeof createLatencyEstimate>[1];
-    /** Returns the number of VMs that share the connections of a group's endpoints. */
-    readonly vmCount: (group: string) => number;
-    /** Whether this VM is one of the VMs that hold connections to a group's endpoints. */
-    readonly isHolding: (group: string) => boolean;
-    readonly metrics: Pick<Metrics, "countConnection" | "registerGauge">;
-    readonly log: LogTopic;
-}
-
-/** A request that waits for a connection. */
-interface WaitingRequest {
-    readonly request: PlacementRequest;
-    readonly waiter: Waiter<AcquiredConnection>;
-}
+import type { WaitingStatements } from "../types/WaitingStatements.js";
 
 /**
  * Creates the placement of statements on endpoints.
@@ -58,26 +37,45 @@
  */
 export function createPlacement(options: PlacementOptions): Placement {
     const { clock, directory, primaries, log } = options;
+    const startedAt = clock.now();
     const targets = new Map<string, PlacementTarget>();
-    const waitingByGroup = new Map<string, WaitingRequest[]>();
+    const waitingByGroup = new Map<string, WaitingStatements>();
+    const readPauses = createReadPauses(clock, targetOf, dispatch);
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
     const pacing = createPacing({ ...options, isAble, onFree: dispatch });
+    const scheduleWarmup = createConnectionWarmup(clock, listWarmGroups);
 
     directory.onChange(groups => {
         closeRemoved();
         groups.forEach(dispatch);
+        scheduleWarmup();
     });
     primaries.onChange(dispatch);
-    options.metrics.registerGauge("tarragonpost_waiting_statements", "Statements that wait for a connection.", () => {
-        return [...waitingByGroup.values()].reduce((sum, waiting) => sum + waiting.length, 0);
-    });
-    options.metrics.registerGauge("tarragonpost_open_connections", "Connections to endpoints that are open.", () => {
-        return [...targets.values()].reduce((sum, { pool }) => sum + pool.openCount(), 0);
+    registerPlacementGauges(options.metrics, {
+        listWaiting: () => [...waitingByGroup.values()],
+        listPools: () => [...targets.values()].map(({ pool }) => pool),
     });
 
     function connectionLimit(group: string): number {
-        return computeVmConnectionLimit(directory.groupSettings(group)?.connectionLimit ?? 0, options.vmCount(group));
+        const hasWorkspaces = (directory.routingTable()?.workspaces ?? []).length > 0;
+        const endpointLimit = directory.groupSettings(group)?.connectionLimit ?? 0;
+        return computeVmConnectionLimit(endpointLimit, options.vmCount(group), hasWorkspaces);
+    }
+
+    /** Connections of this VM while the endpoint may still count as many of before the start as all VMs may hold. */
+    function sparingLimit(group: string): number {
+        const endpointLimit = directory.groupSettings(group)?.connectionLimit ?? 0;
+        return Math.max(Math.floor(endpointLimit / options.vmCount(group)) - connectionLimit(group), 1);
+    }
+
+    /** The groups whose connections this VM holds for workspaces. */
+    function listWarmGroups() {
+        return directory.groups().filter(options.isHolding).map(group => ({
+            pools: directory.endpointsOf(group).filter(({ isLeaving }) => !isLeaving).map(each => targetOf(each).pool),
+            hasWaiting: (waitingByGroup.get(group)?.countWaiting() ?? 0) > 0,
+            listWorkspaces: () => options.listHostedWorkspaces?.(group) ?? [],
+        }));
     }
 
     function targetOf(endpoint: EndpointRecord): PlacementTarget {
@@ -87,12 +85,16 @@
             target = {
                 pool: createEndpointSessionPool({
                     clock,
+                    random: options.random,
+                    startedAt,
                     open: options.open,
                     record: () => directory.endpoint(id),
                     limit: () => connectionLimit(group),
+                    sparingLimit: () => sparingLimit(group),
                     isHolding: () => options.isHolding(group),
                     onChange: () => {
                         scheduleUnusedCheck();
+                        scheduleWarmup();
                         dispatch(group);
                     },
                     metrics: options.metrics,
@@ -122,59 +124,89 @@
         }
     }
 
+    function waitingOf(group: string): WaitingStatements {
+        let waiting = waitingByGroup.get(group);
+        if (waiting === undefined) {
+            waiting = createWaitingStatements({
+                clock,
+                group,
+                tryAcquire,
+                countConnections: needsPrimary => countConnections(group, needsPrimary),
+                metrics: options.metrics,
+                log,
+            });
+            waitingByGroup.set(group, waiting);
+        }
+        return waiting;
+    }
+
+    function countConnections(group: string, needsPrimary: boolean): number {
+        const primaryId = primaries.primaryOf(group)?.id;
+        return directory.endpointsOf(group)
+            .filter(({ id }) => !needsPrimary || id === primaryId)
+            .reduce((sum, { id }) => sum + (targets.get(id)?.pool.openCount() ?? 0), 0);
+    }
+
     function acquire(request: PlacementRequest): Promise<AcquiredConnection> {
-        const waiting = waitingByGroup.get(request.group) ?? [];
-        waitingByGroup.set(request.group, waiting);
-        const connection = waiting.length === 0 ? tryAcquire(request, new Map()) : undefined;
+        const waiting = waitingOf(request.group);
+        const plan = createOpeningPlan();
+        const connection = waiting.countWaiting() === 0 ? tryAcquire(request, plan) : undefined;
+        plan.start();
         if (connection !== undefined) {
             return Promise.resolve(connection);
         }
+        if (isLimitLasting(request)) {
+            options.metrics.countWaitRefusal(RefusalMoment.AtOnce, request.priority);
+            return Promise.reject(createLimitLasting(request.group));
+        }
         const unreachableId = findUnreachable(request);
         if (unreachableId !== undefined) {
             return Promise.reject(createUnreachable(unreachableId));
         }
-        const waiter = createWaiter<AcquiredConnection>({
-            clock,
-            timeoutMilliseconds: request.expiresAt - clock.now(),
-            signal: request.signal,
-            onTimeout: () => {
-                waiting.splice(waiting.indexOf(entry), 1);
-            },
-            createTimeoutError: () =>
-                createError(
-                    ErrorKind.Overloaded,
-                    `No connection to an endpoint of ${request.group} became available in time.`,
-                    {
-                        remedy: "Send the request again after a pause.",
-                    },
-                ),
+        countOpeningWait(
+            options.metrics,
+            request.owner,
+            () => listCandidates(request).map(each => targetOf(each).pool),
+        );
+        return waiting.wait(request);
+    }
+
+    /** Whether each endpoint that could serve a caller's request has no place left for a connection of this VM. */
+    function isLimitLasting(request: PlacementRequest): boolean {
+        const isSpecific = request.endpointId !== undefined || request.needsPrimary;
+        const candidates = isSpecific ? listCandidates(request) : directory.endpointsOf(request.group);
+        return request.priority >= 0
+            && candidates.length > 0
+            && candidates.every(({ id }) => targets.get(id)?.pool.isLimitLasting() === true);
+    }
+
+    function createLimitLasting(group: string): Error {
+        return createError(ErrorKind.Overloaded, `The endpoints of ${group} accept no more connections now.`, {
+            remedy: "Send the request again after a pause.",
         });
-        const entry: WaitingRequest = { request, waiter };
-        const index = waiting.findIndex(other => other.request.priority > request.priority);
-        waiting.splice(index < 0 ? waiting.length : index, 0, entry);
-        dispatch(request.group);
-        return waiter.promise;
     }
 
     /** Finds the one endpoint that could serve a request, if it is not expected to accept a connection in time. */
-    function findUnreachable({ endpointId, needsPrimary, group }: PlacementRequest): string | undefined {
+    function findUnreachable({ endpointId, needsPrimary, group, owner }: PlacementRequest): string | undefined {
         if (endpointId !== undefined) {
-            return isFailing(endpointId) ? endpointId : undefined;
+            return isFailing(endpointId, owner) ? endpointId : undefined;
         }
         const primary = needsPrimary ? primaries.primaryOf(group) : undefined;
-        return primary !== undefined && isLost(primary.id) ? primary.id : undefined;
+        return primary !== undefined && isLost(primary.id, owner) ? primary.id : undefined;
     }
 
     /** Whether an endpoint accepted no connection and the pause before the next attempt to open one is not over. */
-    function isFailing(endpointId: string): boolean {
+    function isFailing(endpointId: string, owner: string | undefined): boolean {
         const pool = targets.get(endpointId)?.pool;
-        return pool !== undefined && pool.isFailing() && !pool.tryOpen();
+        return pool !== undefined && pool.isFailing() && !pool.tryOpen(owner);
     }
 
     /** Whether an endpoint has accepted no connection for so long that another one would have replaced it. */
-    function isLost(endpointId: string): boolean {
+    function isLost(endpointId: string, owner: string | undefined): boolean {
         const pool = targets.get(endpointId)?.pool;
-        pool?.tryOpen();
+        if (pool?.failingSince() !== undefined) {
+            pool.tryOpen(owner);
+        }
         const failingSince = pool?.failingSince();
         return failingSince !== undefined && clock.now() - failingSince >= placementConstants.lostPrimaryMilliseconds;
     }
@@ -186,44 +218,27 @@
     }
 
     function dispatch(group: string): void {
-        const waiting = waitingByGroup.get(group);
-        if (waiting === undefined || waiting.length === 0) {
-            return;
-        }
-        const openings = new Map<PlacementTarget, number>();
-        for (const entry of [...waiting]) {
-            if (entry.waiter.isSettled) {
-                continue;
-            }
-            const connection = tryAcquire(entry.request, openings);
-            if (connection !== undefined) {
-                waiting.splice(waiting.indexOf(entry), 1);
-                entry.waiter.resolve(connection);
-            }
-        }
+        waitingByGroup.get(group)?.dispatch();
     }
 
-    /** Acquires an idle connection; starts to open one at each preferred endpoint that has none. */
+    /** Acquires an idle connection; plans to open one at each preferred endpoint that has none. */
     function tryAcquire(
         request: PlacementRequest,
-        openings: Map<PlacementTarget, number>,
+        plan: ReturnType<typeof createOpeningPlan>,
     ): AcquiredConnection | undefined {
         for (const endpoint of pacing.listUsable(request, listCandidates(request))) {
             const target = targetOf(endpoint);
-            const pooled = target.pool.acquire(request.values);
+            const pooled = target.pool.acquire(request.values, request.owner);
             if (pooled !== undefined) {
-                return createAcquiredConnection({
-                    clock,
-                    endpoint,
-                    target,
-                    pooled,
-                    use: pacing.begin(request, endpoint),
-                    isPrimary: endpoint.id === primaries.primaryOf(endpoint.group)?.id,
-                });
+                const isPrimary = endpoint.id === primaries.primaryOf(endpoint.group)?.id;
+                const use = pacing.begin(request, endpoint);
+                const onEnd = (milliseconds: number): void =>
+                    waitingOf(request.group).recordHeld(request, isPrimary, milliseconds);
+                return createAcquiredConnection({ clock, endpoint, target, pooled, use, isPrimary, onEnd });
             }
-            const expectedOpenings = openings.get(target) ?? 0;
-            if (expectedOpenings < target.pool.openingCount() || target.pool.tryOpen()) {
-                openings.set(target, expectedOpenings + 1);
+            plan.add(target, request);
+            if (target.pool.isOpeningSparingly()) {
+                return undefined;
             }
         }
         return undefined;
@@ -253,28 +268,6 @@
             .sort((left, right) => cost(left) - cost(right));
     }
 
-    function pause(endpoint: EndpointRecord, milliseconds: number): void {
-        targetOf(endpoint).pausedUntil = clock.now() + milliseconds;
-        void clock.sleep(milliseconds + 1).then(() => dispatch(endpoint.group));
-    }
-
-    function recordLagging(endpoint: EndpointRecord): void {
-        const target = targetOf(endpoint);
-        const {
-            initialLagPauseMilliseconds,
-            maximumLagPauseMilliseconds,
-        } = placementConstants;
-        target.lagPauseMilliseconds = Math.min(
-            Math.max(2 * target.lagPauseMilliseconds, initialLagPauseMilliseconds),
-            maximumLagPauseMilliseconds,
-        );
-        pause(endpoint, target.lagPauseMilliseconds);
-    }
-
-    function recordBusy(endpoint: EndpointRecord): void {
-        pause(endpoint, placementConstants.busyPauseMilliseconds);
-    }
-
     async function stop(): Promise<void> {
         for (const target of targets.values()) {
             target.pool.close();
@@ -283,8 +276,8 @@
 
     return {
         acquire,
-        recordLagging,
-        recordBusy,
+        recordLagging: readPauses.recordLagging,
+        recordBusy: readPauses.recordBusy,
         lastContactAt: endpointId => targets.get(endpointId)?.lastContactAt ?? -Infinity,
         stop,
     };
--- a/src/testing/createPaceSite/index.ts
+++ b/src/testing/createPaceSite/index.ts
@@ -112,7 +112,8 @@
             vmLocation: { availabilityZone: "a", region: "north", regionsByZone: { a: "north" } },
             vmCount: () => options.hosts,
             isHolding: () => true,
-            metrics: { countConnection: () => {}, registerGauge: () => {} },
+            random: createRandomSource(1),
+            metrics: { countConnection: () => {}, countWaitRefusal: () => {}, registerGauge: () => {} },
             log: message => lines.push(message),
         });
         return { directory, primaries, placement, retryAllowance: createRetryAllowance(clock) };
--- a/src/vm/listForwardingServices/index.ts
+++ b/src/vm/listForwardingServices/index.ts
@@ -23,7 +23,8 @@
  * @example
  * const definitions = listForwardingServices(settings);
  */
-export function listForwardingServices({ name, peerAddress, capacity }: VmSettings): ServiceDefinition[] {
+export function listForwardingServices(settings: VmSettings): ServiceDefinition[] {
+    const { name, peerAddress, capacity, regionsByZone } = settings;
     return [
         {
             name: ServiceName.SessionHosts,
@@ -35,6 +36,7 @@
                     directory,
                     otherVms: duty.otherVms,
                     isHost: duty.isHost,
+                    regionOf: availabilityZone => regionsByZone[availabilityZone],
                 }),
         },
         {
@@ -58,7 +60,12 @@
                 clock,
                 directory,
                 hosts,
-                open: createSessionOpener(peers, clock, `${name}-${random.nextInteger(2 ** 32)}`),
+                open: createSessionOpener({
+                    peers,
+                    clock,
+                    routingTable: directory.routingTable,
+                    keyPrefix: `${name}-${random.nextInteger(2 ** 32)}`,
+                }),
                 log: logger.topic("forwarding"),
             }),
         },
@@ -75,6 +82,7 @@
                     clock,
                     serve: sessions.serveForwarded,
                     routingVersion: directory.routingVersion,
+                    applyRoutingTable: directory.applyRoutingTable,
                     log: logger.topic("forwarding"),
                 }),
         },
