--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -2,6 +2,7 @@
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { RefusalMoment } from "../../metrics/types/RefusalMoment.js";
+import { createPacing } from "../../pace/createPacing/index.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
 import { countOpeningWait } from "../countOpeningWait/index.js";
@@ -43,6 +44,7 @@
     const readPauses = createReadPauses(clock, targetOf, dispatch);
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
+    const pacing = createPacing({ ...options, isAble, onFree: dispatch });
     const scheduleWarmup = createConnectionWarmup(clock, listWarmGroups);
 
     directory.onChange(groups => {
@@ -109,6 +111,11 @@
         return target;
     }
 
+    function isAble(endpointId: string): boolean {
+        const target = targets.get(endpointId);
+        return target !== undefined && target.pool.openCount() > 0 && target.lagPauseMilliseconds === 0;
+    }
+
     function closeRemoved(): void {
         for (const [id, target] of targets) {
             if (directory.endpoint(id) === undefined) {
@@ -221,15 +228,16 @@
         plan: OpeningPlan,
     ): AcquiredConnection | undefined {
         const missing: PlacementTarget[] = [];
-        for (const endpoint of listCandidates(request)) {
+        for (const endpoint of pacing.listUsable(request, listCandidates(request))) {
             const target = targetOf(endpoint);
             const pooled = target.pool.acquire(request.values, request.owner, request.priority);
             if (pooled !== undefined) {
                 plan.add(request, missing, true);
                 const isPrimary = endpoint.id === primaries.primaryOf(endpoint.group)?.id;
+                const use = pacing.begin(request, endpoint);
                 const onEnd = (milliseconds: number): void =>
                     waitingOf(request.group).recordHeld(request, isPrimary, milliseconds);
-                return createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary, onEnd });
+                return createAcquiredConnection({ clock, endpoint, target, pooled, use, isPrimary, onEnd });
             }
             missing.push(target);
             if (target.pool.isOpeningSparingly()) {
@@ -256,6 +264,7 @@
         });
         const cost = (endpoint: EndpointRecord) =>
             targetOf(endpoint).latencyEstimate.expectedMilliseconds(endpoint)
+            + pacing.penaltyMilliseconds(endpoint)
             + (endpoint.id === primary?.id ? placementConstants.primaryPenaltyMilliseconds : 0);
         // During a change of primary, an endpoint registered as the primary does not serve reads as a replica.
         return usable
