Let a few evictions follow each other at once within their mean rate

Workspaces whose statements come together waited 50 ms for each other's evictions, although few had happened before. A pool may now be 400 ms ahead of the mean of one eviction in 50 ms.

The tests of src/placement that are touched pass; no other test was run.

--- a/src/placement/constants.ts
+++ b/src/placement/constants.ts
@@ -46,8 +46,10 @@
     abandonedMilliseconds: 2_000,
     /** Share of a VM's connections to an endpoint up to which an owner takes those that others abandoned. */
     largeOwnerShare: 0.5,
-    /** Time between two evictions of a pool, so that openings leave an endpoint's slots to statements, in milliseconds. */
+    /** Mean time between evictions of a pool, so that openings leave an endpoint's slots to statements, in milliseconds. */
     evictionIntervalMilliseconds: 50,
+    /** Time for which a pool's evictions may be ahead of that mean, in milliseconds. */
+    evictionAheadMilliseconds: 400,
     /** Interval of looking for a connection to evict while an owner needs one, in milliseconds. */
     evictionPollingMilliseconds: 25,
     /** Pause after a refusal before an idle connection makes room for another one, in milliseconds. */
--- a/src/placement/createEndpointSessionPool/index.ts
+++ b/src/placement/createEndpointSessionPool/index.ts
@@ -51,7 +51,7 @@
     const pauses = createOpeningPauses(clock);
     const pace = createOpeningPace(options);
     let isPolling = false;
-    let lastEvictionAt = -Infinity;
+    let evictionsPaidUntil = -Infinity;
     let lastLessUrgentAt = -Infinity;
     let isClosed = false;
 
@@ -118,7 +118,7 @@
 
     function decide(wish: OpeningWish): OpeningDecision<OwnedSession> {
         const occupancy = { idle, counts: countConnections(), limit: limit() };
-        const history = { refusal: pauses.lastRefusal(), lastEvictionAt, lastLessUrgentAt };
+        const history = { refusal: pauses.lastRefusal(), evictionsPaidUntil, lastLessUrgentAt };
         return decideOpening(wish, occupancy, history, clock.now());
     }
 
@@ -166,7 +166,7 @@
         const now = clock.now();
         open.delete(evicted);
         closeIdle(evicted);
-        lastEvictionAt = now;
+        evictionsPaidUntil = Math.max(evictionsPaidUntil, now) + placementConstants.evictionIntervalMilliseconds;
         lastLessUrgentAt = evicted.priority < priority ? now : lastLessUrgentAt;
         metrics.countEviction?.(classifyOwner(evicted.owner));
         logEviction({
--- a/src/placement/decideOpening/index.ts
+++ b/src/placement/decideOpening/index.ts
@@ -32,7 +32,7 @@
 ): OpeningDecision<Candidate> {
     const { counts, limit } = occupancy;
     const { owner } = wish;
-    const { refusal, lastEvictionAt } = history;
+    const { refusal, evictionsPaidUntil } = history;
     const ownCount = counts.get(owner) ?? 0;
     const connectionCount = [...counts.values()].reduce((sum, count) => sum + count, 0);
     const isRefusing = refusal !== undefined && now - refusal.at < placementConstants.darkConnectionMilliseconds;
@@ -41,7 +41,7 @@
     if (connectionCount === 0 || connectionCount < Math.min(limit, acceptedCount)) {
         return { kind: OpeningDecisionKind.Open };
     }
-    const isEvicting = now - lastEvictionAt >= placementConstants.evictionIntervalMilliseconds;
+    const isEvicting = evictionsPaidUntil - now <= placementConstants.evictionAheadMilliseconds;
     const evicted = isEvicting ? chooseEvicted(wish, occupancy, history, now) : undefined;
     if (evicted !== undefined) {
         return { kind: OpeningDecisionKind.Replace, evicted };
--- a/src/placement/types/OpeningHistory.ts
+++ b/src/placement/types/OpeningHistory.ts
@@ -4,8 +4,8 @@
 export interface OpeningHistory {
     /** The endpoint's last refusal because it held too many connections. */
     readonly refusal: ConnectionRefusal | undefined;
-    /** When a connection was last evicted. */
-    readonly lastEvictionAt: number;
+    /** When the evictions so far would have ended at their mean interval. */
+    readonly evictionsPaidUntil: number;
     /** When a connection was last evicted for a less urgent statement. */
     readonly lastLessUrgentAt: number;
 }
