--- a/src/placement/createEndpointSessionPool/test.ts
+++ b/src/placement/createEndpointSessionPool/test.ts
@@ -6,7 +6,6 @@
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createOwnedEndpoint } from "../../testing/createOwnedEndpoint/index.js";
 import { workspaceConstants } from "../../workspaces/constants.js";
-import { placementConstants } from "../constants.js";
 import type { PooledSession } from "../types/PooledSession.js";
 import { createEndpointSessionPool } from "./index.js";
 
@@ -23,8 +22,7 @@
     const pool = createEndpointSessionPool({
         clock,
         random: createRandomSource(1),
-        sparingLimit: () => 1,
-        startedAt: -2 * placementConstants.darkConnectionMilliseconds,
+        startedAt: clock.now(),
         open: async (record, owner, timeoutMilliseconds) => {
             const session = await endpoint.open(record, owner, timeoutMilliseconds);
             ownersBySession.set(session, owner);
@@ -32,6 +30,7 @@
         },
         record: () => createEndpointRecord({ startedAt: state.startedAt }),
         limit: () => limit,
+        sparingLimit: () => limit,
         isHolding: () => state.isHolding,
         onChange: () => {},
         metrics: { countConnection: () => {} },
