--- a/src/testing/createDutyFleet/index.ts
+++ b/src/testing/createDutyFleet/index.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../../clock/types/Clock.js";
 import { createStoreFreshness } from "../../directory/createStoreFreshness/index.js";
 import type { RecordStore } from "../../directory/types/RecordStore.js";
 import { createDuty } from "../../duty/createDuty/index.js";
@@ -5,6 +6,7 @@
 import type { Duty } from "../../duty/types/Duty.js";
 import type { VmIdentity } from "../../duty/types/VmIdentity.js";
 import type { VmPeer } from "../../duty/types/VmPeer.js";
+import type { VmQuotas } from "../../quotas/types/VmQuotas.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createManualClock } from "../createManualClock/index.js";
 import { createMemoryRecords } from "../createMemoryRecords/index.js";
@@ -29,6 +31,8 @@
     /** Clock and store that the VMs share with another fleet. */
     readonly clock?: ReturnType<typeof createManualClock>;
     readonly records?: ReturnType<typeof createMemoryRecords>;
+    /** Creates what a VM knows of quotas; it takes no part in them where this is left out. */
+    readonly createVmQuotas?: (name: string, clock: Clock) => VmQuotas;
     /** Returns the zone and the capacity of a VM where they differ from the defaults. */
     readonly describe?: (name: string) => Parameters<typeof createVmIdentity>[1];
 }
@@ -89,8 +93,10 @@
     names.forEach((name, index) => {
         const identity = createVmIdentity(name, { incarnation: `${index}`, ...options.describe?.(name) });
         const announcements: Announcement[] = [];
+        const vmQuotas = options.createVmQuotas?.(name, clock);
         const duty = createDuty({
             clock,
+            ...vmQuotas === undefined ? {} : { quotas: vmQuotas },
             random: createRandomSource(index),
             records: recordsOf(name),
             directory: createPopulatedDirectory(clock, []),
