--- a/src/quotas/constants.ts
+++ b/src/quotas/constants.ts
@@ -27,6 +27,8 @@
     smoothingMilliseconds: 1_000,
     /** Shortest time over which a demand is measured, in milliseconds. */
     minimumMeasureMilliseconds: 100,
+    /** Shortest time between two removals of ended grants, which are counted until then, in milliseconds. */
+    pruneMilliseconds: 100,
     /** Time without demands after which a VM gets no part of the quota any more, in milliseconds. */
     askingMilliseconds: 1_000,
     /** Time of its rate that a VM may hold in operations, in milliseconds: two renewals. */
--- a/src/quotas/createQuotaLedger/index.ts
+++ b/src/quotas/createQuotaLedger/index.ts
@@ -2,7 +2,7 @@
 import type { Quota } from "../../workspaces/types/Quota.js";
 import { quotaConstants } from "../constants.js";
 import { divideExcess } from "../divideExcess/index.js";
-import { shareFairly } from "../shareFairly/index.js";
+import { findFairShare } from "../findFairShare/index.js";
 import type { QuotaDemand } from "../types/QuotaDemand.js";
 import type { QuotaExcess } from "../types/QuotaExcess.js";
 import type { QuotaGrant } from "../types/QuotaGrant.js";
@@ -38,6 +38,10 @@
     wantedOperations: number;
     askedAt: number;
     outstanding: readonly OutstandingGrant[];
+    /** Greatest rate of the outstanding grants, in operations per second. */
+    countedPerSecond: number;
+    /** Most operations that the outstanding grants let the VM hold. */
+    countedOperations: number;
 }
 
 const millisecondsPerSecond = 1_000;
@@ -62,14 +66,16 @@
     let bucketOperations = 0;
     let filledAt = emptyAt;
     let lastQuota = firstQuota;
+    let prunedAt = -Infinity;
 
     function grant(vm: string, demand: QuotaDemand, number: number, quota: Quota): QuotaGrant {
         settle(quota);
         const member = memberOf(vm);
         recordDemand(member, demand);
-        const wantedPerSecond = keepNearlyEqual(rateOf(member, quota), member.outstanding.at(-1));
+        const asking = [...members.values()].filter(isAsking);
+        const wantedPerSecond = keepNearlyEqual(rateOf(member, asking, quota), member.outstanding.at(-1));
         const operationsPerSecond = Math.max(0, Math.min(wantedPerSecond, rateLeft(member, quota)));
-        const maximumOperations = Math.max(0, Math.min(capOf(member, quota), capLeft(member, quota)));
+        const maximumOperations = Math.max(0, Math.min(capOf(member, asking, quota), capLeft(member, quota)));
         const lacking = Math.max(0, maximumOperations - demand.heldOperations);
         const operations = Math.min(bucketOperations, lacking);
         bucketOperations -= operations;
@@ -95,6 +101,8 @@
                 wantedOperations: 0,
                 askedAt: -Infinity,
                 outstanding: [],
+                countedPerSecond: 0,
+                countedOperations: 0,
             };
             members.set(vm, member);
         }
@@ -114,7 +122,7 @@
 
     function addGrant(member: Member, grant: Omit<OutstandingGrant, "endsAt">): void {
         const endsAt = clock.now() + quotaConstants.grantMilliseconds;
-        member.outstanding = [...member.outstanding, { ...grant, endsAt }];
+        setOutstanding(member, [...member.outstanding, { ...grant, endsAt }]);
     }
 
     /** Fills the bucket with what no VM gained since the last time, and only then removes what has ended. */
@@ -139,28 +147,34 @@
 
     function prune(): void {
         const now = clock.now();
+        if (now - prunedAt < quotaConstants.pruneMilliseconds) {
+            return;
+        }
+        prunedAt = now;
         for (const [vm, member] of members) {
-            member.outstanding = member.outstanding.filter(({ endsAt }) => now < endsAt);
+            setOutstanding(member, member.outstanding.filter(({ endsAt }) => now < endsAt));
             if (member.outstanding.length === 0 && !isAsking(member)) {
                 members.delete(vm);
             }
         }
     }
 
-    function sumOthers(member: Member | undefined, count: (other: Member) => number): number {
-        let sum = 0;
-        for (const other of members.values()) {
-            sum += other === member ? 0 : count(other);
-        }
-        return sum;
-    }
-
+    /** The rate that is left beside the grants of the other VMs. */
     function rateLeft(member: Member | undefined, quota: Quota): number {
-        return quota.operationsPerSecond - sumOthers(member, rateCounted);
+        let left = quota.operationsPerSecond + (member?.countedPerSecond ?? 0);
+        for (const { countedPerSecond } of members.values()) {
+            left -= countedPerSecond;
+        }
+        return left;
     }
 
+    /** The operations that may be held beside the grants of the other VMs. */
     function capLeft(member: Member | undefined, quota: Quota): number {
-        return holdable(quota) - sumOthers(member, capCounted);
+        let left = holdable(quota) + (member?.countedOperations ?? 0);
+        for (const { countedOperations } of members.values()) {
+            left -= countedOperations;
+        }
+        return left;
     }
 
     /** The operations that the bucket and all VMs may hold together. */
@@ -172,18 +186,14 @@
         return clock.now() - askedAt < quotaConstants.askingMilliseconds;
     }
 
-    function listAsking(): readonly Member[] {
-        return [...members.values()].filter(isAsking);
-    }
-
     /** The part of the rate that a VM should get: what it uses up for sure, and headroom while the bucket is full. */
-    function rateOf(member: Member, quota: Quota): number {
-        const asking = listAsking();
+    function rateOf(member: Member, asking: readonly Member[], quota: Quota): number {
         const wanted = asking.map(({ wantedPerSecond }) => wantedPerSecond);
-        const share = shareFairly(
+        const share = findFairShare(
             quota.operationsPerSecond * quotaConstants.rateShare,
             wanted,
-        )[asking.indexOf(member)]!;
+            member.wantedPerSecond,
+        );
         const demanded = asking.reduce((sum, { demandPerSecond }) => sum + demandPerSecond, 0);
         const part = demanded === 0 ? 1 / asking.length : member.demandPerSecond / demanded;
         return share + headroomOf(quota, wanted) * (1 / asking.length + part) / 2;
@@ -191,19 +201,20 @@
 
     /** The rate that is spread beyond the demands: as much of what is left as the bucket is full. */
     function headroomOf(quota: Quota, wanted: readonly number[]): number {
-        const left = quota.operationsPerSecond * quotaConstants.headroomShare
-            - wanted.reduce((sum, rate) => sum + rate, 0);
-        const { emptyShare } = quotaConstants;
+        const { emptyShare, headroomShare } = quotaConstants;
         const room = roomOf(quota);
         const fullShare = room <= 0 ? 0 : bucketOperations / room;
-        return Math.max(0, left) * Math.max(0, (fullShare - emptyShare) / (1 - emptyShare));
+        if (fullShare <= emptyShare) {
+            return 0;
+        }
+        const left = quota.operationsPerSecond * headroomShare - wanted.reduce((sum, rate) => sum + rate, 0);
+        return Math.max(0, left) * (fullShare - emptyShare) / (1 - emptyShare);
     }
 
     /** The operations that a VM should be able to hold: one at least, so that it can start any. */
-    function capOf(member: Member, quota: Quota): number {
-        const asking = listAsking();
+    function capOf(member: Member, asking: readonly Member[], quota: Quota): number {
         const wanted = asking.map(({ wantedOperations }) => wantedOperations);
-        const held = shareFairly(holdable(quota) * quotaConstants.heldShare, wanted)[asking.indexOf(member)]!;
+        const held = findFairShare(holdable(quota) * quotaConstants.heldShare, wanted, member.wantedOperations);
         return Math.max(1, held) + Math.min(member.waitingOperations, bucketOperations);
     }
 
@@ -215,7 +226,7 @@
             const member = members.get(vm);
             if (member !== undefined) {
                 settle(lastQuota);
-                member.outstanding = member.outstanding.filter(({ number }) => number === appliedNumber);
+                setOutstanding(member, member.outstanding.filter(({ number }) => number === appliedNumber));
             }
         },
         isForgettable: () => {
@@ -225,12 +236,15 @@
     };
 }
 
-function rateCounted({ outstanding }: Member): number {
-    return Math.max(0, ...outstanding.map(({ operationsPerSecond }) => operationsPerSecond));
-}
-
-function capCounted({ outstanding }: Member): number {
-    return Math.max(0, ...outstanding.map(({ maximumOperations }) => maximumOperations));
+/** Sets the grants that a VM may follow, and counts the greatest of them. */
+function setOutstanding(member: Member, outstanding: readonly OutstandingGrant[]): void {
+    member.outstanding = outstanding;
+    member.countedPerSecond = 0;
+    member.countedOperations = 0;
+    for (const { operationsPerSecond, maximumOperations } of outstanding) {
+        member.countedPerSecond = Math.max(member.countedPerSecond, operationsPerSecond);
+        member.countedOperations = Math.max(member.countedOperations, maximumOperations);
+    }
 }
 
 /** Keeps the rate of the last grant where the new one differs little, since a change is counted twice for a while. */
