--- a/src/quotas/createQuotaAccount/index.ts
+++ b/src/quotas/createQuotaAccount/index.ts
@@ -50,7 +50,7 @@
     let request = 0;
     /** The request whose answer is awaited. */
     let awaited: { readonly request: number; readonly elapsed: () => number; } | undefined;
-    let applied: Pick<QuotaGrants, "granter" | "number"> | undefined;
+    let applied: Pick<QuotaGrants, "granter" | "number" | "isContinuation"> | undefined;
     /** When the first operation came that no answer followed. */
     let unansweredSince = Infinity;
     let refusedCount = 0;
@@ -96,7 +96,8 @@
     }
 
     function createDemands(): QuotaDemands | undefined {
-        const demands = [...listDemands()]
+        const areGrantsReported = awaited !== undefined || applied?.isContinuation === true;
+        const demands = [...listDemands(areGrantsReported)]
             .sort((left, right) => right.operationsPerSecond - left.operationsPerSecond)
             .slice(0, maximumDemands);
         request += 1;
@@ -109,16 +110,17 @@
             request,
             ...applied === undefined ? {} : { granter: applied.granter },
             appliedNumber: applied?.number ?? noNumber,
+            areGrantsReported,
             demands,
         };
     }
 
     /** Yields what this VM asks for, and forgets the workspaces without recent operations. */
-    function* listDemands(): Generator<QuotaDemand> {
+    function* listDemands(areGrantsReported: boolean): Generator<QuotaDemand> {
         for (const [workspace, account] of accounts) {
             const idleMilliseconds = account.idleMilliseconds();
             if (idleMilliseconds < recentDemandMilliseconds) {
-                yield account.createDemand();
+                yield account.createDemand(areGrantsReported);
             }
             else if (idleMilliseconds > excess.windowMilliseconds) {
                 accounts.delete(workspace);
@@ -134,7 +136,7 @@
         const { elapsed } = awaited;
         awaited = undefined;
         unansweredSince = Infinity;
-        applied = { granter, number };
+        applied = { granter, number, isContinuation };
         const grantsByWorkspace = new Map(grants.map(grant => [grant.workspace, grant]));
         for (const [workspace, account] of accounts) {
             const grant = grantsByWorkspace.get(workspace);
--- a/src/quotas/createQuotaGranter/index.ts
+++ b/src/quotas/createQuotaGranter/index.ts
@@ -90,9 +90,13 @@
             // Late or doubled on its way: the VM has asked again, and waits for that answer only.
             return undefined;
         }
+        const isContinuation = clock.now() < formerGrantsEndAt;
+        if (isContinuation && !demands.areGrantsReported) {
+            // Without an answer, the VM keeps its grants and reports them next.
+            return undefined;
+        }
         number += 1;
         confirm(key, asking, demands);
-        const isContinuation = clock.now() < formerGrantsEndAt;
         const grants = isContinuation ? continueGrants(key, demands) : shareAnew(key, demands);
         const applied = demands.granter === granterName() ? [...asking.workspaces] : [];
         vms.set(key, {
--- a/src/quotas/createWorkspaceAccount/index.ts
+++ b/src/quotas/createWorkspaceAccount/index.ts
@@ -131,8 +131,8 @@
     return {
         take,
         idleMilliseconds: () => waiting.length > 0 ? 0 : meter.idleMilliseconds(),
-        createDemand: () => {
-            const grant = granted.describe();
+        createDemand: isGrantReported => {
+            const grant = isGrantReported ? granted.describe() : undefined;
             return {
                 workspace: options.workspace,
                 operationsPerSecond: meter.read(),
--- a/src/quotas/quotaDemandsSchema.ts
+++ b/src/quotas/quotaDemandsSchema.ts
@@ -8,6 +8,7 @@
     request: z.number().int(),
     granter: z.string().optional(),
     appliedNumber: z.number().int(),
+    areGrantsReported: z.boolean(),
     demands: z.array(z.object({
         workspace: z.string(),
         operationsPerSecond: amount,
--- a/src/quotas/types/QuotaDemand.ts
+++ b/src/quotas/types/QuotaDemand.ts
@@ -10,6 +10,6 @@
     readonly waitingOperations: number;
     /** Operations that the VM may start at once. */
     readonly heldOperations: number;
-    /** The grant that the VM follows; left out when none has not ended. */
+    /** The grant that the VM follows; left out when it has ended or grants are not reported. */
     readonly grant?: HeldQuotaGrant;
 }
--- a/src/quotas/types/QuotaDemands.ts
+++ b/src/quotas/types/QuotaDemands.ts
@@ -8,6 +8,8 @@
     readonly granter?: string;
     /** Number of the grants that the VM applied last; it follows no earlier ones any more. */
     readonly appliedNumber: number;
+    /** Whether the demands report the grants that have not ended; the VM does so while it lacks an answer of its holder. */
+    readonly areGrantsReported: boolean;
     /** The workspaces with recent demand. */
     readonly demands: readonly QuotaDemand[];
 }
--- a/src/quotas/types/WorkspaceAccount.ts
+++ b/src/quotas/types/WorkspaceAccount.ts
@@ -9,8 +9,8 @@
     take(quota: Quota): QuotaDecision | Promise<QuotaDecision>;
     /** Time since the last operation came, or 0 while one waits, in milliseconds. */
     idleMilliseconds(): number;
-    /** Creates what this VM asks for. */
-    createDemand(): QuotaDemand;
+    /** Creates what this VM asks for; with `isGrantReported`, also what it was granted. */
+    createDemand(isGrantReported: boolean): QuotaDemand;
     /**
      * Applies a grant.
      *
--- a/src/testing/createQuotaFleet/index.ts
+++ b/src/testing/createQuotaFleet/index.ts
@@ -1,3 +1,4 @@
+import { encode } from "@msgpack/msgpack";
 import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import { dutyConstants } from "../../duty/constants.js";
@@ -191,7 +192,7 @@
         const sender = { name: vm.name, incarnation: `${vm.incarnation}` };
         const grants = holder.quotas.answerDemands(sender, demands);
         if (grants !== undefined) {
-            messageBytes.push(JSON.stringify(demands).length + JSON.stringify(grants).length);
+            messageBytes.push(encode(demands).length + encode(grants).length);
             deliver(holder, vm, () => vm.quotas.applyGrants(grants));
         }
     }
