--- a/src/quotas/createDemandMeter/index.ts
+++ b/src/quotas/createDemandMeter/index.ts
@@ -28,15 +28,14 @@
     let counted = 0;
     let countedAt = clock.now();
     let readAt = countedAt;
-    let smoothed: number | undefined;
+    let smoothed = 0;
 
     function read(): number {
         const elapsed = clock.now() - readAt;
         if (elapsed < minimumMeasureMilliseconds) {
-            return smoothed ?? counted * millisecondsPerSecond / minimumMeasureMilliseconds;
+            return smoothed;
         }
         const current = counted * millisecondsPerSecond / elapsed;
-        smoothed ??= current;
         smoothed += (current - smoothed) * (1 - Math.exp(-elapsed / smoothingMilliseconds));
         counted = 0;
         readAt = clock.now();
--- a/src/quotas/createQuotaLedger/index.ts
+++ b/src/quotas/createQuotaLedger/index.ts
@@ -87,7 +87,9 @@
             operationsPerSecond,
             maximumOperations,
             quota,
-            isLimited: bucketOperations < 1 && demand.operationsPerSecond > operationsPerSecond,
+            isLimited: bucketOperations < 1
+                && demand.operationsPerSecond > operationsPerSecond
+                && sumDemands(asking) > quota.operationsPerSecond,
         };
     }
 
@@ -194,7 +196,7 @@
             wanted,
             member.wantedPerSecond,
         );
-        const demanded = asking.reduce((sum, { demandPerSecond }) => sum + demandPerSecond, 0);
+        const demanded = sumDemands(asking);
         const part = demanded === 0 ? 1 / asking.length : member.demandPerSecond / demanded;
         return share + headroomOf(quota, wanted) * (1 / asking.length + part) / 2;
     }
@@ -236,6 +238,10 @@
     };
 }
 
+function sumDemands(asking: readonly Member[]): number {
+    return asking.reduce((sum, { demandPerSecond }) => sum + demandPerSecond, 0);
+}
+
 /** Sets the grants that a VM may follow, and counts the greatest of them. */
 function setOutstanding(member: Member, outstanding: readonly OutstandingGrant[]): void {
     member.outstanding = outstanding;
