--- a/src/quotas/createQuotaGranter/index.ts
+++ b/src/quotas/createQuotaGranter/index.ts
@@ -57,6 +57,7 @@
     const ledgers = new Map<string, QuotaLedger>();
     let generation = 0;
     let number = 0;
+    let isLogged = true;
     /** Time after which no predecessor makes a grant. */
     let predecessorEndsAt = -Infinity;
     /** Time after which no grant of a predecessor holds. */
@@ -69,7 +70,7 @@
         ledgers.clear();
         predecessorEndsAt = endsAt;
         formerGrantsEndAt = endsAt + grantMilliseconds;
-        options.log("quotas are granted anew", { generation, waitMilliseconds: Math.round(endsAt - clock.now()) });
+        isLogged = false;
     }
 
     function granterName(): string {
@@ -95,6 +96,7 @@
             // Without an answer, the VM keeps its grants and reports them next.
             return undefined;
         }
+        logOnce(isContinuation);
         number += 1;
         confirm(key, asking, demands);
         const grants = isContinuation ? continueGrants(key, demands) : shareAnew(key, demands);
@@ -108,6 +110,14 @@
         return { request: demands.request, granter: granterName(), number, isContinuation, grants };
     }
 
+    /** Logs the first answer after a takeover; there is none where no workspace has a quota. */
+    function logOnce(isContinuation: boolean): void {
+        if (!isLogged) {
+            isLogged = true;
+            options.log("quotas are granted anew", { granter: granterName(), isContinuation });
+        }
+    }
+
     /** Stops counting the grants that the VM does not follow and never will. */
     function confirm(key: string, { workspaces }: AskingVm, { granter, appliedNumber }: QuotaDemands): void {
         const followed = granter === granterName() ? appliedNumber : noNumber;
