--- a/src/quotas/createQuotaAccount/test.ts
+++ b/src/quotas/createQuotaAccount/test.ts
@@ -115,6 +115,30 @@
         assert.equal(account.createDemands()!.demands[0]!.heldOperations, 0);
     });
 
+    it("measures the end of a grant from its demand, and carries nothing over it", async () => {
+        const { account, applyGrant, take, clock } = createAccount();
+        void take();
+        const { request } = account.createDemands()!;
+        await clock.advance(1_000);
+        account.applyGrants({ request, granter: "vm-1", number: 1, isContinuation: false, grants: [grant] });
+        assert.ok(account.createDemands()!.demands[0]!.heldOperations > 0);
+        await clock.advance(quotaConstants.grantMilliseconds - 1_000);
+        assert.equal(account.createDemands()!.demands[0]!.heldOperations, 0);
+        applyGrant({ operations: 0, operationsPerSecond: 0 });
+        assert.equal(account.createDemands()!.demands[0]!.heldOperations, 0);
+    });
+
+    it("ignores the continuation of a grant that has ended", async () => {
+        const { account, applyGrant, take, clock } = createAccount();
+        void take();
+        applyGrant();
+        await clock.advance(quotaConstants.grantMilliseconds);
+        const { request } = account.createDemands()!;
+        account.applyGrants({ request, granter: "vm-2", number: 1, isContinuation: true, grants: [grant] });
+        await clock.advance(1_000);
+        assert.equal(account.createDemands()!.demands[0]!.heldOperations, 0);
+    });
+
     it("ignores an answer to an earlier request", () => {
         const { account, take } = createAccount();
         void take();
--- a/src/tools/constants.ts
+++ b/src/tools/constants.ts
@@ -29,6 +29,7 @@
         "placement",
         "primaries",
         "promotions",
+        "quotas",
         "requests",
         "routing",
         "session",
