--- a/src/placement/createOpeningPauses/index.ts
+++ b/src/placement/createOpeningPauses/index.ts
@@ -57,12 +57,8 @@
     function recordRefusal(connectionCount: number, isReplacement: boolean, limitPauseMilliseconds: number): number {
         failureCount += 1;
         refusal = { at: clock.now(), connectionCount };
-        return pause(
-            limitPauseMilliseconds,
-            isReplacement
-                ? limitPauseMilliseconds
-                : Math.min(limitPauseMilliseconds, placementConstants.replacementPauseMilliseconds),
-        );
+        const replacementPause = Math.min(placementConstants.replacementPauseMilliseconds, limitPauseMilliseconds);
+        return pause(limitPauseMilliseconds, isReplacement ? limitPauseMilliseconds : replacementPause);
     }
 
     return {
--- a/src/placement/createWaitingStatements/index.ts
+++ b/src/placement/createWaitingStatements/index.ts
@@ -7,11 +7,12 @@
 import { RefusalMoment } from "../../metrics/types/RefusalMoment.js";
 import { createWaiter } from "../../waiting/createWaiter/index.js";
 import type { Waiter } from "../../waiting/types/Waiter.js";
-import { workspaceConstants } from "../../workspaces/constants.js";
 import { placementConstants } from "../constants.js";
 import { createEarlyRefusal } from "../createEarlyRefusal/index.js";
 import { createOpeningPlan } from "../createOpeningPlan/index.js";
+import { ownerOf } from "../ownerOf/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
+import type { OpeningPlan } from "../types/OpeningPlan.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
 import type { WaitingStatements } from "../types/WaitingStatements.js";
 
@@ -22,7 +23,7 @@
     /** Acquires an idle connection, or plans to open one. */
     readonly tryAcquire: (
         request: PlacementRequest,
-        plan: ReturnType<typeof createOpeningPlan>,
+        plan: OpeningPlan,
     ) => AcquiredConnection | undefined;
     /** Number of open connections to the group's primary, or to all its endpoints. */
     readonly countConnections: (needsPrimary: boolean) => number;
@@ -178,10 +179,6 @@
     };
 }
 
-function ownerOf({ owner }: PlacementRequest): string {
-    return owner ?? workspaceConstants.anonymousOwner;
-}
-
 /** Statements with the same description can use the same connections. */
 function describeNeed(request: PlacementRequest): string {
     const { needsPrimary, endpointId, excluded } = request;
