--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -48,6 +48,7 @@
         },
         retryAllowance: createRetryAllowance(clock),
         renewal: { renew: async () => {}, renewIfOld: () => {} },
+        quotas: { take: () => ({ isAdmitted: true, refund: () => {} }) },
         preparedNames: createPreparedNames(),
         stop: createGracefulStop(clock, graceMilliseconds),
         budget: createByteBudget({
--- a/src/vm/defineSessionService/index.ts
+++ b/src/vm/defineSessionService/index.ts
@@ -16,6 +16,7 @@
 import type { PositionEvidence } from "../../primaries/types/PositionEvidence.js";
 import type { Primaries } from "../../primaries/types/Primaries.js";
 import type { PrimaryVerification } from "../../primaries/types/PrimaryVerification.js";
+import type { Quotas } from "../../quotas/types/Quotas.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
 import { createRouteFreshness } from "../createRouteFreshness/index.js";
 import type { VmSettings } from "../types/VmSettings.js";
@@ -40,6 +41,7 @@
             ServiceName.PositionEvidence,
             ServiceName.PrimaryVerification,
             ServiceName.Placement,
+            ServiceName.Quotas,
             ServiceName.SessionForwarding,
             ServiceName.Duty,
             ServiceName.ByteBudget,
@@ -54,6 +56,7 @@
             evidence: PositionEvidence,
             verification: PrimaryVerification,
             placement: Placement,
+            quotas: Quotas,
             forwarding: SessionForwarding,
             duty: Duty,
             budget: ByteBudget,
@@ -71,6 +74,7 @@
                 verification,
                 placement,
                 retryAllowance: createRetryAllowance(clock),
+                quotas,
                 preparedNames,
                 stop: createGracefulStop(clock, settings.graceMilliseconds),
                 budget,
