--- a/src/pace/createPacing/index.ts
+++ b/src/pace/createPacing/index.ts
@@ -182,5 +182,5 @@
         });
     }
 
-    return { listUsable, penaltyMilliseconds, begin };
+    return { listUsable, isSetAside, penaltyMilliseconds, begin };
 }
--- a/src/pace/types/Pacing.ts
+++ b/src/pace/types/Pacing.ts
@@ -9,6 +9,8 @@
      * `request` in the order of their cost.
      */
     listUsable(request: PlacementRequest, candidates: readonly EndpointRecord[]): readonly EndpointRecord[];
+    /** Whether an endpoint gets only probes while others serve. */
+    isSetAside(endpoint: EndpointRecord): boolean;
     /** Cost added to an endpoint that fails more statements than others, in milliseconds. */
     penaltyMilliseconds(endpoint: EndpointRecord): number;
     /** Begins a request's use of an endpoint. */
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -240,7 +240,7 @@
                 return createAcquiredConnection({ clock, endpoint, target, pooled, use, isPrimary, onEnd });
             }
             missing.push(target);
-            if (target.pool.isOpeningSparingly()) {
+            if (target.pool.isOpeningSparingly() && !pacing.isSetAside(endpoint)) {
                 break;
             }
         }
