Show with tests what clients that do not behave can do to a process

Processes of the built program run with lowered limits on loopback addresses, and small crowds misbehave: messages of the greatest length, far too long or sent ahead, half messages, slow readers, growing sessions, more connections than descriptors, strangers at the port for VMs, HTTP bodies. Each test bounds memory and open descriptors and then asks for one ordinary request.

Settings for the limits to come are read, checked and not used yet. The tests run by themselves after all others.

--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -47,4 +47,18 @@
     maximumTurnMilliseconds: 50,
     /** Longest wait for input that has arrived, in milliseconds; the stop goes on although each turn takes long. */
     maximumInputWaitMilliseconds: 200,
+    /** Descriptors of a process whose settings do not tell, and the range of such limits. */
+    defaultDescriptors: 65_536,
+    leastDescriptors: 256,
+    mostDescriptors: 1_048_576,
+    /** Descriptors that are kept for endpoints, other VMs, the platform and the process itself. */
+    reservedDescriptors: 200,
+    /** Bytes of the values and prepared statements of one session, and their range. */
+    defaultSessionBytes: 4_194_304,
+    leastSessionBytes: 65_536,
+    mostSessionBytes: 33_554_432,
+    /** Time in which a begun message or an answer that is not taken has to make progress, and its range, in milliseconds. */
+    defaultProgressMilliseconds: 60_000,
+    leastProgressMilliseconds: 1_000,
+    mostProgressMilliseconds: 3_600_000,
 } as const;
--- a/src/callers/constants.ts
+++ b/src/callers/constants.ts
@@ -12,4 +12,16 @@
     /** After that, a request may still arrive, or an answer be received, for this long. */
     stopTransferMilliseconds: 5_000,
     stopPollingIntervalMilliseconds: 20,
+    /** Connections accepted at the same time, and their range. */
+    defaultConnections: 10_000,
+    leastConnections: 16,
+    mostConnections: 1_000_000,
+    /** Bytes of all request bodies that are arriving or being answered, and their range; the least fits one body. */
+    defaultBodyBytes: 33_554_432,
+    leastBodyBytes: 8_388_608,
+    mostBodyBytes: 1_073_741_824,
+    /** Time in which a request has to arrive in full, and its range, in milliseconds. */
+    defaultRequestMilliseconds: 60_000,
+    leastRequestMilliseconds: 1_000,
+    mostRequestMilliseconds: 3_600_000,
 } as const;
--- a/src/platform/readVmSettings/index.ts
+++ b/src/platform/readVmSettings/index.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from "node:fs";
 import { parse } from "smol-toml";
 import { z } from "zod";
+import { callerSessionConstants } from "../../callerSessions/constants.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { memoryConstants } from "../../memory/constants.js";
@@ -23,6 +24,18 @@
     mostConnectionBytes,
 } = memoryConstants;
 
+/** Schema of the limits of callers that the file may leave out. */
+const callerLimitsSchema = z.object({
+    sessionBytes: z.number().int()
+        .min(callerSessionConstants.leastSessionBytes)
+        .max(callerSessionConstants.mostSessionBytes)
+        .default(callerSessionConstants.defaultSessionBytes),
+    progressMs: z.number()
+        .min(callerSessionConstants.leastProgressMilliseconds)
+        .max(callerSessionConstants.mostProgressMilliseconds)
+        .default(callerSessionConstants.defaultProgressMilliseconds),
+});
+
 /** Schema of the platform's settings file; other fields are ignored. */
 const fileSchema = z.object({
     nodeName: z.string().min(1),
@@ -35,10 +48,15 @@
         cpuShare: z.number().positive(),
         cores: z.number().positive(),
         memoryMb: z.number().min(leastMegabytes).max(mostMegabytes).default(defaultMegabytes),
+        maxFds: z.number().int()
+            .min(callerSessionConstants.leastDescriptors)
+            .max(callerSessionConstants.mostDescriptors)
+            .default(callerSessionConstants.defaultDescriptors),
     }).default({
         cpuShare: 1,
         cores: 1,
         memoryMb: defaultMegabytes,
+        maxFds: callerSessionConstants.defaultDescriptors,
     }),
     callerMemory: z.object({
         share: z.number().min(leastCallerShare).max(mostCallerShare).default(defaultCallerShare),
@@ -46,6 +64,7 @@
             defaultConnectionBytes,
         ),
     }).default({ share: defaultCallerShare, connectionBytes: defaultConnectionBytes }),
+    callerLimits: callerLimitsSchema.default(callerLimitsSchema.parse({})),
     bounds: z.object({
         graceS: z.number(),
         configApplyMs: z.number().positive().default(defaultConfigurationMilliseconds),
@@ -96,6 +115,11 @@
             callerShare: fields.callerMemory.share,
             connectionBytes: fields.callerMemory.connectionBytes,
         },
+        callerLimits: {
+            maximumDescriptors: fields.limits.maxFds,
+            sessionBytes: fields.callerLimits.sessionBytes,
+            progressMilliseconds: fields.callerLimits.progressMs,
+        },
         configurationMilliseconds: fields.bounds.configApplyMs,
         graceMilliseconds: fields.bounds.graceS * millisecondsPerSecond,
     };
--- a/src/platform/standIns/encodeVmSettings/index.ts
+++ b/src/platform/standIns/encodeVmSettings/index.ts
@@ -25,7 +25,16 @@
             ready: formatAddress(settings.readinessAddress),
             control: formatAddress(settings.peerAddress),
         },
-        limits: { cpuShare: settings.capacity, cores: 1, memoryMb: settings.memory.megabytes },
+        limits: {
+            cpuShare: settings.capacity,
+            cores: 1,
+            memoryMb: settings.memory.megabytes,
+            maxFds: settings.callerLimits.maximumDescriptors,
+        },
+        callerLimits: {
+            sessionBytes: settings.callerLimits.sessionBytes,
+            progressMs: settings.callerLimits.progressMilliseconds,
+        },
         callerMemory: {
             share: settings.memory.callerShare,
             connectionBytes: settings.memory.connectionBytes,
--- a/src/settings/types/EntrySettings.ts
+++ b/src/settings/types/EntrySettings.ts
@@ -1,3 +1,4 @@
+import type { EntryLimits } from "../../callers/types/EntryLimits.js";
 import type { Address } from "../../network/types/Address.js";
 import type { ReadPolicy } from "../../routing/types/ReadPolicy.js";
 import type { ProcessSettings } from "./ProcessSettings.js";
@@ -10,4 +11,5 @@
     readonly otherGateways: readonly Address[];
     /** Policy that selects the endpoint of a read. */
     readonly readPolicy: ReadPolicy;
+    readonly callerLimits: EntryLimits;
 }
--- a/src/site/listProgramSettings/index.ts
+++ b/src/site/listProgramSettings/index.ts
@@ -92,7 +92,7 @@
 }
 
 function describeEntry(plan: SitePlan, vm: SiteVm, index: number): SiteProgram {
-    const { readPolicy, seed } = plan.description;
+    const { readPolicy, entryLimits, seed } = plan.description;
     const settings = {
         ...describeCommonSettings(plan, vm, seed + plan.vms.length + index),
         name: `${vm.name}-entry`,
@@ -100,6 +100,7 @@
         localGateway: vm.gateway,
         otherGateways: plan.vms.filter(other => other !== vm).map(other => other.gateway),
         ...(readPolicy === undefined ? {} : { readPolicy }),
+        ...(entryLimits === undefined ? {} : { callerLimits: entryLimits }),
     };
     return { name: `${vm.name}-entry`, binary: SiteBinary.Entry, settings };
 }
--- a/src/site/startProcess/index.ts
+++ b/src/site/startProcess/index.ts
@@ -27,6 +27,8 @@
     readonly settingsFile?: string;
     /** Further arguments of the command line. */
     readonly commandLineArguments?: readonly string[];
+    /** Arguments of the runtime, before the program. */
+    readonly runtimeArguments?: readonly string[];
 }
 
 /**
@@ -45,7 +47,8 @@
 export function startProcess(name: string, binary: SiteBinary, options: StartProcessOptions): SiteProcess {
     const file = new URL(`../../../dist/binaries/${binaryFolders[binary]}/index.js`, import.meta.url).pathname;
     const settings = options.settingsFile === undefined ? [] : ["--settings", options.settingsFile];
-    const child = spawn(process.execPath, [file, ...settings, ...options.commandLineArguments ?? []], {
+    const { runtimeArguments = [], commandLineArguments = [] } = options;
+    const child = spawn(process.execPath, [...runtimeArguments, file, ...settings, ...commandLineArguments], {
         stdio: ["ignore", "pipe", "pipe"],
         env: { ...process.env, NODE_OPTIONS: "" },
     });
--- a/src/site/startSite/index.ts
+++ b/src/site/startSite/index.ts
@@ -46,7 +46,8 @@
     async function start(program: SiteProgram): Promise<void> {
         const settingsFile = join(folder, `${program.name}.jsonc`);
         await writeFile(settingsFile, JSON.stringify(program.settings, undefined, 4));
-        const started = startProcess(program.name, program.binary, { settingsFile });
+        const { runtimeArguments = [] } = description;
+        const started = startProcess(program.name, program.binary, { settingsFile, runtimeArguments });
         processes.set(program.name, started);
         exits.watch(started);
         await waitForReadiness(started, (program.settings as { listen: Address; }).listen);
--- a/src/site/types/SiteDescription.ts
+++ b/src/site/types/SiteDescription.ts
@@ -1,3 +1,4 @@
+import type { EntryLimits } from "../../callers/types/EntryLimits.js";
 import type { SystemLimits } from "../../configuration/types/SystemLimits.js";
 import type { ReadPolicy } from "../../routing/types/ReadPolicy.js";
 
@@ -24,6 +25,10 @@
     readonly limits?: Partial<SystemLimits>;
     readonly readPolicy?: ReadPolicy;
     readonly logTopics?: string;
+    /** Limits of what callers may hold of an entry; the defaults when left out. */
+    readonly entryLimits?: EntryLimits;
+    /** Arguments of the runtime of every program. */
+    readonly runtimeArguments?: readonly string[];
 }
 
 interface SiteRegion {
--- a/src/soak/startSoakVm/index.ts
+++ b/src/soak/startSoakVm/index.ts
@@ -22,6 +22,10 @@
     /** Folder for the settings file of the VM. */
     readonly folder: string;
     readonly clock: Clock;
+    /** Settings that differ from those of the soak test. */
+    readonly changes?: Partial<VmSettings>;
+    /** Arguments of the runtime, before the program. */
+    readonly runtimeArguments?: readonly string[];
 }
 
 const millisecondsPerSecond = 1_000;
@@ -37,7 +41,8 @@
  * @example
  * const vm = await startSoakVm({ index: 0, ports, platform, folder, clock });
  */
-export async function startSoakVm({ index, ports, platform, folder, clock }: SoakVmOptions): Promise<SoakVm> {
+export async function startSoakVm(options: SoakVmOptions): Promise<SoakVm> {
+    const { index, ports, platform, folder, clock, runtimeArguments = [] } = options;
     const name = `vm-${index + 1}`;
     const host = chooseHost(index);
     const availabilityZone = soakConstants.zones[index % soakConstants.zones.length]!;
@@ -58,8 +63,10 @@
         promotionAddress: addressOf(platform.promotionPort, "127.0.0.1"),
         capacity: 1,
         memory: { megabytes: 350, callerShare: 0.1, connectionBytes: 524_288 },
+        callerLimits: { maximumDescriptors: 65_536, sessionBytes: 4_194_304, progressMilliseconds: 60_000 },
         configurationMilliseconds: soakConstants.configurationMilliseconds,
         graceMilliseconds: soakConstants.graceSeconds * millisecondsPerSecond,
+        ...options.changes,
     };
     const settingsFile = join(folder, `${name}.toml`);
     const unexpectedExits: string[] = [];
@@ -72,7 +79,7 @@
     }
 
     function start(): void {
-        const started = startProcess(name, SiteBinary.Node, { settingsFile });
+        const started = startProcess(name, SiteBinary.Node, { settingsFile, runtimeArguments });
         running = started;
         outputs.push(started.output);
         void started.exited.then(reason => {
@@ -99,8 +106,11 @@
     start();
     return {
         name,
+        callerAddress: settings.callerAddress,
+        peerAddress: settings.peerAddress,
         callerLink,
         storeLink,
+        processId: () => running?.processId,
         isRunning: () => running !== undefined,
         isReady: () => queryReadiness(readinessPort!, host),
         sendSignal: signal => running?.signal(signal),
--- a/src/tools/constants.ts
+++ b/src/tools/constants.ts
@@ -2,6 +2,8 @@
 export const toolConstants = {
     knownFailuresFile: "KNOWN-RED.txt",
     scenarioReportFile: ".run/scenarios.json",
+    /** Tests that start processes of the program and bound what these use; run by themselves. */
+    hostileCallersFolder: "src/hostileCallers/",
     /** Test files run at the same time. */
     parallelTestFiles: 4,
     maximumFileLines: 300,
--- a/src/tools/reportTests/test.ts
+++ b/src/tools/reportTests/test.ts
@@ -57,7 +57,7 @@
         test("outer", t => t.test("inner", () => { throw new Error("red"); }));`,
         );
         writeFileSync(broken, "this is not JavaScript");
-        const { passed, failures } = await runUnitTests([red, broken], new PassThrough().resume());
+        const { passed, failures } = await runUnitTests([red, broken], { output: new PassThrough().resume() });
         assert.equal(passed, 1);
         assert.equal(failures.length, 2);
         assert.ok(failures.includes("inner"));
--- a/src/tools/runUnitTests/index.ts
+++ b/src/tools/runUnitTests/index.ts
@@ -3,11 +3,21 @@
 import { toolConstants } from "../constants.js";
 import type { TestTally } from "../types/TestTally.js";
 
+/** Options of `runUnitTests`. */
+interface UnitTestOptions {
+    /** Name of the run in its summary. */
+    readonly runner?: string;
+    /** Test files run at the same time. */
+    readonly concurrency?: number;
+    /** Destination of the report; defaults to standard output. */
+    readonly output?: NodeJS.WritableStream;
+}
+
 /**
  * Runs test files with `node:test`, prints the report and counts the results.
  *
  * @param files Paths of the test files.
- * @param output Destination of the report; defaults to standard output.
+ * @param options Name of the run, files run at the same time, and destination of the report.
  * @returns The counts; a file that fails as a whole is listed by its path.
  *
  * @example
@@ -15,11 +25,12 @@
  */
 export async function runUnitTests(
     files: readonly string[],
-    output: NodeJS.WritableStream = process.stdout,
+    options: UnitTestOptions = {},
 ): Promise<TestTally> {
+    const { runner = "node:test", concurrency = toolConstants.parallelTestFiles, output = process.stdout } = options;
     const failures: string[] = [];
     let passed = 0;
-    const stream = run({ files: [...files], concurrency: toolConstants.parallelTestFiles });
+    const stream = run({ files: [...files], concurrency });
     stream.on("test:pass", ({ details }) => {
         passed += details.type === "suite" ? 0 : 1;
     });
@@ -32,5 +43,5 @@
     const report = stream.compose(new spec());
     report.pipe(output);
     await new Promise((resolve, reject) => report.on("end", resolve).on("error", reject));
-    return { runner: "node:test", passed, failures };
+    return { runner, passed, failures };
 }
--- a/src/vm/types/VmSettings.ts
+++ b/src/vm/types/VmSettings.ts
@@ -1,3 +1,4 @@
+import type { CallerLimits } from "../../callerSessions/types/CallerLimits.js";
 import type { MachineMemory } from "../../memory/types/MachineMemory.js";
 import type { Address } from "../../network/types/Address.js";
 
@@ -24,6 +25,7 @@
     readonly capacity: number;
     /** Memory of the VM, and what callers' connections may hold of it. */
     readonly memory: MachineMemory;
+    readonly callerLimits: CallerLimits;
     /** Time within which a configuration has to be in force on every VM. */
     readonly configurationMilliseconds: number;
     /** Time from the order to stop until the process is killed. */
