Bound the bytes that sessions keep, and those of answers that arrive or are not taken

Values and prepared statements grew without bound, as did the names of prepared statements; a session is now refused what exceeds its limit, or what exceeds the share of the process. Answers of endpoints are read one after the other once they fill the callers' budget. A caller that does not take its answers is disconnected at once: until now its bytes were kept for two more seconds, and not counted.

--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -54,7 +54,7 @@
     /** Descriptors that are kept for endpoints, other VMs, the platform and the process itself. */
     reservedDescriptors: 200,
     /** Bytes of the values and prepared statements of one session, and their range. */
-    defaultSessionBytes: 4_194_304,
+    defaultSessionBytes: 2_097_152,
     leastSessionBytes: 65_536,
     mostSessionBytes: 33_554_432,
     /** Time in which a begun message or an answer that is not taken has to make progress, and its range, in milliseconds. */
--- a/src/callerSessions/createCallerSession/index.ts
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -7,6 +7,7 @@
 import { callerSessionConstants } from "../constants.js";
 import { createCallerTransaction } from "../createCallerTransaction/index.js";
 import { createFailure } from "../createFailure/index.js";
+import { createStateFailure } from "../createStateFailure/index.js";
 import { runSingleStatement } from "../runSingleStatement/index.js";
 import type { CallerConnection } from "../types/CallerConnection.js";
 import type { CallerSession } from "../types/CallerSession.js";
@@ -41,6 +42,7 @@
 ): CallerSession {
     const { clock, directory, log } = services;
     const context: SessionContext = { database, values: new Map(), prepared: new Map(), commits: new Map() };
+    const kept = services.budget.openState();
     let transaction: CallerTransaction | undefined;
     /** Why this process rolled back the transaction; undefined when the caller did or has been informed. */
     let abandonReason: string | undefined;
@@ -51,17 +53,22 @@
         [StatementKind.Rollback]: rollBack,
         [StatementKind.Read]: (_statement, received) => run(received, AccessMode.Read, undefined),
         [StatementKind.Write]: (_statement, received) => run(received, AccessMode.Write, undefined),
-        [StatementKind.SetValue]: ({ name, value }) => {
-            context.values.set(name, value);
-            sendEmptySuccess();
-        },
-        [StatementKind.Prepare]: ({ name, mode, shape }) => {
-            context.prepared.set(name, { mode, shape });
-            sendEmptySuccess();
-        },
+        [StatementKind.SetValue]: ({ name, value }, { id }) =>
+            keep(
+                id,
+                { name: `value ${name}`, bytes: name.length + value.length },
+                () => context.values.set(name, value),
+            ),
+        [StatementKind.Prepare]: ({ name, mode, shape }, { id }) =>
+            keep(
+                id,
+                { name: `prepared ${name}`, bytes: name.length + shape.length },
+                () => context.prepared.set(name, { mode, shape }),
+            ),
         [StatementKind.Execute]: execute,
         [StatementKind.ClosePrepared]: ({ name }) => {
             context.prepared.delete(name);
+            kept.keep(`prepared ${name}`, 0);
             sendEmptySuccess();
         },
         [StatementKind.Unreadable]: () => fail(createFailure(FailureCode.Malformed, "the statement cannot be read")),
@@ -99,6 +106,17 @@
         connection.sendSuccess({ rows: [], state: state() });
     }
 
+    /** Keeps a value or prepared statement, unless the session or the process keeps too much. */
+    function keep(id: string, item: { readonly name: string; readonly bytes: number; }, apply: () => void): void {
+        const refusal = kept.keep(item.name, item.bytes);
+        if (refusal !== undefined) {
+            sendOutcome(id, createStateFailure(refusal));
+            return;
+        }
+        apply();
+        sendEmptySuccess();
+    }
+
     function fail(outcome: StatementOutcome): void {
         connection.sendFailure(outcome.failure!, state());
     }
@@ -222,6 +240,9 @@
         isOver: () => false,
         handle,
         abandonTransaction,
-        end: abandonTransaction,
+        end: reason => {
+            abandonTransaction(reason);
+            kept.close();
+        },
     };
 }
--- a/src/callerSessions/createCallerSessions/index.ts
+++ b/src/callerSessions/createCallerSessions/index.ts
@@ -227,6 +227,7 @@
             flow?.discard();
             reportDiscarded();
         },
-        disconnect: close,
+        // What the peer does not take would be held until the connection is closed.
+        disconnect: () => flow === undefined ? close() : flow.disconnect(),
     };
 }
--- a/src/callerSessions/createCallerSessions/test.ts
+++ b/src/callerSessions/createCallerSessions/test.ts
@@ -83,6 +83,7 @@
                     return command !== undefined;
                 },
                 discard: () => {},
+                disconnect: () => {},
             },
             onCommand: listener => {
                 deliver = listener;
--- a/src/callerSessions/types/CallerFlow.ts
+++ b/src/callerSessions/types/CallerFlow.ts
@@ -8,6 +8,8 @@
     resume(): void;
     /** Delivers the next command that was received in full, without reading; returns whether there was one. */
     deliverNext(): boolean;
+    /** Ends the connection at once, with what was not sent. */
+    disconnect(): void;
     /** Discards what was received and not delivered, and whatever comes. */
     discard(): void;
 }
--- a/src/memory/chooseMemoryLimits/index.ts
+++ b/src/memory/chooseMemoryLimits/index.ts
@@ -7,13 +7,26 @@
  * heap has one too.
  *
  * @param memory The machine's limit in megabytes, the callers' share, and the bytes of one connection.
+ * @param sessionBytes Bytes that one session may keep from statement to statement.
  * @returns The limits in bytes.
  *
  * @example
- * chooseMemoryLimits({ megabytes: 350, callerShare: 0.25, connectionBytes: 524_288 }).totalBytes; // => 52_428_800
+ * chooseMemoryLimits({ megabytes: 350, callerShare: 0.25, connectionBytes: 524_288 }, 2_097_152).totalBytes; // => 52_428_800
  */
-export function chooseMemoryLimits({ megabytes, callerShare, connectionBytes }: MachineMemory): MemoryLimits {
-    const { bytesPerMegabyte, leastTotalBytes, mostTotalBytes, ownMegabytes } = memoryConstants;
-    const bytes = Math.floor((megabytes - ownMegabytes) * bytesPerMegabyte * callerShare);
-    return { totalBytes: Math.min(Math.max(bytes, leastTotalBytes), mostTotalBytes), connectionBytes };
+export function chooseMemoryLimits(
+    { megabytes, callerShare, connectionBytes }: MachineMemory,
+    sessionBytes: number,
+): MemoryLimits {
+    const { leastTotalBytes, mostTotalBytes, stateShare, leastStateBytes, mostStateBytes } = memoryConstants;
+    const spareBytes = (megabytes - memoryConstants.ownMegabytes) * memoryConstants.bytesPerMegabyte;
+    return {
+        totalBytes: clamp(Math.floor(spareBytes * callerShare), leastTotalBytes, mostTotalBytes),
+        connectionBytes,
+        stateBytes: clamp(Math.floor(spareBytes * stateShare), leastStateBytes, mostStateBytes),
+        sessionBytes,
+    };
+}
+
+function clamp(value: number, least: number, most: number): number {
+    return Math.min(Math.max(value, least), most);
 }
--- a/src/memory/constants.ts
+++ b/src/memory/constants.ts
@@ -33,6 +33,12 @@
     resumeCommands: 4,
     /** Bytes that may arrive on a connection after reading was paused. */
     pausedReadBytes: 65_536,
+    /** Memory of a kept value or prepared statement beside its text, in bytes. */
+    keptOverheadBytes: 256,
+    /** Share of the memory that the program does not need itself for what sessions keep, and its least and most bytes. */
+    stateShare: 0.25,
+    leastStateBytes: 8_388_608,
+    mostStateBytes: 67_108_864,
     /** Least time between two log lines on refused connections, in milliseconds. */
     logIntervalMilliseconds: 1_000,
 } as const;
--- a/src/memory/createByteBudget/index.ts
+++ b/src/memory/createByteBudget/index.ts
@@ -2,6 +2,8 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
 import { memoryConstants } from "../constants.js";
+import { createAnswerBudget } from "../createAnswerBudget/index.js";
+import { createStateBudget } from "../createStateBudget/index.js";
 import type { ByteAccount } from "../types/ByteAccount.js";
 import type { ByteBudget } from "../types/ByteBudget.js";
 import type { ConnectionControl } from "../types/ConnectionControl.js";
@@ -11,7 +13,7 @@
 interface ByteBudgetOptions {
     readonly limits: MemoryLimits;
     readonly clock: Pick<Clock, "now">;
-    readonly metrics: Pick<Metrics, "countMemoryRefusal" | "countReadPause">;
+    readonly metrics: Pick<Metrics, "countMemoryRefusal" | "countReadPause" | "countStateRefusal">;
     readonly log: LogTopic;
 }
 
@@ -240,7 +242,13 @@
         loggedAt = clock.now();
     }
 
-    return { open, heldBytes: () => heldBytes, pausedCount: () => paused.size };
+    return {
+        ...createStateBudget(options),
+        ...createAnswerBudget(totalBytes),
+        open,
+        heldBytes: () => heldBytes,
+        pausedCount: () => paused.size,
+    };
 }
 
 function evictableBytes({ unacceptedBytes, unsentBytes, isPaused }: Holder): number {
--- a/src/memory/types/MemoryLimits.ts
+++ b/src/memory/types/MemoryLimits.ts
@@ -4,4 +4,8 @@
     readonly totalBytes: number;
     /** Bytes of accepted commands, or of answers not taken, with which a connection is no longer read. */
     readonly connectionBytes: number;
+    /** Bytes that all sessions may keep from statement to statement. */
+    readonly stateBytes: number;
+    /** Bytes that one session may keep from statement to statement. */
+    readonly sessionBytes: number;
 }
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -73,6 +73,12 @@
         help: "Connections refused because callers hold too many bytes.",
         registers,
     });
+    const stateRefusals = new Counter({
+        name: "tarragonpost_state_refusals_total",
+        help: "Values and prepared statements refused because sessions keep too many bytes, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
     const readPauses = new Counter({
         name: "tarragonpost_read_pauses_total",
         help: "Times that a caller's connection was no longer read, until commands are answered.",
@@ -93,6 +99,7 @@
         countPrimaryVerification: isVerified =>
             primaryVerifications.inc({ outcome: isVerified ? "Confirmed" : "Unconfirmed" }),
         countMemoryRefusal: () => memoryRefusals.inc(),
+        countStateRefusal: reason => stateRefusals.inc({ reason }),
         countReadPause: () => readPauses.inc(),
         registerGauge: (name, description, read) => {
             const gauge: Gauge = new Gauge({
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -1,5 +1,6 @@
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { StateRefusal } from "../../memory/types/StateRefusal.js";
 import type { FailureCode } from "../../statements/types/FailureCode.js";
 
 /** Counters and histograms of one process. */
@@ -22,6 +23,8 @@
     countPrimaryVerification(isVerified: boolean): void;
     /** Counts a connection that was refused because callers hold too many bytes. */
     countMemoryRefusal(): void;
+    /** Counts a statement that was refused because its session, or all, keep too many bytes. */
+    countStateRefusal(reason: StateRefusal): void;
     /** Counts that a caller's connection was no longer read, until commands are answered. */
     countReadPause(): void;
     /** Registers a gauge whose value is read at each rendering. */
--- a/src/platform/listenForCallers/index.ts
+++ b/src/platform/listenForCallers/index.ts
@@ -158,6 +158,7 @@
             resume,
             deliverNext,
             discard,
+            disconnect: () => socket.destroy(),
         },
         onCommand: listener => {
             deliver = listener;
--- a/src/platform/openEndpointSession/index.ts
+++ b/src/platform/openEndpointSession/index.ts
@@ -1,6 +1,7 @@
 import { connect, type Socket } from "node:net";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { AnswerBudget } from "../../memory/types/AnswerBudget.js";
 import type { Address } from "../../network/types/Address.js";
 import type { EndpointSession } from "../../statements/types/EndpointSession.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
@@ -27,6 +28,8 @@
     /** Id of the endpoint that is expected at the address. */
     readonly endpointId: string;
     readonly timeoutMilliseconds: number;
+    /** Bounds the bytes of answers that arrive. */
+    readonly answerBudget: AnswerBudget;
 }
 
 /** Statements that were sent together and whose answers are pending. */
@@ -65,13 +68,13 @@
  * const session = await openEndpointSession({ address, group, owner, endpointId, timeoutMilliseconds: 1_500 });
  */
 export function openEndpointSession(options: OpenEndpointSessionOptions): Promise<EndpointSession> {
-    const { address, group, owner, endpointId } = options;
+    const { address, group, owner, endpointId, answerBudget } = options;
     const socket = connect({ host: address.host, port: address.port, noDelay: true });
     socket.write(`STARTUP ${group} ${owner} ${endpointId}\r\n`);
 
     return new Promise((resolve, reject) => {
         let refusal: StatementFailure | undefined;
-        const session = wrapEndpointSocket(socket, endpointId, {
+        const session = wrapEndpointSocket(socket, { endpointId, answerBudget }, {
             onReady: () => {
                 clearTimeout(timer);
                 resolve(session);
@@ -111,7 +114,12 @@
     onRefusal(failure: StatementFailure): void;
 }
 
-function wrapEndpointSocket(socket: Socket, endpointId: string, opening: OpeningListener): EndpointSession {
+function wrapEndpointSocket(
+    socket: Socket,
+    { endpointId, answerBudget }: Pick<OpenEndpointSessionOptions, "endpointId" | "answerBudget">,
+    opening: OpeningListener,
+): EndpointSession {
+    const account = answerBudget.openAnswers(socket);
     const splitter = createLineSplitter(platformConstants.maximumMessageBytes);
     const closeListeners: (() => void)[] = [];
     let pending: PendingExchange | undefined;
@@ -123,6 +131,7 @@
     let isClosed = false;
 
     socket.on("data", chunk => {
+        account.add(chunk.length);
         const lines = splitter.push(chunk);
         if (lines === undefined) {
             socket.destroy();
@@ -137,6 +146,7 @@
     socket.on("end", () => socket.destroy());
     socket.once("close", () => {
         isClosed = true;
+        account.release();
         const interrupted = pending;
         pending = undefined;
         if (interrupted !== undefined) {
@@ -179,6 +189,7 @@
         position = ready.position ?? position;
         if (!isOpen) {
             isOpen = true;
+            account.release();
             opening.onReady();
             return;
         }
@@ -204,6 +215,7 @@
             const { timer, resolve, answers } = pending;
             pending = undefined;
             clearTimeout(timer);
+            account.release();
             resolve(answers);
         }
     }
--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -49,7 +49,12 @@
         preparedNames: createPreparedNames(),
         stop: createGracefulStop(clock, graceMilliseconds),
         budget: createByteBudget({
-            limits: { totalBytes: memoryConstants.mostTotalBytes, connectionBytes: memoryConstants.bytesPerMegabyte },
+            limits: {
+                totalBytes: memoryConstants.mostTotalBytes,
+                connectionBytes: memoryConstants.bytesPerMegabyte,
+                stateBytes: memoryConstants.mostStateBytes,
+                sessionBytes: memoryConstants.bytesPerMegabyte,
+            },
             clock,
             metrics,
             log: () => {},
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -149,6 +149,7 @@
         countPrimaryChange: ignore,
         countPrimaryVerification: ignore,
         countMemoryRefusal: ignore,
+        countStateRefusal: () => {},
         countReadPause: ignore,
         registerGauge: ignore,
         render: async () => "",
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -146,6 +146,7 @@
                 ServiceName.Directory,
                 ServiceName.Primaries,
                 ServiceName.SessionHosts,
+                ServiceName.ByteBudget,
                 ServiceName.Metrics,
                 ServiceName.Logger,
             ],
@@ -154,13 +155,15 @@
                 directory: Directory,
                 primaries: Primaries,
                 hosts: SessionHosts,
+                budget: ByteBudget,
                 metrics: Metrics,
                 logger: Logger,
             ) => createPlacement({
                 clock,
                 directory,
                 primaries,
-                open: openEndpoint,
+                open: (endpoint, owner, timeoutMilliseconds) =>
+                    openEndpoint(endpoint, owner, timeoutMilliseconds, budget),
                 vmLocation: settings,
                 vmCount: group => Math.max(hosts.hostCountOf(group), vmConstants.minimumAssumedVms),
                 isHolding: hosts.isHostOf,
@@ -202,7 +205,7 @@
             dependencies: [ServiceName.Clock, ServiceName.Metrics, ServiceName.Logger],
             create: (clock: Clock, metrics: Metrics, logger: Logger) =>
                 createByteBudget({
-                    limits: chooseMemoryLimits(settings.memory),
+                    limits: chooseMemoryLimits(settings.memory, settings.callerLimits.sessionBytes),
                     clock,
                     metrics,
                     log: logger.topic("memory"),
--- a/src/vm/registerVmGauges/index.ts
+++ b/src/vm/registerVmGauges/index.ts
@@ -8,7 +8,7 @@
 interface GaugeSources {
     readonly sessions: Pick<CallerSessions, "count">;
     readonly sessionHost: Pick<SessionHost, "count">;
-    readonly budget: Pick<ByteBudget, "heldBytes" | "pausedCount">;
+    readonly budget: Pick<ByteBudget, "heldBytes" | "pausedCount" | "keptBytes">;
     readonly duty: Pick<Duty, "hasLease">;
 }
 
@@ -34,6 +34,11 @@
         "Bytes that callers' connections hold: received, unanswered, or not taken.",
         budget.heldBytes,
     );
+    metrics.registerGauge(
+        "tarragonpost_kept_bytes",
+        "Bytes of the values and prepared statements of all sessions.",
+        budget.keptBytes,
+    );
     metrics.registerGauge("tarragonpost_paused_connections", "Connections that are not read.", budget.pausedCount);
     metrics.registerGauge("tarragonpost_lease_held", "1 with a lease on the primaries.", () => duty.hasLease() ? 1 : 0);
 }
