Collect garbage when the machine's memory runs short

The runtime collects by the limit of its heap, which does not count received bytes: 150 MB of messages of one session took the process to 211 MB of 200 although it kept 2 MB. A look at the resident memory each 2 MiB received now has garbage collected above three quarters of the machine's limit, and again only after growth.

--- a/src/memory/constants.ts
+++ b/src/memory/constants.ts
@@ -39,6 +39,11 @@
     stateShare: 0.25,
     leastStateBytes: 8_388_608,
     mostStateBytes: 67_108_864,
+    /** Share of the machine's memory above which garbage is collected. */
+    guardShare: 0.75,
+    /** Received bytes between two looks at the memory, and its growth after which garbage is collected again. */
+    guardIntervalBytes: 2_097_152,
+    guardGrowthBytes: 8_388_608,
     /** Least time between two log lines on refused connections, in milliseconds. */
     logIntervalMilliseconds: 1_000,
 } as const;
--- a/src/memory/createAnswerBudget/index.ts
+++ b/src/memory/createAnswerBudget/index.ts
@@ -13,12 +13,13 @@
  * began to receive first is read, so that one answer always arrives in full; the others wait.
  *
  * @param totalBytes Bytes with which connections wait for each other.
+ * @param onReceived Called with the size of what was received; by default nothing is done.
  * @returns The budget, without connections.
  *
  * @example
  * const budget = createAnswerBudget(8_388_608);
  */
-export function createAnswerBudget(totalBytes: number): AnswerBudget {
+export function createAnswerBudget(totalBytes: number, onReceived: (bytes: number) => void = () => {}): AnswerBudget {
     /** Connections that are receiving, in the order in which they began. */
     const receiving = new Set<Reader>();
     let heldBytes = 0;
@@ -29,6 +30,7 @@
     }
 
     function add(reader: Reader, bytes: number): void {
+        onReceived(bytes);
         receiving.add(reader);
         reader.bytes += bytes;
         heldBytes += bytes;
--- a/src/memory/createByteBudget/index.ts
+++ b/src/memory/createByteBudget/index.ts
@@ -15,6 +15,8 @@
     readonly clock: Pick<Clock, "now">;
     readonly metrics: Pick<Metrics, "countMemoryRefusal" | "countReadPause" | "countStateRefusal">;
     readonly log: LogTopic;
+    /** Called with the size of what was received; by default nothing is done. */
+    readonly onReceived?: (bytes: number) => void;
 }
 
 /** What one connection holds. */
@@ -46,7 +48,7 @@
  * const budget = createByteBudget({ limits: { totalBytes: 50_000_000, connectionBytes: 500_000 }, clock, metrics, log });
  */
 export function createByteBudget(options: ByteBudgetOptions): ByteBudget {
-    const { limits: { totalBytes, connectionBytes }, clock, metrics, log } = options;
+    const { limits: { totalBytes, connectionBytes }, clock, metrics, log, onReceived = () => {} } = options;
     const shortageBytes = totalBytes * memoryConstants.shortageShare;
     const recoveryBytes = totalBytes * memoryConstants.recoveryShare;
     /** Connections that hold anything beside accepted commands. */
@@ -79,6 +81,7 @@
 
     function accept(holder: Holder, bytes: number): boolean {
         const cost = bytes + commandOverheadBytes;
+        onReceived(bytes);
         const hasRoom = makeRoom(cost + pausedReadBytes);
         if (!hasRoom && bytes > smallBytes) {
             refuse(holder);
@@ -244,7 +247,7 @@
 
     return {
         ...createStateBudget(options),
-        ...createAnswerBudget(totalBytes),
+        ...createAnswerBudget(totalBytes, onReceived),
         open,
         heldBytes: () => heldBytes,
         pausedCount: () => paused.size,
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -18,7 +18,9 @@
 import { createLogger } from "../../logging/createLogger/index.js";
 import type { Logger } from "../../logging/types/Logger.js";
 import { chooseMemoryLimits } from "../../memory/chooseMemoryLimits/index.js";
+import { collectGarbage } from "../../memory/collectGarbage/index.js";
 import { createByteBudget } from "../../memory/createByteBudget/index.js";
+import { createMemoryGuard } from "../../memory/createMemoryGuard/index.js";
 import type { ByteBudget } from "../../memory/types/ByteBudget.js";
 import { createMetrics } from "../../metrics/createMetrics/index.js";
 import { createMetricsServer } from "../../metrics/createMetricsServer/index.js";
@@ -209,6 +211,11 @@
                     clock,
                     metrics,
                     log: logger.topic("memory"),
+                    onReceived: createMemoryGuard({
+                        megabytes: settings.memory.megabytes,
+                        readResidentBytes: process.memoryUsage.rss,
+                        collectGarbage,
+                    }),
                 }),
         },
         defineSessionService(settings),
