Admit callers by the descriptors that are left, and close connections that stop half-way

It now has places for callers: the descriptors of the settings less 200. Without a free one, a new connection takes the place of one that has not opened its session, or of a session that was idle for long; else it is refused. A begun message, or an answer that is not taken, has to make progress within the time of the settings; sessions that are idle between messages stay open.

--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -47,6 +47,12 @@
     maximumTurnMilliseconds: 50,
     /** Longest wait for input that has arrived, in milliseconds; the stop goes on although each turn takes long. */
     maximumInputWaitMilliseconds: 200,
+    /** Bytes that a begun message, or an answer that is not taken, has to make progress by. */
+    leastProgressBytes: 16_384,
+    /** Sessions that are looked at, at most, for one that gives its place to a new connection. */
+    maximumIdleLooks: 64,
+    /** Least time between two log lines on refused or closed connections, in milliseconds. */
+    lossLogMilliseconds: 1_000,
     /** Descriptors of a process whose settings do not tell, and the range of such limits. */
     defaultDescriptors: 65_536,
     leastDescriptors: 256,
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -79,6 +79,12 @@
         labelNames: ["reason"],
         registers,
     });
+    const connectionLosses = new Counter({
+        name: "tarragonpost_connection_losses_total",
+        help: "Callers' connections that this process refused or closed, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
     const readPauses = new Counter({
         name: "tarragonpost_read_pauses_total",
         help: "Times that a caller's connection was no longer read, until commands are answered.",
@@ -100,6 +106,7 @@
             primaryVerifications.inc({ outcome: isVerified ? "Confirmed" : "Unconfirmed" }),
         countMemoryRefusal: () => memoryRefusals.inc(),
         countStateRefusal: reason => stateRefusals.inc({ reason }),
+        countConnectionLoss: reason => connectionLosses.inc({ reason }),
         countReadPause: () => readPauses.inc(),
         registerGauge: (name, description, read) => {
             const gauge: Gauge = new Gauge({
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -1,3 +1,4 @@
+import type { ConnectionLoss } from "../../callerSessions/types/ConnectionLoss.js";
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { ErrorKind } from "../../errors/types/ErrorKind.js";
 import type { StateRefusal } from "../../memory/types/StateRefusal.js";
@@ -25,6 +26,8 @@
     countMemoryRefusal(): void;
     /** Counts a statement that was refused because its session, or all, keep too many bytes. */
     countStateRefusal(reason: StateRefusal): void;
+    /** Counts a caller's connection that this process refused or closed. */
+    countConnectionLoss(loss: ConnectionLoss): void;
     /** Counts that a caller's connection was no longer read, until commands are answered. */
     countReadPause(): void;
     /** Registers a gauge whose value is read at each rendering. */
--- a/src/platform/listenForCallers/test.ts
+++ b/src/platform/listenForCallers/test.ts
@@ -17,7 +17,11 @@
     const accepted = new Promise<CallerConnection>(resolve => {
         accept = resolve;
     });
-    const listener = await listenForCallers(address, connection => accept(connection));
+    const listener = await listenForCallers(address, connection => accept(connection), {
+        admission: { admit: () => ({ recordOpened: () => {}, recordActivity: () => {}, release: () => {} }) },
+        progressMilliseconds: 60_000,
+        onStalled: () => {},
+    });
     const socket = connect({ host: "127.0.0.1", port: listener.port, noDelay: true });
     socket.on("error", () => {});
     await once(socket, "connect");
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -150,6 +150,7 @@
         countPrimaryVerification: ignore,
         countMemoryRefusal: ignore,
         countStateRefusal: () => {},
+        countConnectionLoss: () => {},
         countReadPause: ignore,
         registerGauge: ignore,
         render: async () => "",
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -263,10 +263,21 @@
                 ServiceName.CallerSessions,
                 ServiceName.Directory,
                 ServiceName.Departure,
+                ServiceName.Clock,
+                ServiceName.Metrics,
                 ServiceName.Logger,
             ],
-            create: (sessions: CallerSessions, directory: Directory, departure: Departure, logger: Logger) =>
-                createVmServer({ settings, sessions, directory, departure, log: logger.topic("front") }),
+            create: (
+                sessions: CallerSessions,
+                directory: Directory,
+                departure: Departure,
+                clock: Clock,
+                metrics: Metrics,
+                logger: Logger,
+            ) => {
+                const log = logger.topic("front");
+                return createVmServer({ settings, sessions, directory, departure, clock, metrics, log });
+            },
         },
     ];
 }
