Bound what strangers may hold of the port for other VMs

Whoever reached the port could hold any number of connections for ever, and have 8 MiB received on each, without the secret. Until a peer has proven that it knows the secret, it may send 64 KiB and has five seconds, and only 128 such connections are kept: a new one takes the place of the oldest.

--- a/src/transport/constants.ts
+++ b/src/transport/constants.ts
@@ -10,6 +10,14 @@
     /** Time since the last call after which a connection without pending calls is closed. */
     idleTimeoutMilliseconds: 5_000,
     connectTimeoutMilliseconds: 1_000,
+    /** Connections of peers that have not proven themselves; a new one takes the place of the oldest. */
+    maximumStrangers: 128,
+    /** Bytes that such a peer may send. */
+    strangerBytes: 65_536,
+    /** Time within which a peer has to prove itself after connecting, in milliseconds. */
+    proofTimeoutMilliseconds: 5_000,
+    /** Least time between two log lines on peers that did not prove themselves, in milliseconds. */
+    strangerLogMilliseconds: 1_000,
     maximumFrameBytes: 8 * 1024 * 1024,
     /** HTTP status of an answer to a request that is no WebSocket handshake. */
     upgradeRequiredStatus: 426,
--- a/src/transport/createTransportServer/index.ts
+++ b/src/transport/createTransportServer/index.ts
@@ -1,11 +1,13 @@
 import type { AnyTRPCRouter } from "@trpc/server";
 import { once } from "node:events";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
 import type { Logger } from "../../logging/types/Logger.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { transportConstants } from "../constants.js";
+import { createStrangerWatch } from "../createStrangerWatch/index.js";
 import { servePeer } from "../servePeer/index.js";
 import type { ServedPeer } from "../types/ServedPeer.js";
 
@@ -52,10 +54,16 @@
     const httpServer = createServer((_request, response) => {
         response.writeHead(transportConstants.upgradeRequiredStatus).end();
     });
-    httpServer.on("upgrade", (request, socket, head) => webSocketServer.handleUpgrade(request, socket, head, serve));
+    const strangers = createStrangerWatch(createStrangerLog(options.logger.topic("transport")));
+    httpServer.on("connection", strangers.add);
+    httpServer.on(
+        "upgrade",
+        (request, socket, head) =>
+            webSocketServer.handleUpgrade(request, socket, head, webSocket => serve(webSocket, request.socket)),
+    );
 
-    function serve(socket: WebSocket): void {
-        const peer = servePeer(socket, options);
+    function serve(socket: WebSocket, connection: Socket): void {
+        const peer = servePeer(socket, { ...options, onProven: () => strangers.acquit(connection) });
         peers.add(peer);
         void peer.closed.then(() => peers.delete(peer));
         if (isStopping) {
@@ -92,3 +100,17 @@
         describeWork: () => [...peers].flatMap(peer => peer.describeWork()),
     };
 }
+
+/** Creates the function that logs, at most so often, peers that did not prove themselves. */
+function createStrangerLog(log: LogTopic): (reason: string) => void {
+    let closedSinceLog = 0;
+    let loggedAt = -Infinity;
+    return reason => {
+        closedSinceLog += 1;
+        if (performance.now() - loggedAt >= transportConstants.strangerLogMilliseconds) {
+            log("connections of strangers closed", { connections: closedSinceLog, last: reason });
+            closedSinceLog = 0;
+            loggedAt = performance.now();
+        }
+    };
+}
--- a/src/transport/servePeer/index.ts
+++ b/src/transport/servePeer/index.ts
@@ -25,6 +25,8 @@
     readonly router: AnyTRPCRouter;
     readonly events: EventRecorder;
     readonly logger: Logger;
+    /** Called when the peer has proven that it knows the secret. */
+    readonly onProven?: () => void;
 }
 
 /**
@@ -77,6 +79,7 @@
             });
         }
         context = { peerName, peerZone, connectionEnd: connectionEnd.signal };
+        options.onProven?.();
         send([FrameKind.Welcome]);
     }
 
