Bound what HTTP callers hold of an entry

An entry received bodies of up to 8 MiB on each of any number of connections before it looked at the caller's key, and waited five minutes for their ends. Key, length and database are now checked before the body; all bodies together have a limit, past which the connection that holds most is closed; a request has to arrive within a time limit, and connections are limited.

--- a/src/callers/constants.ts
+++ b/src/callers/constants.ts
@@ -12,6 +12,8 @@
     /** After that, a request may still arrive, or an answer be received, for this long. */
     stopTransferMilliseconds: 5_000,
     stopPollingIntervalMilliseconds: 20,
+    /** Interval at which connections are checked for requests that do not arrive, in milliseconds. */
+    stalledCheckMilliseconds: 500,
     /** Connections accepted at the same time, and their range. */
     defaultConnections: 10_000,
     leastConnections: 16,
--- a/src/callers/createCallerServer/index.ts
+++ b/src/callers/createCallerServer/index.ts
@@ -1,4 +1,4 @@
-import fastify, { type FastifyRequest } from "fastify";
+import fastify, { type FastifyReply, type FastifyRequest, type RequestPayload } from "fastify";
 import { randomUUID } from "node:crypto";
 import { type AddressInfo, Server } from "node:net";
 import type { z } from "zod";
@@ -14,10 +14,12 @@
 import { chooseStatus } from "../chooseStatus/index.js";
 import { callerConstants } from "../constants.js";
 import { createAuthentication } from "../createAuthentication/index.js";
+import { createBodyBudget } from "../createBodyBudget/index.js";
 import { createCallerConnections } from "../createCallerConnections/index.js";
 import { requestSchemas } from "../requestSchemas.js";
 import type { AuthenticatedCaller } from "../types/AuthenticatedCaller.js";
 import type { CallerServer } from "../types/CallerServer.js";
+import type { EntryLimits } from "../types/EntryLimits.js";
 import { HealthState } from "../types/HealthState.js";
 
 /** Options of `createCallerServer`. */
@@ -28,6 +30,9 @@
     readonly execution: RequestExecutionService;
     readonly configuration: ConfigurationService;
     readonly clock: Clock;
+    readonly limits: EntryLimits;
+    /** Called when a connection is closed because request bodies hold too many bytes. */
+    readonly onDisconnected?: () => void;
     /** Called with the role of the endpoint that served each read. */
     readonly onRead?: (role: EndpointRole) => void;
 }
@@ -49,15 +54,23 @@
  * @returns The caller server, not yet listening.
  *
  * @example
- * const server = createCallerServer({ host: "127.0.0.1", port: 8080, execution, configuration, clock });
+ * const server = createCallerServer({ host: "127.0.0.1", port: 8080, execution, configuration, clock, limits });
  */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-    const { execution, configuration, clock } = options;
+    const { execution, configuration, clock, limits } = options;
     const authenticate = createAuthentication(configuration);
     const server = fastify({
         bodyLimit: callerConstants.maximumRequestBytes,
         genReqId: () => randomUUID(),
+        requestTimeout: limits.requestMilliseconds,
+        http: {
+            headersTimeout: limits.requestMilliseconds,
+            connectionsCheckingInterval: callerConstants.stalledCheckMilliseconds,
+        },
     });
+    server.server.maxConnections = limits.connections;
+    const bodies = createBodyBudget(limits.bodyBytes, options.onDisconnected ?? (() => {}));
+    const callers = new WeakMap<FastifyRequest, AuthenticatedCaller>();
     const connections = createCallerConnections(server.server);
     let state = HealthState.Serving;
     let lastRequestAt = 0;
@@ -102,13 +115,36 @@
         return caller;
     }
 
+    /** Refuses a request before its body is received. */
+    async function refuseEarly(request: FastifyRequest, response: FastifyReply): Promise<void> {
+        lastRequestAt = clock.now();
+        const admitted = admit(request);
+        if ("outcome" in admitted) {
+            await response.status(chooseStatus(admitted)).send(admitted);
+            return;
+        }
+        callers.set(request, admitted);
+    }
+
+    /** Counts the bytes of a body from their receipt until the request is answered. */
+    function countBody(
+        request: FastifyRequest,
+        response: FastifyReply,
+        body: RequestPayload,
+        proceed: (error: undefined, body: RequestPayload) => void,
+    ): void {
+        const account = bodies.open(() => request.raw.socket.destroy());
+        body.on("data", (chunk: Buffer) => account.add(chunk.length));
+        response.raw.once("close", account.release);
+        proceed(undefined, body);
+    }
+
     function addRoute<Schema extends z.ZodType<{ readonly deadlineMilliseconds?: number | undefined; }>>(
         path: string,
         schema: Schema,
         handle: (request: RoutedRequest<z.output<Schema>>) => Promise<CallerReply>,
     ): void {
-        server.post(path, async (request, response) => {
-            lastRequestAt = clock.now();
+        server.post(path, { onRequest: refuseEarly, preParsing: countBody }, async (request, response) => {
             const reply = await answer(request);
             return response.status(chooseStatus(reply)).send(reply);
         });
@@ -127,10 +163,7 @@
         });
 
         async function answer(request: FastifyRequest): Promise<CallerReply> {
-            const caller = admit(request);
-            if ("outcome" in caller) {
-                return caller;
-            }
+            const caller = callers.get(request)!;
             const parsed = schema.safeParse(request.body);
             if (!parsed.success) {
                 const problems = parsed.error.issues.map(issue => `\`${issue.path.join(".")}\`: ${issue.message}`);
--- a/src/callers/createCallerServer/test.ts
+++ b/src/callers/createCallerServer/test.ts
@@ -53,6 +53,7 @@
         execution: execution as unknown as RequestExecutionService,
         configuration: { ...configuration, current: () => withCaller },
         clock: options.clock ?? createSystemClock(),
+        limits: { connections: 100, bodyBytes: 8_388_608, requestMilliseconds: 60_000 },
     });
     await server.start();
     return server;
--- a/src/entry/listEntryServices/index.ts
+++ b/src/entry/listEntryServices/index.ts
@@ -7,6 +7,7 @@
 import type { RequestExecutionService } from "../../execution/types/RequestExecutionService.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
+import { createRepeatedLog } from "../../logging/createRepeatedLog/index.js";
 import type { Logger } from "../../logging/types/Logger.js";
 import { listProcessServices } from "../../processServices/listProcessServices/index.js";
 import type { RandomSource } from "../../random/types/RandomSource.js";
@@ -79,13 +80,27 @@
                 ServiceName.Configuration,
                 ServiceName.Clock,
                 ServiceName.ReadCounter,
+                ServiceName.Logger,
             ],
             create: (
                 execution: RequestExecutionService,
                 configuration: ConfigurationService,
                 clock: Clock,
                 readCounter: ReadCounter,
-            ) => createCallerServer({ ...listen, execution, configuration, clock, onRead: readCounter.count }),
+                logger: Logger,
+            ) => createCallerServer({
+                ...listen,
+                execution,
+                configuration,
+                clock,
+                limits: settings.callerLimits,
+                onDisconnected: createRepeatedLog(
+                    logger.topic("callers"),
+                    "connections closed: request bodies hold too many bytes",
+                    clock.now,
+                ),
+                onRead: readCounter.count,
+            }),
         },
         {
             name: ServiceName.StatusRegistry,
--- a/src/hostileCallers/tests/entry/test.ts
+++ b/src/hostileCallers/tests/entry/test.ts
@@ -42,6 +42,14 @@
             count: 10,
         }));
 
+    it("hostile: HTTP callers with a key send half of large bodies without a length", () =>
+        playEntryCrowd({
+            begin: socket => {
+                socket.write(createHead(["transfer-encoding: chunked", "authorization: Bearer key-of-dealer-1"]));
+                socket.write(`${bodyBytes.toString(16)}\r\n${"x".repeat(bodyBytes - smallBytes)}`);
+            },
+        }));
+
     it("hostile: HTTP clients send requests ahead and read no answers", () =>
         playEntryCrowd({
             isReading: false,
--- a/src/transport/constants.ts
+++ b/src/transport/constants.ts
@@ -16,8 +16,6 @@
     strangerBytes: 65_536,
     /** Time within which a peer has to prove itself after connecting, in milliseconds. */
     proofTimeoutMilliseconds: 5_000,
-    /** Least time between two log lines on peers that did not prove themselves, in milliseconds. */
-    strangerLogMilliseconds: 1_000,
     maximumFrameBytes: 8 * 1024 * 1024,
     /** HTTP status of an answer to a request that is no WebSocket handshake. */
     upgradeRequiredStatus: 426,
--- a/src/transport/createTransportServer/index.ts
+++ b/src/transport/createTransportServer/index.ts
@@ -4,8 +4,8 @@
 import type { AddressInfo, Socket } from "node:net";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import { createRepeatedLog } from "../../logging/createRepeatedLog/index.js";
 import type { Logger } from "../../logging/types/Logger.js";
-import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { transportConstants } from "../constants.js";
 import { createStrangerWatch } from "../createStrangerWatch/index.js";
 import { servePeer } from "../servePeer/index.js";
@@ -54,7 +54,12 @@
     const httpServer = createServer((_request, response) => {
         response.writeHead(transportConstants.upgradeRequiredStatus).end();
     });
-    const strangers = createStrangerWatch(createStrangerLog(options.logger.topic("transport")));
+    const logStranger = createRepeatedLog(
+        options.logger.topic("transport"),
+        "connections of strangers closed",
+        () => performance.now(),
+    );
+    const strangers = createStrangerWatch(reason => logStranger({ last: reason }));
     httpServer.on("connection", strangers.add);
     httpServer.on(
         "upgrade",
@@ -100,17 +105,3 @@
         describeWork: () => [...peers].flatMap(peer => peer.describeWork()),
     };
 }
-
-/** Creates the function that logs, at most so often, peers that did not prove themselves. */
-function createStrangerLog(log: LogTopic): (reason: string) => void {
-    let closedSinceLog = 0;
-    let loggedAt = -Infinity;
-    return reason => {
-        closedSinceLog += 1;
-        if (performance.now() - loggedAt >= transportConstants.strangerLogMilliseconds) {
-            log("connections of strangers closed", { connections: closedSinceLog, last: reason });
-            closedSinceLog = 0;
-            loggedAt = performance.now();
-        }
-    };
-}
