--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -63,6 +63,10 @@
     defaultSessionBytes: 2_097_152,
     leastSessionBytes: 65_536,
     mostSessionBytes: 33_554_432,
+    /** Bytes that an endpoint may answer at once, and their range. */
+    defaultAnswerBytes: 16_777_216,
+    leastAnswerBytes: 2_097_152,
+    mostAnswerBytes: 268_435_456,
     /** Time in which a begun message or an answer that is not taken has to make progress, and its range, in milliseconds. */
     defaultProgressMilliseconds: 60_000,
     leastProgressMilliseconds: 1_000,
--- a/src/hostileCallers/constants.ts
+++ b/src/hostileCallers/constants.ts
@@ -17,6 +17,8 @@
     ownDescriptors: 60,
     /** Bytes of the values and prepared statements of one session. */
     sessionBytes: 2_097_152,
+    /** Bytes that an endpoint may answer at once. */
+    answerBytes: 4_194_304,
     /** Time in which a message or an answer has to make progress, in milliseconds. */
     progressMilliseconds: 1_000,
     /** Limits of an entry under test. */
--- a/src/hostileCallers/startHostileSite/index.ts
+++ b/src/hostileCallers/startHostileSite/index.ts
@@ -27,7 +27,7 @@
  * try { await checkOrdinaryCaller(site); } finally { await site.stop(); }
  */
 export async function startHostileSite(): Promise<HostileSite> {
-    const { memoryMegabytes, heapMegabytes, maximumDescriptors, sessionBytes, progressMilliseconds } =
+    const { memoryMegabytes, heapMegabytes, maximumDescriptors, sessionBytes, answerBytes, progressMilliseconds } =
         hostileCallerConstants;
     const { group, zones, promotionMilliseconds, statementTimeoutMilliseconds, maximumStalenessMilliseconds } =
         soakConstants;
@@ -53,7 +53,7 @@
         clock: createSystemClock(),
         changes: {
             memory: { megabytes: memoryMegabytes, callerShare: 0.1, connectionBytes: 524_288 },
-            callerLimits: { maximumDescriptors, sessionBytes, progressMilliseconds },
+            callerLimits: { maximumDescriptors, sessionBytes, answerBytes, progressMilliseconds },
         },
         runtimeArguments: [`--max-old-space-size=${heapMegabytes}`],
     });
--- a/src/hostileCallers/tests/messages/test.ts
+++ b/src/hostileCallers/tests/messages/test.ts
@@ -13,6 +13,7 @@
 const pieceBytes = 1_024;
 const largeItemBytes = 900_000;
 const smallItemBytes = 60_000;
+const rowCount = 800;
 
 /** A message of the greatest length. */
 function createLargeMessage(id: string): string {
@@ -85,6 +86,18 @@
             },
         }));
 
+    it("hostile: a crowd asks for very many rows", () =>
+        playCrowd({
+            count: 4,
+            prepare: async ({ platform }) => {
+                const rows = Array.from({ length: rowCount }, () => "y".repeat(smallItemBytes));
+                platform.endpoints.forEach(({ log }) =>
+                    log.push({ position: { term: 1, entry: 1 }, ids: [], items: { rows: rows.join("\r\nROW ") } })
+                );
+            },
+            begin: socket => socket.write(`${startup}QUERY a READ rows\r\n`),
+        }));
+
     it("hostile: a single message of the greatest length is served in calm", async () => {
         const site = await startHostileSite();
         try {
--- a/src/memory/chooseMemoryLimits/index.ts
+++ b/src/memory/chooseMemoryLimits/index.ts
@@ -7,15 +7,15 @@
  * heap has one too.
  *
  * @param memory The machine's limit in megabytes, the callers' share, and the bytes of one connection.
- * @param sessionBytes Bytes that one session may keep from statement to statement.
+ * @param ofOne Bytes that one session may keep from statement to statement, and that an endpoint may answer at once.
  * @returns The limits in bytes.
  *
  * @example
- * chooseMemoryLimits({ megabytes: 350, callerShare: 0.25, connectionBytes: 524_288 }, 2_097_152).totalBytes; // => 52_428_800
+ * chooseMemoryLimits({ megabytes: 350, callerShare: 0.25, connectionBytes: 524_288 }, callerLimits).totalBytes; // => 52_428_800
  */
 export function chooseMemoryLimits(
     { megabytes, callerShare, connectionBytes }: MachineMemory,
-    sessionBytes: number,
+    { sessionBytes, answerBytes }: Pick<MemoryLimits, "sessionBytes" | "answerBytes">,
 ): MemoryLimits {
     const { leastTotalBytes, mostTotalBytes, stateShare, leastStateBytes, mostStateBytes } = memoryConstants;
     const spareBytes = (megabytes - memoryConstants.ownMegabytes) * memoryConstants.bytesPerMegabyte;
@@ -24,6 +24,7 @@
         connectionBytes,
         stateBytes: clamp(Math.floor(spareBytes * stateShare), leastStateBytes, mostStateBytes),
         sessionBytes,
+        answerBytes,
     };
 }
 
--- a/src/memory/chooseMemoryLimits/test.ts
+++ b/src/memory/chooseMemoryLimits/test.ts
@@ -5,8 +5,9 @@
 
 describe("chooseMemoryLimits", () => {
     it("gives callers a share of what the program does not need itself, within bounds", () => {
+        const callerLimits = { sessionBytes: 2_097_152, answerBytes: 16_777_216 };
         const totalOf = (megabytes: number) =>
-            chooseMemoryLimits({ megabytes, callerShare: 0.25, connectionBytes: 524_288 }, 2_097_152).totalBytes;
+            chooseMemoryLimits({ megabytes, callerShare: 0.25, connectionBytes: 524_288 }, callerLimits).totalBytes;
         assert.equal(totalOf(250), 26_214_400);
         assert.equal(totalOf(350), 52_428_800);
         assert.equal(totalOf(100), memoryConstants.leastTotalBytes);
--- a/src/memory/createByteBudget/index.ts
+++ b/src/memory/createByteBudget/index.ts
@@ -13,7 +13,7 @@
 interface ByteBudgetOptions {
     readonly limits: MemoryLimits;
     readonly clock: Pick<Clock, "now">;
-    readonly metrics: Pick<Metrics, "countMemoryRefusal" | "countReadPause" | "countStateRefusal">;
+    readonly metrics: Pick<Metrics, "countMemoryRefusal" | "countReadPause" | "countStateRefusal" | "countLongAnswer">;
     readonly log: LogTopic;
     /** Called with the size of what was received; by default nothing is done. */
     readonly onReceived?: (bytes: number) => void;
@@ -247,7 +247,7 @@
 
     return {
         ...createStateBudget(options),
-        ...createAnswerBudget(totalBytes, onReceived),
+        ...createAnswerBudget(options),
         open,
         heldBytes: () => heldBytes,
         pausedCount: () => paused.size,
--- a/src/memory/createByteBudget/test.ts
+++ b/src/memory/createByteBudget/test.ts
@@ -13,13 +13,14 @@
     const counts = { refusals: 0, pauses: 0 };
     let time = 0;
     const budget = createByteBudget({
-        limits: { totalBytes, connectionBytes, stateBytes: 1_000, sessionBytes: 1_000 },
+        limits: { totalBytes, connectionBytes, stateBytes: 1_000, answerBytes: 1_000, sessionBytes: 1_000 },
         clock: { now: () => time },
         metrics: {
             countMemoryRefusal: () => {
                 counts.refusals += 1;
             },
             countStateRefusal: () => {},
+            countLongAnswer: () => {},
             countReadPause: () => {
                 counts.pauses += 1;
             },
--- a/src/memory/types/MemoryLimits.ts
+++ b/src/memory/types/MemoryLimits.ts
@@ -8,4 +8,6 @@
     readonly stateBytes: number;
     /** Bytes that one session may keep from statement to statement. */
     readonly sessionBytes: number;
+    /** Bytes that an endpoint may answer to one exchange. */
+    readonly answerBytes: number;
 }
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -85,6 +85,11 @@
         labelNames: ["reason"],
         registers,
     });
+    const longAnswers = new Counter({
+        name: "tarragonpost_long_answers_total",
+        help: "Connections to endpoints closed because their answers are too long.",
+        registers,
+    });
     const readPauses = new Counter({
         name: "tarragonpost_read_pauses_total",
         help: "Times that a caller's connection was no longer read, until commands are answered.",
@@ -107,6 +112,7 @@
         countMemoryRefusal: () => memoryRefusals.inc(),
         countStateRefusal: reason => stateRefusals.inc({ reason }),
         countConnectionLoss: reason => connectionLosses.inc({ reason }),
+        countLongAnswer: () => longAnswers.inc(),
         countReadPause: () => readPauses.inc(),
         registerGauge: (name, description, read) => {
             const gauge: Gauge = new Gauge({
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -28,6 +28,8 @@
     countStateRefusal(reason: StateRefusal): void;
     /** Counts a caller's connection that this process refused or closed. */
     countConnectionLoss(loss: ConnectionLoss): void;
+    /** Counts a connection to an endpoint that was closed because its answers are too long. */
+    countLongAnswer(): void;
     /** Counts that a caller's connection was no longer read, until commands are answered. */
     countReadPause(): void;
     /** Registers a gauge whose value is read at each rendering. */
--- a/src/platform/readVmSettings/index.ts
+++ b/src/platform/readVmSettings/index.ts
@@ -30,6 +30,10 @@
         .min(callerSessionConstants.leastSessionBytes)
         .max(callerSessionConstants.mostSessionBytes)
         .default(callerSessionConstants.defaultSessionBytes),
+    answerBytes: z.number().int()
+        .min(callerSessionConstants.leastAnswerBytes)
+        .max(callerSessionConstants.mostAnswerBytes)
+        .default(callerSessionConstants.defaultAnswerBytes),
     progressMs: z.number()
         .min(callerSessionConstants.leastProgressMilliseconds)
         .max(callerSessionConstants.mostProgressMilliseconds)
@@ -118,6 +122,7 @@
         callerLimits: {
             maximumDescriptors: fields.limits.maxFds,
             sessionBytes: fields.callerLimits.sessionBytes,
+            answerBytes: fields.callerLimits.answerBytes,
             progressMilliseconds: fields.callerLimits.progressMs,
         },
         configurationMilliseconds: fields.bounds.configApplyMs,
--- a/src/platform/standIns/encodeVmSettings/index.ts
+++ b/src/platform/standIns/encodeVmSettings/index.ts
@@ -33,6 +33,7 @@
         },
         callerLimits: {
             sessionBytes: settings.callerLimits.sessionBytes,
+            answerBytes: settings.callerLimits.answerBytes,
             progressMs: settings.callerLimits.progressMilliseconds,
         },
         callerMemory: {
--- a/src/soak/startSoakVm/index.ts
+++ b/src/soak/startSoakVm/index.ts
@@ -63,7 +63,12 @@
         promotionAddress: addressOf(platform.promotionPort, "127.0.0.1"),
         capacity: 1,
         memory: { megabytes: 350, callerShare: 0.1, connectionBytes: 524_288 },
-        callerLimits: { maximumDescriptors: 65_536, sessionBytes: 2_097_152, progressMilliseconds: 60_000 },
+        callerLimits: {
+            maximumDescriptors: 65_536,
+            sessionBytes: 2_097_152,
+            answerBytes: 16_777_216,
+            progressMilliseconds: 60_000,
+        },
         configurationMilliseconds: soakConstants.configurationMilliseconds,
         graceMilliseconds: soakConstants.graceSeconds * millisecondsPerSecond,
         ...options.changes,
--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -53,6 +53,7 @@
                 totalBytes: memoryConstants.mostTotalBytes,
                 connectionBytes: memoryConstants.bytesPerMegabyte,
                 stateBytes: memoryConstants.mostStateBytes,
+                answerBytes: memoryConstants.mostStateBytes,
                 sessionBytes: memoryConstants.bytesPerMegabyte,
             },
             clock,
--- a/src/testing/createVmSettings/index.ts
+++ b/src/testing/createVmSettings/index.ts
@@ -24,7 +24,12 @@
         promotionAddress: addressOf(5),
         capacity: 1,
         memory: { megabytes: 350, callerShare: 0.1, connectionBytes: 524_288 },
-        callerLimits: { maximumDescriptors: 65_536, sessionBytes: 2_097_152, progressMilliseconds: 60_000 },
+        callerLimits: {
+            maximumDescriptors: 65_536,
+            sessionBytes: 2_097_152,
+            answerBytes: 16_777_216,
+            progressMilliseconds: 60_000,
+        },
         configurationMilliseconds: 4_000,
         graceMilliseconds: 6_000,
         ...changes,
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -151,6 +151,7 @@
         countMemoryRefusal: ignore,
         countStateRefusal: () => {},
         countConnectionLoss: () => {},
+        countLongAnswer: () => {},
         countReadPause: ignore,
         registerGauge: ignore,
         render: async () => "",
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -207,7 +207,7 @@
             dependencies: [ServiceName.Clock, ServiceName.Metrics, ServiceName.Logger],
             create: (clock: Clock, metrics: Metrics, logger: Logger) =>
                 createByteBudget({
-                    limits: chooseMemoryLimits(settings.memory, settings.callerLimits.sessionBytes),
+                    limits: chooseMemoryLimits(settings.memory, settings.callerLimits),
                     clock,
                     metrics,
                     log: logger.topic("memory"),
