--- a/src/memory/createByteBudget/index.ts
+++ b/src/memory/createByteBudget/index.ts
@@ -2,6 +2,8 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
 import { memoryConstants } from "../constants.js";
+import { createAnswerBudget } from "../createAnswerBudget/index.js";
+import { createStateBudget } from "../createStateBudget/index.js";
 import type { ByteAccount } from "../types/ByteAccount.js";
 import type { ByteBudget } from "../types/ByteBudget.js";
 import type { ConnectionControl } from "../types/ConnectionControl.js";
@@ -11,8 +13,10 @@
 interface ByteBudgetOptions {
     readonly limits: MemoryLimits;
     readonly clock: Pick<Clock, "now">;
-    readonly metrics: Pick<Metrics, "countMemoryRefusal" | "countReadPause">;
+    readonly metrics: Pick<Metrics, "countMemoryRefusal" | "countReadPause" | "countStateRefusal" | "countLongAnswer">;
     readonly log: LogTopic;
+    /** Called with the size of what was received; by default nothing is done. */
+    readonly onReceived?: (bytes: number) => void;
 }
 
 /** What one connection holds. */
@@ -44,7 +48,7 @@
  * const budget = createByteBudget({ limits: { totalBytes: 50_000_000, connectionBytes: 500_000 }, clock, metrics, log });
  */
 export function createByteBudget(options: ByteBudgetOptions): ByteBudget {
-    const { limits: { totalBytes, connectionBytes }, clock, metrics, log } = options;
+    const { limits: { totalBytes, connectionBytes }, clock, metrics, log, onReceived = () => {} } = options;
     const shortageBytes = totalBytes * memoryConstants.shortageShare;
     const recoveryBytes = totalBytes * memoryConstants.recoveryShare;
     /** Connections that hold anything beside accepted commands. */
@@ -77,6 +81,7 @@
 
     function accept(holder: Holder, bytes: number): boolean {
         const cost = bytes + commandOverheadBytes;
+        onReceived(bytes);
         const hasRoom = makeRoom(cost + pausedReadBytes);
         if (!hasRoom && bytes > smallBytes) {
             refuse(holder);
@@ -240,7 +245,13 @@
         loggedAt = clock.now();
     }
 
-    return { open, heldBytes: () => heldBytes, pausedCount: () => paused.size };
+    return {
+        ...createStateBudget(options),
+        ...createAnswerBudget(options),
+        open,
+        heldBytes: () => heldBytes,
+        pausedCount: () => paused.size,
+    };
 }
 
 function evictableBytes({ unacceptedBytes, unsentBytes, isPaused }: Holder): number {
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -97,6 +97,23 @@
         help: "Connections refused because callers hold too many bytes.",
         registers,
     });
+    const stateRefusals = new Counter({
+        name: "tarragonpost_state_refusals_total",
+        help: "Values and prepared statements refused because sessions keep too many bytes, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
+    const connectionLosses = new Counter({
+        name: "tarragonpost_connection_losses_total",
+        help: "Callers' connections that this process refused or closed, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
+    const longAnswers = new Counter({
+        name: "tarragonpost_long_answers_total",
+        help: "Connections to endpoints closed because their answers are too long.",
+        registers,
+    });
     const readPauses = new Counter({
         name: "tarragonpost_read_pauses_total",
         help: "Times that a caller's connection was no longer read, until commands are answered.",
@@ -132,6 +149,9 @@
         countPrimaryVerification: isVerified =>
             primaryVerifications.inc({ outcome: isVerified ? "Confirmed" : "Unconfirmed" }),
         countMemoryRefusal: () => memoryRefusals.inc(),
+        countStateRefusal: reason => stateRefusals.inc({ reason }),
+        countConnectionLoss: reason => connectionLosses.inc({ reason }),
+        countLongAnswer: () => longAnswers.inc(),
         countReadPause: () => readPauses.inc(),
         countQuotaDecision: outcome => quotaDecisions.inc({ outcome }),
         countQuotaGrants: count => quotaGrants.inc(count),
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -1,5 +1,7 @@
+import type { ConnectionLoss } from "../../callerSessions/types/ConnectionLoss.js";
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { StateRefusal } from "../../memory/types/StateRefusal.js";
 import type { QuotaOutcome } from "../../quotas/types/QuotaOutcome.js";
 import type { FailureCode } from "../../statements/types/FailureCode.js";
 import type { OpeningReason } from "./OpeningReason.js";
@@ -34,6 +36,12 @@
     countPrimaryVerification(isVerified: boolean): void;
     /** Counts a connection that was refused because callers hold too many bytes. */
     countMemoryRefusal(): void;
+    /** Counts a statement that was refused because its session, or all, keep too many bytes. */
+    countStateRefusal(reason: StateRefusal): void;
+    /** Counts a caller's connection that this process refused or closed. */
+    countConnectionLoss(loss: ConnectionLoss): void;
+    /** Counts a connection to an endpoint that was closed because its answers are too long. */
+    countLongAnswer(): void;
     /** Counts that a caller's connection was no longer read, until commands are answered. */
     countReadPause(): void;
     /** Counts a decision on an operation of a workspace with a quota. */
--- a/src/platform/readVmSettings/index.ts
+++ b/src/platform/readVmSettings/index.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from "node:fs";
 import { parse } from "smol-toml";
 import { z } from "zod";
+import { callerSessionConstants } from "../../callerSessions/constants.js";
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { memoryConstants } from "../../memory/constants.js";
@@ -25,6 +26,21 @@
 } = memoryConstants;
 
 const { defaultWindowMilliseconds, defaultExcessShare, defaultExcessOperations } = quotaConstants;
+/** Schema of the limits of callers that the file may leave out. */
+const callerLimitsSchema = z.object({
+    sessionBytes: z.number().int()
+        .min(callerSessionConstants.leastSessionBytes)
+        .max(callerSessionConstants.mostSessionBytes)
+        .default(callerSessionConstants.defaultSessionBytes),
+    answerBytes: z.number().int()
+        .min(callerSessionConstants.leastAnswerBytes)
+        .max(callerSessionConstants.mostAnswerBytes)
+        .default(callerSessionConstants.defaultAnswerBytes),
+    progressMs: z.number()
+        .min(callerSessionConstants.leastProgressMilliseconds)
+        .max(callerSessionConstants.mostProgressMilliseconds)
+        .default(callerSessionConstants.defaultProgressMilliseconds),
+});
 
 /** Schema of the platform's settings file; other fields are ignored. */
 const fileSchema = z.object({
@@ -38,10 +54,15 @@
         cpuShare: z.number().positive(),
         cores: z.number().positive(),
         memoryMb: z.number().min(leastMegabytes).max(mostMegabytes).default(defaultMegabytes),
+        maxFds: z.number().int()
+            .min(callerSessionConstants.leastDescriptors)
+            .max(callerSessionConstants.mostDescriptors)
+            .default(callerSessionConstants.defaultDescriptors),
     }).default({
         cpuShare: 1,
         cores: 1,
         memoryMb: defaultMegabytes,
+        maxFds: callerSessionConstants.defaultDescriptors,
     }),
     callerMemory: z.object({
         share: z.number().min(leastCallerShare).max(mostCallerShare).default(defaultCallerShare),
@@ -49,6 +70,7 @@
             defaultConnectionBytes,
         ),
     }).default({ share: defaultCallerShare, connectionBytes: defaultConnectionBytes }),
+    callerLimits: callerLimitsSchema.default(callerLimitsSchema.parse({})),
     bounds: z.object({
         graceS: z.number(),
         configApplyMs: z.number().positive().default(defaultConfigurationMilliseconds),
@@ -102,6 +124,12 @@
             callerShare: fields.callerMemory.share,
             connectionBytes: fields.callerMemory.connectionBytes,
         },
+        callerLimits: {
+            maximumDescriptors: fields.limits.maxFds,
+            sessionBytes: fields.callerLimits.sessionBytes,
+            answerBytes: fields.callerLimits.answerBytes,
+            progressMilliseconds: fields.callerLimits.progressMs,
+        },
         configurationMilliseconds: fields.bounds.configApplyMs,
         graceMilliseconds: fields.bounds.graceS * millisecondsPerSecond,
         quotaExcess: {
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -19,7 +19,9 @@
 import { createLogger } from "../../logging/createLogger/index.js";
 import type { Logger } from "../../logging/types/Logger.js";
 import { chooseMemoryLimits } from "../../memory/chooseMemoryLimits/index.js";
+import { collectGarbage } from "../../memory/collectGarbage/index.js";
 import { createByteBudget } from "../../memory/createByteBudget/index.js";
+import { createMemoryGuard } from "../../memory/createMemoryGuard/index.js";
 import type { ByteBudget } from "../../memory/types/ByteBudget.js";
 import { createMetrics } from "../../metrics/createMetrics/index.js";
 import { createMetricsServer } from "../../metrics/createMetricsServer/index.js";
@@ -148,6 +150,7 @@
                 ServiceName.Directory,
                 ServiceName.Primaries,
                 ServiceName.SessionHosts,
+                ServiceName.ByteBudget,
                 ServiceName.Metrics,
                 ServiceName.Logger,
                 ServiceName.Random,
@@ -157,6 +160,7 @@
                 directory: Directory,
                 primaries: Primaries,
                 hosts: SessionHosts,
+                budget: ByteBudget,
                 metrics: Metrics,
                 logger: Logger,
                 random: RandomSource,
@@ -165,7 +169,8 @@
                 random,
                 directory,
                 primaries,
-                open: openEndpoint,
+                open: (endpoint, owner, timeoutMilliseconds) =>
+                    openEndpoint(endpoint, owner, timeoutMilliseconds, budget),
                 vmLocation: settings,
                 vmCount: group => Math.max(hosts.hostCountOf(group), vmConstants.minimumAssumedVms),
                 isHolding: hosts.isHostOf,
@@ -208,10 +213,15 @@
             dependencies: [ServiceName.Clock, ServiceName.Metrics, ServiceName.Logger],
             create: (clock: Clock, metrics: Metrics, logger: Logger) =>
                 createByteBudget({
-                    limits: chooseMemoryLimits(settings.memory),
+                    limits: chooseMemoryLimits(settings.memory, settings.callerLimits),
                     clock,
                     metrics,
                     log: logger.topic("memory"),
+                    onReceived: createMemoryGuard({
+                        megabytes: settings.memory.megabytes,
+                        readResidentBytes: process.memoryUsage.rss,
+                        collectGarbage,
+                    }),
                 }),
         },
         defineSessionService(settings),
@@ -260,10 +270,21 @@
                 ServiceName.CallerSessions,
                 ServiceName.Directory,
                 ServiceName.Departure,
+                ServiceName.Clock,
+                ServiceName.Metrics,
                 ServiceName.Logger,
             ],
-            create: (sessions: CallerSessions, directory: Directory, departure: Departure, logger: Logger) =>
-                createVmServer({ settings, sessions, directory, departure, log: logger.topic("front") }),
+            create: (
+                sessions: CallerSessions,
+                directory: Directory,
+                departure: Departure,
+                clock: Clock,
+                metrics: Metrics,
+                logger: Logger,
+            ) => {
+                const log = logger.topic("front");
+                return createVmServer({ settings, sessions, directory, departure, clock, metrics, log });
+            },
         },
     ];
 }
