--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -47,4 +47,28 @@
     maximumTurnMilliseconds: 50,
     /** Longest wait for input that has arrived, in milliseconds; the stop goes on although each turn takes long. */
     maximumInputWaitMilliseconds: 200,
+    /** Bytes that a begun message, or an answer that is not taken, has to make progress by. */
+    leastProgressBytes: 16_384,
+    /** Sessions that are looked at, at most, for one that gives its place to a new connection. */
+    maximumIdleLooks: 64,
+    /** Least time between two log lines on refused or closed connections, in milliseconds. */
+    lossLogMilliseconds: 1_000,
+    /** Descriptors of a process whose settings do not tell, and the range of such limits. */
+    defaultDescriptors: 65_536,
+    leastDescriptors: 256,
+    mostDescriptors: 1_048_576,
+    /** Descriptors that are kept for endpoints, other VMs, the platform and the process itself. */
+    reservedDescriptors: 200,
+    /** Bytes of the values and prepared statements of one session, and their range. */
+    defaultSessionBytes: 2_097_152,
+    leastSessionBytes: 65_536,
+    mostSessionBytes: 33_554_432,
+    /** Bytes that an endpoint may answer at once, and their range. */
+    defaultAnswerBytes: 16_777_216,
+    leastAnswerBytes: 2_097_152,
+    mostAnswerBytes: 268_435_456,
+    /** Time in which a begun message or an answer that is not taken has to make progress, and its range, in milliseconds. */
+    defaultProgressMilliseconds: 60_000,
+    leastProgressMilliseconds: 1_000,
+    mostProgressMilliseconds: 3_600_000,
 } as const;
--- a/src/callerSessions/createCallerSession/index.ts
+++ b/src/callerSessions/createCallerSession/index.ts
@@ -7,7 +7,9 @@
 import { callerSessionConstants } from "../constants.js";
 import { createCallerTransaction } from "../createCallerTransaction/index.js";
 import { createFailure } from "../createFailure/index.js";
+import { createOperationCharge } from "../createOperationCharge/index.js";
 import { createSessionContext } from "../createSessionContext/index.js";
+import { createStateFailure } from "../createStateFailure/index.js";
 import { identifyCaller } from "../identifyCaller/index.js";
 import { runSingleStatement } from "../runSingleStatement/index.js";
 import type { CallerConnection } from "../types/CallerConnection.js";
@@ -43,7 +45,9 @@
 ): CallerSession {
     const { clock, directory, log } = services;
     const context = createSessionContext(database);
+    const charge = createOperationCharge(services.quotas);
     let isKeyWithdrawn = false;
+    const kept = services.budget.openState();
     let transaction: CallerTransaction | undefined;
     /** Why this process rolled back the transaction; undefined when the caller did or has been informed. */
     let abandonReason: string | undefined;
@@ -54,17 +58,22 @@
         [StatementKind.Rollback]: rollBack,
         [StatementKind.Read]: (_statement, received) => run(received, AccessMode.Read, undefined),
         [StatementKind.Write]: (_statement, received) => run(received, AccessMode.Write, undefined),
-        [StatementKind.SetValue]: ({ name, value }) => {
-            context.values.set(name, value);
-            sendEmptySuccess();
-        },
-        [StatementKind.Prepare]: ({ name, mode, shape }) => {
-            context.prepared.set(name, { mode, shape });
-            sendEmptySuccess();
-        },
+        [StatementKind.SetValue]: ({ name, value }, { id }) =>
+            keep(
+                id,
+                { name: `value ${name}`, bytes: name.length + value.length },
+                () => context.values.set(name, value),
+            ),
+        [StatementKind.Prepare]: ({ name, mode, shape }, { id }) =>
+            keep(
+                id,
+                { name: `prepared ${name}`, bytes: name.length + shape.length },
+                () => context.prepared.set(name, { mode, shape }),
+            ),
         [StatementKind.Execute]: execute,
         [StatementKind.ClosePrepared]: ({ name }) => {
             context.prepared.delete(name);
+            kept.keep(`prepared ${name}`, 0);
             sendEmptySuccess();
         },
         [StatementKind.Unreadable]: () => fail(createFailure(FailureCode.Malformed, "the statement cannot be read")),
@@ -124,6 +133,17 @@
         connection.sendSuccess({ rows: [], state: state() });
     }
 
+    /** Keeps a value or prepared statement, unless the session or the process keeps too much. */
+    function keep(id: string, item: { readonly name: string; readonly bytes: number; }, apply: () => void): void {
+        const refusal = kept.keep(item.name, item.bytes);
+        if (refusal !== undefined) {
+            sendOutcome(id, createStateFailure(refusal));
+            return;
+        }
+        apply();
+        sendEmptySuccess();
+    }
+
     function fail(outcome: StatementOutcome): void {
         connection.sendFailure(outcome.failure!, state());
     }
@@ -142,7 +162,10 @@
         return createFailure(FailureCode.UnknownDatabase, `no route exists for a database of this name`);
     }
 
-    function begin({ isReadOnly }: { readonly isReadOnly: boolean; }, { id, receivedAt }: ReceivedStatement): void {
+    async function begin(
+        { isReadOnly }: { readonly isReadOnly: boolean; },
+        { id, receivedAt }: ReceivedStatement,
+    ): Promise<void> {
         if (transaction !== undefined) {
             sendOutcome(id, createFailure(FailureCode.Malformed, "a transaction is open already"));
             return;
@@ -152,6 +175,11 @@
             sendOutcome(id, createUnknownDatabaseFailure());
             return;
         }
+        const refusal = await charge.begin(context.identity.workspace);
+        if (refusal !== undefined) {
+            sendOutcome(id, refusal);
+            return;
+        }
         transaction = createCallerTransaction({ route, session: context, isReadOnly, receivedAt }, services);
         sendEmptySuccess();
     }
@@ -166,11 +194,17 @@
             sendOutcome(received.id, createUnknownDatabaseFailure());
             return;
         }
+        const refusal = transaction === undefined ? await charge.begin(context.identity.workspace) : undefined;
+        if (refusal !== undefined) {
+            sendOutcome(received.id, refusal);
+            return;
+        }
         const callerStatement = toCallerStatement(received, { route, mode, prepared });
         const startedAt = clock.now();
         const outcome = transaction === undefined
             ? await runSingleStatement(callerStatement, services)
             : await transaction.run(callerStatement);
+        charge.settle(outcome);
         services.metrics.countStatement(route.guarantee, clock.now() - startedAt, outcome.failure?.code);
         const isOwnCommit = transaction === undefined && mode === AccessMode.Write && outcome.failure === undefined;
         if (isOwnCommit && outcome.position !== undefined) {
@@ -214,6 +248,7 @@
         const statement = toCallerStatement(received, { route: ending.route, mode: AccessMode.Read });
         const startedAt = clock.now();
         const outcome = await ending.commit(statement);
+        charge.settle(outcome);
         services.metrics.countStatement(statement.route.guarantee, clock.now() - startedAt, outcome.failure?.code);
         clearTransaction();
         sendOutcome(received.id, outcome);
@@ -230,6 +265,7 @@
 
     function clearTransaction(): void {
         transaction?.abandon();
+        charge.end();
         transaction = undefined;
         abandonReason = undefined;
     }
@@ -247,6 +283,9 @@
         isOver: () => isKeyWithdrawn,
         handle,
         abandonTransaction,
-        end: abandonTransaction,
+        end: reason => {
+            abandonTransaction(reason);
+            kept.close();
+        },
     };
 }
--- a/src/metrics/createMetrics/index.ts
+++ b/src/metrics/createMetrics/index.ts
@@ -97,11 +97,39 @@
         help: "Connections refused because callers hold too many bytes.",
         registers,
     });
+    const stateRefusals = new Counter({
+        name: "tarragonpost_state_refusals_total",
+        help: "Values and prepared statements refused because sessions keep too many bytes, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
+    const connectionLosses = new Counter({
+        name: "tarragonpost_connection_losses_total",
+        help: "Callers' connections that this process refused or closed, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
+    const longAnswers = new Counter({
+        name: "tarragonpost_long_answers_total",
+        help: "Connections to endpoints closed because their answers are too long.",
+        registers,
+    });
     const readPauses = new Counter({
         name: "tarragonpost_read_pauses_total",
         help: "Times that a caller's connection was no longer read, until commands are answered.",
         registers,
     });
+    const quotaDecisions = new Counter({
+        name: "tarragonpost_quota_decisions_total",
+        help: "Operations of workspaces with a quota, by decision.",
+        labelNames: ["outcome"],
+        registers,
+    });
+    const quotaGrants = new Counter({
+        name: "tarragonpost_quota_grants_total",
+        help: "Parts of quotas that this VM granted as the holder of the failover duty.",
+        registers,
+    });
 
     return {
         countStatement: (guarantee, milliseconds, code) => {
@@ -121,7 +149,12 @@
         countPrimaryVerification: isVerified =>
             primaryVerifications.inc({ outcome: isVerified ? "Confirmed" : "Unconfirmed" }),
         countMemoryRefusal: () => memoryRefusals.inc(),
+        countStateRefusal: reason => stateRefusals.inc({ reason }),
+        countConnectionLoss: reason => connectionLosses.inc({ reason }),
+        countLongAnswer: () => longAnswers.inc(),
         countReadPause: () => readPauses.inc(),
+        countQuotaDecision: outcome => quotaDecisions.inc({ outcome }),
+        countQuotaGrants: count => quotaGrants.inc(count),
         registerGauge: (
             name: string,
             description: string,
--- a/src/metrics/types/Metrics.ts
+++ b/src/metrics/types/Metrics.ts
@@ -1,5 +1,8 @@
+import type { ConnectionLoss } from "../../callerSessions/types/ConnectionLoss.js";
 import type { ReadGuarantee } from "../../directory/types/ReadGuarantee.js";
 import type { ErrorKind } from "../../errors/types/ErrorKind.js";
+import type { StateRefusal } from "../../memory/types/StateRefusal.js";
+import type { QuotaOutcome } from "../../quotas/types/QuotaOutcome.js";
 import type { FailureCode } from "../../statements/types/FailureCode.js";
 import type { OpeningReason } from "./OpeningReason.js";
 import type { OwnerClass } from "./OwnerClass.js";
@@ -33,8 +36,18 @@
     countPrimaryVerification(isVerified: boolean): void;
     /** Counts a connection that was refused because callers hold too many bytes. */
     countMemoryRefusal(): void;
+    /** Counts a statement that was refused because its session, or all, keep too many bytes. */
+    countStateRefusal(reason: StateRefusal): void;
+    /** Counts a caller's connection that this process refused or closed. */
+    countConnectionLoss(loss: ConnectionLoss): void;
+    /** Counts a connection to an endpoint that was closed because its answers are too long. */
+    countLongAnswer(): void;
     /** Counts that a caller's connection was no longer read, until commands are answered. */
     countReadPause(): void;
+    /** Counts a decision on an operation of a workspace with a quota. */
+    countQuotaDecision(outcome: QuotaOutcome): void;
+    /** Counts parts of quotas that this VM granted as the holder. */
+    countQuotaGrants(count: number): void;
     /** Registers a gauge whose value is read at each rendering. */
     registerGauge(name: string, description: string, read: () => number): void;
     /** Registers a gauge with one label, whose values are read at each rendering. */
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -2,6 +2,7 @@
 import { createError } from "../../errors/createError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { RefusalMoment } from "../../metrics/types/RefusalMoment.js";
+import { createPacing } from "../../pace/createPacing/index.js";
 import { computeVmConnectionLimit } from "../computeVmConnectionLimit/index.js";
 import { placementConstants } from "../constants.js";
 import { countOpeningWait } from "../countOpeningWait/index.js";
@@ -15,6 +16,7 @@
 import { createWaitingStatements } from "../createWaitingStatements/index.js";
 import { registerPlacementGauges } from "../registerPlacementGauges/index.js";
 import type { AcquiredConnection } from "../types/AcquiredConnection.js";
+import type { OpeningPlan } from "../types/OpeningPlan.js";
 import type { Placement } from "../types/Placement.js";
 import type { PlacementOptions } from "../types/PlacementOptions.js";
 import type { PlacementRequest } from "../types/PlacementRequest.js";
@@ -42,6 +44,7 @@
     const readPauses = createReadPauses(clock, targetOf, dispatch);
     const scheduleUnusedCheck = createUnusedCheck(clock, () => [...targets.values()].map(({ pool }) => pool));
 
+    const pacing = createPacing({ ...options, isAble, onFree: dispatch });
     const scheduleWarmup = createConnectionWarmup(clock, listWarmGroups);
 
     directory.onChange(groups => {
@@ -108,6 +111,11 @@
         return target;
     }
 
+    function isAble(endpointId: string): boolean {
+        const target = targets.get(endpointId);
+        return target !== undefined && target.pool.openCount() > 0 && target.lagPauseMilliseconds === 0;
+    }
+
     function closeRemoved(): void {
         for (const [id, target] of targets) {
             if (directory.endpoint(id) === undefined) {
@@ -217,22 +225,26 @@
     /** Acquires an idle connection; plans to open one at each preferred endpoint that has none. */
     function tryAcquire(
         request: PlacementRequest,
-        plan: ReturnType<typeof createOpeningPlan>,
+        plan: OpeningPlan,
     ): AcquiredConnection | undefined {
-        for (const endpoint of listCandidates(request)) {
+        const missing: PlacementTarget[] = [];
+        for (const endpoint of pacing.listUsable(request, listCandidates(request))) {
             const target = targetOf(endpoint);
-            const pooled = target.pool.acquire(request.values, request.owner);
+            const pooled = target.pool.acquire(request.values, request.owner, request.priority);
             if (pooled !== undefined) {
+                plan.add(request, missing, true);
                 const isPrimary = endpoint.id === primaries.primaryOf(endpoint.group)?.id;
+                const use = pacing.begin(request, endpoint);
                 const onEnd = (milliseconds: number): void =>
                     waitingOf(request.group).recordHeld(request, isPrimary, milliseconds);
-                return createAcquiredConnection({ clock, endpoint, target, pooled, isPrimary, onEnd });
+                return createAcquiredConnection({ clock, endpoint, target, pooled, use, isPrimary, onEnd });
             }
-            plan.add(target, request);
-            if (target.pool.isOpeningSparingly()) {
-                return undefined;
+            missing.push(target);
+            if (target.pool.isOpeningSparingly() && !pacing.isSetAside(endpoint)) {
+                break;
             }
         }
+        plan.add(request, missing, false);
         return undefined;
     }
 
@@ -252,6 +264,7 @@
         });
         const cost = (endpoint: EndpointRecord) =>
             targetOf(endpoint).latencyEstimate.expectedMilliseconds(endpoint)
+            + pacing.penaltyMilliseconds(endpoint)
             + (endpoint.id === primary?.id ? placementConstants.primaryPenaltyMilliseconds : 0);
         // During a change of primary, an endpoint registered as the primary does not serve reads as a replica.
         return usable
--- a/src/soak/startSoakVm/index.ts
+++ b/src/soak/startSoakVm/index.ts
@@ -22,6 +22,10 @@
     /** Folder for the settings file of the VM. */
     readonly folder: string;
     readonly clock: Clock;
+    /** Settings that differ from those of the soak test. */
+    readonly changes?: Partial<VmSettings>;
+    /** Arguments of the runtime, before the program. */
+    readonly runtimeArguments?: readonly string[];
 }
 
 const millisecondsPerSecond = 1_000;
@@ -37,7 +41,8 @@
  * @example
  * const vm = await startSoakVm({ index: 0, ports, platform, folder, clock });
  */
-export async function startSoakVm({ index, ports, platform, folder, clock }: SoakVmOptions): Promise<SoakVm> {
+export async function startSoakVm(options: SoakVmOptions): Promise<SoakVm> {
+    const { index, ports, platform, folder, clock, runtimeArguments = [] } = options;
     const name = `vm-${index + 1}`;
     const host = chooseHost(index);
     const availabilityZone = soakConstants.zones[index % soakConstants.zones.length]!;
@@ -58,9 +63,16 @@
         promotionAddress: addressOf(platform.promotionPort, "127.0.0.1"),
         capacity: 1,
         memory: { megabytes: 350, callerShare: 0.1, connectionBytes: 524_288 },
+        callerLimits: {
+            maximumDescriptors: 65_536,
+            sessionBytes: 2_097_152,
+            answerBytes: 16_777_216,
+            progressMilliseconds: 60_000,
+        },
         configurationMilliseconds: soakConstants.configurationMilliseconds,
         graceMilliseconds: soakConstants.graceSeconds * millisecondsPerSecond,
         quotaExcess: { windowMilliseconds: 5_000, share: 0.1, operations: 20 },
+        ...options.changes,
     };
     const settingsFile = join(folder, `${name}.toml`);
     const unexpectedExits: string[] = [];
@@ -73,7 +85,7 @@
     }
 
     function start(): void {
-        const started = startProcess(name, SiteBinary.Node, { settingsFile });
+        const started = startProcess(name, SiteBinary.Node, { settingsFile, runtimeArguments });
         running = started;
         outputs.push(started.output);
         void started.exited.then(reason => {
@@ -100,8 +112,11 @@
     start();
     return {
         name,
+        callerAddress: settings.callerAddress,
+        peerAddress: settings.peerAddress,
         callerLink,
         storeLink,
+        processId: () => running?.processId,
         isRunning: () => running !== undefined,
         isReady: () => queryReadiness(readinessPort!, host),
         sendSignal: signal => running?.signal(signal),
--- a/src/testing/listSimulatedServices/index.ts
+++ b/src/testing/listSimulatedServices/index.ts
@@ -157,7 +157,12 @@
         countPrimaryChange: ignore,
         countPrimaryVerification: ignore,
         countMemoryRefusal: ignore,
+        countStateRefusal: () => {},
+        countConnectionLoss: () => {},
+        countLongAnswer: () => {},
         countReadPause: ignore,
+        countQuotaDecision: ignore,
+        countQuotaGrants: ignore,
         registerGauge: ignore,
         render: async () => "",
     };
--- a/src/transport/createTransportServer/index.ts
+++ b/src/transport/createTransportServer/index.ts
@@ -1,11 +1,13 @@
 import type { AnyTRPCRouter } from "@trpc/server";
 import { once } from "node:events";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { EventRecorder } from "../../events/types/EventRecorder.js";
+import { createRepeatedLog } from "../../logging/createRepeatedLog/index.js";
 import type { Logger } from "../../logging/types/Logger.js";
 import { transportConstants } from "../constants.js";
+import { createStrangerWatch } from "../createStrangerWatch/index.js";
 import { servePeer } from "../servePeer/index.js";
 import type { ServedPeer } from "../types/ServedPeer.js";
 
@@ -52,10 +54,21 @@
     const httpServer = createServer((_request, response) => {
         response.writeHead(transportConstants.upgradeRequiredStatus).end();
     });
-    httpServer.on("upgrade", (request, socket, head) => webSocketServer.handleUpgrade(request, socket, head, serve));
+    const logStranger = createRepeatedLog(
+        options.logger.topic("transport"),
+        "connections of strangers closed",
+        () => performance.now(),
+    );
+    const strangers = createStrangerWatch(reason => logStranger({ last: reason }));
+    httpServer.on("connection", strangers.add);
+    httpServer.on(
+        "upgrade",
+        (request, socket, head) =>
+            webSocketServer.handleUpgrade(request, socket, head, webSocket => serve(webSocket, request.socket)),
+    );
 
-    function serve(socket: WebSocket): void {
-        const peer = servePeer(socket, options);
+    function serve(socket: WebSocket, connection: Socket): void {
+        const peer = servePeer(socket, { ...options, onProven: () => strangers.acquit(connection) });
         peers.add(peer);
         void peer.closed.then(() => peers.delete(peer));
         if (isStopping) {
