Record the VMs that may hold grants, so that quotas go on after a restart of all

Change: the holder records a VM in the store before its first grant, and a new holder writes the record anew at its takeover; it shares quotas as soon as each recorded VM has reported. Nothing is written while the set of VMs stays. The property test of the granter and the model pass; the model doesn't know the record.

--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -163,6 +163,7 @@
 
     /** Grants do not depend on the primaries, so the holder makes them also before it grants leases. */
     function grantQuotas({ vm, quotaDemands }: Renewal): QuotaGrants | undefined {
+        quotas?.recordRenewal(vm.name, quotaDemands !== undefined);
         return quotaDemands && quotas?.answerDemands(vm, quotaDemands);
     }
 
--- a/src/quotas/constants.ts
+++ b/src/quotas/constants.ts
@@ -11,6 +11,12 @@
      * holder may go on with the grants of its predecessor.
      */
     grantMilliseconds: 4_500,
+    /** Name of the object in the platform's store that records the VMs that may hold grants. */
+    grantRecordName: "grants",
+    /** Pause after a failed write of that record, in milliseconds. */
+    grantRecordRetryMilliseconds: 200,
+    /** Time since its last demand after which a VM is left out of that record, in milliseconds. */
+    recordedVmMilliseconds: 30_000,
     /** Interval at which the holder answers its own demands, in milliseconds. */
     ownGrantMilliseconds: 300,
     /** Time without an answer to demands after which operations no longer wait for a grant, in milliseconds. */
--- a/src/quotas/createQuotaGranter/index.ts
+++ b/src/quotas/createQuotaGranter/index.ts
@@ -4,6 +4,7 @@
 import type { Quota } from "../../workspaces/types/Quota.js";
 import { quotaConstants } from "../constants.js";
 import { createQuotaLedger } from "../createQuotaLedger/index.js";
+import type { GrantRecord } from "../types/GrantRecord.js";
 import type { QuotaDemand } from "../types/QuotaDemand.js";
 import type { QuotaDemands } from "../types/QuotaDemands.js";
 import type { QuotaExcess } from "../types/QuotaExcess.js";
@@ -17,6 +18,8 @@
     readonly clock: Pick<Clock, "now">;
     /** Name of this process, which no other has. */
     readonly name: string;
+    /** The VMs that may get grants, as recorded for the next holder. */
+    readonly record: GrantRecord;
     /** Returns the quota in force of a workspace; undefined when it has none. */
     readonly quotaOf: (workspace: string) => Quota | undefined;
     readonly excess: QuotaExcess;
@@ -41,7 +44,8 @@
  *
  * Nothing is granted until no predecessor can grant any more. For the duration of a grant after that, each VM may only go
  * on with the grant that it reports; the predecessor had shared the quota among these. Then the predecessor's grants
- * have ended and the quotas are shared anew, each bucket being empty.
+ * have ended and the quotas are shared anew, each bucket being empty. This comes sooner when each VM that may hold a grant
+ * of a predecessor has reported, as all do soon after they were restarted together.
  *
  * @param options Clock, name, quotas, metrics and log.
  * @returns The granter, for a holder without a predecessor.
@@ -51,7 +55,7 @@
  */
 export function createQuotaGranter(
     options: QuotaGranterOptions,
-): Pick<QuotaExchange, "answerDemands" | "startGranting"> {
+): Pick<QuotaExchange, "answerDemands" | "recordRenewal" | "startGranting"> {
     const { clock, quotaOf } = options;
     const vms = new Map<string, AskingVm>();
     const ledgers = new Map<string, QuotaLedger>();
@@ -63,6 +67,8 @@
     /** Time after which no grant of a predecessor holds. */
     let formerGrantsEndAt = clock.now();
     let forgotAt = clock.now();
+    /** VMs that may hold a grant of a predecessor and have not reported; undefined while they are not known. */
+    let unreported: Set<string> | undefined;
 
     function startGranting(endsAt: number): void {
         generation += 1;
@@ -71,6 +77,30 @@
         predecessorEndsAt = endsAt;
         formerGrantsEndAt = endsAt + grantMilliseconds;
         isLogged = false;
+        unreported = undefined;
+        const started = generation;
+        options.record.takeOver(names => {
+            if (started === generation) {
+                unreported = new Set(names);
+            }
+        });
+    }
+
+    /** A VM that asks for nothing has had no operation for longer than a grant lasts. */
+    function recordRenewal(vm: string, hasDemands: boolean): void {
+        if (!hasDemands && clock.now() >= predecessorEndsAt) {
+            recordReport(vm);
+        }
+    }
+
+    /** Shares anew as soon as the last VM has reported. */
+    function recordReport(vm: string): void {
+        const now = clock.now();
+        unreported?.delete(vm);
+        if (unreported?.size === 0 && now < formerGrantsEndAt) {
+            formerGrantsEndAt = now;
+            ledgers.forEach(ledger => ledger.startFilling(now));
+        }
     }
 
     function granterName(): string {
@@ -81,7 +111,7 @@
         vm: Parameters<QuotaExchange["answerDemands"]>[0],
         demands: QuotaDemands,
     ): QuotaGrants | undefined {
-        if (clock.now() < predecessorEndsAt) {
+        if (clock.now() < predecessorEndsAt || !options.record.admits(vm.name)) {
             return undefined;
         }
         forgetIdle();
@@ -100,6 +130,9 @@
         number += 1;
         confirm(key, asking, demands);
         const grants = isContinuation ? continueGrants(key, demands) : shareAnew(key, demands);
+        if (isContinuation) {
+            recordReport(vm.name);
+        }
         const applied = demands.granter === granterName() ? [...asking.workspaces] : [];
         vms.set(key, {
             request: demands.request,
@@ -180,7 +213,7 @@
         }
     }
 
-    return { answerDemands, startGranting };
+    return { answerDemands, recordRenewal, startGranting };
 }
 
 function isLower(quota: Quota, former: Quota): boolean {
--- a/src/quotas/createQuotaGranter/test.ts
+++ b/src/quotas/createQuotaGranter/test.ts
@@ -62,6 +62,7 @@
     const granter = createQuotaGranter({
         clock,
         name: "vm-9",
+        record: { admits: () => true, takeOver: () => {} },
         quotaOf,
         excess: { windowMilliseconds: 5_000, share: 0.1, operations: 20 },
         metrics: { countQuotaGrants: () => {} },
--- a/src/quotas/createQuotaLedger/index.ts
+++ b/src/quotas/createQuotaLedger/index.ts
@@ -231,6 +231,9 @@
                 setOutstanding(member, member.outstanding.filter(({ number }) => number === appliedNumber));
             }
         },
+        startFilling: at => {
+            filledAt = Math.min(filledAt, at);
+        },
         isForgettable: () => {
             settle(lastQuota);
             return members.size === 0 && bucketOperations >= lastQuota.burstOperations;
--- a/src/quotas/createQuotas/index.ts
+++ b/src/quotas/createQuotas/index.ts
@@ -48,6 +48,7 @@
 
     function grantToSelf(): void {
         const demands = vmQuotas.createDemands();
+        vmQuotas.recordRenewal(name, demands !== undefined);
         const grants = demands && vmQuotas.answerDemands(self, demands);
         if (grants !== undefined) {
             vmQuotas.applyGrants(grants);
--- a/src/quotas/createQuotas/test.ts
+++ b/src/quotas/createQuotas/test.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import { dutyConstants } from "../../duty/constants.js";
 import { createDutyFleet } from "../../testing/createDutyFleet/index.js";
+import { createSharedGrantRecords } from "../../testing/createSharedGrantRecords/index.js";
 import { quotaConstants } from "../constants.js";
 import { createQuotaAccount } from "../createQuotaAccount/index.js";
 import { createQuotaGranter } from "../createQuotaGranter/index.js";
@@ -22,6 +23,7 @@
 async function startFleet() {
     const vmQuotas = new Map<string, VmQuotas>();
     const demands: QuotaDemands[] = [];
+    const recordOf = createSharedGrantRecords();
     const fleet = createDutyFleet(names, {
         createVmQuotas: (name: string, clock: Clock) => {
             const shared = { clock, excess, log: () => {} };
@@ -29,6 +31,7 @@
             const granter = createQuotaGranter({
                 ...shared,
                 name,
+                record: recordOf(name),
                 quotaOf: () => quota,
                 metrics: { countQuotaGrants: () => {} },
             });
--- a/src/quotas/types/QuotaExchange.ts
+++ b/src/quotas/types/QuotaExchange.ts
@@ -13,6 +13,8 @@
      * predecessor may still make grants.
      */
     answerDemands(vm: Pick<VmIdentity, "name" | "incarnation">, demands: QuotaDemands): QuotaGrants | undefined;
+    /** Records that a VM has sent this holder a renewal, and whether it asks for a quota. */
+    recordRenewal(vm: string, hasDemands: boolean): void;
     /**
      * Forgets all grants because this VM becomes the holder.
      *
--- a/src/quotas/types/QuotaLedger.ts
+++ b/src/quotas/types/QuotaLedger.ts
@@ -18,6 +18,8 @@
     continueGrant(vm: string, held: HeldQuotaGrant, number: number): void;
     /** Records that a VM follows only the grant with this number, and no other earlier one. */
     confirm(vm: string, appliedNumber: number): void;
+    /** Fills the bucket from a time that is earlier than the one given at the creation, in milliseconds. */
+    startFilling(at: number): void;
     /** Whether the record holds no more than a new one would. */
     isForgettable(): boolean;
 }
--- a/src/testing/createQuotaFleet/index.ts
+++ b/src/testing/createQuotaFleet/index.ts
@@ -10,6 +10,7 @@
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import type { Quota } from "../../workspaces/types/Quota.js";
 import { createEventTime } from "../createEventTime/index.js";
+import { createSharedGrantRecords } from "../createSharedGrantRecords/index.js";
 import type { QuotaFleetVm } from "../types/QuotaFleetVm.js";
 
 /** Options of `createQuotaFleet`. */
@@ -49,6 +50,7 @@
     const messageBytes: number[] = [];
     let record = { token: 1, index: 0 };
     const seenQuotas = new Map<QuotaFleetVm, Quota>();
+    const recordOf = createSharedGrantRecords();
 
     const vms = Array.from({ length: options.vmCount }, (_unused, index): QuotaFleetVm => {
         const vm = {
@@ -106,6 +108,7 @@
             ...createQuotaGranter({
                 ...shared,
                 name: `${vm.name}-${vm.incarnation}`,
+                record: recordOf(`${vm.name}-${vm.incarnation}`),
                 quotaOf: () => quotaOf(vm),
                 metrics: { countQuotaGrants: () => {} },
             }),
@@ -170,25 +173,31 @@
         }
         else {
             const demands = vm.quotas.createDemands();
-            if (demands !== undefined) {
-                deliver(vm, target, () => answer(target, vm, demands));
-            }
+            deliver(vm, target, () => answer(target, vm, demands));
         }
         schedule(vm, renewalMilliseconds, () => renewRepeatedly(vm));
     }
 
     function grantToSelf(vm: QuotaFleetVm): void {
-        const demands = isCertainHolder(vm) ? vm.quotas.createDemands() : undefined;
+        if (!isCertainHolder(vm)) {
+            return;
+        }
+        const demands = vm.quotas.createDemands();
+        vm.quotas.recordRenewal(vm.name, demands !== undefined);
         const grants = demands && vm.quotas.answerDemands({ name: vm.name, incarnation: "itself" }, demands);
         if (grants !== undefined) {
             vm.quotas.applyGrants(grants);
         }
     }
 
-    function answer(holder: QuotaFleetVm, vm: QuotaFleetVm, demands: QuotaDemands): void {
+    function answer(holder: QuotaFleetVm, vm: QuotaFleetVm, demands: QuotaDemands | undefined): void {
         if (!isCertainHolder(holder)) {
             return;
         }
+        holder.quotas.recordRenewal(vm.name, demands !== undefined);
+        if (demands === undefined) {
+            return;
+        }
         const sender = { name: vm.name, incarnation: `${vm.incarnation}` };
         const grants = holder.quotas.answerDemands(sender, demands);
         if (grants !== undefined) {
--- a/src/vm/listQuotaServices/index.ts
+++ b/src/vm/listQuotaServices/index.ts
@@ -1,11 +1,13 @@
 import { randomBytes } from "node:crypto";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
+import type { PlatformStore } from "../../directory/types/PlatformStore.js";
 import type { Duty } from "../../duty/types/Duty.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
+import { createGrantRecord } from "../../quotas/createGrantRecord/index.js";
 import { createQuotaAccount } from "../../quotas/createQuotaAccount/index.js";
 import { createQuotaGranter } from "../../quotas/createQuotaGranter/index.js";
 import { createQuotas } from "../../quotas/createQuotas/index.js";
@@ -31,21 +33,25 @@
             dependencies: [
                 ServiceName.Clock,
                 ServiceName.Directory,
+                ServiceName.PlatformStore,
                 ServiceName.Metrics,
                 ServiceName.Logger,
             ],
             create: (
                 clock: Clock,
                 directory: Directory,
+                store: PlatformStore,
                 metrics: Metrics,
                 logger: Logger,
             ): VmQuotas => {
                 const shared = { clock, excess, metrics, log: logger.topic("quotas") };
+                const granter = `${name}-${randomBytes(nameBytes).toString("hex")}`;
                 return {
                     ...createQuotaAccount(shared),
                     ...createQuotaGranter({
                         ...shared,
-                        name: `${name}-${randomBytes(nameBytes).toString("hex")}`,
+                        name: granter,
+                        record: createGrantRecord({ ...shared, records: store.records, granter }),
                         quotaOf: workspace => directory.quotaOf(workspace),
                     }),
                 };
