Control the load only where workspaces compete or few VMs hold the connections

Change: createLoadControl decides it for a group; elsewhere the order, retries and openings are those of before.

--- a/src/admission/createClassQueue/index.ts
+++ b/src/admission/createClassQueue/index.ts
@@ -12,6 +12,8 @@
     readonly isTimely: (item: T) => boolean;
     /** Cost of a caller's next item, relative to the mean. */
     readonly costOf: (caller: string) => number;
+    /** Whether less urgent classes have turns before more urgent ones; left out means that they have. */
+    readonly hasTurns?: () => boolean;
 }
 
 /** The items of one priority. */
@@ -37,7 +39,7 @@
  * const next = queue.shift(({ request }) => tryAcquire(request));
  */
 export function createClassQueue<T>(options: ClassQueueOptions<T>): ClassQueue<T> {
-    const { priorityOf, callerOf, isTimely, costOf } = options;
+    const { priorityOf, callerOf, isTimely, costOf, hasTurns = () => true } = options;
     /** Sorted, the most urgent first. */
     const classes: PriorityClass<T>[] = [];
 
@@ -73,7 +75,7 @@
     /** The program's own classes, then classes that are owed a turn, then by priority. */
     function listInOrder(): readonly PriorityClass<T>[] {
         const isFirst = ({ priority, turnsWaited }: PriorityClass<T>): boolean =>
-            priority < 0 || turnsWaited >= admissionConstants.turnsPerLowerClassTurn;
+            priority < 0 || hasTurns() && turnsWaited >= admissionConstants.turnsPerLowerClassTurn;
         return [...classes.filter(isFirst), ...classes.filter(candidate => !isFirst(candidate))];
     }
 
--- a/src/pace/createPacing/index.ts
+++ b/src/pace/createPacing/index.ts
@@ -24,6 +24,8 @@
     readonly primaries: Primaries;
     /** Returns the number of VMs that share a group's endpoints. */
     readonly vmCount: (group: string) => number;
+    /** Whether the load of a group is controlled; left out means that it is. */
+    readonly isControlled?: (group: string) => boolean;
     /** Whether a connection to an endpoint is open and its log is near enough for reads, as far as is known. */
     readonly isAble: (endpointId: string) => boolean;
     /** Called with a group when a limit allows one of its waiting statements. */
@@ -44,7 +46,7 @@
  * for (const endpoint of pacing.listUsable(request, candidates)) { const use = pacing.begin(request, endpoint); }
  */
 export function createPacing(options: PacingOptions): Pacing {
-    const { clock, directory, primaries, log } = options;
+    const { clock, directory, primaries, log, isControlled = () => true } = options;
     const probeBudget = createRetryBudget(() => paceConstants.probeShare, paceConstants.maximumProbeBalance);
     const signal = createFreeSignal(clock, options.onFree);
     const states = createPaceStates({
@@ -57,8 +59,8 @@
     let probes = 0;
     registerPaceGauges(options.metrics, states.list, () => probes);
 
-    function isPaced({ endpointId, priority }: PlacementRequest): boolean {
-        return endpointId === undefined && priority >= 0;
+    function isPaced({ group, endpointId, priority }: PlacementRequest): boolean {
+        return isControlled(group) && endpointId === undefined && priority >= 0;
     }
 
     function isSetAside({ id, group }: EndpointRecord): boolean {
@@ -123,6 +125,9 @@
     }
 
     function penaltyMilliseconds(endpoint: EndpointRecord): number {
+        if (!isControlled(endpoint.group)) {
+            return 0;
+        }
         return states.find(endpoint.id)?.health.penaltyMilliseconds(states.rateOfOthers(endpoint) ?? 0) ?? 0;
     }
 
--- a/src/pace/createRetryAllowance/index.ts
+++ b/src/pace/createRetryAllowance/index.ts
@@ -9,12 +9,16 @@
  * A retry beyond it waits until its time limit: the statement is not refused sooner, but the load is not multiplied.
  *
  * @param clock Source of time.
+ * @param isControlled Whether the load of a group is controlled; elsewhere every retry is allowed.
  * @returns The allowance, with a reserve.
  *
  * @example
  * if (await allowance.waitForRetry("orders", expiresAt, signal)) { ... }
  */
-export function createRetryAllowance(clock: Clock): RetryAllowance {
+export function createRetryAllowance(
+    clock: Clock,
+    isControlled: (group: string) => boolean = () => true,
+): RetryAllowance {
     const { busyRetryShare, busyRetriesPerSecond, busyRetryWaitMilliseconds, millisecondsPerSecond } = paceConstants;
     const creditedAt = new Map<string, number>();
     let credit = 0;
@@ -37,7 +41,7 @@
     return {
         countStatement: group => addCredit(group, 1),
         waitForRetry: async (group, expiresAt, signal) => {
-            while (!tryRetry(group)) {
+            while (isControlled(group) && !tryRetry(group)) {
                 if (clock.now() + busyRetryWaitMilliseconds >= expiresAt || signal.aborted) {
                     return false;
                 }
--- a/src/placement/createOpeningPace/index.ts
+++ b/src/placement/createOpeningPace/index.ts
@@ -9,6 +9,8 @@
     readonly random: RandomSource;
     /** When this process started, on its clock. */
     readonly startedAt: number;
+    /** Whether openings are sparing after a loss of VMs; left out means that they are. */
+    readonly isControlled?: () => boolean;
     /** Whether this VM is meant to hold connections to the endpoint. */
     readonly isHolding: () => boolean;
 }
@@ -29,7 +31,7 @@
  * const limit = pace.isSparing() ? sparingLimit : ordinaryLimit;
  */
 export function createOpeningPace(options: OpeningPaceOptions): OpeningPace {
-    const { clock, random, startedAt, isHolding } = options;
+    const { clock, random, startedAt, isHolding, isControlled = () => true } = options;
     const {
         initialLimitPauseMilliseconds,
         connectionLimitPauseMilliseconds,
@@ -60,13 +62,16 @@
     }
 
     function isSparing(): boolean {
-        return isReturning() || isGuest();
+        return isControlled() && (isReturning() || isGuest());
     }
 
     /** A pause between half and one and a half of a bound, so that VMs that are refused together spread. */
     function recordRefusal(): number {
         refusalCount += 1;
         wasLimitReached = true;
+        if (!isControlled()) {
+            return connectionLimitPauseMilliseconds;
+        }
         const bound = isSparing() ? initialLimitPauseMilliseconds * 2 ** (refusalCount - 1) : Infinity;
         return Math.min(bound, connectionLimitPauseMilliseconds) * (0.5 + random.next());
     }
@@ -77,6 +82,6 @@
             refusalCount = 0;
         },
         recordRefusal,
-        isLimitLasting: () => refusalCount >= limitRefusalsUntilLasting,
+        isLimitLasting: () => isControlled() && refusalCount >= limitRefusalsUntilLasting,
     };
 }
--- a/src/placement/createPlacement/index.ts
+++ b/src/placement/createPlacement/index.ts
@@ -38,6 +38,7 @@
  */
 export function createPlacement(options: PlacementOptions): Placement {
     const { clock, directory, primaries, log } = options;
+    const { isControlled = () => true } = options;
     const startedAt = clock.now();
     const targets = new Map<string, PlacementTarget>();
     const waitingByGroup = new Map<string, WaitingStatements>();
@@ -93,6 +94,7 @@
                     limit: () => connectionLimit(group),
                     sparingLimit: () => sparingLimit(group),
                     isHolding: () => options.isHolding(group),
+                    isControlled: () => isControlled(group),
                     onChange: () => {
                         scheduleUnusedCheck();
                         scheduleWarmup();
@@ -131,6 +133,7 @@
             waiting = createWaitingStatements({
                 clock,
                 group,
+                isControlled: () => isControlled(group),
                 tryAcquire,
                 countConnections: needsPrimary => countConnections(group, needsPrimary),
                 metrics: options.metrics,
--- a/src/placement/createWaitingStatements/index.ts
+++ b/src/placement/createWaitingStatements/index.ts
@@ -20,6 +20,8 @@
 interface WaitingStatementsOptions {
     readonly clock: Clock;
     readonly group: string;
+    /** Whether classes, time and owners decide on the order and on refusals; left out means that they do. */
+    readonly isControlled?: () => boolean;
     /** Acquires an idle connection, or plans to open one. */
     readonly tryAcquire: (
         request: PlacementRequest,
@@ -52,13 +54,14 @@
  * const connection = await waiting.wait(request);
  */
 export function createWaitingStatements(options: WaitingStatementsOptions): WaitingStatements {
-    const { clock, group, tryAcquire, countConnections, metrics, log } = options;
+    const { clock, group, tryAcquire, countConnections, metrics, log, isControlled = () => true } = options;
     const earlyRefusal = createEarlyRefusal({ clock, group, countConnections, log });
     const queue = createClassQueue<WaitingRequest>({
         priorityOf: ({ request }) => request.priority,
         callerOf: ({ request }) => ownerOf(request),
-        isTimely: ({ request }) => earlyRefusal.isTimely(request),
+        isTimely: ({ request }) => isControlled() && earlyRefusal.isTimely(request),
         costOf: earlyRefusal.relativeCost,
+        hasTurns: isControlled,
     });
     let isDispatching = false;
     let mustDispatchAgain = false;
@@ -82,7 +85,7 @@
         queue.push(entry);
         earlyRefusal.recordArrival(request);
         dispatch();
-        if (!entry.waiter.isSettled && earlyRefusal.refusesArrival(request, listRequests)) {
+        if (isControlled() && !entry.waiter.isSettled && earlyRefusal.refusesArrival(request, listRequests)) {
             refuseAtOnce(entry, "The expected wait for a connection is longer than the time left.");
         }
         else {
@@ -110,7 +113,7 @@
     }
 
     function scheduleReview(): void {
-        if (isReviewScheduled || queue.length === 0) {
+        if (isReviewScheduled || queue.length === 0 || !isControlled()) {
             return;
         }
         isReviewScheduled = true;
--- a/src/placement/types/EndpointSessionPoolOptions.ts
+++ b/src/placement/types/EndpointSessionPoolOptions.ts
@@ -14,6 +14,8 @@
     readonly open: EndpointOpener;
     /** Returns the endpoint's newest record; undefined once it is removed. */
     readonly record: () => EndpointRecord | undefined;
+    /** Whether openings are sparing after a loss of VMs; left out means that they are. */
+    readonly isControlled?: () => boolean;
     /** Returns the number of connections that may be open. */
     readonly limit: () => number;
     /** Returns the number of connections that may be open while places are left to other VMs. */
--- a/src/placement/types/PlacementOptions.ts
+++ b/src/placement/types/PlacementOptions.ts
@@ -21,6 +21,8 @@
     readonly vmCount: (group: string) => number;
     /** Whether this VM is one of the VMs that hold connections to a group's endpoints. */
     readonly isHolding: (group: string) => boolean;
+    /** Whether the load of a group is controlled; left out means that it is. */
+    readonly isControlled?: (group: string) => boolean;
     /** Returns the names of the workspaces whose sessions this VM serves for a group, the largest first. */
     readonly listHostedWorkspaces?: (group: string) => readonly string[];
     readonly metrics: ConnectionMetrics & Pick<Metrics, "countWaitRefusal" | "registerGauge">;
--- a/src/vm/defineSessionService/index.ts
+++ b/src/vm/defineSessionService/index.ts
@@ -5,7 +5,9 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { Duty } from "../../duty/types/Duty.js";
+import { createLoadControl } from "../../forwarding/createLoadControl/index.js";
 import type { SessionForwarding } from "../../forwarding/types/SessionForwarding.js";
+import type { SessionHosts } from "../../forwarding/types/SessionHosts.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
 import { ServiceName } from "../../kernel/types/ServiceName.js";
 import type { Logger } from "../../logging/types/Logger.js";
@@ -43,6 +45,7 @@
             ServiceName.Placement,
             ServiceName.Quotas,
             ServiceName.SessionForwarding,
+            ServiceName.SessionHosts,
             ServiceName.Duty,
             ServiceName.ByteBudget,
             ServiceName.Metrics,
@@ -58,6 +61,7 @@
             placement: Placement,
             quotas: Quotas,
             forwarding: SessionForwarding,
+            hosts: SessionHosts,
             duty: Duty,
             budget: ByteBudget,
             metrics: Metrics,
@@ -74,7 +78,10 @@
                 verification,
                 placement,
                 quotas,
-                retryAllowance: createRetryAllowance(clock),
+                retryAllowance: createRetryAllowance(
+                    clock,
+                    createLoadControl({ directory, hosts, otherVms: duty.otherVms }),
+                ),
                 preparedNames,
                 stop: createGracefulStop(clock, settings.graceMilliseconds),
                 budget,
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -12,6 +12,7 @@
 import type { WatchPolicy } from "../../directory/types/WatchPolicy.js";
 import type { Duty } from "../../duty/types/Duty.js";
 import { createHostedWorkspaces } from "../../forwarding/createHostedWorkspaces/index.js";
+import { createLoadControl } from "../../forwarding/createLoadControl/index.js";
 import type { SessionHost } from "../../forwarding/types/SessionHost.js";
 import type { SessionHosts } from "../../forwarding/types/SessionHosts.js";
 import type { ServiceDefinition } from "../../kernel/types/ServiceDefinition.js";
@@ -150,6 +151,7 @@
                 ServiceName.Directory,
                 ServiceName.Primaries,
                 ServiceName.SessionHosts,
+                ServiceName.Duty,
                 ServiceName.ByteBudget,
                 ServiceName.Metrics,
                 ServiceName.Logger,
@@ -160,6 +162,7 @@
                 directory: Directory,
                 primaries: Primaries,
                 hosts: SessionHosts,
+                duty: Duty,
                 budget: ByteBudget,
                 metrics: Metrics,
                 logger: Logger,
@@ -174,6 +177,7 @@
                 vmLocation: settings,
                 vmCount: group => Math.max(hosts.hostCountOf(group), vmConstants.minimumAssumedVms),
                 isHolding: hosts.isHostOf,
+                isControlled: createLoadControl({ directory, hosts, otherVms: duty.otherVms }),
                 listHostedWorkspaces: createHostedWorkspaces({ clock, directory, hosts }),
                 metrics,
                 log: logger.topic("placement"),
