--- a/src/tools/findPlatformNames/index.ts
+++ b/src/tools/findPlatformNames/index.ts
@@ -12,7 +12,7 @@
 const platformNames = new RegExp(
     [
         "\\b(?:AFTERLSN|STEPDOWN|INDOUBT|CONNLIMIT|MISROUTED|NODB|NOSTMT)\\b",
-        "\\b(?:coldLeftMs|dbRole|routeType|maxStalenessMs|targetLatencyMs|txIdleMs|syncReplicas|maxConns|pathPrefix)\\b",
+        "\\b(?:coldLeftMs|dbRole|routeType|maxStalenessMs|targetLatencyMs|txIdleMs|syncReplicas|maxConns|pathPrefix|apiKeys|ratePerS|noAuth|quotaWindowS|quotaOver|quotaSlack)\\b",
         "\\b(?:nodeName|machineClass|portRange|cloudApi|graceS|memoryMb)\\b",
         "X-Duty-Holder|X-Fencing-Token|X-Instance-Id|X-Target-Instance|/-/objects|/-/readiness",
     ].join("|"),
