Claim the record of grants at the first holder, too

The fleet of the test wrote it at once. Change: the record is claimed with the first question. The new test failed before.

--- a/src/quotas/createGrantRecord/index.ts
+++ b/src/quotas/createGrantRecord/index.ts
@@ -35,7 +35,7 @@
  * that its predecessor sent before or sends later takes effect. Nothing is written while the set of VMs stays.
  *
  * @param options Clock, the store, name of this process, and the log.
- * @returns The record; it admits no VM before `takeOver`.
+ * @returns The record; it admits no VM before it has written.
  *
  * @example
  * record.takeOver(vms => granter.expectReports(vms));
@@ -51,6 +51,10 @@
 
     function admits(vm: string): boolean {
         seenAt.set(vm, clock.now());
+        if (generation === 0) {
+            // A holder without a predecessor does not take over.
+            takeOver(() => {});
+        }
         if (written !== undefined && !recorded.has(vm)) {
             void extend();
         }
--- a/src/quotas/createGrantRecord/test.ts
+++ b/src/quotas/createGrantRecord/test.ts
@@ -48,6 +48,16 @@
         assert.equal(writes.length, count);
     });
 
+    it("admits VMs at the first holder, which has no predecessor to take over from", async () => {
+        const { clock, create } = createSite();
+        const record = create("vm-1");
+        for (let renewal = 0; renewal < 2; renewal += 1) {
+            assert.equal(record.admits("vm-2"), false);
+            await clock.advance(0);
+        }
+        assert.equal(record.admits("vm-2"), true);
+    });
+
     it("tells a new holder which VMs may hold grants, and admits none at its predecessor any more", async () => {
         const { clock, create, takeOver } = createSite();
         const first = create("vm-1");
