Use the clock's sleep in the record of grants, and one list of routes for soak and hostile callers

Found by reading the change: two waits around a timer that Clock.sleep is, and the soak's routes written a second time.

--- a/src/hostileCallers/startHostileSite/index.ts
+++ b/src/hostileCallers/startHostileSite/index.ts
@@ -6,9 +6,8 @@
 import { reservePorts } from "../../site/reservePorts/index.js";
 import { waitForValue } from "../../site/waitForValue/index.js";
 import { soakConstants } from "../../soak/constants.js";
-import { soakDatabases } from "../../soak/soakDatabases.js";
+import { createSoakRoutes } from "../../soak/createSoakRoutes/index.js";
 import { startSoakVm } from "../../soak/startSoakVm/index.js";
-import { createRoute } from "../../testing/createRoute/index.js";
 import { hostileCallerConstants } from "../constants.js";
 import type { HostileSite } from "../types/HostileSite.js";
 import type { ProcessWatch } from "../types/ProcessWatch.js";
@@ -29,20 +28,9 @@
 export async function startHostileSite(): Promise<HostileSite> {
     const { memoryMegabytes, heapMegabytes, maximumDescriptors, sessionBytes, answerBytes, progressMilliseconds } =
         hostileCallerConstants;
-    const { group, zones, promotionMilliseconds, statementTimeoutMilliseconds, maximumStalenessMilliseconds } =
-        soakConstants;
+    const { group, zones, promotionMilliseconds } = soakConstants;
     const platform = await createPlatformStandIn({ group, zones, promotionMilliseconds });
-    const routes = soakDatabases.map(({ name, guarantee }) =>
-        createRoute({
-            database: name,
-            group,
-            guarantee,
-            statementTimeoutMilliseconds,
-            maximumStalenessMilliseconds,
-            priority: 0,
-        })
-    );
-    platform.configure(1, routes);
+    platform.configure(1, createSoakRoutes(0));
     const folder = await mkdtemp(join(tmpdir(), "tarragonpost-hostile-"));
     const { ports, release } = await reservePorts(portsPerVm);
     const vm = await startSoakVm({
--- a/src/quotas/createGrantRecord/index.ts
+++ b/src/quotas/createGrantRecord/index.ts
@@ -8,7 +8,7 @@
 
 /** Options of `createGrantRecord`. */
 interface GrantRecordOptions {
-    readonly clock: Pick<Clock, "now" | "startTimer">;
+    readonly clock: Pick<Clock, "now" | "sleep">;
     readonly records: RecordStore;
     /** Name of this process, which no other has. */
     readonly granter: string;
@@ -38,7 +38,8 @@
  * @returns The record; it admits no VM before it has written.
  *
  * @example
- * record.takeOver(vms => granter.expectReports(vms));
+ * record.takeOver(vms => unreported.push(...vms));
+ * const mayGrant = record.admits("vm-2");
  */
 export function createGrantRecord(options: GrantRecordOptions): GrantRecord {
     const { clock, records, granter, log } = options;
@@ -75,7 +76,7 @@
             }
             catch (error) {
                 log("record of the VMs with grants was not written; retrying", { reason: (error as Error).message });
-                await new Promise<void>(resolve => clock.startTimer(grantRecordRetryMilliseconds, resolve));
+                await clock.sleep(grantRecordRetryMilliseconds);
             }
         }
     }
@@ -128,7 +129,7 @@
 
     /** A write whose answer was lost may have taken effect; any other writer is a later holder. */
     async function recover(extended: number): Promise<void> {
-        await new Promise<void>(resolve => clock.startTimer(grantRecordRetryMilliseconds, resolve));
+        await clock.sleep(grantRecordRetryMilliseconds);
         try {
             const known = await records.read(grantRecordName);
             const content = contentSchema.safeParse(known?.content).data;
--- a/src/soak/startSoakSite/index.ts
+++ b/src/soak/startSoakSite/index.ts
@@ -5,10 +5,9 @@
 import { createPlatformStandIn } from "../../platform/standIns/createPlatformStandIn/index.js";
 import type { StandInWorkspace } from "../../platform/standIns/types/StandInWorkspace.js";
 import { reservePorts } from "../../site/reservePorts/index.js";
-import { createRoute } from "../../testing/createRoute/index.js";
 import { soakConstants } from "../constants.js";
 import { createFaultyProxy } from "../createFaultyProxy/index.js";
-import { soakDatabases } from "../soakDatabases.js";
+import { createSoakRoutes } from "../createSoakRoutes/index.js";
 import { startSoakVm } from "../startSoakVm/index.js";
 import type { FaultyProxy } from "../types/FaultyProxy.js";
 import type { SoakSite } from "../types/SoakSite.js";
@@ -31,13 +30,7 @@
     clock: Clock,
     workspaces?: readonly StandInWorkspace[],
 ): Promise<SoakSite> {
-    const {
-        group,
-        zones,
-        promotionMilliseconds,
-        maximumStalenessMilliseconds,
-        statementTimeoutMilliseconds,
-    } = soakConstants;
+    const { group, zones, promotionMilliseconds } = soakConstants;
     const endpointLinks: FaultyProxy[] = [];
     const platform = await createPlatformStandIn({
         group,
@@ -57,17 +50,8 @@
         version += 1;
         platform.configure(
             version,
-            soakDatabases.map(({ name, guarantee }) =>
-                createRoute({
-                    database: name,
-                    group,
-                    guarantee,
-                    statementTimeoutMilliseconds,
-                    maximumStalenessMilliseconds,
-                    // The versions differ only in the priority, which does not affect the guarantees.
-                    priority: version % 2,
-                })
-            ),
+            // The versions differ only in the priority, which does not affect the guarantees.
+            createSoakRoutes(version % 2),
             workspaces,
         );
     }
