--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -3,7 +3,7 @@
 import { once } from "node:events";
 import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer as createHttpServer, get } from "node:http";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -34,6 +34,53 @@
     return port;
 }
 
+/**
+ * Opens a path to an address that can be cut: while `isCut`, nothing passes in either direction, and what was sent
+ * arrives when the cut ends.
+ */
+async function openPath(target) {
+    const path = { port: 0, isCut: false, stop: () => server.close() };
+    const pairs = new Set();
+
+    function relay(from, to) {
+        const held = [];
+        from.on("data", chunk => {
+            if (path.isCut) {
+                held.push(chunk);
+            }
+            else {
+                to.write(chunk);
+            }
+        });
+        return () => held.splice(0).forEach(chunk => to.write(chunk));
+    }
+
+    const server = createServer({ noDelay: true }, near => {
+        const far = connect({ ...target, noDelay: true });
+        const release = [relay(near, far), relay(far, near)];
+        pairs.add(release);
+        const end = () => {
+            pairs.delete(release);
+            near.destroy();
+            far.destroy();
+        };
+        for (const socket of [near, far]) {
+            socket.on("error", end);
+            socket.on("close", end);
+        }
+    });
+    path.setCut = isCut => {
+        path.isCut = isCut;
+        if (!isCut) {
+            pairs.forEach(release => release.forEach(send => send()));
+        }
+    };
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    path.port = server.address().port;
+    return path;
+}
+
 function isReady(host, port) {
     return new Promise(resolve => {
         const request = get({ host, port, path: "/-/readiness", timeout: 1_000 }, response => {
@@ -119,6 +166,25 @@
         machines.push({ name, zone, host, front, ready, control, link, promotions, child: undefined, output: "", isExpectedToEnd: false, isFirst: true });
     }
 
+    /** Each machine reaches the machine that holds the duty over a path of its own. */
+    for (const machine of machines) {
+        machine.paths = [];
+        const translations = [];
+        for (const { host, control } of machines.filter(other => other !== machine)) {
+            const path = await openPath({ host, port: control });
+            machine.paths.push(path);
+            translations.push([`"address":{"host":"${host}","port":${control}`, `"address":{"host":"127.0.0.1","port":${path.port}`]);
+        }
+        machine.link.translate = text => translations.reduce((changed, [from, to]) => changed.replaceAll(from, to), text);
+    }
+
+    /** Cuts a machine off from the store, and from the machine that holds the duty. */
+    function cut(machine, isCut) {
+        record({ event: isCut ? "machine cut off" : "cut ended", machine: machine.name });
+        machine.link.isSilent = isCut;
+        machine.paths.forEach(path => path.setCut(isCut));
+    }
+
     function writeSettings(machine) {
         const file = join(folder, `${machine.name}.toml`);
         writeFileSync(file, [
@@ -235,9 +301,10 @@
         }));
         service.stop();
         store.stop();
-        for (const { promotions } of machines) {
+        for (const { promotions, paths } of machines) {
             promotions.close();
             promotions.closeAllConnections();
+            paths.forEach(path => path.stop());
         }
         rmSync(folder, { recursive: true, force: true });
     }
@@ -250,5 +317,5 @@
         await stop();
         throw error;
     }
-    return { machines, service, store, orders, configure, signal, start, waitUntilReady, holder, stop };
+    return { machines, service, store, orders, configure, signal, start, waitUntilReady, holder, cut, stop };
 }
--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -16,7 +16,8 @@
 
 /**
  * Starts a store. Each machine gets a port of its own (`openLink`), so that its path to the store can be told apart.
- * `link.isSilent` makes the store give no answer on that path.
+ * `link.isSilent` makes the store give no answer on that path; `link.translate` changes the text of the answers, as a
+ * network does that translates addresses.
  */
 export function createStore() {
     const objects = new Map();
@@ -69,7 +70,7 @@
         setTimeout(() => {
             if (!link.isSilent) {
                 response.writeHead(status, { "content-type": "application/json", "store-era": era });
-                response.end(JSON.stringify(content));
+                response.end(link.translate(JSON.stringify(content)));
             }
         }, answerMilliseconds);
     }
@@ -147,7 +148,7 @@
     }
 
     async function openLink() {
-        const link = { port: 0, isSilent: false, watches: 0 };
+        const link = { port: 0, isSilent: false, watches: 0, translate: text => text };
         const server = createServer((request, response) => void handle(link, request, response).catch(() => response.destroy()));
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
