--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -95,16 +95,22 @@
 /**
  * Starts a small deployment.
  *
- * @param options `zones` (of the machines, in order), `regions` (by zone), `service` (its options and its `backends`),
+ * @param options `zones` (of the machines, in order), `regions` (by zone), `service` (its options and its `backends`; with
+ * `names`, several services of the same kind), `memoryMb` of each machine,
  * `routes`, `answerPromotion` (called with each order in place of the prompt answer) and `record`.
  */
-export async function startSite({ zones, regions, service: serviceOptions, routes, answerPromotion, record }) {
+export async function startSite({ zones, regions, service: serviceOptions, routes, answerPromotion, record, memoryMb = 350 }) {
     const folder = mkdtempSync(join(tmpdir(), "tarragonpost-review-"));
     const store = createStore();
-    const service = createService({ ...serviceOptions, store, record });
-    for (const backend of serviceOptions.backends) {
-        await service.add(backend);
+    const services = [];
+    for (const name of serviceOptions.names ?? [serviceOptions.name]) {
+        const each = createService({ ...serviceOptions, name, store, record });
+        for (const { id, zone } of serviceOptions.backends) {
+            await each.add({ id: serviceOptions.names === undefined ? id : `${id}-${name}`, zone });
+        }
+        services.push(each);
     }
+    const [service] = services;
     const orders = [];
 
     function execute(order) {
@@ -149,7 +155,7 @@
         store.put("config", "main", {
             version,
             routes: routes.map((route, index) => ({ name: `r-${index}`, pathPrefix: "/", maxTries: 2, service: service.name, ...route })),
-            services: [{ name: service.name, healthPath: "/health", maxConns: serviceOptions.maxConns, syncReplicas: 0 }],
+            services: services.map(({ name }) => ({ name, healthPath: "/health", maxConns: serviceOptions.maxConns, syncReplicas: 0 })),
             limits: { txIdleMs: 5_000 },
         });
     }
@@ -211,7 +217,7 @@
             `[limits]`,
             `cpuShare = 0.675`,
             `cores = 1`,
-            `memoryMb = 350`,
+            `memoryMb = ${memoryMb}`,
             `maxFds = 4200`,
             `linkMbps = 1000.0`,
             `diskMb = 0`,
@@ -299,7 +305,7 @@
             machine.child.kill("SIGKILL");
             await ended;
         }));
-        service.stop();
+        services.forEach(each => each.stop());
         store.stop();
         for (const { promotions, paths } of machines) {
             promotions.close();
@@ -317,5 +323,5 @@
         await stop();
         throw error;
     }
-    return { machines, service, store, orders, configure, signal, start, waitUntilReady, holder, cut, stop };
+    return { machines, service, services, store, orders, configure, signal, start, waitUntilReady, holder, cut, stop };
 }
