Ask the endpoint itself before its answer counts as a primary's

Cause: without a lease a VM asked all endpoints of its directory but the one in question. The promoted endpoint had registered after the cut, the others truly were no primaries, and that counted as proof. The former primary, which would have answered READONLY, was not asked. Its reads also raised the term in which it was taken to lead, so the newer term in its own answers did not give it away.

Evidence: the log of the VM that was cut off, on (x86-64): i-1 stepped down at 8,534 ms, i-4 was promoted at 8,849 ms, the VM notes "higher term observed" term 2 from i-1 itself and goes on; the first stale read is run by i-1 at 8,902 ms as a replica of term 2.

Now the endpoint is asked together with the others, after its answer and before the caller's, by an empty transaction that only a primary begins. A position counts for the term in which an endpoint leads only in an answer that a replica cannot give: a write, or the beginning of a transaction that may write. An endpoint that denies it is disqualified.

--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -50,7 +50,8 @@
     try {
         const answers = await connection.exchange(statements, timeoutMilliseconds);
         const answer = answers.at(-1)!;
-        recordAnswer(connection, sinceSent, answer, services);
+        const needsPrimary = callerStatement.mode === AccessMode.Write;
+        recordAnswer(connection, { answer, sinceSent, needsPrimary }, services);
         if (answers.slice(0, -1).some(({ failure }) => failure !== undefined)) {
             // The connection lacks session values or the prepared statement that the caller's statement needs.
             connection.discard();
--- a/src/callerSessions/createCallerTransaction/index.ts
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -60,7 +60,7 @@
                 { kind: OutgoingKind.Begin, isReadOnly, leastPosition: eligible.leastPosition },
             ], Math.max(expiresAt - clock.now(), 1));
             const answer = answers.at(-1)!;
-            recordAnswer(candidate, sinceSent, answer, services);
+            recordAnswer(candidate, { answer, sinceSent, needsPrimary: !isReadOnly }, services);
             if (answer.failure === undefined) {
                 return undefined;
             }
--- a/src/callerSessions/createEvidenceRenewal/index.ts
+++ b/src/callerSessions/createEvidenceRenewal/index.ts
@@ -41,7 +41,7 @@
         });
         const sinceSent = startElapsedTimer(clock);
         try {
-            const [begin, rollback] = await connection.exchange(
+            const [begin] = await connection.exchange(
                 [{ kind: OutgoingKind.Begin, isReadOnly: false }, { kind: OutgoingKind.Rollback }],
                 evidenceTimeoutMilliseconds,
             );
@@ -49,10 +49,11 @@
                 primaries.recordNotPrimary(connection.endpoint);
             }
             connection.release();
-            if (rollback?.position !== undefined && begin?.failure === undefined) {
-                recordAnswer(connection, sinceSent, rollback, { primaries, evidence, verification });
+            if (begin?.position !== undefined && begin.failure === undefined) {
+                const received = { answer: begin, sinceSent, needsPrimary: true };
+                recordAnswer(connection, received, { primaries, evidence, verification });
                 if (!verification.isVerified(connection.endpoint) && await verification.verify(connection.endpoint)) {
-                    evidence.record(group, sinceSent, rollback.position);
+                    evidence.record(group, sinceSent, begin.position);
                 }
             }
         }
--- a/src/callerSessions/recordAnswer/index.ts
+++ b/src/callerSessions/recordAnswer/index.ts
@@ -2,21 +2,28 @@
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import type { SessionServices } from "../types/SessionServices.js";
 
+/** An answer of an endpoint. */
+interface ReceivedAnswer {
+    readonly answer: StatementAnswer;
+    /** Returns the time since the statement was sent, in milliseconds. */
+    readonly sinceSent: () => number;
+    /** Whether only a primary executes the statement: a write, or the beginning of a transaction that may write. */
+    readonly needsPrimary: boolean;
+}
+
 /**
  * Records the log position in an answer: the group's term and, from a verified primary, evidence for reads.
  *
  * @param connection The connection that returned the answer.
- * @param sinceSent Returns the time since the statement was sent, in milliseconds.
- * @param answer The answer.
+ * @param received The answer, and what it answers.
  * @param services Services that record it.
  *
  * @example
- * recordAnswer(connection, sinceSent, answer, services);
+ * recordAnswer(connection, { answer, sinceSent, needsPrimary: true }, services);
  */
 export function recordAnswer(
     connection: AcquiredConnection,
-    sinceSent: () => number,
-    answer: StatementAnswer,
+    { answer, sinceSent, needsPrimary }: ReceivedAnswer,
     services: Pick<SessionServices, "primaries" | "evidence" | "verification">,
 ): void {
     const { primaries, evidence, verification } = services;
@@ -24,7 +31,12 @@
     if (answer.position === undefined) {
         return;
     }
-    primaries.recordPosition(endpoint, answer.position);
+    if (needsPrimary && answer.failure === undefined) {
+        primaries.recordPositionAsPrimary(endpoint, answer.position);
+    }
+    else {
+        primaries.recordPosition(endpoint, answer.position);
+    }
     if (connection.isPrimary && verification.isVerified(endpoint)) {
         evidence.record(endpoint.group, sinceSent, answer.position);
     }
--- a/src/callerSessions/recordAnswer/test.ts
+++ b/src/callerSessions/recordAnswer/test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { AcquiredConnection } from "../../placement/types/AcquiredConnection.js";
+import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
+import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createSessionServices } from "../../testing/createSessionServices/index.js";
@@ -19,7 +21,8 @@
     };
     const services = createSessionServices(createManualClock(), [endpoint], { verification });
     services.primaries.finishChange(endpoint.group, endpoint.id, 3);
-    recordAnswer(connection, () => 10, { rows: [], state: SessionState.Idle, position }, services);
+    const answer = { rows: [], state: SessionState.Idle, position };
+    recordAnswer(connection, { answer, sinceSent: () => 10, needsPrimary: false }, services);
     return services.evidence.coveringPosition(endpoint.group, 10);
 }
 
@@ -31,4 +34,24 @@
     it("records no position of a primary that is not verified", () => {
         assert.equal(record({ term: 3, entry: 10 }, false), undefined);
     });
+
+    it("takes the term of an answer for that of a primary only if a primary alone gives it", () => {
+        const { primaries, ...services } = createSessionServices(createManualClock(), [endpoint]);
+        const receive = (term: number, needsPrimary: boolean, failure?: StatementAnswer["failure"]): void => {
+            const answer = {
+                rows: [],
+                state: SessionState.Idle,
+                position: { term, entry: 5 },
+                ...failure && { failure },
+            };
+            recordAnswer(connection, { answer, sinceSent: () => 10, needsPrimary }, { ...services, primaries });
+        };
+        receive(1, true);
+        receive(2, false);
+        assert.ok(primaries.isSuperseded(endpoint), "a read, which a replica answers, too");
+        receive(2, true, { code: FailureCode.ReadOnly, description: endpoint.id });
+        assert.ok(primaries.isSuperseded(endpoint), "a refused write");
+        receive(2, true);
+        assert.equal(primaries.isSuperseded(endpoint), false);
+    });
 });
--- a/src/primaries/createPrimaries/index.ts
+++ b/src/primaries/createPrimaries/index.ts
@@ -54,7 +54,10 @@
  */
 export function createPrimaries(clock: Clock, directory: Directory, log: LogTopic): Primaries {
     const statesByGroup = new Map<string, KnownGroupState>();
-    /** Term in the newest answer of each endpoint while it was the known primary. */
+    /**
+     * Highest term in what each endpoint answered as the primary; before the first such answer, the term in the first
+     * answer of an endpoint while it was the known primary.
+     */
     const termsAsPrimary = new Map<string, number>();
     const disqualifications = new Map<string, Disqualification>();
     const listeners: ((group: string) => void)[] = [];
@@ -110,7 +113,7 @@
     function recordPosition(endpoint: EndpointRecord, position: LogPosition): void {
         const state = stateOf(endpoint.group);
         const primary = primaryOf(endpoint.group);
-        if (primary?.id === endpoint.id) {
+        if (primary?.id === endpoint.id && !termsAsPrimary.has(endpoint.id)) {
             termsAsPrimary.set(endpoint.id, position.term);
         }
         recordLogEnd(endpoint, position);
@@ -127,6 +130,11 @@
         notify(endpoint.group);
     }
 
+    function recordPositionAsPrimary(endpoint: EndpointRecord, position: LogPosition): void {
+        termsAsPrimary.set(endpoint.id, Math.max(termsAsPrimary.get(endpoint.id) ?? position.term, position.term));
+        recordPosition(endpoint, position);
+    }
+
     function recordLogEnd({ id, group }: EndpointRecord, position: LogPosition): void {
         const state = stateOf(group);
         const { announced } = state;
@@ -234,6 +242,7 @@
         termOf: group => stateOf(group).term,
         isOnNewestBranch,
         recordPosition,
+        recordPositionAsPrimary,
         recordNotPrimary,
         beginChange,
         finishChange,
--- a/src/primaries/createPrimaries/test.ts
+++ b/src/primaries/createPrimaries/test.ts
@@ -65,6 +65,19 @@
         assert.equal(primaries.primaryOf("orders")?.id, "i-2");
     });
 
+    // STALE of review/7: the answers of a former primary, which followed its successor, counted as those of a primary.
+    it("takes no term in an answer that a replica could give for the term in which an endpoint leads", () => {
+        const { directory, primaries } = createSite();
+        const primary = directory.endpoint("i-1")!;
+        primaries.recordPosition(primary, { term: 1, entry: 5 });
+        primaries.recordPosition(primary, { term: 2, entry: 6 });
+        assert.ok(primaries.isSuperseded(primary));
+        primaries.recordPositionAsPrimary(primary, { term: 2, entry: 6 });
+        assert.equal(primaries.isSuperseded(primary), false);
+        primaries.recordPositionAsPrimary(primary, { term: 1, entry: 5 });
+        assert.equal(primaries.isSuperseded(primary), false, "an answer that comes late");
+    });
+
     it("counts a log as the newest branch that has an entry of the announced term, or none that its primary lacks", () => {
         const { directory, primaries } = createSite();
         const successor = directory.endpoint("i-2")!;
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -24,7 +24,7 @@
 /** Why a primary is relied on. */
 enum RelianceReason {
     Lease = "Lease",
-    /** The other endpoints of the group were queried. */
+    /** All endpoints of the group were queried. */
     QueriedEndpoints = "QueriedEndpoints",
 }
 
@@ -40,8 +40,9 @@
 
 /**
  * Creates the verification of primaries. A VM with a lease is notified of each change of primary before it takes effect. A
- * VM without one queries all other endpoints of the group, since only one of those can have been promoted; the log of
- * each also tells whether a newer term has begun.
+ * VM without one queries all endpoints of the group that it knows: the endpoint itself, because it may have stepped down
+ * for a successor that this VM does not know, and the others, because one of them may have been promoted while it was
+ * out of reach. The log of each also tells whether a newer term has begun.
  *
  * @param options Clock, directory, known primaries, state of the lease, and function that queries endpoints.
  * @returns The verification.
@@ -101,11 +102,11 @@
             pending.waiting = undefined;
             pending.running = verification;
             const queriedAt = clock.now();
-            const hasNoOtherPrimary = await queryOthers(endpoint);
-            if (hasNoOtherPrimary) {
+            const isOnlyPrimary = await queryGroup(endpoint);
+            if (isOnlyPrimary) {
                 pending.verifiedAt = queriedAt;
             }
-            return hasNoOtherPrimary;
+            return isOnlyPrimary;
         });
         pending.waiting = verification;
         return verification;
@@ -116,7 +117,8 @@
         try {
             const { isPrimary, position } = await options.queryRole(endpoint.id);
             if (position !== undefined) {
-                primaries.recordPosition(endpoint, position);
+                const record = isPrimary === true ? primaries.recordPositionAsPrimary : primaries.recordPosition;
+                record(endpoint, position);
             }
             return isPrimary;
         }
@@ -125,24 +127,30 @@
         }
     }
 
-    async function queryOthers(endpoint: EndpointRecord): Promise<boolean> {
+    /** Queries all endpoints of a group; returns whether the given one is the primary and no other can be. */
+    async function queryGroup(endpoint: EndpointRecord): Promise<boolean> {
         const others = directory.endpointsOf(endpoint.group).filter(other => other.id !== endpoint.id);
-        const answers = await Promise.all(others.map(queryIsPrimary));
-        const hasNoOtherPrimary = others.length > 0 && answers.every(isPrimary => isPrimary === false)
+        const [isPrimary, ...answers] = await Promise.all([endpoint, ...others].map(queryIsPrimary));
+        if (isPrimary === false) {
+            primaries.recordNotPrimary(endpoint);
+        }
+        const isOnlyPrimary = isPrimary === true
+            && others.length > 0 && answers.every(isOtherPrimary => isOtherPrimary === false)
             && !primaries.isSuperseded(endpoint);
-        options.metrics.countPrimaryVerification(hasNoOtherPrimary);
-        if (hasNoOtherPrimary) {
+        options.metrics.countPrimaryVerification(isOnlyPrimary);
+        if (isOnlyPrimary) {
             logReliance(endpoint, RelianceReason.QueriedEndpoints);
         }
         else {
             log("primary could not be verified", {
                 group: endpoint.group,
                 endpoint: endpoint.id,
+                isPrimary,
                 otherPrimaries: others.filter((_other, index) => answers[index] === true).map(({ id }) => id),
                 unresponsive: others.filter((_other, index) => answers[index] === undefined).map(({ id }) => id),
             });
         }
-        return hasNoOtherPrimary;
+        return isOnlyPrimary;
     }
 
     return { isVerified, wasVerified, verify };
--- a/src/primaries/createPrimaryVerification/test.ts
+++ b/src/primaries/createPrimaryVerification/test.ts
@@ -10,6 +10,7 @@
 
 const primary = createEndpointRecord({ id: "i-1", isPrimary: true });
 
+/** Creates the verification; the answers are those of the other endpoints, the primary itself answers that it is it. */
 function createSite(
     queryIsPrimary: (endpointId: string) => Promise<boolean | undefined>,
     position?: EndpointRole["position"],
@@ -18,13 +19,14 @@
     const replicas = ["i-2", "i-3"].map(id => createEndpointRecord({ id }));
     const directory = createPopulatedDirectory(clock, [primary, ...replicas]);
     const primaries = createPrimaries(clock, directory, () => {});
-    const state = { hasLease: true };
+    const state = { hasLease: true, primaryRole: async (): Promise<EndpointRole> => ({ isPrimary: true }) };
     const verification = createPrimaryVerification({
         clock,
         directory,
         primaries,
         hasLease: () => state.hasLease,
-        queryRole: async id => ({ isPrimary: await queryIsPrimary(id), position }),
+        queryRole: async id =>
+            id === primary.id ? await state.primaryRole() : { isPrimary: await queryIsPrimary(id), position },
         metrics: { countPrimaryVerification: () => {} },
         log: () => {},
     });
@@ -72,6 +74,8 @@
         assert.equal(primaries.primaryOf("orders")?.id, primary.id);
         assert.equal(verification.isVerified(primary), false);
         primaries.recordPosition(primary, { term: 2, entry: 7 });
+        assert.equal(verification.isVerified(primary), false, "a replica of the newer term would answer so, too");
+        primaries.recordPositionAsPrimary(primary, { term: 2, entry: 7 });
         assert.ok(verification.isVerified(primary));
     });
 
@@ -106,14 +110,34 @@
     });
 
     it("does not verify a primary while the log of another endpoint has a newer term", async () => {
-        const { clock, primaries, verification } = createSite(async () => false, { term: 3, entry: 9 });
+        const { clock, state, primaries, verification } = createSite(async () => false, { term: 3, entry: 9 });
         primaries.recordPosition(primary, { term: 2, entry: 8 });
         assert.equal(await verification.verify(primary), false);
         await clock.advance(primaryConstants.disqualifiedMilliseconds);
         primaries.recordPosition(primary, { term: 3, entry: 10 });
+        assert.equal(await verification.verify(primary), false, "a replica of the newer term would answer so, too");
+        state.primaryRole = async () => ({ isPrimary: true, position: { term: 3, entry: 10 } });
         assert.equal(await verification.verify(primary), true);
     });
 
+    // STALE of review/7: the promoted endpoint had registered after this VM was cut off.
+    it("does not verify a former primary whose successor is missing from the directory", async () => {
+        const { state, primaries, verification } = createSite(async () => false);
+        state.primaryRole = async () => ({ isPrimary: false, position: { term: 1, entry: 5 } });
+        assert.equal(await verification.verify(primary), false);
+        assert.equal(primaries.primaryOf("orders"), undefined);
+    });
+
+    it("does not verify a primary that gives no clear answer itself", async () => {
+        const { state, verification } = createSite(async () => false);
+        state.primaryRole = async () => ({});
+        assert.equal(await verification.verify(primary), false);
+        state.primaryRole = async () => {
+            throw new Error("no answer");
+        };
+        assert.equal(await verification.verify(primary), false);
+    });
+
     it("allows a write to a primary that a query has verified recently", async () => {
         const { clock, verification } = createSite(async () => false);
         assert.equal(verification.wasVerified(primary), false);
--- a/src/primaries/types/Primaries.ts
+++ b/src/primaries/types/Primaries.ts
@@ -24,8 +24,10 @@
     isOnNewestBranch(group: string, logEnd: LogPosition): boolean;
     /** Whether another endpoint was announced as the primary of its group. */
     isOtherAnnounced(endpoint: EndpointRecord): boolean;
-    /** Records the log position in an endpoint's answer. */
+    /** Records the log position in an endpoint's answer, which a replica could have given as well. */
     recordPosition(endpoint: EndpointRecord, position: LogPosition): void;
+    /** Records the log position in an answer that an endpoint gives only while it is the primary. */
+    recordPositionAsPrimary(endpoint: EndpointRecord, position: LogPosition): void;
     /** Records that an endpoint refused a statement because it is not the primary. */
     recordNotPrimary(endpoint: EndpointRecord): void;
     /** Begins a change of primary: until its end or expiry, the group has no known primary. */
--- a/src/primaries/types/PrimaryVerification.ts
+++ b/src/primaries/types/PrimaryVerification.ts
@@ -9,8 +9,8 @@
      */
     wasVerified(endpoint: EndpointRecord): boolean;
     /**
-     * Queries the other endpoints of the group whether one of them is the primary. Resolves with true when none was at
-     * a time after the call, so that the endpoint was the primary in everything it did before the call.
+     * Queries the endpoints of the group which of them is the primary. Resolves with true when the endpoint was, and no
+     * other, at a time after the call, so that the endpoint was the primary in everything it did before the call.
      */
     verify(endpoint: EndpointRecord): Promise<boolean>;
 }
--- a/src/promotions/createEndpointProbe/index.ts
+++ b/src/promotions/createEndpointProbe/index.ts
@@ -47,7 +47,8 @@
                 primaries.recordNotPrimary(endpoint);
             }
             if (position !== undefined && endpoint !== undefined) {
-                primaries.recordPosition(endpoint, position);
+                const record = isPrimary === true ? primaries.recordPositionAsPrimary : primaries.recordPosition;
+                record(endpoint, position);
             }
             return true;
         }
