Keep the holder's record of members in a module of its own

The reading, merging and writing of an object of the store with which one holder hands its knowledge to the next stood inside the members of groups. Another such object is about to follow, so it is a module now. It also reads and writes the object again in a new era of the store: a copy may lack what the holder had recorded.

--- a/src/promotions/constants.ts
+++ b/src/promotions/constants.ts
@@ -46,8 +46,17 @@
     confirmationMilliseconds: 1_000,
     /** Name of the object in the platform's store that records the members of groups. */
     membersRecordName: "members",
-    /** Pause before the record of members is read or written again after a failure, in milliseconds. */
-    membersRetryMilliseconds: 400,
+    /** Name of the object in the platform's store that records the endpoints that all VMs know. */
+    sharedEndpointsRecordName: "shared-endpoints",
+    /**
+     * Time after which an endpoint counts as known to all VMs, in milliseconds: longer than a VM without contact to the
+     * holder verifies primaries by itself, and a record needs to reach the others.
+     */
+    sharedEndpointMilliseconds: 70_000,
+    /** Time between two updates of that object at least, in milliseconds. */
+    sharedEndpointsIntervalMilliseconds: 1_000,
+    /** Pause before a record of the holder is read or written again after a failure, in milliseconds. */
+    recordRetryMilliseconds: 400,
     /** Interval at which a group with absent members is checked, in milliseconds. */
     memberCheckMilliseconds: 500,
     /** Pause between two orders to a superseded primary to step down, in milliseconds. */
--- a/src/promotions/createGroupMembers/index.ts
+++ b/src/promotions/createGroupMembers/index.ts
@@ -8,6 +8,7 @@
 import { comparePositions } from "../../statements/comparePositions/index.js";
 import type { ReplicaStatus } from "../../statements/types/ReplicaStatus.js";
 import { promotionConstants } from "../constants.js";
+import { createHolderRecord } from "../createHolderRecord/index.js";
 import { readEndpointStatus } from "../readEndpointStatus/index.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
 import type { GroupMembers } from "../types/GroupMembers.js";
@@ -15,7 +16,7 @@
 /** Options of `createGroupMembers`. */
 interface GroupMembersOptions {
     readonly clock: Clock;
-    readonly directory: Pick<Directory, "endpointsOf" | "groupSettings">;
+    readonly directory: Pick<Directory, "endpointsOf" | "groupSettings" | "highestVersion">;
     readonly primaries: Pick<Primaries, "primaryOf" | "termOf">;
     readonly records: RecordStore;
     readonly control: Pick<EndpointControl, "runFromAnyVm">;
@@ -42,14 +43,22 @@
  * members.countOf("orders"); // => 3
  */
 export function createGroupMembers(options: GroupMembersOptions): GroupMembers {
-    const { clock, directory, primaries, records, control, log } = options;
-    const { membersRecordName, membersRetryMilliseconds } = promotionConstants;
+    const { clock, directory, primaries, control, log } = options;
     const membersByGroup = new Map<string, Set<string>>();
-    /** Token with which the record was read. */
-    let loadedToken: number | undefined;
-    let isSynchronizing = false;
-    let hasUnsavedChange = false;
-    let retryAt = -Infinity;
+    const record = createHolderRecord({
+        ...options,
+        name: promotionConstants.membersRecordName,
+        schema: recordSchema,
+        empty: { groups: {} },
+        intervalMilliseconds: 0,
+        merge: ({ groups }) =>
+            Object.entries(groups).forEach(([group, members]) =>
+                members.forEach(member => membersOf(group).add(member))
+            ),
+        createContent: () => ({
+            groups: Object.fromEntries([...membersByGroup].map(([group, members]) => [group, [...members].sort()])),
+        }),
+    });
     const checkedAt = new Map<string, number>();
 
     function membersOf(group: string): Set<string> {
@@ -69,10 +78,10 @@
         const present = directory.endpointsOf(group).map(toMember);
         for (const member of present.filter(name => !members.has(name))) {
             members.add(member);
-            hasUnsavedChange = true;
+            record.markChanged();
             log("endpoint counts as a member of its group", { group, member, members: members.size });
         }
-        void synchronize();
+        void record.synchronize();
         const absent = [...members].filter(member => !present.includes(member));
         const isCheckDue =
             clock.now() - (checkedAt.get(group) ?? -Infinity) >= promotionConstants.memberCheckMilliseconds;
@@ -86,51 +95,6 @@
         return directory.groupSettings(group)?.synchronousReplicas ?? 0;
     }
 
-    /** Merges the members with those of the record once for each token, and after each change. */
-    async function synchronize(): Promise<void> {
-        const token = options.heldToken();
-        const isNeeded = token !== undefined && (loadedToken !== token || hasUnsavedChange);
-        if (!isNeeded || isSynchronizing || clock.now() < retryAt) {
-            return;
-        }
-        isSynchronizing = true;
-        try {
-            await mergeWithRecord();
-            loadedToken = token;
-        }
-        catch (error) {
-            retryAt = clock.now() + membersRetryMilliseconds;
-            log("members of the groups were not synchronized with the store; retrying", {
-                reason: (error as Error).message,
-            });
-        }
-        isSynchronizing = false;
-    }
-
-    async function mergeWithRecord(): Promise<void> {
-        const record = await records.read(membersRecordName);
-        const known = recordSchema.safeParse(record?.content).data?.groups ?? {};
-        if (loadedToken !== options.heldToken()) {
-            for (const [group, members] of Object.entries(known)) {
-                members.forEach(member => membersOf(group).add(member));
-            }
-        }
-        const groups = Object.fromEntries([...membersByGroup].map(([group, members]) => [group, [...members].sort()]));
-        hasUnsavedChange = false;
-        if (JSON.stringify(groups) === JSON.stringify(known)) {
-            return;
-        }
-        try {
-            await (record === undefined
-                ? records.create(membersRecordName, { groups })
-                : records.replace(membersRecordName, { groups }, record.revision));
-        }
-        catch (error) {
-            hasUnsavedChange = true;
-            throw error;
-        }
-    }
-
     /** Removes absent members once enough others have received all that the primary has. */
     async function removeCovered(group: string, absent: readonly string[]): Promise<void> {
         const primary = primaries.primaryOf(group);
@@ -147,7 +111,7 @@
             return;
         }
         absent.forEach(member => membersOf(group).delete(member));
-        hasUnsavedChange = true;
+        record.markChanged();
         log("absent members are no longer needed: others have received all of their commits", {
             group,
             absent,
@@ -162,10 +126,7 @@
 
     return {
         update,
-        countOf: group => {
-            const isLoaded = loadedToken !== undefined && loadedToken === options.heldToken();
-            return isLoaded ? membersOf(group).size : undefined;
-        },
+        countOf: group => record.isLoaded() ? membersOf(group).size : undefined,
     };
 }
 
