--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -35,6 +35,10 @@
     timeoutMilliseconds: number,
     services: SessionServices,
 ): Promise<Attempt> {
+    if (isUnverifiable(connection, services)) {
+        const outcome = createFailure(FailureCode.Busy, "whether the endpoint is the primary cannot be verified");
+        return { kind: AttemptKind.Final, outcome };
+    }
     if (!await mayWrite(callerStatement, connection, services)) {
         const outcome = createFailure(FailureCode.Busy, "the endpoint could not be verified as the primary");
         return { kind: AttemptKind.Retryable, outcome };
@@ -79,6 +83,14 @@
     }
 }
 
+/** Whether the answer of a known primary could not be relied on, whatever it is. */
+function isUnverifiable(
+    { isPrimary, endpoint }: EligibleConnection["connection"],
+    { verification }: SessionServices,
+): boolean {
+    return isPrimary && !verification.isVerified(endpoint) && !verification.canVerify(endpoint);
+}
+
 /** Writes go to a verified primary only: at a superseded one their outcome would stay unknown. */
 async function mayWrite(
     { mode }: CallerStatement,
--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -24,6 +24,7 @@
         verification: {
             isVerified: () => false,
             wasVerified: () => false,
+            canVerify: () => true,
             verify: async () => remainingResults.shift() ?? false,
         },
     });
@@ -139,4 +140,15 @@
             assert.equal(attempt.kind === AttemptKind.Retryable ? attempt.hadNoSlot : undefined, hadNoSlot);
         }
     });
+
+    it("refuses a statement at once, as not run, when no query could verify the primary", async () => {
+        for (const mode of [AccessMode.Read, AccessMode.Write]) {
+            const { run, services, exchanges } = createAttempt(mode, [true, true], {});
+            services.verification.canVerify = () => false;
+            const attempt = await run();
+            assert.equal(attempt.kind, AttemptKind.Final);
+            assert.equal(attempt.outcome.failure?.code, FailureCode.Busy);
+            assert.equal(exchanges(), 0);
+        }
+    });
 });
--- a/src/callerSessions/recordAnswer/test.ts
+++ b/src/callerSessions/recordAnswer/test.ts
@@ -17,6 +17,7 @@
     const verification = {
         isVerified: () => isVerified,
         wasVerified: () => isVerified,
+        canVerify: () => true,
         verify: async () => isVerified,
     };
     const services = createSessionServices(createManualClock(), [endpoint], { verification });
--- a/src/directory/createDirectory/index.ts
+++ b/src/directory/createDirectory/index.ts
@@ -37,6 +37,8 @@
     const missingSince = new Map<string, number>();
     /** Last records of removed endpoints, so that older data from another VM or of a copy does not add them again. */
     const removedRecords = new Map<string, EndpointRecord>();
+    /** Groups of the removed endpoints that had not left, and when they were removed. */
+    const lostEndpoints = new Map<string, { readonly group: string; readonly removedAt: number; }>();
     /** Versions of the store at which records were missing, to be sent to other VMs; the newest last. */
     const removals = new Map<string, StoreVersion>();
     let highestVersion: StoreVersion = noVersion;
@@ -106,6 +108,7 @@
             return;
         }
         missingSince.delete(record.id);
+        lostEndpoints.delete(record.id);
         endpoints.set(record.id, record);
         changed.add(record.group);
         const { id, group, isLeaving, isPrimary, startedAt, reportNumber, era, revision } = record;
@@ -193,10 +196,19 @@
         missingSince.delete(record.id);
         endpoints.delete(record.id);
         removedRecords.set(record.id, record);
+        if (!record.isLeaving) {
+            lostEndpoints.set(record.id, { group: record.group, removedAt: clock.now() });
+        }
         changed.add(record.group);
         log("endpoint removed", { endpoint: record.id, group: record.group });
     }
 
+    function lostEndpointsOf(group: string, sinceMilliseconds: number): readonly string[] {
+        return [...lostEndpoints]
+            .filter(([, lost]) => lost.group === group && clock.now() - lost.removedAt < sinceMilliseconds)
+            .map(([id]) => id);
+    }
+
     function applyRoutingTable(next: RoutingTable): boolean {
         if (table !== undefined && next.version <= table.version) {
             return false;
@@ -237,6 +249,7 @@
         groupSettings: group => groupsByName.get(group),
         endpoint: id => endpoints.get(id),
         endpointsOf: group => [...endpoints.values()].filter(endpoint => endpoint.group === group),
+        lostEndpointsOf,
         // A record of another writer may name a group that does not exist.
         groups: () => [...new Set([...endpoints.values()].map(({ group }) => group))].filter(isConfigured),
         records: () => [...endpoints.values()],
--- a/src/directory/createDirectory/test.ts
+++ b/src/directory/createDirectory/test.ts
@@ -156,4 +156,18 @@
         const directory = createPopulatedDirectory(createManualClock(), records);
         assert.deepEqual(directory.groups(), ["orders"]);
     });
+
+    it("lists an endpoint that disappeared without leaving as lost, until it registers again", async () => {
+        const clock = createManualClock();
+        const leaving = createEndpointRecord({ id: "i-2", isLeaving: true });
+        const directory = createPopulatedDirectory(clock, [createEndpointRecord(), leaving]);
+        directory.applyEndpoints({ isSnapshot: true, changes: [] });
+        await clock.advance(directoryConstants.missingRecordMilliseconds + directoryConstants.leavingMilliseconds);
+        assert.deepEqual(directory.lostEndpointsOf("orders", 1_000), ["i-1"]);
+        await clock.advance(1_000);
+        assert.deepEqual(directory.lostEndpointsOf("orders", 1_000), []);
+        const item = createEndpointRecord({ revision: 3 });
+        directory.applyEndpoints({ isSnapshot: false, changes: [{ name: "i-1", era: 0, revision: 3, item }] });
+        assert.deepEqual(directory.lostEndpointsOf("orders", 60_000), []);
+    });
 });
--- a/src/directory/types/Directory.ts
+++ b/src/directory/types/Directory.ts
@@ -28,6 +28,8 @@
     endpoint(id: string): EndpointRecord | undefined;
     /** The endpoints of a group, including leaving ones. */
     endpointsOf(group: string): readonly EndpointRecord[];
+    /** Ids of the endpoints of a group that were removed since, in milliseconds, without having left; they may still run. */
+    lostEndpointsOf(group: string, sinceMilliseconds: number): readonly string[];
     groups(): readonly string[];
     /** All endpoints' records, to be sent to another VM. */
     records(): readonly EndpointRecord[];
--- a/src/duty/constants.ts
+++ b/src/duty/constants.ts
@@ -50,6 +50,13 @@
     contactWithAllMilliseconds: 900,
     /** Time without contact after which a VM is no longer listed as alive, in milliseconds. */
     contactTimeoutMilliseconds: 10_000,
+    /**
+     * Time without contact to the holder after which a VM no longer verifies primaries by itself, in milliseconds: the
+     * holder then no longer takes into account which endpoints that VM knows.
+     */
+    longestUnattendedMilliseconds: 60_000,
+    /** Time without a report after which the holder takes a VM for unattended, in milliseconds. */
+    forgottenMilliseconds: 65_000,
     /** Time without contact after which a VM is removed for good, in milliseconds. */
     removalMilliseconds: 60_000,
     /**
--- a/src/duty/createDuty/index.ts
+++ b/src/duty/createDuty/index.ts
@@ -1,3 +1,4 @@
+import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { RecordStore } from "../../directory/types/RecordStore.js";
@@ -13,16 +14,18 @@
 import { createFleetView } from "../createFleetView/index.js";
 import { createGrantedLeases } from "../createGrantedLeases/index.js";
 import { createHandOver } from "../createHandOver/index.js";
+import { createHolderContact } from "../createHolderContact/index.js";
 import { createHolderVerification } from "../createHolderVerification/index.js";
 import { createKnownHolder } from "../createKnownHolder/index.js";
 import { createLease } from "../createLease/index.js";
 import { createRelayedMembers } from "../createRelayedMembers/index.js";
 import { createRenewalExchange } from "../createRenewalExchange/index.js";
+import { createReportedVersions } from "../createReportedVersions/index.js";
 import { createTakeover } from "../createTakeover/index.js";
 import { createVmList } from "../createVmList/index.js";
 import { findAnsweredHolder } from "../findAnsweredHolder/index.js";
 import { readOrCreateRecord } from "../readOrCreateRecord/index.js";
-import { toDutyHolder } from "../toDutyHolder/index.js";
+import { readRecordedHolder } from "../readRecordedHolder/index.js";
 import type { Announcement } from "../types/Announcement.js";
 import type { Duty } from "../types/Duty.js";
 import type { DutyHolder } from "../types/DutyHolder.js";
@@ -76,14 +79,18 @@
     const vms = createVmList(clock);
     const view = createFleetView(self, vms);
     const announcements = createAnnouncements(options.onAnnouncement, log);
-    const exchange = createRenewalExchange({ ...options, vms, members: createRelayedMembers(clock), announcements });
+    const reports = createReportedVersions(clock);
+    const members = createRelayedMembers(clock);
+    const exchange = createRenewalExchange({ ...options, vms, members, reports, announcements });
     const attemptTakeover = createTakeover({ ...options, view, signal: end.signal });
     const known = createKnownHolder(self, handleNewHolder, log);
     const { heldToken } = known;
     const grantedLeases = createGrantedLeases(clock, options.quotas?.startGranting);
-    const lease = createLease(clock);
+    const lease = createLease(log);
+    const contact = createHolderContact();
     const verification = createHolderVerification({
         ...options,
+        contact,
         vms,
         view,
         heldToken,
@@ -115,6 +122,7 @@
         if (predecessor !== Predecessor.None && !hasStayed) {
             grantedLeases.startHolding(predecessor);
             verification.startHolding();
+            reports.startHolding();
         }
     }
 
@@ -193,19 +201,19 @@
 
     async function renew(target: VmIdentity): Promise<void> {
         const sentAt = clock.now();
+        const sinceSent = startElapsedTimer(clock);
         try {
-            lease.prepare();
             const renewal = createRenewal(target);
             const answer = await options.peerOf(target).renew(renewal);
             known.apply(findAnsweredHolder(known.holder()!, target, answer));
             answeredAt = sentAt;
             failedRenewals = 0;
             exchange.applyAnswer(renewal, answer, sentAt);
-            if (answer.isHolder) {
-                holderContactAt = sentAt;
-            }
-            if (answer.isHolder && answer.isCertain && renewal.isHost) {
-                startLease(target, renewal);
+            contact.record(answer.holderAgeMilliseconds, sinceSent);
+            holderContactAt = answer.isHolder ? sentAt : holderContactAt;
+            const { isHost, announcementSequence } = renewal;
+            if (answer.isHolder && answer.isCertain && isHost) {
+                lease.grant(sinceSent, { holder: target.name, token: known.holder()?.token, announcementSequence });
             }
         }
         catch (error) {
@@ -216,14 +224,6 @@
         }
     }
 
-    /** Starts the lease that the holder granted; a log line reports a lease after a time without one. */
-    function startLease({ name }: VmIdentity, { announcementSequence }: Renewal): void {
-        if (!lease.isHeld()) {
-            log("lease obtained", { holder: name, token: known.holder()?.token, announcementSequence });
-        }
-        lease.grant();
-    }
-
     function createRenewal(target: VmIdentity): Renewal {
         return exchange.createRenewal(target, {
             isHost: isHost(),
@@ -249,11 +249,12 @@
 
     function answerRenewal(renewal: Renewal): RenewalAnswer {
         const isHolder = heldToken() !== undefined;
-        const state = { isHolder, isCertain: isCertain(), isOnly: verification.isCertain(), holder: known.holder() };
+        const certainty = { isCertain: isCertain(), isOnly: verification.isCertain() };
         if (isHolder) {
-            grantedLeases.recordContact(renewal.vm, state.isCertain && renewal.isHost);
+            grantedLeases.recordContact(renewal.vm, certainty.isCertain && renewal.isHost);
         }
-        return exchange.answer(renewal, state);
+        const holderAgeMilliseconds = contact.ageMilliseconds();
+        return exchange.answer(renewal, { ...certainty, isHolder, holder: known.holder(), holderAgeMilliseconds });
     }
 
     /** Whether this VM may grant leases: no other VM can have become the holder, and the primaries are known. */
@@ -262,9 +263,8 @@
     }
 
     function hasHolderContact(token: number): boolean {
-        return known.holder()?.token === token
-            && failedRenewals === 0
-            && clock.now() - holderContactAt < dutyConstants.holderContactMilliseconds;
+        const isRecent = clock.now() - holderContactAt < dutyConstants.holderContactMilliseconds;
+        return known.holder()?.token === token && failedRenewals === 0 && isRecent;
     }
 
     return {
@@ -276,14 +276,13 @@
         isInContact: () => heldToken() !== undefined || failedRenewals === 0 && answeredAt > startedAt,
         isCertainHolder: verification.isCertain,
         hasLease: () => heldToken() === undefined ? lease.isHeld() : isCertain(),
+        holderAgeMilliseconds: contact.ageMilliseconds,
+        findCommonVersion: () => reports.findCommonVersion(options.directory.highestVersion()),
         isGranting: grantedLeases.isGranting,
         startGranting: grantedLeases.startGranting,
         ...delivery,
         answerRenewal,
-        readHolder: async () => {
-            const record = await records.read(dutyConstants.recordName);
-            return record && toDutyHolder(record);
-        },
+        readHolder: () => readRecordedHolder(records),
         hasHolderContact,
         applyHolder: holder => known.apply(holder),
         applyAnnouncement: announcements.apply,
--- a/src/duty/createHolderVerification/index.ts
+++ b/src/duty/createHolderVerification/index.ts
@@ -3,9 +3,10 @@
 import type { RecordStore } from "../../directory/types/RecordStore.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { dutyConstants } from "../constants.js";
-import { toDutyHolder } from "../toDutyHolder/index.js";
+import { readRecordedHolder } from "../readRecordedHolder/index.js";
 import type { DutyHolder } from "../types/DutyHolder.js";
 import type { FleetView } from "../types/FleetView.js";
+import type { HolderContact } from "../types/HolderContact.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
 import type { VmList } from "../types/VmList.js";
 import type { VmPeer } from "../types/VmPeer.js";
@@ -19,6 +20,8 @@
     readonly vms: Pick<VmList, "isHolderInContactWithAll" | "lastContactAt">;
     readonly view: Pick<FleetView, "hostVms">;
     readonly peerOf: (vm: VmIdentity) => VmPeer;
+    /** Records each successful verification. */
+    readonly contact: Pick<HolderContact, "record">;
     /** Token of this VM while it is the holder. */
     readonly heldToken: () => number | undefined;
     /** Applies the holder that the store records. */
@@ -72,9 +75,9 @@
 
     async function readOwn(): Promise<DutyHolder | undefined> {
         try {
-            const record = await options.records.read(dutyConstants.recordName);
+            const holder = await readRecordedHolder(options.records);
             isStoreAnswering = true;
-            return record && toDutyHolder(record);
+            return holder;
         }
         catch (error) {
             isStoreAnswering = false;
@@ -113,7 +116,7 @@
                 isInContactWithAll: hasContact,
                 reason: (error as Error).message,
             });
-            return hasContact ? heldToken() : undefined;
+            return hasContact ? confirm(heldToken(), sinceRequest) : undefined;
         }
         if (holder === undefined) {
             log("record of the holder is missing from the store", { token: heldToken() });
@@ -128,7 +131,13 @@
         }
         verifiedAt = requestedAt;
         sinceVerification = sinceRequest;
-        return holder.token;
+        return confirm(holder.token, sinceRequest);
+    }
+
+    /** Records that this VM is still the holder, and returns the token. */
+    function confirm(token: number | undefined, sinceRequest: () => number): number | undefined {
+        options.contact.record(0, sinceRequest);
+        return token;
     }
 
     function isCertain(): boolean {
--- a/src/duty/createHolderVerification/test.ts
+++ b/src/duty/createHolderVerification/test.ts
@@ -21,6 +21,7 @@
                 vms: { isHolderInContactWithAll: () => isInContactWithAll, lastContactAt: () => undefined },
                 view: { hostVms: () => [] },
                 peerOf: () => assert.fail("no other VM is known"),
+                contact: { record: () => {} },
                 heldToken: () => holder.token,
                 applyHolder: () => {},
                 onRecordMissing: () => {},
--- a/src/duty/createLease/index.ts
+++ b/src/duty/createLease/index.ts
@@ -1,41 +1,42 @@
-import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
-import type { Clock } from "../../clock/types/Clock.js";
+import type { LogTopic } from "../../logging/types/LogTopic.js";
 import { dutyConstants } from "../constants.js";
 
 /** Time for which a VM may rely on the primaries announced by the holder. */
 interface Lease {
-    /** Records the time before a renewal is sent. */
-    prepare(): void;
-    /** Grants the lease after the renewal was answered; it starts at the time recorded by `prepare`. */
-    grant(): void;
+    /**
+     * Grants the lease after a renewal was answered; the function returns the time since before it was sent. A log line
+     * with the given fields reports a lease after a time without one.
+     */
+    grant(sinceRenewal: () => number, fields: Parameters<LogTopic>[1]): void;
     isHeld(): boolean;
 }
 
 /**
- * Creates a lease that starts before the renewal is sent, so that delays only shorten it.
+ * Creates a lease that starts before the renewal is sent, so that delays only shorten it. A suspension of the VM counts
+ * if the time since the renewal does.
  *
- * The monotonic clock may stop while the VM is suspended, so the lease must not have expired by the wall clock
- * either. A wall clock that is set forward only ends the lease until the next renewal.
- *
- * @param clock Source of monotonic and wall time.
+ * @param log Receives the line.
  * @returns The lease, not held yet.
  *
  * @example
- * lease.prepare();
+ * const sinceSent = startElapsedTimer(clock);
  * await sendRenewal();
- * lease.grant();
+ * lease.grant(sinceSent, { holder });
  */
-export function createLease(clock: Clock): Lease {
-    let sinceRenewal = (): number => Infinity;
-    let sinceGranted = sinceRenewal;
+export function createLease(log: LogTopic): Lease {
+    let sinceGranted = (): number => Infinity;
+
+    function isHeld(): boolean {
+        return sinceGranted() < dutyConstants.leaseMilliseconds;
+    }
 
     return {
-        prepare: () => {
-            sinceRenewal = startElapsedTimer(clock);
-        },
-        grant: () => {
+        grant: (sinceRenewal, fields) => {
+            if (!isHeld()) {
+                log("lease obtained", fields);
+            }
             sinceGranted = sinceRenewal;
         },
-        isHeld: () => sinceGranted() < dutyConstants.leaseMilliseconds,
+        isHeld,
     };
 }
--- a/src/duty/createLease/test.ts
+++ b/src/duty/createLease/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import { dutyConstants } from "../constants.js";
 import { createLease } from "./index.js";
 
@@ -18,11 +19,11 @@
 describe("createLease", () => {
     it("starts before the renewal is sent", () => {
         const { clock, pass } = createTwoClocks();
-        const lease = createLease(clock);
+        const lease = createLease(() => {});
         assert.equal(lease.isHeld(), false);
-        lease.prepare();
+        const sinceRenewal = startElapsedTimer(clock);
         pass(400);
-        lease.grant();
+        lease.grant(sinceRenewal, {});
         pass(dutyConstants.leaseMilliseconds - 401);
         assert.ok(lease.isHeld());
         pass(1);
@@ -31,9 +32,8 @@
 
     it("ends when the machine was suspended, although the monotonic clock stopped", () => {
         const { clock, times } = createTwoClocks();
-        const lease = createLease(clock);
-        lease.prepare();
-        lease.grant();
+        const lease = createLease(() => {});
+        lease.grant(startElapsedTimer(clock), {});
         times.wall += 3_500;
         assert.equal(lease.isHeld(), false);
     });
--- a/src/duty/createRelayedMembers/index.ts
+++ b/src/duty/createRelayedMembers/index.ts
@@ -1,5 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
+import type { StoreVersion } from "../../directory/types/StoreVersion.js";
 import { dutyConstants } from "../constants.js";
+import { createReportedVersions } from "../createReportedVersions/index.js";
 import type { RelayedMembers } from "../types/RelayedMembers.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
 
@@ -21,15 +23,18 @@
  */
 export function createRelayedMembers(clock: Clock): RelayedMembers {
     const members = new Map<string, Member>();
+    /** Also of members that are silent: they may still rely on an answer of this VM. */
+    const reports = createReportedVersions(clock);
     let version = 0;
     let returnedVersion = 0;
     let confirmed = { token: 0, version: -1 };
 
-    function recordContact(vm: VmIdentity): void {
+    function recordContact(vm: VmIdentity, endpointVersion: StoreVersion): void {
         if (members.get(vm.name)?.vm.incarnation !== vm.incarnation) {
             version += 1;
         }
         members.set(vm.name, { vm, contactAt: clock.now() });
+        reports.record(vm, endpointVersion, undefined);
     }
 
     function remove(name: string): void {
@@ -58,6 +63,7 @@
         recordContact,
         remove,
         listUnreported,
+        findCommonVersion: () => reports.findCommonVersion(),
         confirm: token => {
             confirmed = { token, version: returnedVersion };
         },
--- a/src/duty/createRenewalExchange/index.ts
+++ b/src/duty/createRenewalExchange/index.ts
@@ -14,6 +14,7 @@
 import type { RelayedMembers } from "../types/RelayedMembers.js";
 import type { Renewal } from "../types/Renewal.js";
 import type { RenewalAnswer } from "../types/RenewalAnswer.js";
+import type { ReportedVersions } from "../types/ReportedVersions.js";
 import type { VmIdentity } from "../types/VmIdentity.js";
 import type { VmList } from "../types/VmList.js";
 
@@ -28,6 +29,8 @@
     readonly vms: VmList;
     /** The VMs whose renewals this VM answers as a relay. */
     readonly members: RelayedMembers;
+    /** What VMs reported of their directories while this VM is the holder. */
+    readonly reports: Pick<ReportedVersions, "record">;
     readonly announcements: ReturnType<typeof createAnnouncements>;
     readonly quotas?: QuotaExchange;
     readonly log: LogTopic;
@@ -40,6 +43,7 @@
 type HolderState = Pick<RenewalAnswer, "isHolder" | "isCertain" | "holder"> & {
     /** Whether the VM is the holder, and no other VM can have become it; it may not know the primaries yet. */
     readonly isOnly?: boolean;
+    readonly holderAgeMilliseconds: number | undefined;
 };
 
 /** State of the failover duty that a VM reports in a renewal. */
@@ -72,7 +76,7 @@
  * exchange.applyAnswer(renewal, await peerOf(holder).renew(renewal), sentAt);
  */
 export function createRenewalExchange(options: RenewalExchangeOptions): RenewalExchange {
-    const { clock, self, directory, freshness, vms, members, announcements, quotas } = options;
+    const { clock, self, directory, freshness, vms, members, reports, announcements, quotas } = options;
     /** Versions that the last answering VM reported; only versions are sent before its first answer. */
     let answerer: { readonly incarnation: string; readonly versions: KnownVersions; } | undefined;
     let target: VmIdentity | undefined;
@@ -82,6 +86,7 @@
         target = nextTarget;
         const isKnown = answerer?.incarnation === nextTarget.incarnation;
         const unreported = state.isHost ? members.listUnreported(token) : undefined;
+        const membersVersion = members.findCommonVersion();
         const quotaDemands = quotas?.createDemands();
         return {
             ...createUpdate(isKnown ? answerer!.versions : undefined),
@@ -91,6 +96,7 @@
             vmListVersion: state.isHost && !hasVmsOfAllZones ? dutyConstants.noHolderNumber : vms.version(),
             announcementSequence: announcements.completeSequence(),
             ...unreported === undefined ? {} : { members: unreported },
+            ...membersVersion === undefined ? {} : { membersVersion },
             ...quotaDemands === undefined ? {} : { quotaDemands },
         };
     }
@@ -141,7 +147,7 @@
         hasVmsOfAllZones = renewal.isHost && (hasVmsOfAllZones || vmList?.isSnapshot === true);
     }
 
-    function answer(renewal: Renewal, { isOnly, ...state }: HolderState): RenewalAnswer {
+    function answer(renewal: Renewal, { isOnly, holderAgeMilliseconds, ...state }: HolderState): RenewalAnswer {
         applyDirectoryUpdate(directory, renewal);
         if (renewal.newsAgeMilliseconds !== undefined) {
             freshness.applyAge(renewal.newsAgeMilliseconds + dutyConstants.callTimeoutMilliseconds, clock.now());
@@ -155,6 +161,7 @@
         return {
             ...state,
             ...createUpdate(renewal),
+            ...holderAgeMilliseconds === undefined ? {} : { holderAgeMilliseconds },
             ...vmList === undefined ? {} : { vmList },
             announcements: listAnnouncements(renewal, state),
             ...quotaGrants === undefined ? {} : { quotaGrants },
@@ -168,7 +175,10 @@
     }
 
     /** A relay sends nothing beyond what it has completely: the sender would count an announcement it lacks as known. */
-    function listAnnouncements({ announcementSequence }: Renewal, { isHolder }: HolderState): readonly Announcement[] {
+    function listAnnouncements(
+        { announcementSequence }: Renewal,
+        { isHolder }: Pick<HolderState, "isHolder">,
+    ): readonly Announcement[] {
         const unknown = announcements.listAfter(announcementSequence);
         const limit = announcements.completeSequence();
         return isHolder ? unknown : unknown.filter(({ sequence }) => compareHolderNumbers(sequence, limit) <= 0);
@@ -181,10 +191,11 @@
         }
         if (!isHolder) {
             if (!isLeaving) {
-                members.recordContact(vm);
+                members.recordContact(vm, renewal.endpointVersion);
             }
             return;
         }
+        reports.record(vm, renewal.endpointVersion, renewal.membersVersion);
         vms.recordContact(self, true);
         if (isLeaving) {
             vms.remove(vm.name);
--- a/src/duty/createRenewalExchange/test.ts
+++ b/src/duty/createRenewalExchange/test.ts
@@ -9,11 +9,17 @@
 import { compareHolderNumbers } from "../compareHolderNumbers/index.js";
 import { createAnnouncements } from "../createAnnouncements/index.js";
 import { createRelayedMembers } from "../createRelayedMembers/index.js";
+import { createReportedVersions } from "../createReportedVersions/index.js";
 import { createVmList } from "../createVmList/index.js";
 import { createRenewalExchange } from "./index.js";
 
 const token = 1;
-const state = { isHolder: true, isCertain: true, holder: { ...createVmIdentity("vm-1"), token } };
+const state = {
+    isHolder: true,
+    isCertain: true,
+    holderAgeMilliseconds: 0,
+    holder: { ...createVmIdentity("vm-1"), token },
+};
 
 /** Creates a VM whose directory has some endpoints. */
 function createSide(
@@ -26,6 +32,7 @@
     const freshness = createStoreFreshness(clock);
     const identity = createVmIdentity(name, changes);
     const vms = createVmList(clock);
+    const reports = createReportedVersions(clock);
     const exchange = createRenewalExchange({
         clock,
         self: identity,
@@ -33,10 +40,11 @@
         freshness,
         vms,
         members: createRelayedMembers(clock),
+        reports,
         announcements: createAnnouncements(() => {}, () => {}),
         log: () => {},
     });
-    return { identity, directory, freshness, vms, exchange };
+    return { identity, directory, freshness, vms, reports, exchange };
 }
 
 function createPair() {
@@ -171,4 +179,20 @@
         assert.deepEqual(ordinary.vms.version(), known);
         assert.equal(ordinary.vms.list().length, 3);
     });
+
+    // STALE at a VM that was cut off: the holder took it for granted that each VM knows every endpoint.
+    it("tells the holder up to which version each VM knows the endpoints, also those whose renewals a relay answers", () => {
+        const { clock, holder, member: relay, renew } = createPair();
+        const ordinary = createSide(clock, "vm-4");
+        const commonVersion = () => holder.reports.findCommonVersion()?.revision;
+        renew(relay);
+        const known = commonVersion();
+        assert.ok(known !== undefined);
+        renew(ordinary, relay, false);
+        renew(relay);
+        assert.equal(commonVersion(), 0, "the other VM knew nothing when it sent its renewal");
+        renew(ordinary, relay, false);
+        renew(relay);
+        assert.equal(commonVersion(), known);
+    });
 });
--- a/src/duty/dutySchemas.ts
+++ b/src/duty/dutySchemas.ts
@@ -81,6 +81,7 @@
         vmListVersion: holderNumber,
         announcementSequence: holderNumber,
         members: z.array(vm).optional(),
+        membersVersion: z.object(storeVersion).optional(),
         routingTable: routingTable.optional(),
         endpoints: z.array(endpoint).optional(),
         removals: z.array(z.object({ id: z.string(), ...storeVersion })).optional(),
--- a/src/duty/types/Duty.ts
+++ b/src/duty/types/Duty.ts
@@ -1,3 +1,4 @@
+import type { StoreVersion } from "../../directory/types/StoreVersion.js";
 import type { Announcement } from "./Announcement.js";
 import type { DutyHolder } from "./DutyHolder.js";
 import type { Renewal } from "./Renewal.js";
@@ -27,6 +28,13 @@
     isCertainHolder(): boolean;
     /** Whether this VM may rely on its known primaries: none can have been replaced without an announcement. */
     hasLease(): boolean;
+    /** Time since this VM was last certain to be the holder or in contact with it, in milliseconds; undefined before. */
+    holderAgeMilliseconds(): number | undefined;
+    /**
+     * Version of the store up to which all VMs know the endpoints that may verify a primary without a lease; undefined
+     * while this VM does not know it. Only of use to the holder.
+     */
+    findCommonVersion(): StoreVersion | undefined;
     /** Whether this VM grants leases while it is the holder; a new holder does not before `startGranting`. */
     isGranting(): boolean;
     /** Grants leases from now on: no order of a previous holder can take effect, and each group's primary is known. */
--- a/src/duty/types/Renewal.ts
+++ b/src/duty/types/Renewal.ts
@@ -1,3 +1,4 @@
+import type { StoreVersion } from "../../directory/types/StoreVersion.js";
 import type { QuotaDemands } from "../../quotas/types/QuotaDemands.js";
 import type { DirectoryUpdate } from "./DirectoryUpdate.js";
 import type { HolderNumber } from "./HolderNumber.js";
@@ -18,6 +19,8 @@
     readonly announcementSequence: HolderNumber;
     /** The VMs whose renewals the sender answers; left out when the holder already has this list. */
     readonly members?: readonly VmIdentity[];
+    /** Version of the store up to which all VMs know the endpoints whose renewals the sender answers; left out without any. */
+    readonly membersVersion?: StoreVersion;
     /** What the sender asks of quotas; left out without recent operations of a workspace that has one. */
     readonly quotaDemands?: QuotaDemands;
 }
--- a/src/duty/types/RenewalAnswer.ts
+++ b/src/duty/types/RenewalAnswer.ts
@@ -10,6 +10,11 @@
     readonly isHolder: boolean;
     /** Whether no other VM can have become the holder; only then the requesting VM gets a lease. */
     readonly isCertain: boolean;
+    /**
+     * Time since the answering VM was certain to be the holder or in contact with it, in milliseconds; left out before it
+     * ever was.
+     */
+    readonly holderAgeMilliseconds?: number;
     /** The holder known to the answering VM. */
     readonly holder?: DutyHolder;
     /** Left out when the requesting VM already has this version of the list. */
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock/types/Clock.js";
 import type { Directory } from "../../directory/types/Directory.js";
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import { dutyConstants } from "../../duty/constants.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Metrics } from "../../metrics/types/Metrics.js";
 import { primaryConstants } from "../constants.js";
@@ -15,6 +16,8 @@
     readonly primaries: Primaries;
     /** Whether this VM holds a lease, so that it is notified of each change of primary before it takes effect. */
     readonly hasLease: () => boolean;
+    /** Time since this VM was last in contact with the holder of the failover duty, in milliseconds; undefined before. */
+    readonly holderAgeMilliseconds: () => number | undefined;
     /** Queries an endpoint whether it is the primary; fails when it does not answer. */
     readonly queryRole: (endpointId: string) => Promise<EndpointRole>;
     readonly metrics: Pick<Metrics, "countPrimaryVerification">;
@@ -44,7 +47,10 @@
  * for a successor that this VM does not know, and the others, because one of them may have been promoted while it was
  * out of reach. The log of each also tells whether a newer term has begun.
  *
- * @param options Clock, directory, known primaries, state of the lease, and function that queries endpoints.
+ * The holder of the failover duty makes sure that one of these endpoints knows of each change of primary. It can do so
+ * only for VMs that were in contact with it not too long ago, and for endpoints that such a VM has not lost since.
+ *
+ * @param options Clock, directory, known primaries, lease and contact, and function that queries endpoints.
  * @returns The verification.
  *
  * @example
@@ -71,13 +77,18 @@
 
     /** Logs why a primary is relied on, when this differs from the last time. */
     function logReliance({ id, group }: EndpointRecord, reason: RelianceReason): void {
-        const reliance = `${id} ${reason}`;
-        if (loggedReliance.get(group) !== reliance) {
-            loggedReliance.set(group, reliance);
+        if (isNews(group, `${id} ${reason}`)) {
             log("primary is relied on", { group, endpoint: id, reason, observedTerm: primaries.termOf(group) });
         }
     }
 
+    /** Whether something else was logged last about the primary of a group. */
+    function isNews(group: string, reliance: string): boolean {
+        const isOther = loggedReliance.get(group) !== reliance;
+        loggedReliance.set(group, reliance);
+        return isOther;
+    }
+
     function pendingOf({ id }: EndpointRecord): PendingVerifications {
         let pending = pendingByEndpoint.get(id);
         if (pending === undefined) {
@@ -127,6 +138,22 @@
         }
     }
 
+    function canVerify({ id, group }: EndpointRecord): boolean {
+        const holderAgeMilliseconds = Math.round(options.holderAgeMilliseconds() ?? 0);
+        const lostEndpoints = directory.lostEndpointsOf(group, dutyConstants.longestUnattendedMilliseconds);
+        const isComplete = holderAgeMilliseconds < dutyConstants.longestUnattendedMilliseconds
+            && lostEndpoints.length === 0;
+        if (!isComplete && isNews(group, `${id} is not verified`)) {
+            log("primary cannot be verified: this VM may lack an endpoint", {
+                group,
+                endpoint: id,
+                holderAgeMilliseconds,
+                lostEndpoints,
+            });
+        }
+        return isComplete;
+    }
+
     /** Queries all endpoints of a group; returns whether the given one is the primary and no other can be. */
     async function queryGroup(endpoint: EndpointRecord): Promise<boolean> {
         const others = directory.endpointsOf(endpoint.group).filter(other => other.id !== endpoint.id);
@@ -134,8 +161,9 @@
         if (isPrimary === false) {
             primaries.recordNotPrimary(endpoint);
         }
-        const isOnlyPrimary = isPrimary === true
-            && others.length > 0 && answers.every(isOtherPrimary => isOtherPrimary === false)
+        const isOnlyPrimary = canVerify(endpoint) && options.holderAgeMilliseconds() !== undefined
+            && isPrimary === true
+            && answers.every(isOtherPrimary => isOtherPrimary === false)
             && !primaries.isSuperseded(endpoint);
         options.metrics.countPrimaryVerification(isOnlyPrimary);
         if (isOnlyPrimary) {
@@ -153,5 +181,5 @@
         return isOnlyPrimary;
     }
 
-    return { isVerified, wasVerified, verify };
+    return { isVerified, wasVerified, canVerify, verify };
 }
--- a/src/primaries/createPrimaryVerification/test.ts
+++ b/src/primaries/createPrimaryVerification/test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { directoryConstants } from "../../directory/constants.js";
+import { dutyConstants } from "../../duty/constants.js";
 import { createEndpointRecord } from "../../testing/createEndpointRecord/index.js";
 import { createManualClock } from "../../testing/createManualClock/index.js";
 import { createPopulatedDirectory } from "../../testing/createPopulatedDirectory/index.js";
@@ -19,18 +21,23 @@
     const replicas = ["i-2", "i-3"].map(id => createEndpointRecord({ id }));
     const directory = createPopulatedDirectory(clock, [primary, ...replicas]);
     const primaries = createPrimaries(clock, directory, () => {});
-    const state = { hasLease: true, primaryRole: async (): Promise<EndpointRole> => ({ isPrimary: true }) };
+    const state = {
+        hasLease: true,
+        holderAgeMilliseconds: 0 as number | undefined,
+        primaryRole: async (): Promise<EndpointRole> => ({ isPrimary: true }),
+    };
     const verification = createPrimaryVerification({
         clock,
         directory,
         primaries,
         hasLease: () => state.hasLease,
+        holderAgeMilliseconds: () => state.holderAgeMilliseconds,
         queryRole: async id =>
             id === primary.id ? await state.primaryRole() : { isPrimary: await queryIsPrimary(id), position },
         metrics: { countPrimaryVerification: () => {} },
         log: () => {},
     });
-    return { clock, state, primaries, verification };
+    return { clock, state, directory, primaries, verification };
 }
 
 describe("createPrimaryVerification", () => {
@@ -156,4 +163,40 @@
             assert.equal(verification.isVerified(primary), false);
         }
     });
+
+    it("verifies no primary while an endpoint may be missing: after long without the holder, or after a loss", async () => {
+        const { clock, state, directory, verification } = createSite(async () => false);
+        state.holderAgeMilliseconds = undefined;
+        assert.ok(verification.canVerify(primary), "the VM may hear of the holder at any moment");
+        assert.equal(await verification.verify(primary), false);
+        state.holderAgeMilliseconds = dutyConstants.longestUnattendedMilliseconds;
+        assert.equal(verification.canVerify(primary), false);
+        assert.equal(await verification.verify(primary), false);
+        state.holderAgeMilliseconds -= 1;
+        assert.equal(await verification.verify(primary), true);
+        const { era, revision } = directory.endpoint("i-3")!;
+        const removal = { name: "i-3", era, revision: revision + 1, item: undefined };
+        directory.applyEndpoints({ isSnapshot: false, changes: [removal] });
+        await clock.advance(directoryConstants.missingRecordMilliseconds + directoryConstants.leavingMilliseconds);
+        assert.equal(await verification.verify(primary), false);
+        await clock.advance(dutyConstants.longestUnattendedMilliseconds);
+        assert.equal(await verification.verify(primary), true);
+    });
+
+    it("verifies the only endpoint of a group by its own answer", async () => {
+        const { directory, verification } = createSite(() => assert.fail("there is no other endpoint"));
+        for (const id of ["i-2", "i-3"]) {
+            const leaving = { ...directory.endpoint(id)!, isLeaving: true, revision: 8 };
+            directory.applyEndpoints({
+                isSnapshot: false,
+                changes: [{ name: id, era: 0, revision: 8, item: leaving }, {
+                    name: id,
+                    era: 0,
+                    revision: 9,
+                    item: undefined,
+                }],
+            });
+        }
+        assert.equal(await verification.verify(primary), true);
+    });
 });
--- a/src/promotions/chooseSuccessor/test.ts
+++ b/src/promotions/chooseSuccessor/test.ts
@@ -22,7 +22,13 @@
 }
 
 describe("chooseSuccessor", () => {
-    const options = { replicas: 2, synchronousReplicas: 0, preferredRegion: "north", regionsByZone };
+    const options = {
+        replicas: 2,
+        synchronousReplicas: 0,
+        preferredRegion: "north",
+        regionsByZone,
+        isEligible: () => true,
+    };
 
     it("chooses the candidate with the highest log position, whatever its region", () => {
         const chosen = chooseSuccessor([createCandidate("x", "a", 10), createCandidate("y", "c", 11)], options);
@@ -47,4 +53,15 @@
         assert.equal(chooseSuccessor([], options), undefined);
         assert.equal(chooseSuccessor(candidates, options)?.endpoint.id, "x");
     });
+
+    it("chooses an eligible candidate, with synchronous replicas only one with the whole log", () => {
+        const isEligible = ({ endpoint: { id } }: CandidateStatus): boolean => id !== "new";
+        const candidates = [createCandidate("new", "a", 11), createCandidate("x", "a", 10)];
+        const chosen = chooseSuccessor(candidates, { ...options, isEligible });
+        assert.equal(chosen?.endpoint.id, "x");
+        const synchronous = { ...options, isEligible, synchronousReplicas: 1 };
+        assert.equal(chooseSuccessor(candidates, synchronous), undefined);
+        const equalCandidates = [createCandidate("new", "a", 11), createCandidate("x", "a", 11)];
+        assert.equal(chooseSuccessor(equalCandidates, synchronous)?.endpoint.id, "x");
+    });
 });
--- a/src/promotions/createPrimaryChange/index.ts
+++ b/src/promotions/createPrimaryChange/index.ts
@@ -19,6 +19,7 @@
 import type { EndpointControl } from "../types/EndpointControl.js";
 import type { GroupMembers } from "../types/GroupMembers.js";
 import type { PromotionOrders } from "../types/PromotionOrders.js";
+import type { SharedEndpoints } from "../types/SharedEndpoints.js";
 import { waitForPromotion } from "../waitForPromotion/index.js";
 
 /** Options of `createPrimaryChange`. */
@@ -32,6 +33,7 @@
     readonly vmName: string;
     readonly regionsByZone: Readonly<Record<string, string>>;
     readonly members: Pick<GroupMembers, "countOf">;
+    readonly sharedEndpoints: Pick<SharedEndpoints, "isKnownToAll">;
     /** The primaries known to this VM. */
     readonly primaries: Pick<Primaries, "isChangeUnfinished" | "isOnNewestBranch" | "recordPosition" | "termOf">;
     /** Ends background tasks. */
--- a/src/promotions/createPromotionCoordinator/index.ts
+++ b/src/promotions/createPromotionCoordinator/index.ts
@@ -14,6 +14,7 @@
 import type { GroupMembers } from "../types/GroupMembers.js";
 import { PrimaryDecision } from "../types/PrimaryDecision.js";
 import type { PromotionCoordinator } from "../types/PromotionCoordinator.js";
+import type { SharedEndpoints } from "../types/SharedEndpoints.js";
 
 /** Options of `createPromotionCoordinator`. */
 interface PromotionCoordinatorOptions {
@@ -32,6 +33,7 @@
     /** Decides which endpoint is the primary when several claim to be it, or when the end of a change is unknown. */
     readonly decidePrimary: (group: string) => Promise<PrimaryDecision>;
     readonly members: Pick<GroupMembers, "update">;
+    readonly sharedEndpoints: Pick<SharedEndpoints, "update">;
     readonly metrics: Pick<Metrics, "countPrimaryChange">;
     readonly log: LogTopic;
 }
@@ -90,6 +92,7 @@
     /** Checks all groups. A new holder lets leases vouch for the primaries once it has announced each of them. */
     function checkGroups(): void {
         const groups = directory.groups();
+        options.sharedEndpoints.update();
         groups.forEach(group => void checkGroup(group));
         if (!hasConfirmedAll && groups.length > 0 && groups.every(group => watchOf(group).isConfirmed)) {
             hasConfirmedAll = true;
--- a/src/promotions/createSuccessorSearch/index.ts
+++ b/src/promotions/createSuccessorSearch/index.ts
@@ -12,6 +12,7 @@
 import type { CandidateStatus } from "../types/CandidateStatus.js";
 import type { EndpointControl } from "../types/EndpointControl.js";
 import type { GroupMembers } from "../types/GroupMembers.js";
+import type { SharedEndpoints } from "../types/SharedEndpoints.js";
 import type { SuccessorSearch } from "../types/SuccessorSearch.js";
 
 /** Options of `createSuccessorSearch`. */
@@ -21,6 +22,7 @@
     readonly control: Pick<EndpointControl, "runFromAnyVm">;
     readonly regionsByZone: Readonly<Record<string, string>>;
     readonly members: Pick<GroupMembers, "countOf">;
+    readonly sharedEndpoints: Pick<SharedEndpoints, "isKnownToAll">;
     readonly primaries: Pick<Primaries, "isOnNewestBranch" | "termOf">;
     readonly log: LogTopic;
 }
@@ -42,14 +44,18 @@
  * the primary of the term dropped. While only such logs can be promoted, the search fails, so that an endpoint with the
  * newest log may come back; after a bounded time it takes what there is.
  *
- * @param options Clock, endpoints, their members, and the known terms.
+ * A VM without a lease queries the endpoints that it knows before it relies on a primary. One of them has to tell it of
+ * the change: the former primary, if it has stepped down, or else the successor, which all VMs then have to know. An
+ * endpoint that leads already in the newest term may always be promoted.
+ *
+ * @param options Clock, endpoints, their members, which of them all VMs know, and the known terms.
  * @returns The search.
  *
  * @example
  * const { endpoint, status } = await successors.find({ group: "orders", currentPrimary, logEnd });
  */
 export function createSuccessorSearch(options: SuccessorSearchOptions): SuccessorSearch {
-    const { clock, directory, control, members, primaries, log } = options;
+    const { clock, directory, control, members, sharedEndpoints, primaries, log } = options;
     const waits = new Map<string, NewestLogWait>();
 
     async function require({ group, currentPrimary }: Omit<SearchParameters, "logEnd">): Promise<void> {
@@ -63,10 +69,18 @@
         }
         const candidates = (await Promise.all(queries)).filter(candidate => candidate !== undefined);
         if (candidates.length > 0) {
+            assertAnyIsKnown(group, candidates);
             assertWaitIsOver(group, candidates);
         }
     }
 
+    /** Fails while no candidate is known to all VMs: the change would begin, and find no successor. */
+    function assertAnyIsKnown(group: string, candidates: readonly CandidateStatus[]): void {
+        if (!candidates.some(candidate => isEligible(group, candidate))) {
+            failWithoutCandidate(group, candidates);
+        }
+    }
+
     /** A primary that answers can step down and tell the end of its log. */
     async function isAnsweringPrimary(endpoint: EndpointRecord): Promise<boolean> {
         return (await queryStatus(endpoint))?.status.isPrimary === true;
@@ -83,7 +97,17 @@
     }
 
     function maySucceed(group: string, candidate: CandidateStatus | undefined): boolean {
-        return candidate !== undefined && primaries.isOnNewestBranch(group, candidate.status.received);
+        return candidate !== undefined && isEligible(group, candidate) && isOnNewestBranch(group, candidate);
+    }
+
+    /** Whether every VM that may verify a primary without a lease would learn from a candidate that it was promoted. */
+    function isEligible(group: string, { endpoint, status }: CandidateStatus): boolean {
+        const isNewestPrimary = status.isPrimary && status.term >= primaries.termOf(group);
+        return isNewestPrimary || sharedEndpoints.isKnownToAll(endpoint);
+    }
+
+    function isOnNewestBranch(group: string, { status }: CandidateStatus): boolean {
+        return primaries.isOnNewestBranch(group, status.received);
     }
 
     /** Fails, as none of the candidates may succeed, unless the group has waited long enough. */
@@ -124,12 +148,12 @@
         const deadline = clock.now() + promotionConstants.catchUpMilliseconds;
         for (;;) {
             const candidates = await queryCandidates(search);
-            const best = chooseBest(search, candidates.filter(candidate => maySucceed(group, candidate)));
+            const best = chooseBest(search, candidates.filter(candidate => isOnNewestBranch(group, candidate)));
             if (best !== undefined && holdsWholeLog(best, search)) {
                 return best;
             }
             if (clock.now() >= deadline) {
-                const substitute = best ?? chooseBest(search, candidates) ?? failWithoutCandidate(group);
+                const substitute = best ?? chooseBest(search, candidates) ?? failWithoutCandidate(group, candidates);
                 if (best === undefined && logEnd === undefined) {
                     assertWaitIsOver(group, candidates);
                 }
@@ -143,14 +167,24 @@
         return logEnd === undefined || comparePositions(status.received, logEnd) >= 0;
     }
 
-    function failWithoutCandidate(group: string): never {
+    function failWithoutCandidate(group: string, candidates: readonly CandidateStatus[]): never {
+        const unknownIds = candidates
+            .filter(candidate => !isEligible(group, candidate))
+            .map(({ endpoint }) => endpoint.id)
+            .join(", ");
         throw createError(ErrorKind.Unreachable, `No endpoint of ${group} can be promoted.`, {
             remedy: "Start another endpoint of the group; with synchronous replicas, wait for those that may hold "
-                + "acknowledged commits, or accept their loss by a configuration without synchronous replicas.",
-            details: { group, members: members.countOf(group) },
+                + "acknowledged commits, or accept their loss by a configuration without synchronous replicas. An "
+                + "endpoint that a VM may not know yet is promoted once the former primary has stepped down, or later.",
+            details: { group, members: members.countOf(group), unknownIds },
         });
     }
 
+    /** Whether the former primary tells everyone who asks that it stepped down, and that its term was the newest. */
+    function hasStepDownEvidence({ group, logEnd }: SearchParameters): boolean {
+        return logEnd !== undefined && logEnd.term >= primaries.termOf(group);
+    }
+
     function listCandidates(group: string, currentPrimary: EndpointRecord | undefined): readonly EndpointRecord[] {
         return directory.endpointsOf(group).filter(({ id, isLeaving }) => id !== currentPrimary?.id && !isLeaving);
     }
@@ -161,14 +195,16 @@
     }
 
     function chooseBest(
-        { group, currentPrimary }: SearchParameters,
+        search: SearchParameters,
         candidates: readonly CandidateStatus[],
     ): CandidateStatus | undefined {
+        const { group, currentPrimary } = search;
         return chooseSuccessor(candidates, {
             replicas: (members.countOf(group) ?? Infinity) - 1,
             synchronousReplicas: directory.groupSettings(group)?.synchronousReplicas ?? 0,
             preferredRegion: currentPrimary && options.regionsByZone[currentPrimary.address.availabilityZone],
             regionsByZone: options.regionsByZone,
+            isEligible: candidate => hasStepDownEvidence(search) || isEligible(group, candidate),
         });
     }
 
--- a/src/promotions/createSuccessorSearch/test.ts
+++ b/src/promotions/createSuccessorSearch/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
 import { AnnouncementPhase } from "../../duty/types/AnnouncementPhase.js";
 import { createPromotionSite } from "../../testing/createPromotionSite/index.js";
 import { promotionConstants } from "../constants.js";
@@ -26,6 +27,13 @@
     await change;
 }
 
+/** Attempts a change that waits for the current primary, or for the promotion to take effect. */
+async function attemptLongChange(site: Site, reason: ChangeReason, primary?: EndpointRecord): Promise<void> {
+    const change = site.changePrimary(site.group, primary, reason).catch(() => {});
+    await site.clock.advance(promotionConstants.promotionTimeoutMilliseconds);
+    await change;
+}
+
 /** Attempts the change again and again, as the holder does. */
 async function attemptChangeFor(site: Site, milliseconds: number): Promise<void> {
     const deadline = site.clock.now() + milliseconds;
@@ -105,4 +113,38 @@
         assert.deepEqual(site.orderedIds, ["i-3"]);
         assert.deepEqual(site.phases(), [AnnouncementPhase.Begun, AnnouncementPhase.Finished]);
     });
+
+    // STALE and ONE at a VM that was cut off, which knew neither the new endpoint nor that the primary was replaced.
+    it("promotes no endpoint that a VM may not know in place of a primary that has not stepped down", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        site.unreachableIds.add("i-1").add("i-2");
+        site.unknownIds.add("i-3");
+        await attemptChange(site);
+        assert.deepEqual(site.phases(), [], "the change does not even begin");
+        site.unreachableIds.delete("i-2");
+        site.endpoints.set("i-3", { isPrimary: false, term: 1, entry: 8 });
+        await attemptChange(site);
+        assert.deepEqual(site.orderedIds, ["i-2"], "it has a shorter log, and all VMs know it");
+    });
+
+    it("promotes an endpoint that a VM may not know once the primary has stepped down in the newest term", async () => {
+        const site = createPromotionSite({ promote: async (_id, makePrimary) => makePrimary() });
+        site.unknownIds.add("i-2").add("i-3");
+        site.primaries.finishChange(site.group, "i-1", 2);
+        await attemptLongChange(site, ChangeReason.Leaving, site.primary());
+        assert.deepEqual(site.orderedIds, [], "no log shows the term of the primary that stepped down");
+        site.endpoints.set("i-1", { isPrimary: true, term: 2 });
+        site.endpoints.set("i-2", { isPrimary: false, term: 2 });
+        await attemptLongChange(site, ChangeReason.Leaving, site.primary());
+        assert.deepEqual(site.orderedIds, ["i-2"]);
+    });
+
+    it("promotes an endpoint that leads already, whoever knows it", async () => {
+        const site = createPromotionSite({ promote: async () => {} });
+        site.unreachableIds.add("i-1").add("i-3");
+        site.unknownIds.add("i-2");
+        site.endpoints.set("i-2", { isPrimary: true, term: 2 });
+        await attemptLongChange(site, ChangeReason.Undecided);
+        assert.deepEqual(site.orderedIds, ["i-2"]);
+    });
 });
--- a/src/testing/createPrimaryFleet/index.ts
+++ b/src/testing/createPrimaryFleet/index.ts
@@ -19,6 +19,8 @@
     /** Number of availability zones. */
     readonly zoneCount?: number;
     readonly groups?: readonly string[];
+    /** Number of endpoints of each group that do not run at the start. */
+    readonly sparesPerGroup?: number;
     readonly seed?: number;
     /** Whether callers write through a VM at the moment; when left out, they always do. */
     readonly hasCallers?: (vmName: string) => boolean;
@@ -45,6 +47,7 @@
         vmCount = 5,
         zoneCount = 2,
         groups = ["orders", "stock"],
+        sparesPerGroup = 0,
         seed = 1,
         hasCallers = () => true,
         log = () => {},
@@ -59,7 +62,7 @@
 
     const network = createSimulatedNetwork(clock, random);
     const store = createSimulatedStore(clock);
-    const endpoints = createSimulatedEndpoints({ clock, network, store, groups, zones, history });
+    const endpoints = createSimulatedEndpoints({ clock, network, store, groups, zones, history, sparesPerGroup });
     const environment: SimulatedEnvironment = {
         clock,
         network,
--- a/src/testing/createPromotionSite/index.ts
+++ b/src/testing/createPromotionSite/index.ts
@@ -73,6 +73,8 @@
     const orderedIds: string[] = [];
     /** Endpoints that no VM reaches. */
     const unreachableIds = new Set<string>();
+    /** Endpoints that some VM without a lease does not know. */
+    const unknownIds = new Set<string>();
     /** Endpoints that refuse what needs a slot. */
     const busyIds = new Set<string>();
     /** Endpoints that do not hear of a promotion. */
@@ -167,9 +169,14 @@
     const shared = { clock, directory, duty, control, log: () => {} };
     const records = options.records ?? createMemoryRecords();
     const members = createGroupMembers({ ...shared, primaries, records, heldToken: duty.heldToken });
+    const sharedEndpoints = {
+        isKnownToAll: ({ id }: { readonly id: string; }) => !unknownIds.has(id),
+        update: () => {},
+    };
     const changePrimary = createPrimaryChange({
         ...shared,
         members,
+        sharedEndpoints,
         signal: end.signal,
         orders: {
             promote: async ({ endpointId }) => {
@@ -185,6 +192,7 @@
     const coordinator = createPromotionCoordinator({
         ...shared,
         members,
+        sharedEndpoints,
         end,
         primaries,
         probe: async id => !unreachableIds.has(id),
@@ -205,6 +213,7 @@
         changePrimary,
         orderedIds,
         unreachableIds,
+        unknownIds,
         isolatedIds,
         busyIds,
         endpoints,
--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -38,7 +38,12 @@
         directory,
         primaries: createPrimaries(clock, directory, () => {}),
         evidence: createPositionEvidence(),
-        verification: { isVerified: () => true, wasVerified: () => true, verify: async () => true },
+        verification: {
+            isVerified: () => true,
+            wasVerified: () => true,
+            canVerify: () => true,
+            verify: async () => true,
+        },
         placement: {
             acquire: () => Promise.reject(new Error("no endpoint")),
             recordLagging: () => {},
--- a/src/testing/createSimulatedEndpoints/index.ts
+++ b/src/testing/createSimulatedEndpoints/index.ts
@@ -20,6 +20,8 @@
     /** Availability zones of the endpoints of a group. */
     readonly zones: readonly string[];
     readonly history: HistoryEvent[];
+    /** Number of endpoints of each group that do not run at the start. */
+    readonly sparesPerGroup: number;
 }
 
 const endpointsPerGroup = 3;
@@ -37,7 +39,7 @@
  * endpoints.crash("orders-1");
  */
 export function createSimulatedEndpoints(options: SimulatedEndpointsOptions): SimulatedEndpoints {
-    const { clock, network, store, groups, zones, history } = options;
+    const { clock, network, store, groups, zones, history, sparesPerGroup } = options;
     const endpointsByGroup = new Map(groups.map(group => [group, createGroup(group)]));
     const endpoints = new Map([...endpointsByGroup.values()].flat().map(endpoint => [endpoint.id, endpoint]));
     const leaders = new Map<string, { readonly id: string; readonly term: number; }>();
@@ -45,11 +47,11 @@
     tick();
 
     function createGroup(group: string): readonly SimulatedEndpoint[] {
-        return Array.from({ length: endpointsPerGroup }, (_value, index) => ({
+        return Array.from({ length: endpointsPerGroup + sparesPerGroup }, (_value, index) => ({
             id: `${group}-${index + 1}`,
             group,
             availabilityZone: zones[index % zones.length]!,
-            isRunning: true,
+            isRunning: index < endpointsPerGroup,
             startedAt: 1,
             isPrimary: false,
             isLeaving: false,
--- a/src/vm/listDutyServices/index.ts
+++ b/src/vm/listDutyServices/index.ts
@@ -29,6 +29,7 @@
 import { createPrimaryChange } from "../../promotions/createPrimaryChange/index.js";
 import { createPrimaryDecision } from "../../promotions/createPrimaryDecision/index.js";
 import { createPromotionCoordinator } from "../../promotions/createPromotionCoordinator/index.js";
+import { createSharedEndpoints } from "../../promotions/createSharedEndpoints/index.js";
 import type { EndpointControl } from "../../promotions/types/EndpointControl.js";
 import type { PromotionCoordinator } from "../../promotions/types/PromotionCoordinator.js";
 import type { PromotionOrders } from "../../promotions/types/PromotionOrders.js";
@@ -222,8 +223,10 @@
                     heldToken: duty.heldToken,
                     log,
                 });
+                const sharedEndpoints = createSharedEndpoints({ clock, directory, duty, records: store.records, log });
                 const changePrimary = createPrimaryChange({
                     members,
+                    sharedEndpoints,
                     signal: end.signal,
                     clock,
                     directory,
@@ -246,6 +249,7 @@
                     connectedVms: hosts.otherHostsOf,
                     peerOf,
                     members,
+                    sharedEndpoints,
                     changePrimary,
                     decidePrimary: createPrimaryDecision({ directory, duty, control, termOf: primaries.termOf, log }),
                     metrics,
--- a/src/vm/listVmServices/index.ts
+++ b/src/vm/listVmServices/index.ts
@@ -207,6 +207,7 @@
                 directory,
                 primaries,
                 hasLease: duty.hasLease,
+                holderAgeMilliseconds: duty.holderAgeMilliseconds,
                 queryRole: endpointId => queryEndpointRole(control.run, endpointId),
                 metrics,
                 log: logger.topic("primaries"),
