Read in the simulated fleet, cut VMs off, and let endpoints join

None of our own checks could have found the stale reads: the simulated fleet only wrote, its groups never gained an endpoint, and no fault cut a VM off from the others and the store together. Now callers also read from primaries and each read is compared with the commits acknowledged before it was sent; a fault isolates VMs while they reach the endpoints, and mostly a further endpoint starts meanwhile.

--- a/src/testing/createPrimaryFleet/index.ts
+++ b/src/testing/createPrimaryFleet/index.ts
@@ -2,12 +2,13 @@
 import type { LogTopic } from "../../logging/types/LogTopic.js";
 import type { Departure } from "../../promotions/types/Departure.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
+import { AccessMode } from "../../statements/types/AccessMode.js";
 import { createManualClock } from "../createManualClock/index.js";
 import { createSimulatedEndpoints } from "../createSimulatedEndpoints/index.js";
 import { createSimulatedNetwork } from "../createSimulatedNetwork/index.js";
 import { createSimulatedPlatform } from "../createSimulatedPlatform/index.js";
 import { createSimulatedStore } from "../createSimulatedStore/index.js";
-import { runSimulatedWriter } from "../runSimulatedWriter/index.js";
+import { runSimulatedCaller } from "../runSimulatedCaller/index.js";
 import { startSimulatedVm } from "../startSimulatedVm/index.js";
 import type { HistoryEvent } from "../types/HistoryEvent.js";
 import type { SimulatedEnvironment } from "../types/SimulatedEnvironment.js";
@@ -22,7 +23,7 @@
     /** Number of endpoints of each group that do not run at the start. */
     readonly sparesPerGroup?: number;
     readonly seed?: number;
-    /** Whether callers write through a VM at the moment; when left out, they always do. */
+    /** Whether callers write and read through a VM at the moment; when left out, they always do. */
     readonly hasCallers?: (vmName: string) => boolean;
     /** Receives the log lines of all VMs, with the time of the simulation. */
     readonly log?: LogTopic;
@@ -32,7 +33,7 @@
 
 /**
  * Creates VMs that run the product's services on a manual clock, with a simulated network, store, platform and
- * endpoints, and callers that write through each VM all the time.
+ * endpoints, and callers that write and read through each VM all the time.
  *
  * @param options Numbers of VMs and zones, groups, and seed.
  * @returns The running fleet, its faults and its history.
@@ -91,7 +92,10 @@
             environment,
         });
         vms.set(name, vm);
-        groups.forEach(group => void runSimulatedWriter(vm, group, environment));
+        for (const group of groups) {
+            void runSimulatedCaller(vm, group, AccessMode.Write, environment);
+            void runSimulatedCaller(vm, group, AccessMode.Read, environment);
+        }
     }
 
     function kill(name: string): void {
--- a/src/testing/createSimulatedEndpoints/index.ts
+++ b/src/testing/createSimulatedEndpoints/index.ts
@@ -72,7 +72,8 @@
         const term = (leaders.get(group)?.term ?? 0) + 1;
         leaders.set(group, { id, term });
         Object.assign(endpoint, { term, isPrimary: true, heldTerm: 0, reachesSuccessorSince: undefined });
-        history.push({ kind: HistoryEventKind.Promotion, at: clock.now(), group, endpointId: id, term });
+        const { position } = endpoint;
+        history.push({ kind: HistoryEventKind.Promotion, at: clock.now(), group, endpointId: id, term, position });
     }
 
     /** Whether the endpoint leads and has not stepped down. */
@@ -130,10 +131,18 @@
 
     function run(id: string, statements: readonly OutgoingStatement[]): readonly StatementAnswer[] {
         const endpoint = get(id);
-        return runAtEndpoint(endpoint, statements, writeId => {
-            endpoint.position = { term: endpoint.term, entry: endpoint.position.entry + 1 };
-            const { group } = endpoint;
-            history.push({ kind: HistoryEventKind.Commit, at: clock.now(), group, endpointId: id, writeId });
+        const describeEffect = () => ({
+            at: clock.now(),
+            group: endpoint.group,
+            endpointId: id,
+            position: endpoint.position,
+        });
+        return runAtEndpoint(endpoint, statements, {
+            commit: writeId => {
+                endpoint.position = { term: endpoint.term, entry: endpoint.position.entry + 1 };
+                history.push({ kind: HistoryEventKind.Commit, writeId, ...describeEffect() });
+            },
+            read: readId => history.push({ kind: HistoryEventKind.Read, readId, ...describeEffect() }),
         });
     }
 
--- a/src/testing/drawFleetFaults/index.ts
+++ b/src/testing/drawFleetFaults/index.ts
@@ -22,6 +22,9 @@
     readonly log: (line: string) => void;
 }
 
+/** Probability that an endpoint starts after VMs were cut off, and the time until it does, in milliseconds. */
+const joinProbability = 0.7;
+const joinMilliseconds = 200;
 const maximumOrderDelayMilliseconds = 2_500;
 const maximumCallDelayMilliseconds = 600;
 const maximumLinkDelayMilliseconds = 250;
@@ -53,6 +56,15 @@
         const direction = random.nextInteger(3);
         return cutLinks(fleet, isolated, others, direction);
     },
+    [FleetFaultKind.VmIsolation]: (fleet, random) => {
+        const isolated = drawVms(fleet, random);
+        const others = fleet.names.filter(name => !isolated.includes(name));
+        const stopped = fleet.endpoints.ids.find(id => !fleet.endpoints.get(id).isRunning);
+        if (stopped !== undefined && random.next() < joinProbability) {
+            fleet.at(fleet.clock.now() + joinMilliseconds, () => fleet.endpoints.recover(stopped));
+        }
+        return cutLinks(fleet, isolated, [...others, "store"], 0);
+    },
     [FleetFaultKind.EndpointCut]: (fleet, random) => {
         const vms = random.next() < 0.5 ? fleet.names : drawVms(fleet, random);
         return cutLinks(fleet, vms, [drawEndpoint(fleet, random)], 0);
--- a/src/testing/explorePrimaryFleet/index.ts
+++ b/src/testing/explorePrimaryFleet/index.ts
@@ -2,12 +2,14 @@
 import { createPrimaryFleet } from "../createPrimaryFleet/index.js";
 import { drawFleetFaults } from "../drawFleetFaults/index.js";
 import { findIdleGroups } from "../findIdleGroups/index.js";
+import { findStaleReads } from "../findStaleReads/index.js";
 import { findStaleWrites } from "../findStaleWrites/index.js";
 import { findTokenFaults } from "../findTokenFaults/index.js";
 
 /** What a simulation with drawn faults broke. */
 interface ExplorationFindings {
     readonly staleWrites: readonly string[];
+    readonly staleReads: readonly string[];
     readonly tokenFaults: readonly string[];
     /** Groups whose writes are not acknowledged again after all faults have ended. */
     readonly idleGroups: readonly string[];
@@ -43,6 +45,7 @@
         vmCount: vmCounts[random.nextInteger(vmCounts.length)]!,
         zoneCount: 1 + random.nextInteger(3),
         seed,
+        sparesPerGroup: 1,
         log: (message, fields) => log(JSON.stringify({ message, ...fields })),
     });
     const failureCount = 1 + random.nextInteger(maximumFailures);
@@ -63,6 +66,7 @@
     while (idleGroups.length > 0 && fleet.clock.now() < endsAt + recoveryMilliseconds);
     return {
         staleWrites: findStaleWrites(fleet.history),
+        staleReads: findStaleReads(fleet.history),
         tokenFaults: findTokenFaults(fleet.history),
         idleGroups,
     };
--- a/src/testing/explorePrimaryFleet/test.ts
+++ b/src/testing/explorePrimaryFleet/test.ts
@@ -11,7 +11,7 @@
     for (let seed = first!; seed <= last!; seed += 1) {
         it(`breaks no rule with the faults of seed ${seed}`, async () => {
             const findings = await explorePrimaryFleet(seed, log);
-            assert.deepEqual(findings, { staleWrites: [], tokenFaults: [], idleGroups: [] });
+            assert.deepEqual(findings, { staleWrites: [], staleReads: [], tokenFaults: [], idleGroups: [] });
         });
     }
 });
--- a/src/testing/findStaleWrites/test.ts
+++ b/src/testing/findStaleWrites/test.ts
@@ -5,12 +5,14 @@
 import { findStaleWrites } from "./index.js";
 
 const group = "orders";
+const position = { term: 1, entry: 1 };
 const promote = (endpointId: string, at: number): HistoryEvent => ({
     kind: HistoryEventKind.Promotion,
     group,
     endpointId,
     at,
     term: 1,
+    position,
 });
 const commit = (endpointId: string, writeId: string, at: number): HistoryEvent => ({
     kind: HistoryEventKind.Commit,
@@ -18,6 +20,7 @@
     endpointId,
     writeId,
     at,
+    position,
 });
 const acknowledge = (writeId: string, at: number): HistoryEvent => ({
     kind: HistoryEventKind.Acknowledgement,
--- a/src/testing/primaryScenarios/unknownSuccessor/test.ts
+++ b/src/testing/primaryScenarios/unknownSuccessor/test.ts
@@ -2,12 +2,17 @@
 import { describe, it } from "node:test";
 import { createPrimaryFleet } from "../../createPrimaryFleet/index.js";
 import { findIdleGroups } from "../../findIdleGroups/index.js";
+import { findStaleReads } from "../../findStaleReads/index.js";
 import { findStaleWrites } from "../../findStaleWrites/index.js";
 
 const groups = ["orders"];
 const formerEndpoints = ["orders-1", "orders-2", "orders-3"];
 const newEndpoint = "orders-4";
 
+function findStaleAnswers(history: Parameters<typeof findStaleReads>[0]): readonly string[] {
+    return [...findStaleReads(history), ...findStaleWrites(history)];
+}
+
 /** Starts a fleet, cuts a VM off from the others and the store, and then starts a new endpoint. */
 async function startFleet(seed: number) {
     const fleet = createPrimaryFleet({ groups, seed, sparesPerGroup: 1 });
@@ -37,7 +42,7 @@
             assert.equal(fleet.endpoints.leaderOf("orders"), "orders-1");
             await fleet.clock.advance(40_000);
             assert.equal(fleet.endpoints.leaderOf("orders"), newEndpoint, "the VM relies on no primary any more");
-            assert.deepEqual(findStaleWrites(fleet.history), []);
+            assert.deepEqual(findStaleAnswers(fleet.history), []);
             assert.deepEqual(findIdleGroups(fleet.history, groups, fleet.clock.now() - 5_000), []);
         });
 
@@ -47,7 +52,7 @@
             fleet.holders().forEach(fleet.kill);
             await fleet.clock.advance(40_000);
             assert.equal(fleet.endpoints.leaderOf("orders"), "orders-1");
-            assert.deepEqual(findStaleWrites(fleet.history), []);
+            assert.deepEqual(findStaleAnswers(fleet.history), []);
         });
 
         it(`is passed over for an endpoint that the VM knows, seed ${seed}`, async () => {
@@ -56,7 +61,7 @@
             await fleet.clock.advance(10_000);
             assert.notEqual(fleet.endpoints.leaderOf("orders"), "orders-1");
             assert.notEqual(fleet.endpoints.leaderOf("orders"), newEndpoint);
-            assert.deepEqual(findStaleWrites(fleet.history), []);
+            assert.deepEqual(findStaleAnswers(fleet.history), []);
             assert.deepEqual(findIdleGroups(fleet.history, groups, fleet.clock.now() - 5_000), []);
         });
 
@@ -67,7 +72,7 @@
             fleet.endpoints.get("orders-1").isLeaving = true;
             await fleet.clock.advance(5_000);
             assert.equal(fleet.endpoints.leaderOf("orders"), newEndpoint);
-            assert.deepEqual(findStaleWrites(fleet.history), []);
+            assert.deepEqual(findStaleAnswers(fleet.history), []);
             assert.deepEqual(findIdleGroups(fleet.history, groups, fleet.clock.now() - 2_000), []);
         });
     }
--- a/src/testing/runAtEndpoint/index.ts
+++ b/src/testing/runAtEndpoint/index.ts
@@ -5,20 +5,28 @@
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import type { SimulatedEndpoint } from "../types/SimulatedEndpoint.js";
 
+/** Effects of callers' statements, by the id of the statement. */
+interface StatementEffects {
+    commit(writeId: string): void;
+    read(readId: string): void;
+}
+
 /** Executes a statement of one kind; returns whether it succeeded. */
 type StatementHandler = (
     endpoint: SimulatedEndpoint,
     statement: OutgoingStatement,
-    commit: (writeId: string) => void,
+    effects: StatementEffects,
 ) => boolean;
 
 const handlers: Partial<Record<OutgoingKind, StatementHandler>> = {
     [OutgoingKind.Begin]: ({ isPrimary }, statement) => isPrimary || (statement as { isReadOnly: boolean; }).isReadOnly,
-    [OutgoingKind.Forwarded]: ({ isPrimary }, statement, commit) => {
-        if (isPrimary) {
-            commit((statement as { id: string; }).id);
+    [OutgoingKind.Forwarded]: ({ isPrimary }, statement, { commit, read }) => {
+        const { id, text } = statement as { readonly id: string; readonly text: string; };
+        const isRead = text.startsWith("READ");
+        if (isRead || isPrimary) {
+            (isRead ? read : commit)(id);
         }
-        return isPrimary;
+        return isRead || isPrimary;
     },
     [OutgoingKind.StepDown]: (endpoint, statement) => {
         if ((statement as { term: number; }).term > endpoint.term) {
@@ -44,20 +52,20 @@
  *
  * @param endpoint The endpoint.
  * @param statements The statements, in the order of execution.
- * @param commit Commits a write.
+ * @param effects Commits a write, or runs a read.
  * @returns The answers.
  *
  * @example
- * const [answer] = runAtEndpoint(endpoint, [{ kind: OutgoingKind.ReadStatus }], commit);
+ * const [answer] = runAtEndpoint(endpoint, [{ kind: OutgoingKind.ReadStatus }], { commit, read });
  */
 export function runAtEndpoint(
     endpoint: SimulatedEndpoint,
     statements: readonly OutgoingStatement[],
-    commit: (writeId: string) => void,
+    effects: StatementEffects,
 ): readonly StatementAnswer[] {
     let state = SessionState.Idle;
     return statements.map(statement => {
-        const isSuccess = handlers[statement.kind]?.(endpoint, statement, commit) ?? true;
+        const isSuccess = handlers[statement.kind]?.(endpoint, statement, effects) ?? true;
         state = statement.kind === OutgoingKind.Begin && isSuccess ? SessionState.InTransaction : SessionState.Idle;
         const { isPrimary, term, position, heldTerm } = endpoint;
         return {
--- a/src/testing/runSimulatedWriter/index.ts
+++ b/src/testing/runSimulatedCaller/index.ts
@@ -12,24 +12,32 @@
 import type { SimulatedEnvironment } from "../types/SimulatedEnvironment.js";
 import type { SimulatedVm } from "../types/SimulatedVm.js";
 
-const pauseMilliseconds = 20;
+type CallerEventKind =
+    | HistoryEventKind.Acknowledgement
+    | HistoryEventKind.ReadRequest
+    | HistoryEventKind.ReadAnswer;
+
+/** Pause between two statements of a caller, in milliseconds. */
+const pauseMilliseconds = { [AccessMode.Write]: 20, [AccessMode.Read]: 60 };
 const statementMilliseconds = 600;
-const maximumPendingWrites = 4;
+const maximumPending = 4;
 
 /**
- * Writes to one group through a VM of a simulation again and again, by the rule by which the product acknowledges
- * writes, and records the acknowledgements.
+ * Writes to one group, or reads from its primary, through a VM of a simulation again and again, by the rules by which the
+ * product acknowledges writes and returns reads, and records what the caller sees.
  *
- * @param vm The VM; the writes end when it is killed.
+ * @param vm The VM; the statements end when it is killed.
  * @param group The group.
+ * @param mode Whether the caller writes or reads.
  * @param environment The clock and the history.
  *
  * @example
- * void runSimulatedWriter(vm, "orders", environment);
+ * void runSimulatedCaller(vm, "orders", AccessMode.Write, environment);
  */
-export async function runSimulatedWriter(
+export async function runSimulatedCaller(
     vm: SimulatedVm,
     group: string,
+    mode: AccessMode,
     environment: SimulatedEnvironment,
 ): Promise<void> {
     const { kernel, clock } = vm;
@@ -42,16 +50,19 @@
         evidence: kernel.get(ServiceName.PositionEvidence),
         verification: kernel.get(ServiceName.PrimaryVerification),
     } as unknown as SessionServices;
-    let pendingWrites = 0;
-    let writeCount = 0;
+    const isWriter = mode === AccessMode.Write;
+    let pendingCount = 0;
+    let statementCount = 0;
 
     function createStatement(): CallerStatement {
-        writeCount += 1;
+        statementCount += 1;
         const route = createRoute({ group });
         return {
-            id: `${vm.name}/${clock.now()}/${group}/${writeCount}`,
-            statement: { kind: StatementKind.Write, text: "WRITE item data" },
-            mode: AccessMode.Write,
+            id: `${vm.name}/${clock.now()}/${group}/${mode}/${statementCount}`,
+            statement: isWriter
+                ? { kind: StatementKind.Write, text: "WRITE item data" }
+                : { kind: StatementKind.Read, text: "READ item" },
+            mode,
             route,
             session: createSessionContext(route.database),
             receivedAt: clock.now(),
@@ -59,7 +70,19 @@
         };
     }
 
-    async function write(statement: CallerStatement): Promise<void> {
+    function record(kind: CallerEventKind, id: string): void {
+        const event = { at: clock.now(), group };
+        environment.history.push(
+            kind === HistoryEventKind.Acknowledgement
+                ? { kind, ...event, writeId: id }
+                : { kind, ...event, readId: id },
+        );
+    }
+
+    async function run(statement: CallerStatement): Promise<void> {
+        if (!isWriter) {
+            record(HistoryEventKind.ReadRequest, statement.id);
+        }
         const connection = await placement.acquire({
             group,
             needsPrimary: true,
@@ -72,33 +95,28 @@
         const { outcome } = await attemptStatement(statement, eligible, statementMilliseconds, services);
         connection.release();
         if (outcome.failure === undefined && vm.isRunning) {
-            environment.history.push({
-                kind: HistoryEventKind.Acknowledgement,
-                at: clock.now(),
-                group,
-                writeId: statement.id,
-            });
+            record(isWriter ? HistoryEventKind.Acknowledgement : HistoryEventKind.ReadAnswer, statement.id);
         }
     }
 
-    async function writeOnce(): Promise<void> {
-        pendingWrites += 1;
+    async function runOnce(): Promise<void> {
+        pendingCount += 1;
         try {
-            await write(createStatement());
+            await run(createStatement());
         }
         catch {
-            // No primary was available in time; the next write attempts it again.
+            // No primary was available in time; the next statement attempts it again.
         }
         finally {
-            pendingWrites -= 1;
+            pendingCount -= 1;
         }
     }
 
     while (vm.isRunning) {
-        await clock.sleep(pauseMilliseconds);
+        await clock.sleep(pauseMilliseconds[mode]);
         const isServing = environment.hasCallers(vm.name) && hosts.hostOf(group) === undefined;
-        if (isServing && pendingWrites < maximumPendingWrites) {
-            void writeOnce();
+        if (isServing && pendingCount < maximumPending) {
+            void runOnce();
         }
     }
 }
--- a/src/testing/types/FleetFaultKind.ts
+++ b/src/testing/types/FleetFaultKind.ts
@@ -2,6 +2,8 @@
 export enum FleetFaultKind {
     /** The links between some VMs and the others are cut, in one direction or both. */
     VmPartition = "VmPartition",
+    /** Some VMs are cut off from the other VMs and the store, and reach the endpoints; mostly an endpoint starts meanwhile. */
+    VmIsolation = "VmIsolation",
     /** The links between some VMs and an endpoint are cut. */
     EndpointCut = "EndpointCut",
     /** All VMs but one are cut off from an endpoint, and calls to that VM are lost. */
--- a/src/testing/types/HistoryEventKind.ts
+++ b/src/testing/types/HistoryEventKind.ts
@@ -3,5 +3,8 @@
     Promotion = "Promotion",
     Commit = "Commit",
     Acknowledgement = "Acknowledgement",
+    ReadRequest = "ReadRequest",
+    Read = "Read",
+    ReadAnswer = "ReadAnswer",
     Order = "Order",
 }
