Ask a primary for its role on the connection of the read

Cause: the query of the endpoint itself needed a second connection there while the statement held the first, and a VM has few to a primary; the log shows the endpoint's own role as unknown in nearly all of 217 failed verifications.

Now the query goes ahead of the read on its own connection: an endpoint that had not stepped down when the read came has every commit that was acknowledged before. A write proves as much by its success, a transaction by its beginning. The others are asked afterwards, as ever. A read whose lease ended before its answer is repeated with the query.

What remains is the time until a VM has first heard of the holder after a loss of power.

--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -7,6 +7,7 @@
 import { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { createFailure } from "../createFailure/index.js";
+import { exchangeForRead } from "../exchangeForRead/index.js";
 import { recordAnswer } from "../recordAnswer/index.js";
 import { recordRefusal } from "../recordRefusal/index.js";
 import { toOutgoingStatement } from "../toOutgoingStatement/index.js";
@@ -31,7 +32,7 @@
  */
 export async function attemptStatement(
     callerStatement: CallerStatement,
-    { connection, leastPosition }: EligibleConnection,
+    { connection, leastPosition, isInTransaction = false }: EligibleConnection,
     timeoutMilliseconds: number,
     services: SessionServices,
 ): Promise<Attempt> {
@@ -43,7 +44,7 @@
         const outcome = createFailure(FailureCode.Busy, "the endpoint could not be verified as the primary");
         return { kind: AttemptKind.Retryable, outcome };
     }
-    const { prepared, session } = callerStatement;
+    const { prepared, session, mode } = callerStatement;
     const endpointName = prepared && services.preparedNames.nameOf(prepared);
     const expectedPrepared = prepared && endpointName !== undefined ? { ...prepared, endpointName } : undefined;
     const statements = [
@@ -51,11 +52,14 @@
         toOutgoingStatement(callerStatement, endpointName, leastPosition),
     ];
     const sinceSent = startElapsedTimer(services.clock);
+    // A write proves by itself that the endpoint has not stepped down, and a transaction did so when it began.
+    const needsProof = mode === AccessMode.Read && !isInTransaction;
     try {
-        const answers = await connection.exchange(statements, timeoutMilliseconds);
+        const { answers, isProven } = needsProof
+            ? await exchangeForRead(connection, statements, timeoutMilliseconds, services)
+            : { answers: await connection.exchange(statements, timeoutMilliseconds), isProven: true };
         const answer = answers.at(-1)!;
-        const needsPrimary = callerStatement.mode === AccessMode.Write;
-        recordAnswer(connection, { answer, sinceSent, needsPrimary }, services);
+        recordAnswer(connection, { answer, sinceSent, needsPrimary: mode === AccessMode.Write }, services);
         if (answers.slice(0, -1).some(({ failure }) => failure !== undefined)) {
             // The connection lacks session values or the prepared statement that the caller's statement needs.
             connection.discard();
@@ -65,7 +69,7 @@
         if (attempt.outcome.failure !== undefined) {
             return attempt;
         }
-        if (!await isReplicaOrVerifiedPrimary(connection, services)) {
+        if (!isProven || !await isReplicaOrVerifiedPrimary(connection, services)) {
             return classifyLoss(callerStatement, "the endpoint could not be verified as the primary after it answered");
         }
         // The verification may have found a newer term.
--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -3,6 +3,7 @@
 import type { AcquiredConnection } from "../../placement/types/AcquiredConnection.js";
 import { AccessMode } from "../../statements/types/AccessMode.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
+import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { StatementKind } from "../../statements/types/StatementKind.js";
@@ -59,7 +60,7 @@
         discard: () => {},
     };
     const run = () => attemptStatement(statement, { connection, leastPosition: undefined }, 500, services);
-    return { run, services, connection, exchanges: () => exchanges };
+    return { run, services, statement, connection, exchanges: () => exchanges };
 }
 
 describe("attemptStatement", () => {
@@ -151,4 +152,20 @@
             assert.equal(exchanges(), 0);
         }
     });
+
+    it("does not return a read of a primary that has stepped down, except in a transaction that began before", async () => {
+        const refused = { failure: { code: FailureCode.ReadOnly, description: endpoint.id } };
+        const { services, statement, connection } = createAttempt(AccessMode.Read, [true, true], {});
+        connection.exchange = async statements =>
+            statements.map(({ kind }): StatementAnswer => ({
+                rows: [],
+                signature: "ok",
+                state: SessionState.Idle,
+                ...kind === OutgoingKind.Begin ? refused : {},
+            }));
+        const eligible = { connection, leastPosition: undefined };
+        assert.equal((await attemptStatement(statement, eligible, 500, services)).kind, AttemptKind.Retryable);
+        const attempt = await attemptStatement(statement, { ...eligible, isInTransaction: true }, 500, services);
+        assert.equal(attempt.outcome.signature, "ok");
+    });
 });
--- a/src/callerSessions/createCallerTransaction/index.ts
+++ b/src/callerSessions/createCallerTransaction/index.ts
@@ -6,10 +6,12 @@
 import { AccessMode } from "../../statements/types/AccessMode.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
+import type { OutgoingStatement } from "../../statements/types/OutgoingStatement.js";
 import { acquireConnection } from "../acquireConnection/index.js";
 import { attemptStatement } from "../attemptStatement/index.js";
 import { createFailure } from "../createFailure/index.js";
 import { endTransaction } from "../endTransaction/index.js";
+import { exchangeForRead } from "../exchangeForRead/index.js";
 import { recordAcquisitionTimeout } from "../recordAcquisitionTimeout/index.js";
 import { recordAnswer } from "../recordAnswer/index.js";
 import { recordRefusal } from "../recordRefusal/index.js";
@@ -54,13 +56,21 @@
     async function begin(eligible: EligibleConnection, expiresAt: number): Promise<StatementOutcome | undefined> {
         const candidate = eligible.connection;
         const sinceSent = startElapsedTimer(clock);
+        const timeLeft = Math.max(expiresAt - clock.now(), 1);
+        const statements: readonly OutgoingStatement[] = [
+            ...alignSession(candidate.pooled, { values: session.values }),
+            { kind: OutgoingKind.Begin, isReadOnly, leastPosition: eligible.leastPosition },
+        ];
         try {
-            const answers = await candidate.exchange([
-                ...alignSession(candidate.pooled, { values: session.values }),
-                { kind: OutgoingKind.Begin, isReadOnly, leastPosition: eligible.leastPosition },
-            ], Math.max(expiresAt - clock.now(), 1));
+            const { answers, isProven } = isReadOnly
+                ? await exchangeForRead(candidate, statements, timeLeft, services)
+                : { answers: await candidate.exchange(statements, timeLeft), isProven: true };
             const answer = answers.at(-1)!;
             recordAnswer(candidate, { answer, sinceSent, needsPrimary: !isReadOnly }, services);
+            if (answer.failure === undefined && !isProven) {
+                void endTransaction(candidate, log);
+                return createFailure(FailureCode.Aborted, "the endpoint could not be verified as the primary");
+            }
             if (answer.failure === undefined) {
                 return undefined;
             }
@@ -125,7 +135,7 @@
     /** Sends a statement on the transaction's connection; a lost answer aborts, since nothing was committed. */
     async function send(statement: CallerStatement, connection: AcquiredConnection) {
         const timeLeft = Math.max(statement.expiresAt - clock.now(), 1);
-        const eligible = { connection, leastPosition: undefined };
+        const eligible = { connection, leastPosition: undefined, isInTransaction: true };
         const attempt = await attemptStatement(statement, eligible, timeLeft, services);
         if (attempt.outcome.failure?.code === FailureCode.OutcomeUnknown) {
             const outcome = createFailure(FailureCode.Aborted, attempt.outcome.failure.description);
@@ -168,7 +178,7 @@
     async function commitOn(connection: AcquiredConnection, statement: CallerStatement): Promise<StatementOutcome> {
         const timeLeft = Math.max(statement.expiresAt - clock.now(), 1);
         const mode = hasWritten ? AccessMode.Write : AccessMode.Read;
-        const eligible = { connection, leastPosition: undefined };
+        const eligible = { connection, leastPosition: undefined, isInTransaction: true };
         const { outcome } = await attemptStatement({ ...statement, mode }, eligible, timeLeft, services);
         if (outcome.failure !== undefined) {
             log("transaction was not committed", {
--- a/src/callerSessions/createEvidenceRenewal/index.ts
+++ b/src/callerSessions/createEvidenceRenewal/index.ts
@@ -1,7 +1,7 @@
 import { startElapsedTimer } from "../../clock/startElapsedTimer/index.js";
 import type { LogTopic } from "../../logging/types/LogTopic.js";
+import { listRoleQuery } from "../../primaries/listRoleQuery/index.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
-import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
 import { callerSessionConstants } from "../constants.js";
 import { recordAnswer } from "../recordAnswer/index.js";
 import type { EvidenceRenewal } from "../types/EvidenceRenewal.js";
@@ -42,7 +42,7 @@
         const sinceSent = startElapsedTimer(clock);
         try {
             const [begin] = await connection.exchange(
-                [{ kind: OutgoingKind.Begin, isReadOnly: false }, { kind: OutgoingKind.Rollback }],
+                listRoleQuery(),
                 evidenceTimeoutMilliseconds,
             );
             if (begin?.failure?.code === FailureCode.ReadOnly) {
--- a/src/callerSessions/types/EligibleConnection.ts
+++ b/src/callerSessions/types/EligibleConnection.ts
@@ -6,4 +6,6 @@
     readonly connection: AcquiredConnection;
     /** The log position that the endpoint has to hold; undefined at the primary. */
     readonly leastPosition: LogPosition | undefined;
+    /** Whether a transaction is open on the connection, and the endpoint was verified or asked when it began. */
+    readonly isInTransaction?: boolean;
 }
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -27,7 +27,7 @@
 /** Why a primary is relied on. */
 enum RelianceReason {
     Lease = "Lease",
-    /** All endpoints of the group were queried. */
+    /** The other endpoints of the group were queried. */
     QueriedEndpoints = "QueriedEndpoints",
 }
 
@@ -43,12 +43,12 @@
 
 /**
  * Creates the verification of primaries. A VM with a lease is notified of each change of primary before it takes effect. A
- * VM without one queries all endpoints of the group that it knows: the endpoint itself, because it may have stepped down
- * for a successor that this VM does not know, and the others, because one of them may have been promoted while it was
- * out of reach. The log of each also tells whether a newer term has begun.
+ * VM without one queries all other endpoints of the group that it knows, since one of them may have been promoted while
+ * the primary was out of reach of the holder of the failover duty. The log of each also tells whether a newer term has
+ * begun. That the endpoint has not stepped down for a successor that this VM does not know, it has to tell itself.
  *
- * The holder of the failover duty makes sure that one of these endpoints knows of each change of primary. It can do so
- * only for VMs that were in contact with it not too long ago, and for endpoints that such a VM has not lost since.
+ * The holder makes sure that one of these endpoints knows of each change of primary. It can do so only for VMs that were
+ * in contact with it not too long ago, and for endpoints that such a VM has not lost since.
  *
  * @param options Clock, directory, known primaries, lease and contact, and function that queries endpoints.
  * @returns The verification.
@@ -113,11 +113,11 @@
             pending.waiting = undefined;
             pending.running = verification;
             const queriedAt = clock.now();
-            const isOnlyPrimary = await queryGroup(endpoint);
-            if (isOnlyPrimary) {
+            const hasNoOtherPrimary = await queryOthers(endpoint);
+            if (hasNoOtherPrimary) {
                 pending.verifiedAt = queriedAt;
             }
-            return isOnlyPrimary;
+            return hasNoOtherPrimary;
         });
         pending.waiting = verification;
         return verification;
@@ -154,31 +154,25 @@
         return isComplete;
     }
 
-    /** Queries all endpoints of a group; returns whether the given one is the primary and no other can be. */
-    async function queryGroup(endpoint: EndpointRecord): Promise<boolean> {
+    async function queryOthers(endpoint: EndpointRecord): Promise<boolean> {
         const others = directory.endpointsOf(endpoint.group).filter(other => other.id !== endpoint.id);
-        const [isPrimary, ...answers] = await Promise.all([endpoint, ...others].map(queryIsPrimary));
-        if (isPrimary === false) {
-            primaries.recordNotPrimary(endpoint);
-        }
-        const isOnlyPrimary = canVerify(endpoint) && options.holderAgeMilliseconds() !== undefined
-            && isPrimary === true
-            && answers.every(isOtherPrimary => isOtherPrimary === false)
+        const answers = await Promise.all(others.map(queryIsPrimary));
+        const hasNoOtherPrimary = canVerify(endpoint) && options.holderAgeMilliseconds() !== undefined
+            && answers.every(isPrimary => isPrimary === false)
             && !primaries.isSuperseded(endpoint);
-        options.metrics.countPrimaryVerification(isOnlyPrimary);
-        if (isOnlyPrimary) {
+        options.metrics.countPrimaryVerification(hasNoOtherPrimary);
+        if (hasNoOtherPrimary) {
             logReliance(endpoint, RelianceReason.QueriedEndpoints);
         }
         else {
             log("primary could not be verified", {
                 group: endpoint.group,
                 endpoint: endpoint.id,
-                isPrimary,
                 otherPrimaries: others.filter((_other, index) => answers[index] === true).map(({ id }) => id),
                 unresponsive: others.filter((_other, index) => answers[index] === undefined).map(({ id }) => id),
             });
         }
-        return isOnlyPrimary;
+        return hasNoOtherPrimary;
     }
 
     return { isVerified, wasVerified, canVerify, verify };
--- a/src/primaries/types/PrimaryVerification.ts
+++ b/src/primaries/types/PrimaryVerification.ts
@@ -14,8 +14,9 @@
      */
     canVerify(endpoint: EndpointRecord): boolean;
     /**
-     * Queries the endpoints of the group which of them is the primary. Resolves with true when the endpoint was, and no
-     * other, at a time after the call, so that the endpoint was the primary in everything it did before the call.
+     * Queries the other endpoints of the group whether one of them is the primary. Resolves with true when none was at a
+     * time after the call: the endpoint's log then had every acknowledged commit when it last proved, before the call, that
+     * it had not stepped down.
      */
     verify(endpoint: EndpointRecord): Promise<boolean>;
 }
--- a/src/promotions/queryEndpointRole/index.ts
+++ b/src/promotions/queryEndpointRole/index.ts
@@ -1,13 +1,12 @@
 import type { EndpointCommand } from "../../duty/types/EndpointCommand.js";
+import { listRoleQuery } from "../../primaries/listRoleQuery/index.js";
 import type { EndpointRole } from "../../primaries/types/EndpointRole.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
-import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
 import { promotionConstants } from "../constants.js";
 
 /**
- * Queries whether an endpoint is the primary: only a primary begins a transaction that may write. The transaction stays
- * empty, so it uses no slot of the endpoint.
+ * Queries whether an endpoint is the primary.
  *
  * @param run Sends statements to the endpoint.
  * @param endpointId The endpoint.
@@ -23,7 +22,7 @@
 ): Promise<EndpointRole> {
     const [begin] = await run({
         endpointId,
-        statements: [{ kind: OutgoingKind.Begin, isReadOnly: false }, { kind: OutgoingKind.Rollback }],
+        statements: listRoleQuery(),
         timeoutMilliseconds: promotionConstants.queryTimeoutMilliseconds,
     });
     if (begin === undefined) {
