Wait for the holder before a read is sent, not after it

A VM that has just started sent reads that it could not rely on, as it had not heard of a holder yet; each counted as a lost answer, and kept the primary from the read's further attempts. Now it sends nothing until it may rely on an answer, and attempts the statement again meanwhile. A VM for which that will not change answers "not run" at once, as before.

--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -2,6 +2,7 @@
 import { toTypedError } from "../../errors/toTypedError/index.js";
 import { ErrorKind } from "../../errors/types/ErrorKind.js";
 import { alignSession } from "../../placement/alignSession/index.js";
+import { Verifiability } from "../../primaries/types/Verifiability.js";
 import { AccessMode } from "../../statements/types/AccessMode.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
@@ -36,9 +37,12 @@
     timeoutMilliseconds: number,
     services: SessionServices,
 ): Promise<Attempt> {
-    if (isUnverifiable(connection, services)) {
+    const verifiability = verifiabilityOf(connection, services);
+    if (verifiability !== Verifiability.Possible) {
         const outcome = createFailure(FailureCode.Busy, "whether the endpoint is the primary cannot be verified");
-        return { kind: AttemptKind.Final, outcome };
+        return verifiability === Verifiability.NotYet
+            ? { kind: AttemptKind.Retryable, outcome }
+            : { kind: AttemptKind.Final, outcome };
     }
     if (!await mayWrite(callerStatement, connection, services)) {
         const outcome = createFailure(FailureCode.Busy, "the endpoint could not be verified as the primary");
@@ -87,12 +91,14 @@
     }
 }
 
-/** Whether the answer of a known primary could not be relied on, whatever it is. */
-function isUnverifiable(
+/** Whether an answer of the endpoint can be relied on at all: one of a replica, or of a primary that can be verified. */
+function verifiabilityOf(
     { isPrimary, endpoint }: EligibleConnection["connection"],
     { verification }: SessionServices,
-): boolean {
-    return isPrimary && !verification.isVerified(endpoint) && !verification.canVerify(endpoint);
+): Verifiability {
+    return !isPrimary || verification.isVerified(endpoint)
+        ? Verifiability.Possible
+        : verification.verifiabilityOf(endpoint);
 }
 
 /** Writes go to a verified primary only: at a superseded one their outcome would stay unknown. */
--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { AcquiredConnection } from "../../placement/types/AcquiredConnection.js";
+import { Verifiability } from "../../primaries/types/Verifiability.js";
 import { AccessMode } from "../../statements/types/AccessMode.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { OutgoingKind } from "../../statements/types/OutgoingKind.js";
@@ -25,7 +26,7 @@
         verification: {
             isVerified: () => false,
             wasVerified: () => false,
-            canVerify: () => true,
+            verifiabilityOf: () => Verifiability.Possible,
             verify: async () => remainingResults.shift() ?? false,
         },
     });
@@ -142,14 +143,20 @@
         }
     });
 
-    it("refuses a statement at once, as not run, when no query could verify the primary", async () => {
+    it("sends nothing while no query can verify the primary, and refuses at once unless that may soon change", async () => {
+        const kinds = {
+            [Verifiability.Impossible]: AttemptKind.Final,
+            [Verifiability.NotYet]: AttemptKind.Retryable,
+        };
         for (const mode of [AccessMode.Read, AccessMode.Write]) {
-            const { run, services, exchanges } = createAttempt(mode, [true, true], {});
-            services.verification.canVerify = () => false;
-            const attempt = await run();
-            assert.equal(attempt.kind, AttemptKind.Final);
-            assert.equal(attempt.outcome.failure?.code, FailureCode.Busy);
-            assert.equal(exchanges(), 0);
+            for (const verifiability of [Verifiability.Impossible, Verifiability.NotYet] as const) {
+                const { run, services, exchanges } = createAttempt(mode, [true, true], {});
+                services.verification.verifiabilityOf = () => verifiability;
+                const attempt = await run();
+                assert.equal(attempt.kind, kinds[verifiability]);
+                assert.equal(attempt.outcome.failure?.code, FailureCode.Busy);
+                assert.equal(exchanges(), 0);
+            }
         }
     });
 
--- a/src/callerSessions/recordAnswer/test.ts
+++ b/src/callerSessions/recordAnswer/test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { AcquiredConnection } from "../../placement/types/AcquiredConnection.js";
+import { Verifiability } from "../../primaries/types/Verifiability.js";
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
@@ -17,7 +18,7 @@
     const verification = {
         isVerified: () => isVerified,
         wasVerified: () => isVerified,
-        canVerify: () => true,
+        verifiabilityOf: () => Verifiability.Possible,
         verify: async () => isVerified,
     };
     const services = createSessionServices(createManualClock(), [endpoint], { verification });
--- a/src/primaries/createPrimaryVerification/index.ts
+++ b/src/primaries/createPrimaryVerification/index.ts
@@ -8,6 +8,7 @@
 import type { EndpointRole } from "../types/EndpointRole.js";
 import type { Primaries } from "../types/Primaries.js";
 import type { PrimaryVerification } from "../types/PrimaryVerification.js";
+import { Verifiability } from "../types/Verifiability.js";
 
 /** Options of `createPrimaryVerification`. */
 interface PrimaryVerificationOptions {
@@ -138,26 +139,30 @@
         }
     }
 
-    function canVerify({ id, group }: EndpointRecord): boolean {
-        const holderAgeMilliseconds = Math.round(options.holderAgeMilliseconds() ?? 0);
+    function verifiabilityOf({ id, group }: EndpointRecord): Verifiability {
+        const holderAgeMilliseconds = options.holderAgeMilliseconds();
+        if (holderAgeMilliseconds === undefined) {
+            return Verifiability.NotYet;
+        }
         const lostEndpoints = directory.lostEndpointsOf(group, dutyConstants.longestUnattendedMilliseconds);
-        const isComplete = holderAgeMilliseconds < dutyConstants.longestUnattendedMilliseconds
-            && lostEndpoints.length === 0;
-        if (!isComplete && isNews(group, `${id} is not verified`)) {
+        if (holderAgeMilliseconds < dutyConstants.longestUnattendedMilliseconds && lostEndpoints.length === 0) {
+            return Verifiability.Possible;
+        }
+        if (isNews(group, `${id} is not verified`)) {
             log("primary cannot be verified: this VM may lack an endpoint", {
                 group,
                 endpoint: id,
-                holderAgeMilliseconds,
+                holderAgeMilliseconds: Math.round(holderAgeMilliseconds),
                 lostEndpoints,
             });
         }
-        return isComplete;
+        return Verifiability.Impossible;
     }
 
     async function queryOthers(endpoint: EndpointRecord): Promise<boolean> {
         const others = directory.endpointsOf(endpoint.group).filter(other => other.id !== endpoint.id);
         const answers = await Promise.all(others.map(queryIsPrimary));
-        const hasNoOtherPrimary = canVerify(endpoint) && options.holderAgeMilliseconds() !== undefined
+        const hasNoOtherPrimary = verifiabilityOf(endpoint) === Verifiability.Possible
             && answers.every(isPrimary => isPrimary === false)
             && !primaries.isSuperseded(endpoint);
         options.metrics.countPrimaryVerification(hasNoOtherPrimary);
@@ -175,5 +180,5 @@
         return hasNoOtherPrimary;
     }
 
-    return { isVerified, wasVerified, canVerify, verify };
+    return { isVerified, wasVerified, verifiabilityOf, verify };
 }
--- a/src/primaries/createPrimaryVerification/test.ts
+++ b/src/primaries/createPrimaryVerification/test.ts
@@ -8,6 +8,7 @@
 import { primaryConstants } from "../constants.js";
 import { createPrimaries } from "../createPrimaries/index.js";
 import type { EndpointRole } from "../types/EndpointRole.js";
+import { Verifiability } from "../types/Verifiability.js";
 import { createPrimaryVerification } from "./index.js";
 
 const primary = createEndpointRecord({ id: "i-1", isPrimary: true });
@@ -146,12 +147,13 @@
     it("verifies no primary while an endpoint may be missing: after long without the holder, or after a loss", async () => {
         const { clock, state, directory, verification } = createSite(async () => false);
         state.holderAgeMilliseconds = undefined;
-        assert.ok(verification.canVerify(primary), "the VM may hear of the holder at any moment");
+        assert.equal(verification.verifiabilityOf(primary), Verifiability.NotYet);
         assert.equal(await verification.verify(primary), false);
         state.holderAgeMilliseconds = dutyConstants.longestUnattendedMilliseconds;
-        assert.equal(verification.canVerify(primary), false);
+        assert.equal(verification.verifiabilityOf(primary), Verifiability.Impossible);
         assert.equal(await verification.verify(primary), false);
         state.holderAgeMilliseconds -= 1;
+        assert.equal(verification.verifiabilityOf(primary), Verifiability.Possible);
         assert.equal(await verification.verify(primary), true);
         const { era, revision } = directory.endpoint("i-3")!;
         const removal = { name: "i-3", era, revision: revision + 1, item: undefined };
--- a/src/primaries/types/PrimaryVerification.ts
+++ b/src/primaries/types/PrimaryVerification.ts
@@ -1,4 +1,5 @@
 import type { EndpointRecord } from "../../directory/types/EndpointRecord.js";
+import type { Verifiability } from "./Verifiability.js";
 
 /** Verifies that an endpoint was its group's primary, before its answer is relied on. */
 export interface PrimaryVerification {
@@ -8,11 +9,8 @@
      * Whether a query verified the endpoint recently: a write may be sent to it. Its answer has to be verified again.
      */
     wasVerified(endpoint: EndpointRecord): boolean;
-    /**
-     * Whether the endpoints that this VM knows are enough to learn from them of each change of primary, or may soon be
-     * while it has just started; otherwise no query can verify the endpoint.
-     */
-    canVerify(endpoint: EndpointRecord): boolean;
+    /** Whether queries can verify the endpoint. */
+    verifiabilityOf(endpoint: EndpointRecord): Verifiability;
     /**
      * Queries the other endpoints of the group whether one of them is the primary. Resolves with true when none was at a
      * time after the call: the endpoint's log then had every acknowledged commit when it last proved, before the call, that
--- a/src/testing/createSessionServices/index.ts
+++ b/src/testing/createSessionServices/index.ts
@@ -9,6 +9,7 @@
 import { createRetryAllowance } from "../../pace/createRetryAllowance/index.js";
 import { createPositionEvidence } from "../../primaries/createPositionEvidence/index.js";
 import { createPrimaries } from "../../primaries/createPrimaries/index.js";
+import { Verifiability } from "../../primaries/types/Verifiability.js";
 import { createRandomSource } from "../../random/createRandomSource/index.js";
 import { createPopulatedDirectory } from "../createPopulatedDirectory/index.js";
 
@@ -41,7 +42,7 @@
         verification: {
             isVerified: () => true,
             wasVerified: () => true,
-            canVerify: () => true,
+            verifiabilityOf: () => Verifiability.Possible,
             verify: async () => true,
         },
         placement: {
