--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -7,6 +7,7 @@
 import { FailureCode } from "../../statements/types/FailureCode.js";
 import { SessionState } from "../../statements/types/SessionState.js";
 import type { StatementAnswer } from "../../statements/types/StatementAnswer.js";
+import { callerSessionConstants } from "../constants.js";
 import { createFailure } from "../createFailure/index.js";
 import { exchangeForRead } from "../exchangeForRead/index.js";
 import { recordAnswer } from "../recordAnswer/index.js";
@@ -37,12 +38,11 @@
     timeoutMilliseconds: number,
     services: SessionServices,
 ): Promise<Attempt> {
-    const verifiability = verifiabilityOf(connection, services);
+    const expiresAt = services.clock.now() + timeoutMilliseconds;
+    const verifiability = await waitForVerifiability(connection, expiresAt, services);
     if (verifiability !== Verifiability.Possible) {
         const outcome = createFailure(FailureCode.Busy, "whether the endpoint is the primary cannot be verified");
-        return verifiability === Verifiability.NotYet
-            ? { kind: AttemptKind.Retryable, outcome }
-            : { kind: AttemptKind.Final, outcome };
+        return { kind: AttemptKind.Final, outcome };
     }
     if (!await mayWrite(callerStatement, connection, services)) {
         const outcome = createFailure(FailureCode.Busy, "the endpoint could not be verified as the primary");
@@ -55,13 +55,14 @@
         ...alignSession(connection.pooled, { values: session.values, prepared: expectedPrepared }),
         toOutgoingStatement(callerStatement, endpointName, leastPosition),
     ];
+    const timeLeft = Math.max(expiresAt - services.clock.now(), 1);
     const sinceSent = startElapsedTimer(services.clock);
     // A write proves by itself that the endpoint has not stepped down, and a transaction did so when it began.
     const needsProof = mode === AccessMode.Read && !isInTransaction;
     try {
         const { answers, isProven } = needsProof
-            ? await exchangeForRead(connection, statements, timeoutMilliseconds, services)
-            : { answers: await connection.exchange(statements, timeoutMilliseconds), isProven: true };
+            ? await exchangeForRead(connection, statements, timeLeft, services)
+            : { answers: await connection.exchange(statements, timeLeft), isProven: true };
         const answer = answers.at(-1)!;
         recordAnswer(connection, { answer, sinceSent, needsPrimary: mode === AccessMode.Write }, services);
         if (answers.slice(0, -1).some(({ failure }) => failure !== undefined)) {
@@ -91,14 +92,24 @@
     }
 }
 
-/** Whether an answer of the endpoint can be relied on at all: one of a replica, or of a primary that can be verified. */
-function verifiabilityOf(
+/**
+ * Whether an answer of the endpoint can be relied on at all: one of a replica, or of a primary that can be verified. Waits
+ * within the time limit while that may soon change.
+ */
+async function waitForVerifiability(
     { isPrimary, endpoint }: EligibleConnection["connection"],
-    { verification }: SessionServices,
-): Verifiability {
-    return !isPrimary || verification.isVerified(endpoint)
-        ? Verifiability.Possible
-        : verification.verifiabilityOf(endpoint);
+    expiresAt: number,
+    { clock, verification, stop }: SessionServices,
+): Promise<Verifiability> {
+    for (;;) {
+        const verifiability = !isPrimary || verification.isVerified(endpoint)
+            ? Verifiability.Possible
+            : verification.verifiabilityOf(endpoint);
+        if (verifiability !== Verifiability.NotYet || clock.now() >= expiresAt || stop.waitsEnd.aborted) {
+            return verifiability;
+        }
+        await clock.sleep(callerSessionConstants.verifiabilityPollingMilliseconds);
+    }
 }
 
 /** Writes go to a verified primary only: at a superseded one their outcome would stay unknown. */
--- a/src/callerSessions/constants.ts
+++ b/src/callerSessions/constants.ts
@@ -71,4 +71,6 @@
     defaultProgressMilliseconds: 60_000,
     leastProgressMilliseconds: 1_000,
     mostProgressMilliseconds: 3_600_000,
+    /** Polling interval of a statement that waits until its VM has heard of the holder of the failover duty, in milliseconds. */
+    verifiabilityPollingMilliseconds: 50,
 } as const;
--- a/src/testing/runSimulatedCaller/index.ts
+++ b/src/testing/runSimulatedCaller/index.ts
@@ -1,4 +1,5 @@
 import { attemptStatement } from "../../callerSessions/attemptStatement/index.js";
+import { createGracefulStop } from "../../callerSessions/createGracefulStop/index.js";
 import { createSessionContext } from "../../callerSessions/createSessionContext/index.js";
 import type { CallerStatement } from "../../callerSessions/types/CallerStatement.js";
 import type { SessionServices } from "../../callerSessions/types/SessionServices.js";
@@ -49,6 +50,7 @@
         primaries: vm.primaries,
         evidence: kernel.get(ServiceName.PositionEvidence),
         verification: kernel.get(ServiceName.PrimaryVerification),
+        stop: createGracefulStop(clock, statementMilliseconds),
     } as unknown as SessionServices;
     const isWriter = mode === AccessMode.Write;
     let pendingCount = 0;
