--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -74,7 +74,14 @@
         if (attempt.outcome.failure !== undefined) {
             return attempt;
         }
-        if (!isProven || !await isReplicaOrVerifiedPrimary(connection, services)) {
+        if (!isProven) {
+            const outcome = createFailure(
+                FailureCode.Aborted,
+                "the endpoint was not the primary when it answered the read",
+            );
+            return { kind: AttemptKind.Retryable, outcome };
+        }
+        if (!await isReplicaOrVerifiedPrimary(connection, services)) {
             return classifyLoss(callerStatement, "the endpoint could not be verified as the primary after it answered");
         }
         // The verification may have found a newer term.
--- a/src/callerSessions/attemptStatement/test.ts
+++ b/src/callerSessions/attemptStatement/test.ts
@@ -176,7 +176,9 @@
                 ...kind === OutgoingKind.Begin ? refused : {},
             }));
         const eligible = { connection, leastPosition: undefined };
-        assert.equal((await attemptStatement(statement, eligible, 500, services)).kind, AttemptKind.Retryable);
+        const refusal = await attemptStatement(statement, eligible, 500, services);
+        assert.equal(refusal.kind, AttemptKind.Retryable);
+        assert.equal(refusal.outcome.failure?.code, FailureCode.Aborted, "the endpoint is not avoided as a silent one");
         const attempt = await attemptStatement(statement, { ...eligible, isInTransaction: true }, 500, services);
         assert.equal(attempt.outcome.signature, "ok");
     });
