--- a/src/testing/primaryScenarios/unknownSuccessor/test.ts
+++ b/src/testing/primaryScenarios/unknownSuccessor/test.ts
@@ -65,6 +65,23 @@
             assert.deepEqual(findIdleGroups(fleet.history, groups, fleet.clock.now() - 5_000), []);
         });
 
+        it(`is promoted in a release, and no read of the former primary is returned, seed ${seed}`, async () => {
+            const fleet = await startFleet(seed);
+            fleet.network.addRule(({ procedure }) => {
+                if (procedure === "promote") {
+                    formerEndpoints.forEach(id => fleet.network.cut(id, newEndpoint));
+                }
+                return undefined;
+            });
+            for (const id of formerEndpoints) {
+                fleet.endpoints.get(id).isLeaving = true;
+            }
+            await fleet.clock.advance(5_000);
+            assert.equal(fleet.endpoints.leaderOf("orders"), newEndpoint);
+            assert.deepEqual(findStaleAnswers(fleet.history), []);
+            assert.deepEqual(findIdleGroups(fleet.history, groups, fleet.clock.now() - 2_000), []);
+        });
+
         it(`is promoted in order, after the former primary has stepped down, seed ${seed}`, async () => {
             const fleet = await startFleet(seed);
             fleet.endpoints.crash("orders-2");
