--- a/src/model/types/KnowledgeState.ts
+++ b/src/model/types/KnowledgeState.ts
@@ -8,7 +8,7 @@
     readonly steppedDown: readonly KnowledgeEndpoint[];
     /** Whether the leader has acknowledged a commit in its term. */
     readonly hasCommitted: boolean;
-    /** Endpoints whose logs show the term of the replica, if that has led. */
+    /** Whether the log of the replica shows that it has led since the former primary. */
     readonly hasTermInLog: boolean;
     /** Whether the newcomer has registered. */
     readonly hasNewcomer: boolean;
