Say only what is known of a read that was not relied on

A read whose lease ended before its answer was refused as if the endpoint had not been the primary; the description now says that this could not be verified.

--- a/src/callerSessions/attemptStatement/index.ts
+++ b/src/callerSessions/attemptStatement/index.ts
@@ -75,10 +75,7 @@
             return attempt;
         }
         if (!isProven) {
-            const outcome = createFailure(
-                FailureCode.Aborted,
-                "the endpoint was not the primary when it answered the read",
-            );
+            const outcome = createFailure(FailureCode.Aborted, "the endpoint could not be verified as the primary");
             return { kind: AttemptKind.Retryable, outcome };
         }
         if (!await isReplicaOrVerifiedPrimary(connection, services)) {
--- a/src/callerSessions/exchangeForRead/index.ts
+++ b/src/callerSessions/exchangeForRead/index.ts
@@ -9,8 +9,8 @@
 interface ReadExchange {
     readonly answers: readonly StatementAnswer[];
     /**
-     * Whether the endpoint had not stepped down when it executed the statements; always true for a replica, whose answers
-     * are checked by log position instead.
+     * Whether the endpoint is known not to have stepped down just before it executed the statements; always true for a
+     * replica, whose answers are checked by log position instead.
      */
     readonly isProven: boolean;
 }
@@ -23,7 +23,7 @@
  * @param statements The statements.
  * @param timeoutMilliseconds Time limit of the answers.
  * @param services The known primaries, which are updated, and their verification.
- * @returns The answers to the statements, and whether the endpoint was the primary.
+ * @returns The answers to the statements, and whether the endpoint proved to be the primary.
  * @throws TarragonpostError when the answers do not arrive in time.
  *
  * @example
--- a/src/callerSessions/exchangeForRead/test.ts
+++ b/src/callerSessions/exchangeForRead/test.ts
@@ -38,7 +38,7 @@
 }
 
 describe("exchangeForRead", () => {
-    // STALE of review/7: the former primary had stepped down for an endpoint that the VM did not know.
+    // Stale reads: the former primary had stepped down for an endpoint that the VM did not know.
     it("does not rely on the read of a former primary that became a replica", async () => {
         const { isProven, primaries } = await readAt(true, FailureCode.ReadOnly, () => false);
         assert.equal(isProven, false);
--- a/src/primaries/createPrimaries/test.ts
+++ b/src/primaries/createPrimaries/test.ts
@@ -65,7 +65,7 @@
         assert.equal(primaries.primaryOf("orders")?.id, "i-2");
     });
 
-    // STALE of review/7: the answers of a former primary, which followed its successor, counted as those of a primary.
+    // Stale reads: the answers of a former primary, which followed its successor, counted as those of a primary.
     it("takes no term in an answer that a replica could give for the term in which an endpoint leads", () => {
         const { directory, primaries } = createSite();
         const primary = directory.endpoint("i-1")!;
