--- a/review/standins-3/startSite.mjs
+++ b/review/standins-3/startSite.mjs
@@ -44,7 +44,7 @@
 ip = "${vm.host}"
 zone = "${vm.zone}"
 region = "${vm.zone.slice(0, -2)}"
-bootstrap = ${vm.starts === 0}
+bootstrap = ${vm.isFirstStart && vm.starts === 0}
 heartbeatMs = 1200
 [zones]
 ${zones.map(zone => `${zone} = "${zone.slice(0, -2)}"`).join("\n")}
@@ -64,7 +64,7 @@
 [platform]
 addr = "127.0.0.1:${platform.store.port}"
 [cloudApi]
-addr = "127.0.0.1:${platform.promotionPort}"
+addr = "127.0.0.1:${vm.promotionPort ?? platform.promotionPort}"
 `;
 }
 
@@ -84,7 +84,7 @@
  * Starts the platform's stand-in and VMs, each the program of the deploy file with the settings of a small deployment. A
  * process that ends is started again, as the platform does.
  */
-export async function startSite({ record, vmCount, routes, ...platformOptions }) {
+export async function startSite({ record, vmCount, routes, isFirstStart = true, openPromotions, ...platformOptions }) {
     const folder = mkdtempSync(join(tmpdir(), "tarragonpost-review-"));
     const platform = await createPlatformStandIn({
         group: "stylus-core",
@@ -93,6 +93,7 @@
         ...platformOptions,
     });
     platform.configure(1, routes);
+    const promotionPort = await openPromotions?.(platform.promotionPort);
     let isStopping = false;
 
     function start(vm) {
@@ -113,6 +114,12 @@
                 return;
             }
             const reason = /FATAL ERROR: [^\n]*/.exec(errorText)?.[0] ?? "";
+            if (vm.isPlanned) {
+                vm.isPlanned = false;
+                record(`process of ${vm.name} ended after SIGTERM`);
+                setTimeout(() => isStopping || start(vm), restartMilliseconds);
+                return;
+            }
             vm.ends.push({ code, signal });
             record(`process of ${vm.name} ended by itself, end ${vm.ends.length}: code ${code}, signal ${signal} ${reason}`);
             setTimeout(() => {
@@ -134,6 +141,8 @@
             port: await findPort(host),
             readinessPort: await findPort(host),
             peerPort: await findPort(host),
+            promotionPort,
+            isFirstStart,
             starts: 0,
             ends: [],
         });
@@ -152,6 +161,15 @@
         return false;
     }
 
+    /** Stops the process of a VM in order; it is then started again. */
+    async function restart(vm) {
+        record(`${vm.name} gets SIGTERM`);
+        vm.isPlanned = true;
+        const { exited } = vm;
+        vm.child.kill("SIGTERM");
+        await exited;
+    }
+
     async function stop() {
         isStopping = true;
         vms.forEach(({ child }) => child.kill("SIGKILL"));
@@ -160,5 +178,5 @@
         rmSync(folder, { recursive: true, force: true });
     }
 
-    return { platform, vms, waitUntilReady, stop };
+    return { platform, vms, waitUntilReady, restart, stop };
 }
