--- a/review/13/case.mjs
+++ b/review/14/case.mjs
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createPromotionGate } from "../standins-3/createPromotionGate.mjs";
 import { openClient } from "../standins-3/openClient.mjs";
+import { replaceBackend } from "../standins-3/replaceBackend.mjs";
 import { createRecord, startSite } from "../standins-3/startSite.mjs";
 
 const database = "lepu270";
@@ -27,36 +28,6 @@
 
 /** When each statement was sent, and how it was answered, by id. */
 const sent = new Map();
-let reportNumber = 1_000;
-
-/** Drains a backend, which then leaves, and starts it again under its id and at its address, with its log. */
-async function replaceBackend({ id, group, port, position }) {
-    const zone = site.platform.store.read("servers", id).zone;
-    const report = state => {
-        reportNumber += 1;
-        site.platform.store.put("servers", id, {
-            service: group,
-            addr: `127.0.0.1:${port}`,
-            zone,
-            version: "v2",
-            slots: 3,
-            state,
-            coldLeftMs: 0,
-            dbRole: "replica",
-            seq: reportNumber,
-            born: state === "ready" ? Date.now() : 1,
-        });
-    };
-    report("draining");
-    record(`${id}, a replica at ${position().term}.${position().entry}, is draining`);
-    await sleep(1_000);
-    site.platform.store.remove("servers", id);
-    record(`${id} has left`);
-    await sleep(500);
-    report("ready");
-    record(`${id} has started again`);
-    await sleep(1_000);
-}
 
 async function runClient(vm, clientName, endsAt) {
     let count = 0;
@@ -91,7 +62,7 @@
     await sleep(2_000);
     await site.waitUntilReady(holder);
     for (const replica of site.platform.endpoints.filter(({ isPrimary }) => !isPrimary)) {
-        await replaceBackend(replica);
+        await replaceBackend(site.platform, replica, record);
     }
     const endsAt = performance.now() + (3 + watchedSeconds) * 1_000;
     const clients = Array.from(
--- a/review/standins-3/startSite.mjs
+++ b/review/standins-3/startSite.mjs
@@ -116,7 +116,7 @@
             const reason = /FATAL ERROR: [^\n]*/.exec(errorText)?.[0] ?? "";
             if (vm.isPlanned) {
                 vm.isPlanned = false;
-                record(`process of ${vm.name} ended after SIGTERM`);
+                record(`process of ${vm.name} has ended`);
                 setTimeout(() => isStopping || start(vm), restartMilliseconds);
                 return;
             }
@@ -170,6 +170,15 @@
         await exited;
     }
 
+    /** Kills the process of a VM; it is then started again. */
+    async function kill(vm) {
+        record(`process of ${vm.name} is killed`);
+        vm.isPlanned = true;
+        const { exited } = vm;
+        vm.child.kill("SIGKILL");
+        await exited;
+    }
+
     async function stop() {
         isStopping = true;
         vms.forEach(({ child }) => child.kill("SIGKILL"));
@@ -178,5 +187,5 @@
         rmSync(folder, { recursive: true, force: true });
     }
 
-    return { platform, vms, waitUntilReady, restart, stop };
+    return { platform, vms, waitUntilReady, restart, kill, stop };
 }
