--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -53,6 +53,7 @@
             sent.set(id, { text, values: { tenant_zone: value }, outcome: "none" });
             const answer = await client.query(id, text);
             sent.get(id).outcome = answer.isSuccess ? "success" : answer.failure ?? "none";
+            record(`${id} (${text}) sent to ${vm.name}, answered with ${sent.get(id).outcome}`);
             return answer.isSuccess === true;
         };
         const setting = await client.query(`${value}-0`, `SET tenant_zone ${value}`);
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -33,17 +33,19 @@
     let count = 0;
     while (!isOver()) {
         const client = await openClient(vm, database);
-        do {
+        while (!client.isClosed() && !isOver()) {
             count += 1;
+            const id = `${clientName}-${count}`;
             const text = count % 4 === 0 ? `WRITE item-${clientName} ${count}` : `READ item-${clientName}`;
             const statement = { sentAt: performance.now(), outcome: "none" };
             sent.push(statement);
-            const answer = client.opening.state === "I" ? await client.query(`${clientName}-${count}`, text) : {};
+            const answer = await client.query(id, text);
             statement.outcome = answer.isSuccess ? "success" : answer.failure ?? "none";
+            record(`${id} (${text}) sent to ${vm.name}, answered with ${statement.outcome}`);
             await sleep(50);
         }
-        while (!client.isClosed() && !isOver());
         client.close();
+        await sleep(50);
     }
 }
 
@@ -64,6 +66,7 @@
     await site.waitUntilReady(holder);
     for (const replica of site.platform.endpoints.filter(({ isPrimary }) => isReplacing && !isPrimary)) {
         await replaceBackend(site.platform, replica, record);
+        await sleep(1_000);
     }
     let isOver = false;
     const startedAt = performance.now();
@@ -79,6 +82,8 @@
         record(`${primary.id}, the primary, is lost for good`);
         setTimeout(() => site.platform.unregister(primary), lapseMilliseconds);
         await sleep(1_000);
+        site.platform.configure(2, routes);
+        record("the store has accepted a configuration");
         await Promise.all(site.vms.map(site.kill));
     }
     const isBack = (await Promise.all(site.vms.map(site.waitUntilReady))).every(Boolean);
--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -40,6 +40,7 @@
             sent.set(id, { text, sentAt: performance.now(), outcome: "none" });
             const answer = await client.query(id, text);
             sent.get(id).outcome = answer.isSuccess ? "success" : answer.failure ?? "none";
+            record(`${id} (${text}) sent to ${vm.name}, answered with ${sent.get(id).outcome}`);
             await sleep(20);
         }
         client.close();
@@ -63,6 +64,7 @@
     await site.waitUntilReady(holder);
     for (const replica of site.platform.endpoints.filter(({ isPrimary }) => !isPrimary)) {
         await replaceBackend(site.platform, replica, record);
+        await sleep(1_000);
     }
     const endsAt = performance.now() + (3 + watchedSeconds) * 1_000;
     const clients = Array.from(
--- a/review/standins-3/replaceBackend.mjs
+++ b/review/standins-3/replaceBackend.mjs
@@ -1,32 +1,37 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
-let reportNumber = 1_000;
+/** A backend goes on serving for `drainMs` after the store has accepted that it is draining, and a little longer. */
+const drainMilliseconds = 7_500;
+/** Time from the end of the old backend to the start of the new one. */
+const downMilliseconds = 500;
 
-/** Drains a backend, which then leaves, and starts it again under its id and at its address, with its log. */
-export async function replaceBackend({ store }, { id, group, port, position }, record) {
-    const { zone } = store.read("servers", id);
-    const report = state => {
-        reportNumber += 1;
+/**
+ * Replaces a backend: it drains and ends, and a new one starts under its id and at its address, with the log that was
+ * transferred to it.
+ */
+export async function replaceBackend({ store }, endpoint, record) {
+    const { id, group, port } = endpoint;
+    const { zone, seq, born } = store.read("servers", id);
+    const report = changes =>
         store.put("servers", id, {
             service: group,
             addr: `127.0.0.1:${port}`,
             zone,
-            version: "v2",
+            version: "v1",
             slots: 3,
-            state,
+            state: "ready",
             coldLeftMs: 0,
             dbRole: "replica",
-            seq: reportNumber,
-            born: state === "ready" ? Date.now() : 1,
+            ...changes,
         });
-    };
-    report("draining");
-    record(`${id}, a replica at ${position().term}.${position().entry}, is draining`);
-    await sleep(1_000);
+    report({ state: "draining", seq: seq + 1, born });
+    record(`${id}, a replica, is draining`);
+    await sleep(drainMilliseconds);
+    endpoint.kill();
     store.remove("servers", id);
-    record(`${id} has left`);
-    await sleep(500);
-    report("ready");
-    record(`${id} has started again`);
-    await sleep(1_000);
+    record(`${id} has ended`);
+    await sleep(downMilliseconds);
+    await endpoint.restart();
+    report({ version: "v2", seq: 1, born: Date.now() });
+    record(`${id} has started anew`);
 }
