--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createGreyProxy } from "../standins-3/createGreyProxy.mjs";
 import { openClient } from "../standins-3/openClient.mjs";
-import { createRecord, startSite } from "../standins-3/startSite.mjs";
+import { createRecord, recordStatements, startSite } from "../standins-3/startSite.mjs";
 
 const database = "lepu270";
 const vmCount = 3;
@@ -94,6 +94,7 @@
     grey.isOn = false;
     record("backend i-1 is well");
     await Promise.all(clients);
+    recordStatements(site.platform, record);
 
     // Rule PINNED: a statement runs where the session values differ from those that were acknowledged to its client.
     let differing = 0;
@@ -120,6 +121,10 @@
     }
     record(exitCode === 1 ? "rule PINNED is broken" : exitCode === 0 ? "rule PINNED held" : "the case could not run");
 }
+catch (error) {
+    exitCode = 2;
+    record(`the case could not run: ${error}`);
+}
 finally {
     await site.stop();
 }
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { openClient } from "../standins-3/openClient.mjs";
 import { replaceBackend } from "../standins-3/replaceBackend.mjs";
-import { createRecord, startSite } from "../standins-3/startSite.mjs";
+import { createRecord, recordStatements, startSite } from "../standins-3/startSite.mjs";
 
 const database = "lepu270";
 const vmCount = 3;
@@ -75,7 +75,6 @@
         (_, index) => runClient(site.vms[index % vmCount], `c${index + 1}`, () => isOver),
     );
     await sleep(countedMilliseconds);
-    const faultAt = performance.now();
     if (hasTrouble) {
         const primary = site.platform.findPrimary();
         primary.kill();
@@ -84,6 +83,9 @@
         await sleep(1_000);
         site.platform.configure(2, routes);
         record("the store has accepted a configuration");
+    }
+    const faultAt = performance.now();
+    if (hasTrouble) {
         await Promise.all(site.vms.map(site.kill));
     }
     const isBack = (await Promise.all(site.vms.map(site.waitUntilReady))).every(Boolean);
@@ -91,18 +93,23 @@
     await sleep(recoverMilliseconds + countedMilliseconds);
     isOver = true;
     await Promise.all(clients);
+    recordStatements(site.platform, record);
 
     // Rule RECOVER: of the requests sent later than recoverS after the machines are back, less than a quarter is served,
     // though a quarter or more was before the final fault.
     const before = countServed(startedAt, faultAt);
     const after = countServed(backAt + recoverMilliseconds, Infinity);
-    record(`before the fault ${before.served} of ${before.count} requests were served`);
+    record(`before the final fault ${before.served} of ${before.count} requests were served`);
     record(`later than ${recoverMilliseconds} ms after the machines were back ${after.served} of ${after.count} were served`);
     if (areReady.every(Boolean) && isBack && before.served >= before.count / 4 && after.count > 0) {
         exitCode = after.served < after.count / 4 ? 1 : 0;
     }
     record(exitCode === 1 ? "rule RECOVER is broken" : exitCode === 0 ? "rule RECOVER held" : "the case could not run");
 }
+catch (error) {
+    exitCode = 2;
+    record(`the case could not run: ${error}`);
+}
 finally {
     await site.stop();
 }
--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -2,7 +2,7 @@
 import { createPromotionGate } from "../standins-3/createPromotionGate.mjs";
 import { openClient } from "../standins-3/openClient.mjs";
 import { replaceBackend } from "../standins-3/replaceBackend.mjs";
-import { createRecord, startSite } from "../standins-3/startSite.mjs";
+import { createRecord, recordStatements, startSite } from "../standins-3/startSite.mjs";
 
 const database = "lepu270";
 const vmCount = 3;
@@ -83,6 +83,7 @@
     gate.isDown = false;
     record("the platform accepts promotions");
     await Promise.all(clients);
+    recordStatements(site.platform, record);
 
     // Rule DRAIN: a request reaches a backend later than drainMs after the store accepted that it is draining.
     const late = site.platform.executedStatements.slice(count).filter(({ id, endpointId }) =>
@@ -103,6 +104,10 @@
     }
     record(exitCode === 1 ? "rule DRAIN is broken" : exitCode === 0 ? "rule DRAIN held" : "the case could not run");
 }
+catch (error) {
+    exitCode = 2;
+    record(`the case could not run: ${error}`);
+}
 finally {
     await site.stop();
 }
--- a/review/standins-3/startSite.mjs
+++ b/review/standins-3/startSite.mjs
@@ -15,6 +15,12 @@
 const restartMilliseconds = 500;
 const zones = ["ga-north-a", "ga-north-b", "ga-south-a"];
 
+// An error that nobody expected is no broken rule: the case could not run.
+process.on("uncaughtException", error => {
+    console.error(error);
+    process.exit(2);
+});
+
 /** Creates the record of a case, which is written to `record.txt` in the folder of the case. */
 export function createRecord(folder) {
     const file = join(folder, "record.txt");
@@ -26,6 +32,13 @@
     };
 }
 
+/** Records the statements of clients that backends have run, in their order. */
+export function recordStatements({ executedStatements }, record) {
+    for (const { id, endpointId } of executedStatements.filter(statement => statement.id !== "-")) {
+        record(`${id} was run by ${endpointId}`);
+    }
+}
+
 /** Finds a port that is free on a loopback address. */
 async function findPort(host) {
     const server = createServer();
@@ -147,6 +160,7 @@
             ends: [],
         });
     }
+    process.once("exit", () => vms.forEach(({ child }) => child?.kill("SIGKILL")));
     vms.forEach(start);
 
     async function waitUntilReady(vm) {
